--- /dev/null
+++ b/packages/authority/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Pure core: one queue for a pool of targets.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Operators' command-line tool.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/client/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Caller library.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * persimmonhatchd, the program on every entry VM.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Pure core: the owner of a request, its identity and its single dispatch.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/history/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Predicates over histories: the promises as code.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/load/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Open-loop load, recorded traces and their replay.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Pure core: who is alive, who is authority, which address a caller should use.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,9 @@
+/**
+ * What every package agrees on: names, messages between daemons, reasons and their words.
+ *
+ * @module
+ */
+export * from './constants.js'
+export * from './peer-message.js'
+export * from './reason.js'
+export * from './refs.js'
--- /dev/null
+++ b/packages/protocol/src/reason.ts
@@ -0,0 +1,67 @@
+/**
+ * Every outcome that a caller, an operator or a log can meet, and the words for it, in one place.
+ *
+ * @module
+ */
+
+/** Whether a request was run, as far as the system can truthfully say. */
+export type Execution = 'not-run' | 'ran' | 'unknown'
+
+/** What a caller and an operator are told about one kind of outcome. */
+export interface Explanation {
+  readonly status: number
+  readonly execution: Execution
+  /** One sentence for a reader without a technical background. `{name}` is replaced by a figure. */
+  readonly text: string
+  /** What the caller or the operator can do. */
+  readonly remedy: string
+}
+
+/** Message id to message. The ids are part of the public interface: they never change their meaning. */
+export const EXPLANATIONS = {
+  finished: { status: 200, execution: 'ran', text: 'The request ran to its end on {target} after waiting {waitedMs} ms.', remedy: 'Nothing to do.' },
+  'malformed-request': { status: 400, execution: 'not-run', text: 'The request could not be read: {detail}.', remedy: 'Correct the request and send it again.' },
+  'identity-required': { status: 400, execution: 'not-run', text: 'This request is non-idempotent and carries no identity, so a resend could not be told from a second request.', remedy: 'Ask GET /v1/addresses for an address and an identity, and send it in the idempotency-key header.' },
+  'identity-malformed': { status: 400, execution: 'not-run', text: 'The identity in the idempotency-key header was not issued by this system.', remedy: 'Ask GET /v1/addresses for an identity.' },
+  'unknown-service': { status: 404, execution: 'not-run', text: 'No service named {service} is in force.', remedy: 'Check the name with: persimmonhatch show.' },
+  'unknown-organisation': { status: 403, execution: 'not-run', text: 'The service {service} does not list the organisation {organisation}.', remedy: 'Name a listed organisation in the x-persimmonhatch-organisation header, or have it added to the service document.' },
+  'unknown-tier': { status: 400, execution: 'not-run', text: 'The service {service} has no tier named {tier}.', remedy: 'Name a tier of the service document in the x-persimmonhatch-tier header, or leave the header out.' },
+  'unsupported-transfer': { status: 411, execution: 'not-run', text: 'The request body was not received whole.', remedy: 'Send the whole body.' },
+  'body-too-large': { status: 413, execution: 'not-run', text: 'The body is larger than {limitBytes} bytes.', remedy: 'Send a smaller body, or have limits.bodyBytes raised in the daemon settings.' },
+  'identity-reused': { status: 422, execution: 'not-run', text: 'The identity was used before for a different request.', remedy: 'Use a fresh identity for each request.' },
+  'identity-expired': { status: 410, execution: 'unknown', text: 'The identity is older than the {retentionS} s for which outcomes are kept. It was not run by this resend.', remedy: 'Check whether the earlier request took effect before sending a new one.' },
+  'outcome-unknown': { status: 409, execution: 'unknown', text: 'The daemon that owned this request is gone or out of reach. The request is not run again.', remedy: 'Check whether it took effect before sending it under a new identity.' },
+  'answer-not-held': { status: 409, execution: 'ran', text: 'The request ran, but its answer is no longer held. It is not run again.', remedy: 'Read the result from the service, or send a new request under a new identity.' },
+  'other-address': { status: 307, execution: 'not-run', text: 'Another daemon owns this identity.', remedy: 'Send the request to the address in the location header.' },
+  shed: { status: 503, execution: 'not-run', text: 'Capacity was short: {ahead} requests of the same or a higher tier were ahead, an expected wait of {expectedWaitMs} ms against a limit of {maxWaitMs} ms.', remedy: 'Come back after the time in the retry-after header.' },
+  'deadline-unreachable': { status: 504, execution: 'not-run', text: 'The deadline of {deadlineMs} ms could not be met: the request needed about {expectedMs} ms.', remedy: 'Allow more time, or come back after the time in the retry-after header.' },
+  'no-target': { status: 503, execution: 'not-run', text: 'No target of the service {service} takes new work at present.', remedy: 'Come back after the time in the retry-after header; operators: persimmonhatch status.' },
+  'no-authority': { status: 503, execution: 'not-run', text: 'No daemon could be reached that places requests for this service.', remedy: 'Come back after the time in the retry-after header, at another address.' },
+  draining: { status: 503, execution: 'not-run', text: 'This daemon is shutting down and takes no new requests.', remedy: 'Send the request to another address; the answer names some.' },
+  'caller-gone': { status: 499, execution: 'not-run', text: 'The caller went away before the request was placed.', remedy: 'Send it again under a new identity if it is still wanted.' },
+  'caller-gone-dispatched': { status: 499, execution: 'unknown', text: 'The caller went away after the request was sent to {target}; it was cancelled there.', remedy: 'Check whether it took effect before sending a new one.' },
+  'suspect-refused': { status: 422, execution: 'not-run', text: 'Requests with this content have crashed {crashes} targets, so they are refused for {remainingS} s.', remedy: 'Change the request; operators: look at the crash on the named targets.' },
+  preempted: { status: 503, execution: 'ran', text: 'The request was stopped on {target} to make room for a higher tier. Part of it had run.', remedy: 'Come back after the time in the retry-after header, under a new identity.' },
+  'target-unreachable': { status: 503, execution: 'not-run', text: 'The target {target} refused the connection before anything was sent.', remedy: 'Come back after the time in the retry-after header.' },
+  'target-failed': { status: 502, execution: 'unknown', text: 'The target {target} failed after the request was sent to it: {detail}.', remedy: 'Check whether it took effect before sending a new one.' },
+  'answer-incomplete': { status: 502, execution: 'ran', text: 'The answer of {target} ended without its proper end.', remedy: 'Discard what was received and send a new request.' }
+} as const satisfies Readonly<Record<string, Explanation>>
+
+/** Message id of an outcome. */
+export type Reason = keyof typeof EXPLANATIONS
+
+/** The figures behind one outcome, named as in the explanation's text. */
+export type Figures = Readonly<Record<string, string | number>>
+
+/**
+ * The sentence for one outcome with its figures filled in.
+ *
+ * @example
+ * ```ts
+ * explain('unknown-service', { service: 'listings' })
+ * // 'No service named listings is in force.'
+ * ```
+ */
+export function explain (reason: Reason, figures: Figures): string {
+  return EXPLANATIONS[reason].text.replace(/\{(\w+)\}/g, (_, name: string) => String(figures[name] ?? 'unknown'))
+}
--- /dev/null
+++ b/packages/protocol/tests/reason.test.ts
@@ -0,0 +1,22 @@
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as reason from '../src/reason.js'
+
+const explain = uvu.suite('explain')
+
+explain('fills in the figures', () => {
+  assert.is(reason.explain('unknown-service', { service: 'listings' }), 'No service named listings is in force.')
+})
+
+explain('says unknown for a missing figure', () => {
+  assert.match(reason.explain('unknown-service', {}), /named unknown/)
+})
+
+for (const [id, entry] of Object.entries(reason.EXPLANATIONS)) {
+  explain(`${id} names its remedy`, () => {
+    assert.ok(entry.remedy.length > 0)
+    assert.ok(entry.text.endsWith('.'))
+  })
+}
+
+explain.run()
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Small stand-ins for the platform, model engines and plain services.
+ *
+ * @module
+ */
+export {}
--- /dev/null
+++ b/packages/system/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Starts the whole system as separate processes.
+ *
+ * @module
+ */
+export {}
