--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,11 +1,11 @@
-import boundaries from 'eslint-plugin-boundaries'
-import functional from 'eslint-plugin-functional'
 import jsdoc from 'eslint-plugin-jsdoc'
 import neostandard from 'neostandard'
 import typescript from 'typescript-eslint'
 
 const PURE_PACKAGES = ['protocol', 'document', 'membership', 'authority', 'entry', 'history']
 
+const ADAPTER_PACKAGES = ['platform', 'standins', 'client', 'cli', 'daemon', 'load', 'system'].map((name) => `@persimmonhatch/${name}`)
+
 const NAMESPACE_IMPORTS_ONLY = [
   {
     selector: 'ImportDeclaration > ImportSpecifier',
@@ -17,17 +17,27 @@
   }
 ]
 
+const READ_ONLY_TYPES = [
+  {
+    selector: 'TSPropertySignature[readonly!=true]',
+    message: 'Types are read-only: write readonly before the property.'
+  },
+  {
+    selector: ':matches(TSInterfaceDeclaration, TSTypeAliasDeclaration) :not(TSTypeOperator) > TSArrayType',
+    message: 'Types are read-only: write readonly before the array type.'
+  }
+]
+
 export default [
   { ignores: ['**/dist/**', '**/node_modules/**', 'out/**'] },
   ...neostandard({ ts: true }),
-  jsdoc.configs['flat/contents-typescript-error'] ?? {},
   {
     files: ['packages/**/*.ts'],
     languageOptions: {
       parser: typescript.parser,
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname }
     },
-    plugins: { '@typescript-eslint': typescript.plugin, functional, jsdoc },
+    plugins: { '@typescript-eslint': typescript.plugin, jsdoc },
     rules: {
       '@typescript-eslint/consistent-type-imports': ['error', { fixStyle: 'separate-type-imports' }],
       '@typescript-eslint/explicit-function-return-type': ['error', { allowExpressions: true }],
@@ -37,9 +47,8 @@
       '@typescript-eslint/no-non-null-assertion': 'error',
       '@typescript-eslint/prefer-readonly': 'error',
       '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
-      'functional/prefer-property-signatures': 'error',
-      'functional/readonly-type': ['error', 'generic'],
-      'no-restricted-syntax': ['error', ...NAMESPACE_IMPORTS_ONLY],
+      '@typescript-eslint/method-signature-style': ['error', 'property'],
+      'no-restricted-syntax': ['error', ...NAMESPACE_IMPORTS_ONLY, ...READ_ONLY_TYPES],
       'max-lines': ['error', { max: 400, skipBlankLines: true }],
       complexity: ['error', 16]
     }
@@ -47,8 +56,6 @@
   {
     files: ['packages/*/src/**/*.ts'],
     rules: {
-      'functional/prefer-immutable-types': 'off',
-      'functional/type-declaration-immutability': 'off',
       'jsdoc/require-jsdoc': ['error', {
         publicOnly: true,
         require: { FunctionDeclaration: true, ClassDeclaration: true },
@@ -63,19 +70,7 @@
     rules: {
       'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'setImmediate', 'Date', 'fetch', 'performance', 'process'],
       'no-restricted-properties': ['error', { object: 'Math', property: 'random' }],
-      'no-restricted-imports': ['error', { patterns: ['node:*', 'undici', 'hono', '@hono/*', 'ws', 'winston', 'hot-shots'] }]
+      'no-restricted-imports': ['error', { patterns: ['node:*', 'undici', 'hono', '@hono/*', 'ws', 'winston', 'hot-shots', ...ADAPTER_PACKAGES] }]
     }
-  },
-  {
-    files: ['packages/*/src/**/*.ts'],
-    plugins: { boundaries },
-    settings: {
-      'import/resolver': { node: { extensions: ['.ts', '.js'] } },
-      'boundaries/elements': [
-        { type: 'core', pattern: `packages/(${PURE_PACKAGES.join('|')})`, mode: 'folder' },
-        { type: 'adapter', pattern: 'packages/*', mode: 'folder' }
-      ]
-    },
-    rules: {}
   }
 ]
--- a/packages/authority/src/index.ts
+++ b/packages/authority/src/index.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
-export {}
+export * as authority from './authority.js'
+export * as event from './event.js'
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
-export {}
+export * as entry from './entry.js'
+export * as event from './event.js'
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
-export {}
+export * as event from './event.js'
+export * as membership from './membership.js'
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,4 +3,5 @@
  *
  * @module
  */
-export {}
+export * as keyValue from './key-value.js'
+export * as vmList from './vm-list.js'
