--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,5 +5,6 @@
  */
 export * from './constants.js'
 export * from './peer-message.js'
+export * from './prompt.js'
 export * from './reason.js'
 export * from './refs.js'
