--- /dev/null
+++ b/packages/daemon/src/dispatch/answer-stream.ts
@@ -0,0 +1,184 @@
+/**
+ * Passes a target's answer into its record and finds out whether it was whole.
+ *
+ * @module
+ */
+import type * as entry from '@persimmonhatch/entry'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as undici from 'undici'
+import type * as answerRecord from './answer-record.js'
+import * as eventSplitter from './event-splitter.js'
+
+/** Bytes up to which an answer is kept back until it is whole; a longer one is passed on as it arrives. */
+const WHOLE_ANSWER_BYTES = 8_388_608
+
+/** Bytes after the end of a stream above which its connection is closed. */
+const MAX_DISCARDED_BYTES = 4_096
+
+/** Tries to resume a cut stream on the same engine. */
+const MAX_RESUMES = 3
+
+type Outcome = 'finished' | 'incomplete' | 'crashed'
+
+/** Measures one dispatch. */
+export interface Meter {
+  readonly token: () => void
+  readonly usage: (usage: eventSplitter.Usage | undefined) => void
+  readonly end: (outcome: entry.event.DispatchEnd['outcome'], detail: string) => entry.event.DispatchEnd
+}
+
+/** What forwarding needs. */
+export interface Options {
+  readonly httpClient: undici.Dispatcher
+  readonly placement: entry.event.Placement
+  readonly record: answerRecord.AnswerRecord
+  readonly signal: AbortSignal
+  readonly head: answerRecord.Head
+  readonly meter: Meter
+  readonly body: AsyncIterable<Uint8Array>
+}
+
+/**
+ * Starts measuring a dispatch.
+ *
+ * @example
+ * ```ts
+ * const meter = createMeter(clock, clock(), 120)
+ * ```
+ */
+export function createMeter (clock: protocol.Clock, startMs: number, promptTokens: number): Meter {
+  let tokens = 0
+  let firstTokenMs = 0
+  let reported: eventSplitter.Usage | undefined
+  return {
+    token: () => {
+      tokens += 1
+      if (tokens === 1) firstTokenMs = clock() - startMs
+    },
+    usage: (usage) => { reported = usage ?? reported },
+    end: (outcome, detail) => ({
+      outcome,
+      detail,
+      promptTokens: reported?.promptTokens ?? promptTokens,
+      cachedTokens: reported?.cachedTokens ?? 0,
+      answerTokens: reported?.answerTokens ?? tokens,
+      firstTokenMs,
+      totalMs: clock() - startMs
+    })
+  }
+}
+
+/**
+ * Forwards an answer that is not an event stream. Nothing of it reaches the caller before it is
+ * whole, unless it is longer than `WHOLE_ANSWER_BYTES`.
+ *
+ * @example
+ * ```ts
+ * const outcome = await forwardWhole(options)
+ * ```
+ */
+export async function forwardWhole (options: Options): Promise<Outcome> {
+  const { record, head, meter } = options
+  const kept: Uint8Array[] = []
+  let keptBytes = 0
+  let started = false
+  for await (const bytes of options.body) {
+    if (!started && keptBytes + bytes.length <= WHOLE_ANSWER_BYTES) {
+      kept.push(bytes)
+      keptBytes += bytes.length
+      continue
+    }
+    if (!started) {
+      started = true
+      record.start(head)
+      for (const earlier of kept) await record.append(earlier)
+    }
+    await record.append(bytes)
+  }
+  if (started) return 'finished'
+  meter.token()
+  if (options.placement.targetKind === 'model') meter.usage(eventSplitter.readUsage(Buffer.concat(kept).toString('utf8')))
+  record.start(head)
+  for (const bytes of kept) await record.append(bytes)
+  return 'finished'
+}
+
+function dataOf (event: eventSplitter.StreamEvent): string {
+  return event.text.slice('data:'.length).trim()
+}
+
+/**
+ * Forwards a stream of events up to the event that properly ends it; what a target sends after that
+ * is not passed on. A cut stream is resumed on the same engine from the last whole event.
+ *
+ * @example
+ * ```ts
+ * const outcome = await forwardEvents(options)
+ * ```
+ */
+export async function forwardEvents (options: Options): Promise<Outcome> {
+  const { record, meter } = options
+  let body: AsyncIterable<Uint8Array> | undefined = options.body
+  let streamId: string | undefined
+  let forwarded = 0
+  record.start(options.head)
+
+  function note (event: eventSplitter.StreamEvent): void {
+    if (!event.content) return
+    forwarded += 1
+    meter.token()
+    if (forwarded === 1) streamId = eventSplitter.readStreamId(dataOf(event))
+    if (event.text.includes('"usage"')) meter.usage(eventSplitter.readUsage(dataOf(event)))
+  }
+
+  async function forwardUntilCut (source: AsyncIterable<Uint8Array>): Promise<boolean> {
+    const splitter = eventSplitter.createEventSplitter()
+    const decoder = new TextDecoder()
+    const pieces = source[Symbol.asyncIterator]()
+    for (let piece = await pieces.next(); piece.done !== true; piece = await pieces.next()) {
+      for (const event of splitter.push(decoder.decode(piece.value, { stream: true }))) {
+        note(event)
+        await record.append(Buffer.from(event.text))
+        if (!event.done) continue
+        discardRest(pieces).then(undefined, () => {})
+        return true
+      }
+    }
+    return false
+  }
+
+  for (let resumes = 0; body !== undefined; resumes += 1) {
+    try {
+      if (await forwardUntilCut(body)) return 'finished'
+    } catch (error) {
+      if (options.signal.aborted) throw error
+    }
+    if (streamId === undefined || resumes >= MAX_RESUMES || options.signal.aborted) return 'incomplete'
+    body = await resume(options, streamId, forwarded)
+  }
+  return 'incomplete'
+}
+
+/** Reads the rest of a stream so that its connection can be used again, or closes it when more comes than belongs there. */
+async function discardRest (pieces: AsyncIterator<Uint8Array>): Promise<void> {
+  let discardedBytes = 0
+  for (let piece = await pieces.next(); piece.done !== true; piece = await pieces.next()) {
+    discardedBytes += piece.value.length
+    if (discardedBytes > MAX_DISCARDED_BYTES) await pieces.return?.()
+  }
+}
+
+async function resume (options: Options, streamId: string, after: number): Promise<AsyncIterable<Uint8Array> | undefined> {
+  try {
+    const response = await undici.request(`http://${options.placement.address}/v1/streams/${encodeURIComponent(streamId)}?after=${after}`, {
+      dispatcher: options.httpClient,
+      method: 'GET',
+      signal: options.signal
+    })
+    if (response.statusCode === 200) return response.body
+    await response.body.dump()
+    return undefined
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -0,0 +1,101 @@
+/**
+ * Sends one request to one target, once, and records the answer.
+ *
+ * @module
+ */
+import type * as entry from '@persimmonhatch/entry'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as undici from 'undici'
+import type * as answerRecord from './answer-record.js'
+import * as answerStream from './answer-stream.js'
+
+/** Connection errors that come before the first byte could be written. */
+const BEFORE_FIRST_BYTE = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** Headers that belong to one connection or to this system and are not passed on to a target. */
+const OWN_REQUEST_HEADERS = new Set(['connection', 'keep-alive', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect'])
+
+/** Headers of an answer that belong to one connection. */
+const OWN_ANSWER_HEADERS = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'])
+
+/** A request as it goes to a target. */
+export interface Job {
+  readonly method: string
+  /** Path and query at the target. */
+  readonly path: string
+  readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>
+  readonly body: Uint8Array
+  readonly promptTokens: number
+}
+
+/** What a dispatch needs of its surroundings. */
+export interface Options {
+  readonly httpClient: undici.Dispatcher
+  readonly clock: protocol.Clock
+  readonly placement: entry.event.Placement
+  readonly receipt: entry.event.Receipt
+  readonly job: Job
+  readonly record: answerRecord.AnswerRecord
+  readonly signal: AbortSignal
+}
+
+function requestHeaders (job: Job): Record<string, string | string[]> {
+  const headers: Record<string, string | string[]> = {}
+  for (const [name, value] of Object.entries(job.headers)) {
+    if (value === undefined || OWN_REQUEST_HEADERS.has(name)) continue
+    headers[name] = typeof value === 'string' ? value : [...value]
+  }
+  return headers
+}
+
+function * answerHeaders (headers: Readonly<Record<string, string | string[] | undefined>>): Generator<answerRecord.Header> {
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined || OWN_ANSWER_HEADERS.has(name)) continue
+    for (const one of [value].flat()) yield { name, value: one }
+  }
+}
+
+function errorCode (error: unknown): string {
+  const code = (error as { readonly code?: unknown } | undefined)?.code
+  return typeof code === 'string' ? code : String((error as Error | undefined)?.message ?? error)
+}
+
+/**
+ * Dispatches once. The connection being refused is the only failure that counts as not dispatched.
+ *
+ * @example
+ * ```ts
+ * const end = await dispatch({ httpClient, clock, placement, receipt, job, record, signal })
+ * if (end.outcome === 'unreachable') askAgain()
+ * ```
+ */
+export async function dispatch (options: Options): Promise<entry.event.DispatchEnd> {
+  const startMs = options.clock()
+  const meter = answerStream.createMeter(options.clock, startMs, options.job.promptTokens)
+  try {
+    const response = await undici.request(`http://${options.placement.address}${options.job.path}`, {
+      dispatcher: options.httpClient,
+      method: options.job.method as undici.Dispatcher.HttpMethod,
+      headers: requestHeaders(options.job),
+      body: options.job.body.length === 0 ? null : options.job.body,
+      signal: options.signal
+    })
+    const contentType = String(response.headers['content-type'] ?? '')
+    const eventStream = options.placement.targetKind === 'model' && contentType.startsWith('text/event-stream')
+    const head: answerRecord.Head = {
+      status: response.statusCode,
+      headers: [...answerHeaders(response.headers)],
+      receipt: options.receipt,
+      eventStream
+    }
+    const outcome = eventStream
+      ? await answerStream.forwardEvents({ ...options, head, meter, body: response.body })
+      : await answerStream.forwardWhole({ ...options, head, meter, body: response.body })
+    if (options.signal.aborted && outcome !== 'finished') return meter.end('cancelled', 'cancelled')
+    return meter.end(response.statusCode >= 500 ? 'failed' : outcome, `status ${response.statusCode}`)
+  } catch (error) {
+    const code = errorCode(error)
+    if (options.signal.aborted) return meter.end('cancelled', 'cancelled')
+    return meter.end(BEFORE_FIRST_BYTE.has(code) ? 'unreachable' : 'crashed', code)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/http/caller-server.ts
@@ -0,0 +1,147 @@
+/**
+ * The listener for callers and operators.
+ *
+ * @module
+ */
+import type * as http from 'node:http'
+import type * as net from 'node:net'
+import * as nodeServer from '@hono/node-server'
+import * as sentResponse from '@hono/node-server/utils/response'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as hono from 'hono'
+import type * as settings from '../settings/settings.js'
+import * as splitAddress from '../util/split-address.js'
+import * as readBody from './read-body.js'
+import type * as readArrival from './read-arrival.js'
+import * as refusalBody from './refusal-body.js'
+
+/** A question for addresses. */
+export interface AddressQuery {
+  readonly service: string | undefined
+  readonly availabilityZone: string | undefined
+}
+
+/** What the listener hands on. */
+export interface Options {
+  readonly listen: protocol.Address
+  readonly limits: settings.Settings['limits']
+  readonly addresses: (query: AddressQuery) => object
+  /** Answer to `GET /v1/requests/IDENTITY`; undefined when nothing is known here. */
+  readonly explain: (identity: string) => object | undefined
+  readonly status: () => object
+  /** Takes a request over; settles when the answer was written or the caller went away. */
+  readonly submit: (request: Omit<readArrival.CallerRequest, 'request'>, response: http.ServerResponse, url: string) => Promise<void>
+  readonly count: (counter: string, value: number) => void
+}
+
+/** The running listener. */
+export interface CallerServer {
+  /** Stops taking connections and settles when the open ones have ended. */
+  readonly close: () => Promise<void>
+}
+
+interface Environment {
+  readonly Bindings: nodeServer.HttpBindings
+}
+
+type Context = hono.Context<Environment>
+
+const SERVICE_PATH = /^\/s\/([^/?]+)(\/[^?]*)?(\?.*)?$/
+const HEADERS_TOO_LARGE = 'HPE_HEADER_OVERFLOW'
+
+function sendReply (response: http.ServerResponse, reply: refusalBody.Reply): void {
+  if (response.destroyed) return
+  response.writeHead(reply.status, reply.headers)
+  response.end(reply.body)
+}
+
+async function takeRequest (options: Options, context: Context): Promise<Response> {
+  const { incoming, outgoing } = context.env
+  const url = incoming.url ?? '/'
+  const match = SERVICE_PATH.exec(url)
+  const body = await readBody.readBody(incoming, options.limits.bodyBytes)
+  if (body.isErr()) {
+    options.count('requests.unreadable', 1)
+    outgoing.setHeader('connection', 'close')
+    const reply = body.error instanceof readBody.OversizedBody
+      ? refusalBody.plainReply('body-too-large', { limitBytes: body.error.limitBytes })
+      : refusalBody.plainReply('unsupported-transfer', {})
+    sendReply(outgoing, reply)
+    return sentResponse.RESPONSE_ALREADY_SENT
+  }
+  await options.submit({
+    service: match?.[1] ?? '',
+    method: incoming.method ?? 'GET',
+    path: `${match?.[2] ?? '/'}${match?.[3] ?? ''}`,
+    headers: incoming.headers,
+    body: body.value
+  }, outgoing, url)
+  return sentResponse.RESPONSE_ALREADY_SENT
+}
+
+function buildApp (options: Options): hono.Hono<Environment> {
+  const app = new hono.Hono<Environment>()
+  app.get('/healthz', (context) => context.text('ok'))
+  app.get('/v1/status', (context) => context.json(options.status()))
+  app.get('/v1/addresses', (context) => context.json(options.addresses({
+    service: context.req.query('service'),
+    availabilityZone: context.req.query('availability-zone')
+  })))
+  app.get('/v1/requests/:identity', (context) => {
+    const found = options.explain(context.req.param('identity'))
+    if (found !== undefined) return context.json(found)
+    return context.json({ error: { reason: 'unknown-identity', message: 'This daemon holds nothing on that identity.', remedy: 'Ask the daemon that answered the request, or give the receipt from the x-persimmonhatch-receipt header to: persimmonhatch explain --receipt.' } }, 404)
+  })
+  app.all('/s/*', (context) => takeRequest(options, context))
+  app.notFound((context) => context.json({ error: { reason: 'unknown-path', message: `There is nothing at ${context.req.path}.`, remedy: 'Send requests to /s/SERVICE/PATH; see docs/callers.md.' } }, 404))
+  app.onError((error, context) => {
+    options.count('requests.faults', 1)
+    return context.json({ error: { reason: 'fault', message: error.message, remedy: 'Report this fault with the daemon\'s log.' } }, 500)
+  })
+  return app
+}
+
+function refuseConnection (error: NodeJS.ErrnoException, socket: net.Socket): void {
+  if (!socket.writable) {
+    socket.destroy()
+    return
+  }
+  const tooLarge = error.code === HEADERS_TOO_LARGE
+  const status = tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request'
+  const detail = tooLarge ? 'the headers are larger than limits.headerBytes' : 'it is not a whole HTTP request'
+  const body = refusalBody.plainBody('malformed-request', { detail })
+  socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
+}
+
+/**
+ * Starts listening for callers and operators.
+ *
+ * @example
+ * ```ts
+ * const server = await openCallerServer(options)
+ * await server.close()
+ * ```
+ */
+export async function openCallerServer (options: Options): Promise<CallerServer> {
+  const endpoint = splitAddress.splitAddress(options.listen)
+  const app = buildApp(options)
+  const server = await new Promise<http.Server>((resolve, reject) => {
+    const created = nodeServer.serve({
+      fetch: app.fetch,
+      hostname: endpoint.host,
+      port: endpoint.port,
+      serverOptions: { maxHeaderSize: options.limits.headerBytes, requestTimeout: options.limits.requestReadMs }
+    }, () => resolve(created as http.Server))
+    created.once('error', reject)
+  })
+  server.on('clientError', refuseConnection)
+
+  function close (): Promise<void> {
+    return new Promise((resolve) => {
+      server.close(() => resolve())
+      server.closeIdleConnections()
+    })
+  }
+
+  return { close }
+}
--- /dev/null
+++ b/packages/daemon/src/http/read-arrival.ts
@@ -0,0 +1,103 @@
+/**
+ * Reads what the scheduler needs of a caller's request.
+ *
+ * @module
+ */
+import type * as entry from '@persimmonhatch/entry'
+import * as protocol from '@persimmonhatch/protocol'
+import * as neverthrow from 'neverthrow'
+
+/** Hash functions, loaded once at start. */
+export interface Hashes {
+  readonly prefix: protocol.TextHash
+  /** 64-bit hash of any text as 16 hexadecimal digits. */
+  readonly fingerprint: (text: string) => string
+}
+
+/** A caller's request, read whole. */
+export interface CallerRequest {
+  readonly request: number
+  readonly service: string
+  readonly method: string
+  /** Path within the service, query included. */
+  readonly path: string
+  readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>
+  readonly body: Uint8Array
+}
+
+/** The request can't be read. */
+export class MalformedRequest extends Error {
+  constructor (readonly detail: string) {
+    super(`The request could not be read: ${detail}. Correct it and send it again.`)
+    this.name = 'MalformedRequest'
+  }
+}
+
+const EMPTY_PROMPT: protocol.Prompt = { text: '', answerTokens: undefined, stream: false }
+const COMPLETION_PATH = /^\/v1\/(chat\/)?completions$/
+
+function readBody (path: string, text: string): neverthrow.Result<protocol.Prompt, MalformedRequest> {
+  if (!COMPLETION_PATH.test(path)) return neverthrow.ok({ ...EMPTY_PROMPT, text })
+  try {
+    const body: unknown = JSON.parse(text)
+    if (typeof body === 'object' && body !== null && !Array.isArray(body)) return neverthrow.ok(protocol.readPrompt(body as Readonly<Record<string, unknown>>))
+    return neverthrow.err(new MalformedRequest('the body is not a JSON object'))
+  } catch (error) {
+    return neverthrow.err(new MalformedRequest(`the body is not JSON (${(error as Error).message})`))
+  }
+}
+
+function readDeadline (text: string | undefined): neverthrow.Result<number | undefined, MalformedRequest> {
+  if (text === undefined) return neverthrow.ok(undefined)
+  const milliseconds = Number(text)
+  if (Number.isInteger(milliseconds) && milliseconds > 0) return neverthrow.ok(milliseconds)
+  return neverthrow.err(new MalformedRequest(`${protocol.HEADERS.deadline} is ${JSON.stringify(text)} and must be a positive whole number of milliseconds`))
+}
+
+function headerOf (request: CallerRequest, name: string): string | undefined {
+  const value = request.headers[name]
+  return typeof value === 'string' ? value : value?.[0]
+}
+
+function withoutQuery (path: string): string {
+  const query = path.indexOf('?')
+  return query < 0 ? path : path.slice(0, query)
+}
+
+// Latin-1 keeps every byte apart, also in bodies that are not text.
+function fingerprintText (request: CallerRequest): string {
+  return [request.service, request.method, request.path, Buffer.from(request.body).toString('latin1')].join('\n')
+}
+
+/**
+ * Reads a request into the form that the entry decides on.
+ *
+ * @example
+ * ```ts
+ * const arrival = readArrival(request, hashes)
+ * if (arrival.isErr()) refuse(arrival.error.detail)
+ * ```
+ */
+export function readArrival (request: CallerRequest, hashes: Hashes): neverthrow.Result<entry.event.Arrival, MalformedRequest> {
+  return neverthrow.safeTry(function * () {
+    const path = withoutQuery(request.path)
+    const text = Buffer.from(request.body).toString('utf8')
+    const prompt = yield * readBody(path, text)
+    const deadlineMs = yield * readDeadline(headerOf(request, protocol.HEADERS.deadline))
+    const isCompletion = COMPLETION_PATH.test(path)
+    return neverthrow.ok({
+      request: request.request,
+      identity: headerOf(request, protocol.HEADERS.identity),
+      service: request.service,
+      organisation: headerOf(request, protocol.HEADERS.organisation) ?? headerOf(request, protocol.HEADERS.openaiOrganisation),
+      tier: headerOf(request, protocol.HEADERS.tier),
+      method: request.method,
+      path,
+      fingerprint: hashes.fingerprint(fingerprintText(request)),
+      promptTokens: protocol.estimateTokens(prompt.text),
+      answerTokens: prompt.answerTokens,
+      prefixes: isCompletion ? protocol.prefixHashes(prompt.text, hashes.prefix) : [],
+      deadlineMs
+    })
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/http/read-body.ts
@@ -0,0 +1,47 @@
+/**
+ * Reads a caller's whole request body within a limit.
+ *
+ * @module
+ */
+import type * as http from 'node:http'
+import * as neverthrow from 'neverthrow'
+
+/** The body is larger than the settings allow. */
+export class OversizedBody extends Error {
+  constructor (readonly limitBytes: number) {
+    super(`The body is larger than ${limitBytes} bytes: send a smaller one, or raise limits.bodyBytes.`)
+    this.name = 'OversizedBody'
+  }
+}
+
+/** The caller went away, or stopped sending, before its request was whole. */
+export class HalfSentBody extends Error {
+  constructor () {
+    super('The request ended before its body was whole: send it again.')
+    this.name = 'HalfSentBody'
+  }
+}
+
+/**
+ * Reads a body.
+ *
+ * @example
+ * ```ts
+ * const body = await readBody(incoming, 4_194_304)
+ * ```
+ */
+export async function readBody (incoming: http.IncomingMessage, limitBytes: number): Promise<neverthrow.Result<Uint8Array, OversizedBody | HalfSentBody>> {
+  if (Number(incoming.headers['content-length'] ?? 0) > limitBytes) return neverthrow.err(new OversizedBody(limitBytes))
+  const pieces: Uint8Array[] = []
+  let bytes = 0
+  try {
+    for await (const piece of incoming as AsyncIterable<Uint8Array>) {
+      bytes += piece.length
+      if (bytes > limitBytes) return neverthrow.err(new OversizedBody(limitBytes))
+      pieces.push(piece)
+    }
+  } catch {
+    return neverthrow.err(new HalfSentBody())
+  }
+  return neverthrow.ok(pieces.length === 1 && pieces[0] !== undefined ? pieces[0] : Buffer.concat(pieces))
+}
--- /dev/null
+++ b/packages/daemon/src/http/refusal-body.ts
@@ -0,0 +1,103 @@
+/**
+ * The system's own answers to callers: status, headers and JSON body.
+ *
+ * @module
+ */
+import type * as entry from '@persimmonhatch/entry'
+import * as protocol from '@persimmonhatch/protocol'
+import type * as answerRecord from '../dispatch/answer-record.js'
+
+const JSON_TYPE = 'application/json'
+const MS_PER_SECOND = 1_000
+
+/** A reply that the system itself gives. */
+export interface Reply {
+  readonly status: number
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: string
+}
+
+/**
+ * A receipt as header text.
+ *
+ * @example
+ * ```ts
+ * response.setHeader('x-persimmonhatch-receipt', encodeReceipt(receipt))
+ * ```
+ */
+export function encodeReceipt (receipt: entry.event.Receipt): string {
+  return Buffer.from(JSON.stringify(receipt)).toString('base64url')
+}
+
+function errorOf (reason: protocol.Reason, figures: protocol.Figures): Readonly<Record<string, unknown>> {
+  const explanation = protocol.EXPLANATIONS[reason]
+  return { reason, message: protocol.explain(reason, figures), remedy: explanation.remedy, execution: explanation.execution, figures }
+}
+
+/**
+ * The body for a reason that needs no receipt.
+ *
+ * @example
+ * ```ts
+ * plainBody('body-too-large', { limitBytes: 4_194_304 })
+ * ```
+ */
+export function plainBody (reason: protocol.Reason, figures: protocol.Figures): string {
+  return JSON.stringify({ error: errorOf(reason, figures) })
+}
+
+/**
+ * The whole reply for a reason that needs no receipt.
+ *
+ * @example
+ * ```ts
+ * plainReply('malformed-request', { detail: 'the JSON ends early' }).status // 400
+ * ```
+ */
+export function plainReply (reason: protocol.Reason, figures: protocol.Figures): Reply {
+  const explanation = protocol.EXPLANATIONS[reason]
+  return {
+    status: explanation.status,
+    headers: { 'content-type': JSON_TYPE, [protocol.HEADERS.reason]: reason, [protocol.HEADERS.execution]: explanation.execution },
+    body: plainBody(reason, figures)
+  }
+}
+
+/**
+ * The body that sends a caller to the owner of its identity.
+ *
+ * @example
+ * ```ts
+ * redirectBody('10.0.0.7:7400')
+ * ```
+ */
+export function redirectBody (address: protocol.Address): string {
+  return JSON.stringify({ error: { ...errorOf('other-address', {}), addresses: [address] } })
+}
+
+/**
+ * The reply for a refused request.
+ *
+ * @example
+ * ```ts
+ * const reply = refusalBody({ receipt, retryAfterMs: 2_000 }, ['10.0.0.8:7400'])
+ * ```
+ */
+export function refusalBody (refusal: answerRecord.Refusal, addresses: readonly protocol.Address[]): Reply {
+  const { receipt, retryAfterMs } = refusal
+  const headers: Record<string, string> = {
+    'content-type': JSON_TYPE,
+    [protocol.HEADERS.reason]: receipt.reason,
+    [protocol.HEADERS.execution]: receipt.execution,
+    [protocol.HEADERS.receipt]: encodeReceipt(receipt)
+  }
+  if (retryAfterMs > 0) headers['retry-after'] = String(Math.ceil(retryAfterMs / MS_PER_SECOND))
+  const error = {
+    ...errorOf(receipt.reason, receipt.figures),
+    execution: receipt.execution,
+    identity: receipt.identity,
+    ...(retryAfterMs > 0 ? { retryAfterMs } : {}),
+    ...(receipt.reason === 'draining' || receipt.reason === 'no-authority' ? { addresses } : {})
+  }
+  return { status: protocol.EXPLANATIONS[receipt.reason].status, headers, body: JSON.stringify({ error }) }
+}
--- /dev/null
+++ b/packages/daemon/src/peer/link.ts
@@ -0,0 +1,162 @@
+/**
+ * One open connection to a peer: JSON-RPC 2.0 over a WebSocket.
+ *
+ * @module
+ */
+import * as protocol from '@persimmonhatch/protocol'
+import * as jsonRpc from 'json-rpc-2.0'
+import type * as ws from 'ws'
+
+/** Bytes waiting to be sent above which a link is given up: the peer does not read. */
+const MAX_BUFFERED_BYTES = 8_388_608
+
+/** Silence after a message was sent that makes the link ask for a sign of life, milliseconds. */
+const QUIET_MS = 2_000
+
+/** Silence after which the link is given up, milliseconds. */
+const DEAD_MS = 5_000
+
+const HELLO = 'hello'
+const REFUSED_GREETING_CODE = -32_001
+
+/** What a link needs of its surroundings. */
+export interface Options {
+  readonly socket: ws.WebSocket
+  readonly clock: protocol.Clock
+  /** This daemon's own greeting. */
+  readonly greet: () => protocol.Greeting
+  /** Called once the peer has said who it is. */
+  readonly onOpen: (link: Link, member: protocol.MemberNews) => void
+  readonly onMessage: (link: Link, message: protocol.PeerMessage) => void
+  readonly onClose: (link: Link) => void
+  readonly count: (counter: string, value: number) => void
+}
+
+/** An open connection to a peer. */
+export interface Link {
+  /** Undefined until the peer has said who it is. */
+  readonly peer: () => protocol.Incarnation | undefined
+  readonly send: (message: protocol.PeerMessage) => void
+  /** Greets the peer; the side that connected calls it first. */
+  readonly greet: () => void
+  readonly tick: () => void
+  readonly close: () => void
+}
+
+/** The peer speaks another version of the protocol. */
+export class VersionMismatch extends Error {
+  constructor (theirs: number) {
+    super(`The peer speaks version ${theirs}, this daemon version ${protocol.PROTOCOL_VERSION}: run the same release on both.`)
+    this.name = 'VersionMismatch'
+  }
+}
+
+function readGreeting (parameters: unknown): protocol.Greeting {
+  const greeting = protocol.greeting.parse(parameters)
+  if (greeting.version !== protocol.PROTOCOL_VERSION) throw new VersionMismatch(greeting.version)
+  return greeting
+}
+
+/**
+ * Runs one connection until it closes.
+ *
+ * @example
+ * ```ts
+ * const link = openLink({ socket, clock, greet, onOpen, onMessage, onClose, count })
+ * link.greet()
+ * ```
+ */
+export function openLink (options: Options): Link {
+  const { socket, count } = options
+  let peer: protocol.Incarnation | undefined
+  const openedMs = options.clock()
+  let heardMs = openedMs
+  let sentMs: number | undefined
+
+  const server = new jsonRpc.JSONRPCServer({ errorListener: () => count('peers.rejected', 1) })
+  const client = new jsonRpc.JSONRPCClient((payload) => transmit(JSON.stringify(payload)))
+  server.addMethod(HELLO, acceptGreeting)
+  server.mapErrorToJSONRPCErrorResponse = (id, error: Error) => jsonRpc.createJSONRPCErrorResponse(id, REFUSED_GREETING_CODE, error.message)
+
+  const link: Link = { peer: () => peer, send, greet, tick, close: () => socket.terminate() }
+
+  function transmit (text: string): void {
+    if (socket.readyState !== socket.OPEN) return
+    if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return socket.terminate()
+    sentMs ??= options.clock()
+    count('peers.sentBytes', text.length)
+    socket.send(text)
+  }
+
+  function send (message: protocol.PeerMessage): void {
+    const { kind, ...parameters } = message
+    client.notify(kind, parameters)
+  }
+
+  function identify (member: protocol.MemberNews): void {
+    if (peer !== undefined) return
+    peer = member.incarnation
+    options.onOpen(link, member)
+  }
+
+  function acceptGreeting (parameters: unknown): protocol.Greeting {
+    const greeting = readGreeting(parameters)
+    identify(greeting.member)
+    return options.greet()
+  }
+
+  function greet (): void {
+    client.request(HELLO, options.greet()).then(
+      (answer: unknown) => identify(readGreeting(answer).member)
+    ).then(undefined, () => {
+      count('peers.greetingRefused', 1)
+      socket.terminate()
+    })
+  }
+
+  function receiveNotification (method: string, parameters: unknown): void {
+    const message = protocol.peerMessage.safeParse({ ...(parameters as object), kind: method })
+    if (!message.success || peer === undefined) return count('peers.rejected', 1)
+    options.onMessage(link, message.data)
+  }
+
+  function receive (text: string): void {
+    heardMs = options.clock()
+    sentMs = undefined
+    count('peers.receivedBytes', text.length)
+    const payload = parsePayload(text)
+    if (payload === undefined) return count('peers.rejected', 1)
+    if (jsonRpc.isJSONRPCResponse(payload)) return client.receive(payload)
+    if (!jsonRpc.isJSONRPCRequest(payload)) return count('peers.rejected', 1)
+    if (payload.id === undefined) return receiveNotification(payload.method, payload.params)
+    server.receive(payload).then(
+      (answer) => { if (answer !== null) transmit(JSON.stringify(answer)) }
+    ).then(undefined, () => count('peers.rejected', 1))
+  }
+
+  function tick (): void {
+    if (peer === undefined && options.clock() - openedMs > DEAD_MS) return socket.terminate()
+    if (sentMs === undefined) return
+    const silentMs = options.clock() - Math.max(heardMs, sentMs)
+    if (silentMs > DEAD_MS) return socket.terminate()
+    if (silentMs > QUIET_MS && socket.readyState === socket.OPEN) socket.ping()
+  }
+
+  socket.on('message', (data, isBinary) => { if (isBinary) count('peers.rejected', 1); else receive(String(data)) })
+  socket.on('pong', () => { heardMs = options.clock(); sentMs = undefined })
+  socket.on('error', () => count('peers.errors', 1))
+  socket.on('close', () => {
+    client.rejectAllPendingRequests('closed')
+    options.onClose(link)
+  })
+  return link
+}
+
+function parsePayload (text: string): Readonly<Record<string, unknown>> | undefined {
+  try {
+    const payload: unknown = JSON.parse(text)
+    return typeof payload === 'object' && payload !== null && !Array.isArray(payload) ? payload as Readonly<Record<string, unknown>> : undefined
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peer/peers.ts
@@ -0,0 +1,136 @@
+/**
+ * All connections to other daemons: one listener, links opened when something is to be sent.
+ *
+ * @module
+ */
+import * as http from 'node:http'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as ws from 'ws'
+import * as splitAddress from '../util/split-address.js'
+import * as linkModule from './link.js'
+
+/** Largest message, bytes: a service document and its envelope. */
+const MAX_MESSAGE_BYTES = 4_194_304
+
+/** Messages kept for a peer while its connection is being opened. */
+const MAX_QUEUED_MESSAGES = 2_000
+
+/** Time for a connection to open, milliseconds. */
+const CONNECT_TIMEOUT_MS = 2_000
+
+/** What the connections need of their surroundings. */
+export interface Options {
+  readonly listen: protocol.Address
+  readonly clock: protocol.Clock
+  readonly greet: (wanted: string) => protocol.Greeting
+  readonly findMember: (incarnation: protocol.Incarnation) => protocol.MemberNews | undefined
+  readonly onMessage: (from: protocol.Incarnation, message: protocol.PeerMessage) => void
+  /** A connection to a daemon was opened, by either side. */
+  readonly onConnected: (member: protocol.MemberNews) => void
+  readonly count: (counter: string, value: number) => void
+}
+
+/** All connections to other daemons. */
+export interface Peers {
+  readonly send: (outbound: protocol.Outbound) => void
+  /** Closes the connections to a daemon that is gone. */
+  readonly drop: (incarnation: protocol.Incarnation) => void
+  readonly tick: () => void
+  readonly close: () => Promise<void>
+}
+
+/**
+ * Listens for other daemons.
+ *
+ * @example
+ * ```ts
+ * const peers = await openPeers(options)
+ * peers.send({ to: incarnation, message: { kind: 'round', round: 7 } })
+ * ```
+ */
+export async function openPeers (options: Options): Promise<Peers> {
+  const links = new Map<protocol.Incarnation, linkModule.Link>()
+  const all = new Set<linkModule.Link>()
+  const dialing = new Map<protocol.Incarnation, protocol.PeerMessage[]>()
+
+  function startLink (socket: ws.WebSocket): linkModule.Link {
+    const link = linkModule.openLink({
+      socket,
+      clock: options.clock,
+      greet: () => options.greet(''),
+      onOpen: opened,
+      onMessage: (from, message) => {
+        const peer = from.peer()
+        if (peer !== undefined) options.onMessage(peer, message)
+      },
+      onClose: closed,
+      count: options.count
+    })
+    all.add(link)
+    return link
+  }
+
+  function opened (link: linkModule.Link, member: protocol.MemberNews): void {
+    links.set(member.incarnation, link)
+    options.onConnected(member)
+    const queued = dialing.get(member.incarnation) ?? []
+    dialing.delete(member.incarnation)
+    for (const message of queued) link.send(message)
+  }
+
+  function closed (link: linkModule.Link): void {
+    all.delete(link)
+    const peer = link.peer()
+    if (peer !== undefined && links.get(peer) === link) links.delete(peer)
+  }
+
+  function dial (member: protocol.MemberNews, message: protocol.PeerMessage): void {
+    dialing.set(member.incarnation, [message])
+    const socket = new ws.WebSocket(`ws://${member.peerAddress}/`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
+    const link = startLink(socket)
+    socket.once('open', () => link.greet())
+    socket.once('close', () => {
+      const lost = dialing.get(member.incarnation)?.length ?? 0
+      dialing.delete(member.incarnation)
+      options.count('peers.undelivered', lost)
+    })
+  }
+
+  function send (outbound: protocol.Outbound): void {
+    const link = links.get(outbound.to)
+    if (link !== undefined) return link.send(outbound.message)
+    const queued = dialing.get(outbound.to)
+    if (queued !== undefined) {
+      if (queued.length < MAX_QUEUED_MESSAGES) queued.push(outbound.message)
+      return
+    }
+    const member = options.findMember(outbound.to)
+    if (member === undefined) return options.count('peers.undelivered', 1)
+    dial(member, outbound.message)
+  }
+
+  function drop (incarnation: protocol.Incarnation): void {
+    links.get(incarnation)?.close()
+  }
+
+  const endpoint = splitAddress.splitAddress(options.listen)
+  const httpServer = http.createServer((_, response) => {
+    response.writeHead(426, { 'content-type': 'text/plain' })
+    response.end('This port is for other daemons; callers and operators use the callers address.\n')
+  })
+  const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
+  server.on('connection', (socket) => { startLink(socket) })
+  server.on('error', () => {})
+  await new Promise<void>((resolve, reject) => {
+    httpServer.once('error', reject)
+    httpServer.listen(endpoint.port, endpoint.host, resolve)
+  })
+
+  async function close (): Promise<void> {
+    for (const link of all) link.close()
+    server.close()
+    await new Promise<void>((resolve) => httpServer.close(() => resolve()))
+  }
+
+  return { send, drop, tick: () => { for (const link of all) link.tick() }, close }
+}
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from './constants.js'
 export * from './peer-message.js'
+export * from './peer-schema.js'
 export * from './prompt.js'
 export * from './reason.js'
 export * from './refs.js'
