Add the adapters to the key-value service and the list of VMs

Cause: the daemons need the platform behind the ports. A failed write must say whether it may have taken effect, so a call is told apart by whether its first byte may have been written. Ruled out: telling by error code alone, as a reset looks the same before and after the connection stands. Change: etcd v3 JSON gateway adapter with fail-over for calls that were certainly not carried out, VM list adapter, call budget, back-off, shared HTTP client.

--- /dev/null
+++ b/packages/platform/src/etcd-key-value.ts
@@ -0,0 +1,127 @@
+/**
+ * Key-value service through the etcd v3 JSON gateway.
+ *
+ * @module
+ */
+import * as neverthrow from 'neverthrow'
+import type * as undici from 'undici'
+import type * as zod from 'zod'
+import * as etcdSchema from './etcd-schema.js'
+import * as etcdWatch from './etcd-watch.js'
+import * as jsonCall from './json-call.js'
+import * as keyValue from './key-value.js'
+
+const DEFAULT_WATCH_IDLE_MS = 60_000
+
+/** Endpoints and time limits. */
+export interface Options {
+  readonly client: undici.Dispatcher
+  /** Base URLs, such as `http://10.0.0.9:2379`. */
+  readonly endpoints: readonly string[]
+  readonly timeoutMs: number
+  /** Silence after which a watch counts as lost, so that the caller lists again. */
+  readonly watchIdleMs?: number
+}
+
+interface Method<Value> {
+  readonly path: string
+  readonly body: unknown
+  readonly effect: jsonCall.Effect
+  readonly schema: zod.ZodType<Value>
+}
+
+interface Endpoints {
+  readonly current: () => string | undefined
+  readonly skip: (endpoint: string) => void
+  readonly count: number
+}
+
+/** Keeps to one endpoint until it fails. */
+function createEndpoints (urls: readonly string[]): Endpoints {
+  let index = 0
+  return {
+    count: urls.length,
+    current: () => urls[index],
+    // A failure that another call has already acted on changes nothing.
+    skip: (endpoint) => { if (urls[index] === endpoint) index = (index + 1) % urls.length }
+  }
+}
+
+function noEndpoint (): keyValue.PlatformFailure {
+  return new keyValue.PlatformFailure('unavailable', 'No endpoint of the key-value service is set. Name at least one in platform.endpoints of the settings.')
+}
+
+// A write that may have been carried out is `unanswered`, so `unavailable` is safe to send elsewhere.
+function mayFailOver (failure: keyValue.PlatformFailure): boolean {
+  return failure.failure === 'unavailable'
+}
+
+function swapBody (write: keyValue.Write): unknown {
+  const key = etcdSchema.encodeBytes(write.key)
+  const lease = write.lease === undefined ? {} : { lease: write.lease }
+  const change = write.value === undefined
+    ? { request_delete_range: { key } }
+    : { request_put: { key, value: etcdSchema.encodeBytes(write.value), ...lease } }
+  return {
+    compare: [{ key, target: 'MOD', result: 'EQUAL', mod_revision: String(write.expectedRevision) }],
+    success: [change],
+    failure: [{ request_range: { key } }]
+  }
+}
+
+function toSwap (answer: zod.infer<typeof etcdSchema.TRANSACTION>): keyValue.Swap {
+  const found = answer.succeeded ? undefined : answer.responses[0]?.response_range?.kvs[0]
+  return { succeeded: answer.succeeded, revision: answer.header.revision, current: found && etcdSchema.toEntry(found) }
+}
+
+/**
+ * Creates the adapter. A read, or a write that was certainly not carried out, is tried once at each
+ * endpoint; a write that may have been carried out is not sent again.
+ *
+ * @example
+ * ```ts
+ * const store = etcdKeyValue({ client, endpoints: ['http://10.0.0.9:2379'], timeoutMs: 1_000 })
+ * const entry = await store.get('/persimmonhatch/services/listings')
+ * ```
+ */
+export function etcdKeyValue (options: Options): keyValue.KeyValue {
+  const endpoints = createEndpoints(options.endpoints)
+
+  function attempt<Value> (method: Method<Value>, attemptsLeft: number): keyValue.Answer<Value> {
+    const endpoint = endpoints.current()
+    if (endpoint === undefined) return neverthrow.errAsync(noEndpoint())
+    const { path, ...rest } = method
+    return jsonCall.jsonCall({ ...rest, client: options.client, url: `${endpoint}${path}`, timeoutMs: options.timeoutMs }).orElse((failure) => {
+      if (failure.failure === 'unavailable' || failure.failure === 'unanswered') endpoints.skip(endpoint)
+      return mayFailOver(failure) && attemptsLeft > 1 ? attempt(method, attemptsLeft - 1) : neverthrow.errAsync(failure)
+    })
+  }
+
+  function call<Value> (path: string, effect: jsonCall.Effect, schema: zod.ZodType<Value>, body: unknown): keyValue.Answer<Value> {
+    return attempt({ path, body, effect, schema }, endpoints.count)
+  }
+
+  async function * watch (prefix: string, afterRevision: number, signal: AbortSignal): AsyncGenerator<readonly keyValue.Change[]> {
+    const endpoint = endpoints.current()
+    if (endpoint === undefined) throw noEndpoint()
+    try {
+      yield * etcdWatch.etcdWatch({ client: options.client, endpoint, prefix, afterRevision, signal, startTimeoutMs: options.timeoutMs, idleTimeoutMs: options.watchIdleMs ?? DEFAULT_WATCH_IDLE_MS })
+    } catch (error) {
+      if (error instanceof keyValue.PlatformFailure && error.failure === 'unavailable') endpoints.skip(endpoint)
+      throw error
+    }
+  }
+
+  return {
+    get: (key) => call('/v3/kv/range', 'read', etcdSchema.RANGE, { key: etcdSchema.encodeBytes(key) })
+      .map((answer) => answer.kvs[0] && etcdSchema.toEntry(answer.kvs[0])),
+    list: (prefix) => call('/v3/kv/range', 'read', etcdSchema.RANGE, { key: etcdSchema.encodeBytes(prefix), range_end: etcdSchema.prefixEnd(prefix) })
+      .map((answer) => ({ entries: answer.kvs.map(etcdSchema.toEntry), revision: answer.header.revision })),
+    compareAndSwap: (write) => call('/v3/kv/txn', 'write', etcdSchema.TRANSACTION, swapBody(write)).map(toSwap),
+    grantLease: (timeToLiveS) => call('/v3/lease/grant', 'write', etcdSchema.LEASE_GRANT, { TTL: String(timeToLiveS) }).map((answer) => answer.ID),
+    // Renewing or revoking a lease twice does no harm, so both fail over like reads.
+    keepLeaseAlive: (lease) => call('/v3/lease/keepalive', 'read', etcdSchema.LEASE_RENEWAL, { ID: lease }).map((answer) => answer.result.TTL),
+    revokeLease: (lease) => call('/v3/lease/revoke', 'read', etcdSchema.EMPTY, { ID: lease }).map(() => undefined),
+    watch
+  }
+}
--- /dev/null
+++ b/packages/platform/src/etcd-watch.ts
@@ -0,0 +1,88 @@
+/**
+ * Watch through the etcd v3 JSON gateway.
+ *
+ * @module
+ */
+import * as undici from 'undici'
+import * as etcdSchema from './etcd-schema.js'
+import * as jsonCall from './json-call.js'
+import * as jsonLines from './json-lines.js'
+import * as keyValue from './key-value.js'
+
+/** What to watch, and at which endpoint. */
+export interface Options {
+  readonly client: undici.Dispatcher
+  readonly endpoint: string
+  readonly prefix: string
+  readonly afterRevision: number
+  /** Longest wait for the watch to start. */
+  readonly startTimeoutMs: number
+  /** Silence after which the watch counts as lost. */
+  readonly idleTimeoutMs: number
+  readonly signal: AbortSignal
+}
+
+function lost (url: string, detail: string): keyValue.PlatformFailure {
+  return new keyValue.PlatformFailure('unavailable', `The watch at ${url} ended: ${detail}. List the prefix again and watch from its revision.`)
+}
+
+async function open (url: string, options: Options): Promise<undici.Dispatcher.ResponseData> {
+  const body = {
+    create_request: {
+      key: etcdSchema.encodeBytes(options.prefix),
+      range_end: etcdSchema.prefixEnd(options.prefix),
+      start_revision: String(options.afterRevision + 1)
+    }
+  }
+  return await undici.request(url, {
+    dispatcher: options.client,
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+    headersTimeout: options.startTimeoutMs,
+    bodyTimeout: options.idleTimeoutMs,
+    signal: options.signal
+  })
+}
+
+function readMessage (url: string, line: string): etcdSchema.WatchMessage {
+  const json = jsonCall.parseJson(line).unwrapOr(undefined)
+  const message = etcdSchema.WATCH_MESSAGE.safeParse(json)
+  if (!message.success) throw jsonCall.rejected('read', url, 200, line)
+  const { result } = message.data
+  if (result.compact_revision > 0) throw new keyValue.PlatformFailure('compacted', `${url} no longer holds changes before revision ${result.compact_revision}. List the prefix again and watch from its revision.`)
+  if (result.canceled) throw lost(url, result.cancel_reason || 'cancelled by the service')
+  return result
+}
+
+function toChanges (message: etcdSchema.WatchMessage): readonly keyValue.Change[] {
+  return message.events.map((event) => ({
+    key: event.kv.key,
+    value: event.type === 'DELETE' ? undefined : event.kv.value,
+    modRevision: event.kv.mod_revision
+  }))
+}
+
+/**
+ * Yields the changes under a prefix. Ends when the signal aborts; throws a `PlatformFailure` otherwise.
+ *
+ * @example
+ * ```ts
+ * for await (const changes of etcdWatch({ client, endpoint, prefix: '/a/', afterRevision: 7, startTimeoutMs: 500, idleTimeoutMs: 60_000, signal })) apply(changes)
+ * ```
+ */
+export async function * etcdWatch (options: Options): AsyncGenerator<readonly keyValue.Change[]> {
+  const url = `${options.endpoint}/v3/watch`
+  try {
+    const answer = await open(url, options)
+    if (answer.statusCode !== 200) throw jsonCall.rejected('read', url, answer.statusCode, await answer.body.text())
+    for await (const line of jsonLines.jsonLines(answer.body)) {
+      const changes = toChanges(readMessage(url, line))
+      if (changes.length > 0) yield changes
+    }
+    throw lost(url, 'the connection closed')
+  } catch (error) {
+    if (options.signal.aborted) return
+    throw error instanceof keyValue.PlatformFailure ? error : lost(url, String(error))
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,5 +3,12 @@
  *
  * @module
  */
+export * as backoff from './backoff.js'
+export * as etcdKeyValue from './etcd-key-value.js'
+export * as httpClient from './http-client.js'
+export * as jsonLines from './json-lines.js'
 export * as keyValue from './key-value.js'
+export * as meteredKeyValue from './metered-key-value.js'
+export * as tokenBucket from './token-bucket.js'
 export * as vmList from './vm-list.js'
+export * as vmListClient from './vm-list-client.js'
--- /dev/null
+++ b/packages/platform/src/metered-key-value.ts
@@ -0,0 +1,65 @@
+/**
+ * Counts every call to the key-value service and keeps the calls within a budget.
+ *
+ * @module
+ */
+import * as neverthrow from 'neverthrow'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as keyValue from './key-value.js'
+import * as tokenBucket from './token-bucket.js'
+
+/** What a call does. A watch counts once, when it starts. */
+export type CallKind = keyof keyValue.KeyValue
+
+/** What became of a call; `over-budget` calls were never sent. */
+export type CallResult = 'sent' | 'over-budget'
+
+/** Budget and where the counts go. */
+export interface Options {
+  readonly keyValue: keyValue.KeyValue
+  readonly callsPerS: number
+  /** Most calls at once after a quiet time. */
+  readonly burst: number
+  readonly now: protocol.Clock
+  readonly count: (kind: CallKind, result: CallResult) => void
+}
+
+function overBudget (kind: CallKind): keyValue.PlatformFailure {
+  return new keyValue.PlatformFailure('over-limit', `The call ${kind} was not sent, because the call budget of this process is spent. Wait, or raise platform.callsPerS in the settings.`)
+}
+
+/**
+ * Wraps a key-value service. A call beyond the budget fails as `over-limit` and is not sent.
+ *
+ * @example
+ * ```ts
+ * const metered = meteredKeyValue({ keyValue, callsPerS: 5, burst: 20, now, count: (kind) => metrics.increment(kind) })
+ * ```
+ */
+export function meteredKeyValue (options: Options): keyValue.KeyValue {
+  const take = tokenBucket.tokenBucket({ tokensPerS: options.callsPerS, capacity: options.burst, now: options.now })
+  const target = options.keyValue
+
+  function admit (kind: CallKind): boolean {
+    const admitted = take()
+    options.count(kind, admitted ? 'sent' : 'over-budget')
+    return admitted
+  }
+
+  function call<Value> (kind: CallKind, send: () => keyValue.Answer<Value>): keyValue.Answer<Value> {
+    return admit(kind) ? send() : neverthrow.errAsync(overBudget(kind))
+  }
+
+  return {
+    get: (key) => call('get', () => target.get(key)),
+    list: (prefix) => call('list', () => target.list(prefix)),
+    compareAndSwap: (write) => call('compareAndSwap', () => target.compareAndSwap(write)),
+    grantLease: (timeToLiveS) => call('grantLease', () => target.grantLease(timeToLiveS)),
+    keepLeaseAlive: (lease) => call('keepLeaseAlive', () => target.keepLeaseAlive(lease)),
+    revokeLease: (lease) => call('revokeLease', () => target.revokeLease(lease)),
+    watch: async function * (prefix, afterRevision, signal) {
+      if (!admit('watch')) throw overBudget('watch')
+      yield * target.watch(prefix, afterRevision, signal)
+    }
+  }
+}
