Add the entry core: identities, one dispatch per request, truthful outcomes

Cause: the entry package had its interface but no decisions, so the whole path could not run.

Change: createEntry with one module per job. Each ask has a number of its own, also when a request asks again. Ruled out: one number per request, because a grant that was given before a re-ask could then not be told from the grant of the latest ask, and releasing it would free the slot of a running request. A refused identity stays refused within the retention. Ruled out: running it again on a resend, because a late copy of the request could then run after its caller was told that it was not. A full ledger raises the low-water mark instead of forgetting single identities.

--- /dev/null
+++ b/packages/entry/src/dispatch-end.ts
@@ -0,0 +1,70 @@
+/**
+ * Ends of dispatches: the slot is released and the request becomes final, unless nothing was sent.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as event from './event.js'
+import * as outcome from './outcome.js'
+import * as output from './output.js'
+import * as receipt from './receipt.js'
+import type * as request from './request.js'
+import * as settle from './settle.js'
+import type * as state from './state.js'
+import * as termsChange from './terms-change.js'
+
+/** Targets that may refuse the connection before the request is given up. */
+export const UNREACHABLE_LIMIT = 3
+
+function release (running: request.Running, end: event.DispatchEnd): protocol.Release {
+  const { promptTokens, cachedTokens, answerTokens, firstTokenMs, totalMs } = end
+  return {
+    kind: 'release',
+    ask: running.slot.ask,
+    outcome: outcome.slotOutcome(end.outcome),
+    promptTokens,
+    cachedTokens,
+    answerTokens,
+    firstTokenMs,
+    totalMs
+  }
+}
+
+/** A slot that was granted by a former authority is known to both daemons. */
+function * releaseSlot (own: state.State, running: request.Running, end: event.DispatchEnd): output.Outputs {
+  const current = own.authorities.get(running.slot.pool)
+  yield output.send(running.slot.authority, release(running, end))
+  if (current !== undefined && current !== running.slot.authority) yield output.send(current, release(running, end))
+}
+
+/** The target refused the connection, so the request was not dispatched and may go elsewhere. */
+function * returnToQueue (own: state.State, running: request.Running, end: event.DispatchEnd, nowMs: number): output.Outputs {
+  const { target, dispatchedMs: _, cancelCause, ...rest } = running
+  const waiting: request.Waiting = { ...rest, state: 'waiting', slot: undefined, askAgainAtMs: nowMs, unreachableCount: rest.unreachableCount + 1 }
+  own.requestOfAsk.delete(running.slot.ask)
+  own.requests.set(waiting.arrival.request, waiting)
+  if (cancelCause === 'caller-gone') {
+    yield * settle.giveUp(own, waiting, receipt.notRun('caller-gone', {}), 0, nowMs)
+  } else if (waiting.unreachableCount >= UNREACHABLE_LIMIT) {
+    const figures = { target, detail: end.detail, tries: waiting.unreachableCount }
+    yield * settle.giveUp(own, waiting, receipt.notRun('target-unreachable', figures), settle.RETRY_AFTER_MS, nowMs)
+  } else {
+    yield * termsChange.refreshTerms(own, waiting, nowMs)
+  }
+}
+
+/** Handles the end of a dispatch. */
+export function * handleEnd (own: state.State, ended: number, end: event.DispatchEnd, nowMs: number): output.Outputs {
+  const running = own.requests.get(ended)
+  if (running?.state !== 'running') {
+    yield output.count('entry.ends-ignored')
+    return
+  }
+  yield * releaseSlot(own, running, end)
+  if (end.outcome === 'unreachable') {
+    yield * returnToQueue(own, running, end, nowMs)
+    return
+  }
+  const final = receipt.ofRequest(running, outcome.ofEnd(running, end.outcome, end), nowMs, end)
+  yield * settle.settle(own, running, final, settle.RETRY_AFTER_MS)
+}
--- a/packages/entry/src/event.ts
+++ b/packages/entry/src/event.ts
@@ -6,7 +6,7 @@
 import type * as document from '@persimmonhatch/document'
 import type * as protocol from '@persimmonhatch/protocol'
 
-/** A request as it arrived, read whole. `request` is a number that the daemon never reuses; it also names the ask. */
+/** A request as it arrived, read whole. `request` is a number that the daemon never reuses. */
 export interface Arrival {
   readonly request: number
   /** From the idempotency-key header; undefined when the caller sent none. */
@@ -79,7 +79,7 @@
   | { readonly kind: 'dispatch', readonly request: number, readonly placement: Placement, readonly receipt: Receipt }
   /** Stop a running dispatch; the daemon answers with `ended` and outcome `cancelled` unless it ended before. */
   | { readonly kind: 'cancel', readonly request: number }
-  /** Final answer without a target's answer, or after a cut one. */
+  /** Final answer without a target's whole answer, or after a cut one; also given to callers that joined. A target's answer that was already passed on whole stands. */
   | { readonly kind: 'refuse', readonly request: number, readonly receipt: Receipt, readonly retryAfterMs: number }
   /** Attach this caller to the answer of an earlier request with the same identity, from its first byte. */
   | { readonly kind: 'join', readonly request: number, readonly original: number }
--- /dev/null
+++ b/packages/entry/src/identity-ledger.ts
@@ -0,0 +1,133 @@
+/**
+ * What an entry remembers of the identities it owns. An identity is remembered from its first arrival
+ * until its epoch falls below the low-water mark; below the mark nothing is accepted, so that a
+ * forgotten identity can never be dispatched again.
+ *
+ * @module
+ */
+import * as protocol from '@persimmonhatch/protocol'
+import type * as event from './event.js'
+
+/** Beats by which an identity may be ahead of the owner's own beat. */
+export const FUTURE_TOLERANCE_BEATS = 5
+
+/** The final outcome of a request, as it is replayed to a resend. */
+export interface Settlement {
+  readonly receipt: event.Receipt
+  readonly retryAfterMs: number
+}
+
+/** One remembered identity. */
+export interface Remembered {
+  readonly identity: string
+  readonly epoch: number
+  readonly request: number
+  readonly fingerprint: string
+  readonly organisation: string | undefined
+  /** Undefined while the request waits or runs. */
+  readonly settlement: Settlement | undefined
+}
+
+/** Whether a new identity of an epoch may be accepted. */
+export type EpochVerdict = 'current' | 'expired' | 'future'
+
+/** Identities by text, with a bound on how many are kept. */
+export class IdentityLedger {
+  readonly #byIdentity = new Map<string, Remembered>()
+  readonly #byEpoch = new Map<number, Set<string>>()
+  #beat = 0
+  #lowWaterEpoch = 0
+
+  constructor (private readonly limit: number) {}
+
+  /** Identities remembered now. */
+  get size (): number {
+    return this.#byIdentity.size
+  }
+
+  /** Epochs below this one are refused as expired. */
+  get lowWaterEpoch (): number {
+    return this.#lowWaterEpoch
+  }
+
+  /** The epoch of identities that the entry issues for requests that came without one. */
+  get issuingEpoch (): number {
+    return Math.max(this.#beat, this.#lowWaterEpoch)
+  }
+
+  find (identity: string): Remembered | undefined {
+    return this.#byIdentity.get(identity)
+  }
+
+  judge (epoch: number): EpochVerdict {
+    if (epoch < this.#lowWaterEpoch) return 'expired'
+    return epoch > this.#beat + FUTURE_TOLERANCE_BEATS ? 'future' : 'current'
+  }
+
+  /** Remembers an identity for the first time. */
+  add (remembered: Remembered): void {
+    this.#byIdentity.set(remembered.identity, remembered)
+    const epoch = this.#byEpoch.get(remembered.epoch) ?? new Set()
+    this.#byEpoch.set(remembered.epoch, epoch.add(remembered.identity))
+  }
+
+  settle (identity: string, settlement: Settlement): void {
+    const remembered = this.#byIdentity.get(identity)
+    if (remembered !== undefined) this.#byIdentity.set(identity, { ...remembered, settlement })
+  }
+
+  /** Takes over the owner's beat and returns the identities that are past their retention. */
+  advance (beat: number): readonly Remembered[] {
+    this.#beat = Math.max(this.#beat, beat)
+    this.#raiseLowWater(this.#beat - protocol.IDENTITY_RETENTION_BEATS)
+    return this.#forgetBelowLowWater()
+  }
+
+  /**
+   * Makes room for one more identity. A full ledger shortens the retention: it raises the low-water
+   * mark over the oldest epochs, which are then refused as expired and never run.
+   */
+  makeRoom (): readonly Remembered[] {
+    const forgotten: Remembered[] = []
+    while (this.#byIdentity.size >= this.limit) {
+      const oldest = this.#oldestSettledEpoch()
+      if (oldest === undefined) break
+      this.#raiseLowWater(oldest + 1)
+      forgotten.push(...this.#forgetBelowLowWater())
+    }
+    return forgotten
+  }
+
+  #raiseLowWater (epoch: number): void {
+    this.#lowWaterEpoch = Math.max(this.#lowWaterEpoch, epoch)
+  }
+
+  #isSettled (identity: string): boolean {
+    return this.#byIdentity.get(identity)?.settlement !== undefined
+  }
+
+  #oldestSettledEpoch (): number | undefined {
+    const settled = [...this.#byEpoch].filter(([, identities]) => [...identities].some((identity) => this.#isSettled(identity)))
+    return settled.length === 0 ? undefined : Math.min(...settled.map(([epoch]) => epoch))
+  }
+
+  #forgetBelowLowWater (): readonly Remembered[] {
+    const old = [...this.#byEpoch.keys()].filter((epoch) => epoch < this.#lowWaterEpoch)
+    return old.flatMap((epoch) => this.#forgetSettled(epoch))
+  }
+
+  /** Requests that still wait or run are kept until they are settled. */
+  #forgetSettled (epoch: number): readonly Remembered[] {
+    const forgotten: Remembered[] = []
+    const identities = this.#byEpoch.get(epoch) ?? new Set()
+    for (const identity of identities) {
+      const remembered = this.#byIdentity.get(identity)
+      if (remembered?.settlement === undefined) continue
+      forgotten.push(remembered)
+      this.#byIdentity.delete(identity)
+      identities.delete(identity)
+    }
+    if (identities.size === 0) this.#byEpoch.delete(epoch)
+    return forgotten
+  }
+}
--- /dev/null
+++ b/packages/entry/src/identity.ts
@@ -0,0 +1,71 @@
+/**
+ * Request identities of the form `incarnation.epoch.nonce`: the incarnation is the only daemon process
+ * that may dispatch the request, the epoch is that process's beat when the identity was issued.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import * as neverthrow from 'neverthrow'
+
+const PATTERN = /^([a-z0-9]{13})\.([0-9]{1,9})\.([A-Za-z0-9_-]{1,40})$/
+
+const NONCE_LENGTH = 20
+
+const NONCE_RADIX = 36
+
+/** The parts of a request's identity. */
+export interface Identity {
+  readonly incarnation: protocol.Incarnation
+  readonly epoch: number
+  readonly nonce: string
+}
+
+/** The text is not an identity that this system issues. */
+export class MalformedIdentity extends Error {
+  override readonly name = 'MalformedIdentity'
+
+  constructor (readonly text: string) {
+    super(`"${text}" is not an identity of the form incarnation.epoch.nonce. Ask GET /v1/addresses for an identity.`)
+  }
+}
+
+/**
+ * Reads an identity from an `idempotency-key` header.
+ *
+ * @example
+ * ```ts
+ * parse('k3j9x0q2m4z7a.57.r1')
+ * // ok({ incarnation: 'k3j9x0q2m4z7a', epoch: 57, nonce: 'r1' })
+ * ```
+ */
+export function parse (text: string): neverthrow.Result<Identity, MalformedIdentity> {
+  const match = PATTERN.exec(text)
+  if (match === null) return neverthrow.err(new MalformedIdentity(text))
+  const [, incarnation = '', epoch = '', nonce = ''] = match
+  return neverthrow.ok({ incarnation, epoch: Number(epoch), nonce })
+}
+
+/**
+ * Writes an identity as callers send it.
+ *
+ * @example
+ * ```ts
+ * format({ incarnation: 'k3j9x0q2m4z7a', epoch: 57, nonce: 'r1' }) // 'k3j9x0q2m4z7a.57.r1'
+ * ```
+ */
+export function format (identity: Identity): string {
+  return `${identity.incarnation}.${identity.epoch}.${identity.nonce}`
+}
+
+/**
+ * Issues an identity with a random nonce.
+ *
+ * @example
+ * ```ts
+ * format(issue('k3j9x0q2m4z7a', 57, Math.random)) // 'k3j9x0q2m4z7a.57.0f8k2…'
+ * ```
+ */
+export function issue (incarnation: protocol.Incarnation, epoch: number, random: protocol.Random): Identity {
+  const digits = Array.from({ length: NONCE_LENGTH }, () => Math.floor(random() * NONCE_RADIX).toString(NONCE_RADIX))
+  return { incarnation, epoch, nonce: digits.join('') }
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,3 +5,6 @@
  */
 export * as entry from './entry.js'
 export * as event from './event.js'
+export * as identity from './identity.js'
+export * as poolOrder from './pool-order.js'
+export * as requestRule from './request-rule.js'
--- /dev/null
+++ b/packages/entry/src/outcome.ts
@@ -0,0 +1,59 @@
+/**
+ * What the end of a dispatch means for the caller and for the authority.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as event from './event.js'
+import type * as receipt from './receipt.js'
+import type * as request from './request.js'
+
+/** How a dispatch that reached its target ended. */
+export type ReachedOutcome = Exclude<event.DispatchEnd['outcome'], 'unreachable'>
+
+function ran (reason: protocol.Reason, figures: protocol.Figures): receipt.Outcome {
+  return { reason, execution: 'ran', figures }
+}
+
+function unknown (reason: protocol.Reason, figures: protocol.Figures): receipt.Outcome {
+  return { reason, execution: 'unknown', figures }
+}
+
+function ofCancellation (running: request.Running, figures: protocol.Figures): receipt.Outcome {
+  switch (running.cancelCause) {
+    case 'preempted': return ran('preempted', figures)
+    case 'caller-gone': return unknown('caller-gone-dispatched', figures)
+    case undefined: return unknown('target-failed', figures)
+  }
+}
+
+/**
+ * The outcome of a dispatch of which the target may have received a byte: never `not-run`.
+ *
+ * @example
+ * ```ts
+ * ofEnd(running, 'incomplete', end).reason // 'answer-incomplete'
+ * ```
+ */
+export function ofEnd (running: request.Running, outcome: ReachedOutcome, end: event.DispatchEnd): receipt.Outcome {
+  const figures = { target: running.target, waitedMs: running.dispatchedMs - running.acceptedMs, detail: end.detail }
+  switch (outcome) {
+    case 'finished': return ran('finished', figures)
+    case 'incomplete': return ran('answer-incomplete', figures)
+    case 'failed':
+    case 'crashed': return unknown('target-failed', figures)
+    case 'cancelled': return ofCancellation(running, figures)
+  }
+}
+
+/**
+ * What the authority is told of the slot.
+ *
+ * @example
+ * ```ts
+ * slotOutcome('incomplete') // 'failed'
+ * ```
+ */
+export function slotOutcome (outcome: event.DispatchEnd['outcome']): protocol.SlotOutcome {
+  return outcome === 'incomplete' ? 'failed' : outcome
+}
--- /dev/null
+++ b/packages/entry/src/output.ts
@@ -0,0 +1,48 @@
+/**
+ * Short forms of the outputs that several handlers yield.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as event from './event.js'
+
+/** What handlers yield. */
+export type Outputs = Generator<event.Output, void>
+
+const NO_FIGURES = { promptTokens: 0, cachedTokens: 0, answerTokens: 0, firstTokenMs: 0, totalMs: 0 }
+
+/**
+ * A message to a peer.
+ *
+ * @example
+ * ```ts
+ * yield send(authority, { kind: 'round', round: 7 })
+ * ```
+ */
+export function send (to: protocol.Incarnation, message: protocol.PeerMessage): event.Output {
+  return { kind: 'send', outbound: { to, message } }
+}
+
+/**
+ * Adds 1 to a counter.
+ *
+ * @example
+ * ```ts
+ * yield count('entry.joins')
+ * ```
+ */
+export function count (counter: string): event.Output {
+  return { kind: 'count', counter, value: 1 }
+}
+
+/**
+ * Gives back a slot on which nothing was dispatched.
+ *
+ * @example
+ * ```ts
+ * yield releaseUnused(authority, grant.ask)
+ * ```
+ */
+export function releaseUnused (to: protocol.Incarnation, ask: number): event.Output {
+  return send(to, { kind: 'release', ask, outcome: 'unused', ...NO_FIGURES })
+}
--- /dev/null
+++ b/packages/entry/src/receipt.ts
@@ -0,0 +1,83 @@
+/**
+ * Receipts: why one request waited, ran or was refused.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as event from './event.js'
+import type * as request from './request.js'
+
+/** An outcome and the figures behind it. */
+export interface Outcome {
+  readonly reason: protocol.Reason
+  readonly execution: protocol.Execution
+  readonly figures: protocol.Figures
+}
+
+/**
+ * The outcome of a request of which nothing was sent to a target.
+ *
+ * @example
+ * ```ts
+ * notRun('unknown-service', { service: 'listings' }).execution // 'not-run'
+ * ```
+ */
+export function notRun (reason: protocol.Reason, figures: protocol.Figures): Outcome {
+  return { reason, execution: 'not-run', figures }
+}
+
+/**
+ * The receipt of an arrival that was refused before it was accepted.
+ *
+ * @example
+ * ```ts
+ * ofArrival(arrival, identity, notRun('draining', {})).reason // 'draining'
+ * ```
+ */
+export function ofArrival (arrival: event.Arrival, identity: string, outcome: Outcome): event.Receipt {
+  return {
+    identity,
+    service: arrival.service,
+    organisation: arrival.organisation ?? 'none',
+    tier: arrival.tier ?? 'none',
+    ...outcome,
+    waitedMs: 0,
+    target: undefined,
+    end: undefined
+  }
+}
+
+/**
+ * The receipt of an accepted request.
+ *
+ * @example
+ * ```ts
+ * ofRequest(running, outcome, nowMs, end).target // 'counter-1'
+ * ```
+ */
+export function ofRequest (of: request.Request, outcome: Outcome, nowMs: number, end: event.DispatchEnd | undefined): event.Receipt {
+  return {
+    identity: of.identity,
+    service: of.arrival.service,
+    organisation: of.terms.organisation,
+    tier: of.terms.tier,
+    ...outcome,
+    waitedMs: (of.state === 'running' ? of.dispatchedMs : nowMs) - of.acceptedMs,
+    target: of.state === 'running' ? of.target : undefined,
+    end
+  }
+}
+
+/**
+ * The receipt that accompanies a dispatch: the outcome is not known before the answer's end.
+ *
+ * @example
+ * ```ts
+ * ofDispatch(running, grant.figures).execution // 'unknown'
+ * ```
+ */
+export function ofDispatch (running: request.Running, figures: protocol.Figures): event.Receipt {
+  const waitedMs = running.dispatchedMs - running.acceptedMs
+  const outcome: Outcome = { reason: 'finished', execution: 'unknown', figures: { ...figures, target: running.target, waitedMs } }
+  return ofRequest(running, outcome, running.dispatchedMs, undefined)
+}
--- /dev/null
+++ b/packages/entry/src/request.ts
@@ -0,0 +1,55 @@
+/**
+ * A request that the entry has accepted and that is not yet final.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as event from './event.js'
+import type * as terms from './terms.js'
+
+/** An ask that an authority has been sent. Each ask has a number of its own, also when a request asks again. */
+export interface Slot {
+  readonly ask: number
+  readonly pool: string
+  readonly authority: protocol.Incarnation
+}
+
+interface Accepted {
+  readonly arrival: event.Arrival
+  readonly identity: string
+  /** Whether the caller brought the identity and so can resend the request. */
+  readonly resendable: boolean
+  readonly terms: terms.Terms
+  readonly acceptedMs: number
+  readonly deadlineAtMs: number
+  /** Connected callers, by the number of their arrival. */
+  readonly callers: ReadonlySet<number>
+  /** When the last caller left; undefined while there are callers. */
+  readonly abandonedMs: number | undefined
+  /** Targets that refused the connection so far. */
+  readonly unreachableCount: number
+  /** Pools that said that they have no target for the request. */
+  readonly exhaustedPools: readonly string[]
+}
+
+/** A request without a slot on a target. Nothing of it has been sent to any target. */
+export interface Waiting extends Accepted {
+  readonly state: 'waiting'
+  /** Undefined while there is nobody to ask. */
+  readonly slot: Slot | undefined
+  /** When a request without an outstanding ask asks again. */
+  readonly askAgainAtMs: number
+}
+
+/** A request that was dispatched. */
+export interface Running extends Accepted {
+  readonly state: 'running'
+  readonly slot: Slot
+  readonly target: string
+  readonly dispatchedMs: number
+  /** Why its cancellation was asked for. */
+  readonly cancelCause: 'preempted' | 'caller-gone' | undefined
+}
+
+/** A request that is not yet final. */
+export type Request = Waiting | Running
--- /dev/null
+++ b/packages/entry/src/state.ts
@@ -0,0 +1,66 @@
+/**
+ * The state of one entry, owned by the task that drives it.
+ *
+ * @module
+ */
+import type * as document from '@persimmonhatch/document'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as identityLedger from './identity-ledger.js'
+import type * as poolOrder from './pool-order.js'
+import type * as request from './request.js'
+import * as rounds from './rounds.js'
+import * as suspects from './suspects.js'
+import * as targetStates from './target-states.js'
+
+/** Settings that have been given their defaults. */
+export interface Settings {
+  readonly incarnation: protocol.Incarnation
+  readonly random: protocol.Random
+  readonly findMember: (incarnation: protocol.Incarnation) => protocol.MemberNews | undefined
+  readonly requestLimit: number
+  readonly identityLimit: number
+  readonly orderPools: poolOrder.PoolOrder
+  readonly isEligiblePool: (pool: string) => boolean
+}
+
+/** Everything that an entry knows. */
+export class State {
+  /** Requests that wait or run, by the number of their first arrival. */
+  readonly requests = new Map<number, request.Request>()
+  /** The request that answers a connected caller, by the number of the caller's arrival. */
+  readonly requestOfCaller = new Map<number, number>()
+  /** The request of each ask that waits for a grant or holds a slot. */
+  readonly requestOfAsk = new Map<number, number>()
+  readonly ledger: identityLedger.IdentityLedger
+  readonly rounds = new rounds.Rounds()
+  readonly suspects = new suspects.Suspects()
+  readonly targets = new targetStates.TargetStates()
+  services: ReadonlyMap<string, document.serviceDocument.ServiceDocument> = new Map()
+  authorities: ReadonlyMap<string, protocol.Incarnation> = new Map()
+  draining = false
+  drainedReported = false
+  #lastAsk = 0
+
+  constructor (readonly settings: Settings) {
+    this.ledger = new identityLedger.IdentityLedger(settings.identityLimit)
+  }
+
+  /** A number for an ask, never used before in this incarnation. */
+  nextAsk (): number {
+    this.#lastAsk += 1
+    return this.#lastAsk
+  }
+
+  findByAsk (ask: number): request.Request | undefined {
+    const found = this.requestOfAsk.get(ask)
+    return found === undefined ? undefined : this.requests.get(found)
+  }
+
+  waiting (): readonly request.Waiting[] {
+    return [...this.requests.values()].filter((each) => each.state === 'waiting')
+  }
+
+  running (): readonly request.Running[] {
+    return [...this.requests.values()].filter((each) => each.state === 'running')
+  }
+}
--- /dev/null
+++ b/packages/entry/tests/fixtures.ts
@@ -0,0 +1,141 @@
+/**
+ * Documents, arrivals and a driver for tests of the entry.
+ *
+ * @module
+ */
+import * as document from '@persimmonhatch/document'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as index from '../src/index.js'
+
+export const OWN = 'entry00000001'
+export const AUTHORITY = 'authority0001'
+export const OTHER_AUTHORITY = 'authority0002'
+
+export const STOCK = document.serviceDocument.schema.parse({
+  service: 'stock',
+  kind: 'plain',
+  tiers: [{ name: 'counter', rank: 0 }, { name: 'batch', rank: 3 }],
+  defaultTier: 'batch',
+  requests: [{ path: '/reserve', nonIdempotent: true, tier: 'counter' }],
+  organisations: [{ name: 'fez' }, { name: 'rabat' }],
+  targets: [
+    { name: 'stock-1', address: '10.0.1.1:9000', pool: 'north', availabilityZone: 'a' },
+    { name: 'stock-2', address: '10.0.1.2:9000', pool: 'north', availabilityZone: 'b' },
+    { name: 'stock-3', address: '10.0.1.3:9000', pool: 'south', availabilityZone: 'c' }
+  ]
+})
+
+export const ARRIVAL: index.event.Arrival = {
+  request: 1,
+  identity: `${OWN}.10.a`,
+  service: 'stock',
+  organisation: 'fez',
+  tier: undefined,
+  method: 'POST',
+  path: '/tag',
+  fingerprint: 'f1',
+  promptTokens: 100,
+  answerTokens: undefined,
+  prefixes: [],
+  deadlineMs: undefined
+}
+
+export const END: index.event.DispatchEnd = {
+  outcome: 'finished', detail: '', promptTokens: 100, cachedTokens: 0, answerTokens: 10, firstTokenMs: 5, totalMs: 20
+}
+
+export type Output = index.event.Output
+
+/** An entry with a clock that tests move by hand. */
+export class Driver {
+  nowMs = 0
+  readonly entry: index.entry.Entry
+
+  constructor (options: Partial<index.entry.Options> = {}) {
+    this.entry = index.entry.createEntry({
+      incarnation: OWN,
+      random: () => 0.5,
+      findMember: () => undefined,
+      requestLimit: 100,
+      orderPools: (pools) => [...pools].sort(),
+      ...options
+    })
+  }
+
+  do (input: index.event.Event): readonly Output[] {
+    return [...this.entry.handle(input, this.nowMs)]
+  }
+
+  start (): this {
+    this.do({ kind: 'beat', beat: 10 })
+    this.do({ kind: 'documents', documents: [STOCK] })
+    this.assign(AUTHORITY)
+    return this
+  }
+
+  assign (authority: protocol.Incarnation, reconnected: readonly protocol.Incarnation[] = []): readonly Output[] {
+    return this.do({ kind: 'authorities', authorities: new Map([['north', authority], ['south', authority]]), reconnected })
+  }
+
+  arrive (change: Partial<index.event.Arrival> = {}): readonly Output[] {
+    return this.do({ kind: 'arrival', arrival: { ...ARRIVAL, ...change } })
+  }
+
+  receive (message: index.event.Received, from: protocol.Incarnation = AUTHORITY): readonly Output[] {
+    return this.do({ kind: 'message', from, message })
+  }
+
+  /** Grants an ask in the round that it carried. */
+  grant (ask: protocol.Ask, target = 'stock-1', from: protocol.Incarnation = AUTHORITY): readonly Output[] {
+    return this.receive({ kind: 'grant', ask: ask.ask, target, round: ask.round, figures: {} }, from)
+  }
+
+  refuse (ask: protocol.Ask, reason: protocol.Reason): readonly Output[] {
+    return this.receive({ kind: 'refusal', ask: ask.ask, reason, retryAfterMs: 700, figures: {} })
+  }
+
+  end (outcome: index.event.DispatchEnd['outcome'], request = 1): readonly Output[] {
+    return this.do({ kind: 'ended', request, end: { ...END, outcome } })
+  }
+
+  wait (durationMs: number): readonly Output[] {
+    this.nowMs += durationMs
+    return this.do({ kind: 'tick' })
+  }
+}
+
+/** Messages of one kind among outputs, with their receivers. */
+export function messages (outputs: readonly Output[], kind: protocol.PeerMessage['kind']): readonly protocol.Outbound[] {
+  return outputs.flatMap((output) => output.kind === 'send' && output.outbound.message.kind === kind ? [output.outbound] : [])
+}
+
+/** The one ask among outputs. */
+export function askOf (outputs: readonly Output[]): protocol.Ask {
+  const found = messages(outputs, 'ask').map((each) => each.message)
+  const [ask] = found
+  if (found.length !== 1 || ask?.kind !== 'ask') throw new Error(`expected one ask, found ${found.length}`)
+  return ask
+}
+
+/** Outputs in short: what happens to requests, without messages and counters. */
+export function effects (outputs: readonly Output[]): readonly string[] {
+  return outputs.flatMap((output) => {
+    switch (output.kind) {
+      case 'send':
+      case 'count': return []
+      case 'dispatch': return [`dispatch ${output.request} ${output.placement.target}`]
+      case 'refuse': return [`refuse ${output.request} ${output.receipt.reason} ${output.receipt.execution}`]
+      case 'join': return [`join ${output.request} ${output.original}`]
+      case 'redirect': return [`redirect ${output.request} ${output.address}`]
+      case 'settled': return [`settled ${output.receipt.reason} ${output.receipt.execution}`]
+      case 'cancel':
+      case 'forget': return [`${output.kind} ${output.request}`]
+      default: return [output.kind]
+    }
+  })
+}
+
+/** Outcomes of the releases among outputs, each with its ask and receiver. */
+export function releases (outputs: readonly Output[]): readonly string[] {
+  return messages(outputs, 'release').map(({ to, message }) => message.kind === 'release' ? `${message.ask} ${message.outcome} ${to}` : '')
+}
