--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -5,13 +5,11 @@
  */
 import type * as entry from '@persimmonhatch/entry'
 import type * as protocol from '@persimmonhatch/protocol'
+import * as platform from '@persimmonhatch/platform'
 import * as undici from 'undici'
 import type * as answerRecord from './answer-record.js'
 import * as answerStream from './answer-stream.js'
 
-/** Connection errors that come before the first byte could be written. */
-const BEFORE_FIRST_BYTE = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
-
 /** Headers that belong to one connection or to this system and are not passed on to a target. */
 const OWN_REQUEST_HEADERS = new Set(['connection', 'keep-alive', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'content-length', 'expect'])
 
@@ -61,7 +59,7 @@
 }
 
 /**
- * Dispatches once. The connection being refused is the only failure that counts as not dispatched.
+ * Dispatches once. Only a failure before the first byte may have been written counts as not dispatched.
  *
  * @example
  * ```ts
@@ -72,9 +70,11 @@
 export async function dispatch (options: Options): Promise<entry.event.DispatchEnd> {
   const startMs = options.clock()
   const meter = answerStream.createMeter(options.clock, startMs, options.job.promptTokens)
+  let sent = false
+  const client = platform.httpClient.withDispatchNotice(options.httpClient, () => { sent = true })
   try {
     const response = await undici.request(`http://${options.placement.address}${options.job.path}`, {
-      dispatcher: options.httpClient,
+      dispatcher: client,
       method: options.job.method as undici.Dispatcher.HttpMethod,
       headers: requestHeaders(options.job),
       body: options.job.body.length === 0 ? null : options.job.body,
@@ -95,7 +95,7 @@
     return meter.end(response.statusCode >= 500 ? 'failed' : outcome, `status ${response.statusCode}`)
   } catch (error) {
     const code = errorCode(error)
-    if (options.signal.aborted) return meter.end('cancelled', 'cancelled')
-    return meter.end(BEFORE_FIRST_BYTE.has(code) ? 'unreachable' : 'crashed', code)
+    if (options.signal.aborted && sent) return meter.end('cancelled', 'cancelled')
+    return meter.end(sent ? 'crashed' : 'unreachable', code)
   }
 }
--- /dev/null
+++ b/packages/daemon/src/tasks/documents.ts
@@ -0,0 +1,139 @@
+/**
+ * Service documents: followed by a watch on the platform, and passed on between daemons when the
+ * platform can't be reached.
+ *
+ * @module
+ */
+import * as document from '@persimmonhatch/document'
+import type * as platform from '@persimmonhatch/platform'
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as log from '../adapters/log.js'
+import * as followDocuments from './follow-documents.js'
+
+/** Time for which the watch may bring a revision that a peer has, before the peer is asked for it, milliseconds. */
+const PEER_REQUEST_DELAY_MS = 500
+
+/** What the task needs of its surroundings. */
+export interface Options {
+  readonly keyValue: platform.keyValue.KeyValue
+  readonly clock: protocol.Clock
+  readonly random: protocol.Random
+  readonly send: (outbound: protocol.Outbound) => void
+  /** Other live daemons. */
+  readonly peers: () => readonly protocol.Incarnation[]
+  readonly onDocuments: (documents: readonly document.serviceDocument.ServiceDocument[]) => void
+  readonly onRevision: (news: protocol.RevisionNews) => void
+  readonly count: (counter: string, value: number) => void
+  readonly log: log.Log
+}
+
+/** State of the connection to the platform. */
+export type PlatformState = 'unknown' | 'reachable' | 'unreachable'
+
+/** The running task. */
+export interface Documents {
+  /** Follows the platform until `signal` aborts. */
+  readonly follow: (signal: AbortSignal) => Promise<void>
+  /** A peer has a revision in force. */
+  readonly heard: (news: protocol.RevisionNews) => void
+  readonly received: (from: protocol.Incarnation, message: protocol.DocumentRequest | protocol.DocumentCopy) => void
+  readonly tick: () => void
+  /** Whether any document was seen or the platform said that there is none. */
+  readonly ready: () => boolean
+  readonly status: () => readonly document.adoption.Status[]
+  readonly platformState: () => PlatformState
+}
+
+interface Wanted {
+  readonly revision: number
+  readonly askAtMs: number
+}
+
+/**
+ * Starts the task.
+ *
+ * @example
+ * ```ts
+ * const documents = startDocuments(options)
+ * await documents.follow(stop.signal)
+ * ```
+ */
+export function startDocuments (options: Options): Documents {
+  const adoption = document.adoption.createAdoption()
+  const wanted = new Map<string, Wanted>()
+  let state: PlatformState = 'unknown'
+  let ready = false
+
+  function report (event: document.adoption.Event): void {
+    options.count(`documents.${event.kind}`, 1)
+    if (event.kind === 'adopted') {
+      wanted.delete(event.service)
+      options.log.info('document in force', { service: event.service, revision: event.revision, changeId: event.changeId })
+      options.onRevision({ kind: 'revision', service: event.service, revision: event.revision })
+    } else {
+      options.log.warn(`document ${event.kind}`, { ...event })
+    }
+  }
+
+  function take (copies: readonly document.adoption.Copy[]): void {
+    let changed = false
+    for (const copy of copies) {
+      for (const event of adoption.handle(copy)) {
+        report(event)
+        changed ||= event.kind === 'adopted'
+      }
+    }
+    if (changed) options.onDocuments(adoption.resolution().documents)
+  }
+
+  function enter (next: PlatformState): void {
+    if (state === next) return
+    state = next
+    options.log.info(`platform ${next}`)
+  }
+
+  function follow (signal: AbortSignal): Promise<void> {
+    return followDocuments.followDocuments({
+      keyValue: options.keyValue,
+      random: options.random,
+      known: () => adoption.status().map((known) => known.service),
+      onCopies: take,
+      onListed: () => {
+        ready = true
+        enter('reachable')
+      },
+      onFailure: (failure) => {
+        options.count(`platform.${failure}`, 1)
+        if (failure === 'unavailable' || failure === 'unanswered') enter('unreachable')
+      }
+    }, signal)
+  }
+
+  function heard (news: protocol.RevisionNews): void {
+    const inForce = adoption.find(news.service)?.revision ?? 0
+    if (news.revision <= inForce || news.revision <= (wanted.get(news.service)?.revision ?? 0)) return
+    wanted.set(news.service, { revision: news.revision, askAtMs: options.clock() + options.random() * PEER_REQUEST_DELAY_MS })
+  }
+
+  function tick (): void {
+    for (const [service, want] of wanted) {
+      if (want.askAtMs > options.clock()) continue
+      const peers = options.peers()
+      const peer = peers[Math.floor(options.random() * peers.length)]
+      wanted.set(service, { revision: want.revision, askAtMs: options.clock() + PEER_REQUEST_DELAY_MS })
+      if (peer !== undefined) options.send({ to: peer, message: { kind: 'document-request', service, revision: want.revision } })
+    }
+  }
+
+  function received (from: protocol.Incarnation, message: protocol.DocumentRequest | protocol.DocumentCopy): void {
+    if (message.kind === 'document-copy') {
+      ready = true
+      return take([{ service: message.service, text: message.content, source: 'peer' }])
+    }
+    const found = adoption.find(message.service)
+    if (found === undefined || found.revision < message.revision) return
+    options.send({ to: from, message: { kind: 'document-copy', service: found.service, revision: found.revision, content: found.text } })
+  }
+
+  return { follow, heard, received, tick, ready: () => ready, status: adoption.status, platformState: () => state }
+}
--- /dev/null
+++ b/packages/daemon/src/util/pause.ts
@@ -0,0 +1,20 @@
+/**
+ * Waits, or returns early when `signal` aborts.
+ *
+ * @example
+ * ```ts
+ * await pause(200, stop.signal)
+ * ```
+ */
+export function pause (milliseconds: number, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal.aborted) return resolve()
+    const timer = setTimeout(done, milliseconds)
+    signal.addEventListener('abort', done, { once: true })
+    function done (): void {
+      clearTimeout(timer)
+      signal.removeEventListener('abort', done)
+      resolve()
+    }
+  })
+}
--- a/packages/protocol/src/peer-schema.ts
+++ b/packages/protocol/src/peer-schema.ts
@@ -19,7 +19,8 @@
 const FIGURES = z.record(z.string(), z.union([z.string(), z.number()])).readonly()
 const SLOT_OUTCOME = z.enum(['finished', 'failed', 'crashed', 'cancelled', 'unused', 'unreachable'])
 
-const memberNews = z.object({
+/** Schema of what is known of a daemon. */
+export const memberSchema = z.object({
   kind: z.literal('member'),
   incarnation: INCARNATION,
   address: NAME,
@@ -49,7 +50,7 @@
 
 const revisionNews = z.object({ kind: z.literal('revision'), service: NAME, revision: COUNT }).readonly()
 
-const NEWS = z.array(z.discriminatedUnion('kind', [memberNews, targetNews, suspectNews, revisionNews])).max(MAX_NEWS).readonly()
+const NEWS = z.array(z.discriminatedUnion('kind', [memberSchema, targetNews, suspectNews, revisionNews])).max(MAX_NEWS).readonly()
 
 const holding = z.object({
   ask: COUNT,
@@ -116,7 +117,7 @@
 /** Schema of the greeting that opens a connection between daemons. */
 export const greeting = z.object({
   version: COUNT,
-  member: memberNews,
+  member: memberSchema,
   /** Incarnation that the caller wants to reach; empty when any will do. */
   wanted: z.string()
 }).readonly()
