--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,162 @@
+/**
+ * One daemon: its sockets, its tasks and its planned stop.
+ *
+ * @module
+ */
+import * as platform from '@persimmonhatch/platform'
+import * as protocol from '@persimmonhatch/protocol'
+import type * as log from './adapters/log.js'
+import type * as metrics from './adapters/metrics.js'
+import * as callerServer from './http/caller-server.js'
+import type * as readArrival from './http/read-arrival.js'
+import * as peerConnections from './peer/peers.js'
+import type * as settingsModule from './settings/settings.js'
+import * as operatorAnswers from './tasks/operator-answers.js'
+import * as platformCalls from './tasks/platform-calls.js'
+import * as registration from './tasks/registration.js'
+import * as tasksModule from './tasks/tasks.js'
+import * as vmList from './tasks/vm-list.js'
+import * as pause from './util/pause.js'
+
+/** Interval of the ticks that drive every task, milliseconds. */
+const TICK_INTERVAL_MS = 100
+
+/** Time for connections to end after the last request, milliseconds. */
+const CLOSE_TIMEOUT_MS = 2_000
+
+/** Time for the last news of a stopping daemon to leave, milliseconds. */
+const FAREWELL_MS = 200
+
+const CONNECT_TIMEOUT_MS = 1_000
+
+/** What a daemon needs of its surroundings. */
+export interface Options {
+  readonly settings: settingsModule.Settings
+  readonly incarnation: protocol.Incarnation
+  readonly clock: protocol.Clock
+  readonly random: protocol.Random
+  readonly hashes: readArrival.Hashes
+  readonly log: log.Log
+  readonly metrics: metrics.Metrics
+}
+
+/** A running daemon. */
+export interface Daemon {
+  /** Stops without cutting a request off; settles when everything has ended. */
+  readonly stop: () => Promise<void>
+}
+
+function openPeers (options: Options, tasks: () => tasksModule.Tasks): Promise<peerConnections.Peers> {
+  return peerConnections.openPeers({
+    listen: options.settings.listen.peers,
+    clock: options.clock,
+    count: options.metrics.count,
+    greet: (wanted) => ({ version: protocol.PROTOCOL_VERSION, member: tasks().members.self(), wanted }),
+    findMember: (incarnation) => tasks().members.core.findMember(incarnation),
+    onMessage: (from, message) => tasks().route(from, message),
+    onConnected: (member) => tasks().connected(member)
+  })
+}
+
+function openCallers (options: Options, tasks: tasksModule.Tasks, calls: platformCalls.PlatformCalls): Promise<callerServer.CallerServer> {
+  const { settings, random } = options
+  const sources: operatorAnswers.Sources = {
+    region: settings.region,
+    random,
+    self: tasks.members.self,
+    members: tasks.members.core.members,
+    services: tasks.documents.status,
+    pools: tasks.pools.status,
+    entry: tasks.entry.status,
+    platform: () => ({ state: tasks.documents.platformState(), callsPerMinute: calls.lastMinute() }),
+    leavingTargets: tasks.targetStates.leaving,
+    receipt: tasks.entry.receipt
+  }
+  return callerServer.openCallerServer({
+    listen: settings.listen.callers,
+    limits: settings.limits,
+    addresses: (query) => operatorAnswers.answerAddresses(sources, query),
+    explain: (identity) => operatorAnswers.answerExplain(sources, identity),
+    status: () => operatorAnswers.answerStatus(sources),
+    ready: tasks.documents.ready,
+    submit: tasks.requests.submit,
+    count: options.metrics.count
+  })
+}
+
+function startBackground (options: Options, tasks: tasksModule.Tasks, calls: platformCalls.PlatformCalls, signal: AbortSignal): readonly Promise<void>[] {
+  const { random, clock } = options
+  const { count } = options.metrics
+  const { members, targetStates } = tasks
+  return [
+    tasks.documents.follow(signal),
+    registration.keepRegistered({ random, count, keyValue: calls.keyValue, self: members.self, onIntroduced: (found) => members.post({ kind: 'introduced', members: found }) }, signal),
+    vmList.readVmList({
+      random,
+      count,
+      listVms: calls.listVms,
+      fleetSize: () => members.core.members().length,
+      onList: (vms) => { for (const news of targetStates.read(vms, clock())) members.post({ kind: 'news', news }) }
+    }, signal)
+  ]
+}
+
+function wait (milliseconds: number): Promise<void> {
+  return pause.pause(milliseconds, new AbortController().signal)
+}
+
+/**
+ * Starts a daemon.
+ *
+ * @example
+ * ```ts
+ * const daemon = await startDaemon(options)
+ * process.once('SIGTERM', () => daemon.stop())
+ * ```
+ */
+export async function startDaemon (options: Options): Promise<Daemon> {
+  const { settings, clock, log, metrics } = options
+  const stopping = new AbortController()
+  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const calls = platformCalls.createPlatformCalls({ settings: settings.platform, clock, count: metrics.count })
+  let onDrained: () => void = () => {}
+  const drained = new Promise<void>((resolve) => { onDrained = resolve })
+
+  const peers = await openPeers(options, () => tasks)
+  const tasks: tasksModule.Tasks = tasksModule.startTasks({
+    ...options,
+    calls,
+    httpClient,
+    sendToPeer: peers.send,
+    dropPeer: peers.drop,
+    onDrained: () => onDrained()
+  })
+  const server = await openCallers(options, tasks, calls)
+  const timer = setInterval(() => {
+    tasks.tick()
+    peers.tick()
+  }, TICK_INTERVAL_MS)
+  const background = startBackground(options, tasks, calls, stopping.signal)
+  log.info('started', { address: settings.listen.callers, peers: settings.listen.peers, incarnation: options.incarnation })
+
+  async function stop (): Promise<void> {
+    log.info('draining', { drainMs: settings.drainMs })
+    tasks.members.post({ kind: 'drain' })
+    await wait(settings.drainMs)
+    tasks.requests.post({ kind: 'drain' })
+    await drained
+    await Promise.race([server.close(), wait(CLOSE_TIMEOUT_MS)])
+    tasks.members.post({ kind: 'gone' })
+    stopping.abort()
+    await Promise.allSettled(background)
+    await wait(FAREWELL_MS)
+    clearInterval(timer)
+    tasks.pools.stop()
+    await peers.close()
+    await Promise.all([httpClient.close(), calls.close()])
+    metrics.close()
+    log.info('stopped')
+  }
+
+  return { stop }
+}
--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -25,10 +25,12 @@
 export interface Options {
   readonly listen: protocol.Address
   readonly limits: settings.Settings['limits']
-  readonly addresses: (query: AddressQuery) => object
+  readonly addresses: (query: AddressQuery) => refusalBody.Reply
   /** Answer to `GET /v1/requests/IDENTITY`; undefined when nothing is known here. */
   readonly explain: (identity: string) => object | undefined
   readonly status: () => object
+  /** Whether the daemon knows the service documents. */
+  readonly ready: () => boolean
   /** Takes a request over; settles when the answer was written or the caller went away. */
   readonly submit: (request: Omit<readArrival.CallerRequest, 'request'>, response: http.ServerResponse, url: string) => Promise<void>
   readonly count: (counter: string, value: number) => void
@@ -58,6 +60,10 @@
 async function takeRequest (options: Options, context: Context): Promise<Response> {
   const { incoming, outgoing } = context.env
   const url = incoming.url ?? '/'
+  if (!options.ready()) {
+    sendReply(outgoing, refusalBody.plainReply('no-authority', {}))
+    return sentResponse.RESPONSE_ALREADY_SENT
+  }
   const match = SERVICE_PATH.exec(url)
   const body = await readBody.readBody(incoming, options.limits.bodyBytes)
   if (body.isErr()) {
@@ -81,12 +87,12 @@
 
 function buildApp (options: Options): hono.Hono<Environment> {
   const app = new hono.Hono<Environment>()
-  app.get('/healthz', (context) => context.text('ok'))
+  app.get('/healthz', (context) => options.ready() ? context.text('ok') : context.text('no service document was read yet', 503))
   app.get('/v1/status', (context) => context.json(options.status()))
-  app.get('/v1/addresses', (context) => context.json(options.addresses({
-    service: context.req.query('service'),
-    availabilityZone: context.req.query('availability-zone')
-  })))
+  app.get('/v1/addresses', (context) => {
+    const reply = options.addresses({ service: context.req.query('service'), availabilityZone: context.req.query('availability-zone') })
+    return new Response(reply.body, { status: reply.status, headers: reply.headers })
+  })
   app.get('/v1/requests/:identity', (context) => {
     const found = options.explain(context.req.param('identity'))
     if (found !== undefined) return context.json(found)
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,4 +3,6 @@
  *
  * @module
  */
-export {}
+export * as daemon from './daemon.js'
+export * as parseSettings from './settings/parse-settings.js'
+export * as settings from './settings/settings.js'
--- /dev/null
+++ b/packages/daemon/src/tasks/platform-calls.ts
@@ -0,0 +1,69 @@
+/**
+ * This daemon's calls to the platform, counted and kept within their budget.
+ *
+ * @module
+ */
+import * as platform from '@persimmonhatch/platform'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as neverthrow from 'neverthrow'
+import type * as settings from '../settings/settings.js'
+
+const CALL_TIMEOUT_MS = 2_000
+const CONNECT_TIMEOUT_MS = 1_000
+const SECONDS_PER_MINUTE = 60
+const MS_PER_MINUTE = 60_000
+const BURST_CALLS = 30
+
+/** What the calls need of their surroundings. */
+export interface Options {
+  readonly settings: settings.Settings['platform']
+  readonly clock: protocol.Clock
+  readonly count: (counter: string, value: number) => void
+}
+
+/** The platform as this daemon sees it. */
+export interface PlatformCalls {
+  readonly keyValue: platform.keyValue.KeyValue
+  readonly listVms: platform.vmList.ListVms
+  /** Calls to the key-value service in the last whole minute. */
+  readonly lastMinute: () => number
+  readonly close: () => Promise<void>
+}
+
+/**
+ * Opens the connections to the platform.
+ *
+ * @example
+ * ```ts
+ * const calls = createPlatformCalls({ settings: settings.platform, clock, count })
+ * ```
+ */
+export function createPlatformCalls (options: Options): PlatformCalls {
+  const { settings, clock, count } = options
+  const client = platform.httpClient.httpClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const times: number[] = []
+
+  function note (kind: platform.meteredKeyValue.CallKind, result: platform.meteredKeyValue.CallResult): void {
+    count(`platform.${kind}.${result}`, 1)
+    if (result === 'sent') times.push(clock())
+    while (times[0] !== undefined && times[0] < clock() - MS_PER_MINUTE) times.shift()
+  }
+
+  const keyValue = platform.meteredKeyValue.meteredKeyValue({
+    keyValue: platform.etcdKeyValue.etcdKeyValue({ client, endpoints: settings.keyValue.map((address) => `http://${address}`), timeoutMs: CALL_TIMEOUT_MS }),
+    callsPerS: settings.callsPerMinute / SECONDS_PER_MINUTE,
+    burst: BURST_CALLS,
+    now: clock,
+    count: note
+  })
+  const listVms: platform.vmList.ListVms = settings.vmList === undefined
+    ? () => neverthrow.okAsync([])
+    : platform.vmListClient.vmListClient({ client, url: `http://${settings.vmList}`, timeoutMs: CALL_TIMEOUT_MS })
+
+  return {
+    keyValue,
+    listVms,
+    lastMinute: () => times.filter((time) => time >= clock() - MS_PER_MINUTE).length,
+    close: () => client.close()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/tasks/target-reports.ts
@@ -0,0 +1,77 @@
+/**
+ * Reads the load and cache reports that the targets of a pool publish.
+ *
+ * @module
+ */
+import type * as authority from '@persimmonhatch/authority'
+import type * as document from '@persimmonhatch/document'
+import type * as protocol from '@persimmonhatch/protocol'
+
+/** Interval between two readings of one target, milliseconds. */
+const READ_INTERVAL_MS = 1_000
+
+/** What was read from one target. */
+export interface Reports {
+  readonly load: authority.event.LoadReport | undefined
+  readonly cache: readonly authority.event.CacheReport[]
+}
+
+/** A target to read. Only model engines publish cache reports. */
+export interface WatchedTarget {
+  readonly name: string
+  readonly address: protocol.Address
+  readonly kind: document.serviceDocument.ServiceDocument['kind']
+}
+
+/** Reads a target; `afterSequence` is the last cache event seen. Gives nothing when the target does not answer. */
+export type ReadReports = (target: WatchedTarget, afterSequence: number) => Promise<Reports>
+
+/** The running readers of one pool. */
+export interface TargetReports {
+  readonly watch: (targets: readonly WatchedTarget[]) => void
+  readonly stop: () => void
+}
+
+/**
+ * Starts with no targets.
+ *
+ * @example
+ * ```ts
+ * const reports = startTargetReports(readReports, authorityTask.post)
+ * reports.watch(document.targets)
+ * ```
+ */
+export function startTargetReports (readReports: ReadReports, post: (event: authority.event.Event) => void): TargetReports {
+  let watched: ReadonlyMap<string, WatchedTarget> = new Map()
+  const sequences = new Map<string, number>()
+  const reading = new Set<string>()
+
+  async function read (target: WatchedTarget): Promise<void> {
+    reading.add(target.name)
+    const reports = await readReports(target, sequences.get(target.name) ?? 0)
+    reading.delete(target.name)
+    if (watched.get(target.name)?.address !== target.address) return
+    if (reports.load !== undefined) post({ kind: 'load', report: reports.load })
+    for (const report of reports.cache) {
+      sequences.set(target.name, report.sequence)
+      post({ kind: 'cache', report })
+    }
+  }
+
+  const timer = setInterval(() => {
+    for (const target of watched.values()) {
+      if (!reading.has(target.name)) read(target).then(undefined, () => reading.delete(target.name))
+    }
+  }, READ_INTERVAL_MS)
+
+  return {
+    watch: (targets) => {
+      watched = new Map(targets.map((target) => [target.name, target]))
+      for (const name of sequences.keys()) if (!watched.has(name)) sequences.delete(name)
+    },
+    stop: () => {
+      clearInterval(timer)
+      watched = new Map()
+    }
+  }
+}
