--- /dev/null
+++ b/packages/authority/src/answer-length.ts
@@ -0,0 +1,37 @@
+/**
+ * How long answers are against what their requests allowed, by service.
+ *
+ * @module
+ */
+
+/** Learned ratio of written to allowed answer tokens. */
+export interface AnswerLength {
+  readonly expect: (service: string, allowedTokens: number) => number
+  readonly learn: (service: string, allowedTokens: number, writtenTokens: number) => void
+}
+
+const GAIN = 0.05
+const MIN_RATIO = 0.05
+const MAX_RATIO = 1
+
+/**
+ * Creates an estimator that expects answers of the allowed length.
+ *
+ * @example
+ * ```ts
+ * const answers = createAnswerLength()
+ * answers.expect('listings', 400) // 400
+ * ```
+ */
+export function createAnswerLength (): AnswerLength {
+  const ratios = new Map<string, number>()
+  return {
+    expect: (service, allowedTokens) => Math.ceil(allowedTokens * (ratios.get(service) ?? 1)),
+    learn (service, allowedTokens, writtenTokens) {
+      if (allowedTokens <= 0) return
+      const ratio = Math.min(MAX_RATIO, Math.max(MIN_RATIO, writtenTokens / allowedTokens))
+      const known = ratios.get(service) ?? 1
+      ratios.set(service, known + GAIN * (ratio - known))
+    }
+  }
+}
--- a/packages/authority/src/authority.ts
+++ b/packages/authority/src/authority.ts
@@ -3,7 +3,17 @@
  *
  * @module
  */
-import type * as protocol from '@persimmonhatch/protocol'
+import * as protocol from '@persimmonhatch/protocol'
+import * as asks from './asks.js'
+import * as context from './context.js'
+import * as crashes from './crashes.js'
+import * as floorMessages from './floor-messages.js'
+import * as grants from './grants.js'
+import * as holdings from './holdings.js'
+import type * as outputs from './outputs.js'
+import * as releases from './releases.js'
+import * as surroundings from './surroundings.js'
+import * as tick from './tick.js'
 import type * as event from './event.js'
 
 /** Settings of an authority. */
@@ -38,3 +48,95 @@
   readonly handle: (input: event.Event, nowMs: number) => Generator<event.Output, void>
   readonly status: () => Status
 }
+
+function * handleMessage (state: context.Context, from: protocol.Incarnation, message: event.Received, nowMs: number): outputs.Outputs {
+  switch (message.kind) {
+    case 'ask':
+      return yield * asks.handleAsk(state, from, message, nowMs)
+    case 'withdraw':
+      return yield * asks.handleWithdraw(state, from, message)
+    case 'round':
+      yield * asks.handleRound(state, from, message.round, nowMs)
+      return yield * grants.grantWaiting(state, nowMs)
+    case 'release':
+      yield * releases.handleRelease(state, from, message, nowMs)
+      yield * floorMessages.enforceFloors(state, nowMs)
+      return yield * grants.grantWaiting(state, nowMs)
+    case 'holdings':
+      return yield * holdings.handleHoldings(state, from, message, protocol.GRANT_VALIDITY_MS, nowMs)
+    case 'floor':
+      return yield * floorMessages.handleFloor(state, from, message, nowMs)
+    case 'floor-reached':
+      return yield * floorMessages.handleFloorReached(state, from, message, nowMs)
+  }
+}
+
+function * handleEvent (state: context.Context, input: event.Event, isSlowDue: (nowMs: number) => boolean, nowMs: number): outputs.Outputs {
+  switch (input.kind) {
+    case 'message':
+      return yield * handleMessage(state, input.from, input.message, nowMs)
+    case 'documents':
+      return yield * surroundings.handleDocuments(state, input.documents, nowMs)
+    case 'members':
+      return yield * surroundings.handleMembers(state, input.entries, input.authorities, nowMs)
+    case 'target':
+      return yield * surroundings.handleTargetNews(state, input.news, nowMs)
+    case 'suspect':
+      return yield * crashes.handleSuspectNews(state, input.news, nowMs)
+    case 'load':
+      state.targets.model(input.report.target)?.report(input.report, nowMs)
+      return
+    case 'cache':
+      if (state.targets.model(input.report.target) !== undefined) state.prefixes.report(input.report)
+      return
+    case 'resumed':
+      if (state.recovery.phase() !== 'idle') yield * holdings.startRecovery(state, nowMs)
+      return
+    case 'tick':
+      return yield * tick.handleTick(state, isSlowDue(nowMs), nowMs)
+  }
+}
+
+function readTargets (state: context.Context): readonly TargetStatus[] {
+  return [...state.targets.names()].map((target) => {
+    const model = state.targets.model(target)
+    return {
+      target,
+      state: state.targets.state(target),
+      tokensInFlight: model?.knownTokens() ?? 0,
+      limitTokens: Math.round(model?.limitTokens() ?? 0),
+      requestsInFlight: model?.requests() ?? 0,
+      slowdown: state.targets.slowdown(target)
+    }
+  })
+}
+
+function countWaiting (state: context.Context): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {}
+  for (const ask of state.queue.all()) counts[ask.message.tier] = (counts[ask.message.tier] ?? 0) + 1
+  return counts
+}
+
+/**
+ * Creates the authority of a pool. It is idle until a `members` event names it.
+ *
+ * @example
+ * ```ts
+ * const authority = createAuthority({ pool: 'east', incarnation: '3k5x8q1m9d2ab', random })
+ * for (const output of authority.handle({ kind: 'tick' }, nowMs)) perform(output)
+ * ```
+ */
+export function createAuthority (options: Options): Authority {
+  const state = context.createContext(options)
+  const isSlowDue = tick.createSlowCheck()
+  return {
+    handle: (input, nowMs) => handleEvent(state, input, isSlowDue, nowMs),
+    status: () => ({
+      pool: options.pool,
+      settled: state.recovery.phase() === 'settled',
+      waiting: state.queue.size(),
+      waitingByTier: countWaiting(state),
+      targets: readTargets(state)
+    })
+  }
+}
--- /dev/null
+++ b/packages/authority/src/clearance.ts
@@ -0,0 +1,61 @@
+/**
+ * Decides whether a refusal for want of capacity is allowed: nothing of a lower tier may run on any
+ * eligible target of the service, in this pool or in another.
+ *
+ * @module
+ */
+import * as floors from './floors.js'
+import * as outputs from './outputs.js'
+import * as preemption from './preemption.js'
+import type * as context from './context.js'
+import type * as event from './event.js'
+import type * as poolView from './pool-view.js'
+import type * as protocol from '@persimmonhatch/protocol'
+
+/** Time for which no lower tier starts after a refusal was considered, milliseconds. */
+const OWN_HOLD_MS = 1_000
+
+function countBacklogTokens (state: context.Context, rank: protocol.Rank, service: poolView.Service): number {
+  let tokens = 0
+  for (const other of state.queue.ranks()) {
+    if (other > rank) continue
+    for (const neighbour of service.neighbours) tokens += state.queue.tier(other).backlog(neighbour).tokens
+  }
+  return tokens
+}
+
+function * clearPool (state: context.Context, pool: string, rank: protocol.Rank, nowMs: number): Generator<event.Output, boolean> {
+  const other = state.authorities().get(pool)
+  if (other === undefined) {
+    yield outputs.count('clearance.authority-missing')
+    return false
+  }
+  if (state.floors.raise(pool, rank, nowMs)) {
+    yield outputs.send(other, { kind: 'floor', pool, tier: rank, holdMs: floors.FLOOR_HOLD_MS })
+  }
+  return state.floors.isClear(pool, rank, nowMs)
+}
+
+/**
+ * Makes way for a refusal at a tier; returns whether it is allowed now. While this is not known, the
+ * answer is no and the request waits.
+ *
+ * @example
+ * ```ts
+ * if (yield * clearLower(context, 0, service, 2_000, nowMs)) yield * refuse(ask)
+ * ```
+ */
+export function * clearLower (state: context.Context, rank: protocol.Rank, service: poolView.Service, costTokens: number, nowMs: number): Generator<event.Output, boolean> {
+  if (state.recovery.phase() !== 'settled' || !state.entries.hasAllAnswered()) return false
+  state.floors.hold(rank, OWN_HOLD_MS, nowMs)
+  if (preemption.listLower(state, rank, service).length > 0) {
+    yield * preemption.preempt(state, rank, service, Math.max(costTokens, countBacklogTokens(state, rank, service)), nowMs)
+    return false
+  }
+  let isClear = true
+  for (const pool of service.otherPools) {
+    const isPoolClear = yield * clearPool(state, pool, rank, nowMs)
+    isClear = isClear && isPoolClear
+  }
+  return isClear
+}
--- /dev/null
+++ b/packages/authority/src/context.ts
@@ -0,0 +1,80 @@
+/**
+ * State that the handlers of one authority share.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as authority from './authority.js'
+import * as answerLength from './answer-length.js'
+import * as deadlineHeap from './deadline-heap.js'
+import * as entryTable from './entry-table.js'
+import * as fleet from './fleet.js'
+import * as floors from './floors.js'
+import * as poolView from './pool-view.js'
+import * as prefixIndex from './prefix-index.js'
+import * as recovery from './recovery.js'
+import * as reservations from './reservations.js'
+import * as slotTable from './slot-table.js'
+import * as suspects from './suspects.js'
+import * as waitCalibration from './wait-calibration.js'
+import * as waitingQueue from './waiting-queue.js'
+
+/** Everything that one authority knows. */
+export interface Context {
+  readonly options: authority.Options
+  readonly queue: waitingQueue.WaitingQueue
+  readonly slots: slotTable.SlotTable
+  readonly entries: entryTable.EntryTable
+  readonly targets: fleet.Fleet
+  readonly prefixes: prefixIndex.PrefixIndex
+  readonly suspects: suspects.Suspects
+  readonly reservations: reservations.Reservations
+  readonly floors: floors.Floors
+  readonly recovery: recovery.Recovery
+  readonly deadlines: deadlineHeap.DeadlineHeap
+  readonly answers: answerLength.AnswerLength
+  readonly calibration: waitCalibration.WaitCalibration
+  /** Asks that would be refused but for lower tiers that still run. */
+  readonly pending: Map<string, protocol.Reason>
+  /** Keys of waiting asks that run alone because their content is suspected. */
+  readonly isolated: Set<string>
+  readonly view: () => poolView.PoolView
+  readonly setView: (view: poolView.PoolView) => void
+  /** Who is authority of which pool. */
+  readonly authorities: () => ReadonlyMap<string, protocol.Incarnation>
+  readonly setAuthorities: (authorities: ReadonlyMap<string, protocol.Incarnation>) => void
+}
+
+/**
+ * Creates the state of an authority that knows nothing yet.
+ *
+ * @example
+ * ```ts
+ * const context = createContext({ pool: 'east', incarnation: '3k5x8q1m9d2ab', random })
+ * ```
+ */
+export function createContext (options: authority.Options): Context {
+  let view = poolView.readPool(options.pool, [])
+  let authorities: ReadonlyMap<string, protocol.Incarnation> = new Map()
+  return {
+    options,
+    queue: waitingQueue.createWaitingQueue(),
+    slots: slotTable.createSlotTable(),
+    entries: entryTable.createEntryTable(),
+    targets: fleet.createFleet(),
+    prefixes: prefixIndex.createPrefixIndex(),
+    suspects: suspects.createSuspects(),
+    reservations: reservations.createReservations(),
+    floors: floors.createFloors(),
+    recovery: recovery.createRecovery(),
+    deadlines: deadlineHeap.createDeadlineHeap(),
+    answers: answerLength.createAnswerLength(),
+    calibration: waitCalibration.createWaitCalibration(),
+    pending: new Map(),
+    isolated: new Set(),
+    view: () => view,
+    setView (next) { view = next },
+    authorities: () => authorities,
+    setAuthorities (next) { authorities = next }
+  }
+}
--- /dev/null
+++ b/packages/authority/src/deadline-heap.ts
@@ -0,0 +1,79 @@
+/**
+ * A binary heap of asks by the time at which each must be looked at again.
+ *
+ * @module
+ */
+
+/** Something to be looked at when its time has come. */
+export interface Item {
+  readonly atMs: number
+  readonly key: string
+}
+
+/** A priority queue by time. Removal is left to the reader, who skips keys that are gone. */
+export interface DeadlineHeap {
+  readonly push: (item: Item) => void
+  /** Takes the earliest item that is due, if any. */
+  readonly popDue: (nowMs: number) => Item | undefined
+}
+
+/**
+ * Creates an empty heap.
+ *
+ * @example
+ * ```ts
+ * const heap = createDeadlineHeap()
+ * heap.push({ atMs: 500, key: 'a/1' })
+ * heap.popDue(499) // undefined
+ * heap.popDue(500) // { atMs: 500, key: 'a/1' }
+ * ```
+ */
+export function createDeadlineHeap (): DeadlineHeap {
+  const items: Item[] = []
+
+  function timeAt (index: number): number {
+    return items[index]?.atMs ?? Infinity
+  }
+
+  function swap (left: number, right: number): void {
+    const moved = items[left] as Item
+    items[left] = items[right] as Item
+    items[right] = moved
+  }
+
+  function siftUp (start: number): void {
+    for (let index = start; index > 0;) {
+      const parent = (index - 1) >> 1
+      if (timeAt(parent) <= timeAt(index)) return
+      swap(parent, index)
+      index = parent
+    }
+  }
+
+  function siftDown (): void {
+    for (let index = 0; ;) {
+      const left = 2 * index + 1
+      const child = timeAt(left + 1) < timeAt(left) ? left + 1 : left
+      if (timeAt(child) >= timeAt(index)) return
+      swap(child, index)
+      index = child
+    }
+  }
+
+  return {
+    push (item) {
+      items.push(item)
+      siftUp(items.length - 1)
+    },
+    popDue (nowMs) {
+      const [first] = items
+      if (first === undefined || first.atMs > nowMs) return undefined
+      const last = items.pop() as Item
+      if (items.length > 0) {
+        items[0] = last
+        siftDown()
+      }
+      return first
+    }
+  }
+}
--- /dev/null
+++ b/packages/authority/src/entry-table.ts
@@ -0,0 +1,105 @@
+/**
+ * The entries that ask this authority, their freshness rounds, and whether they have said what they hold.
+ *
+ * @module
+ */
+import * as protocol from '@persimmonhatch/protocol'
+
+/** What is known of one entry. */
+export interface Entry {
+  readonly isLive: boolean
+  readonly round: number
+  readonly roundAtMs: number
+  /** Whether the entry has answered a collect since this daemon became the authority. */
+  readonly hasAnswered: boolean
+  /** Send times of collects that are not answered yet, oldest first. */
+  readonly collects: readonly number[]
+  readonly lastCollectAtMs: number
+}
+
+/** Entries by incarnation. */
+export interface EntryTable {
+  readonly get: (entry: protocol.Incarnation) => Entry | undefined
+  readonly live: () => readonly protocol.Incarnation[]
+  /** Takes the live entries; yields what is new and what vanished. */
+  readonly update: (entries: readonly protocol.Incarnation[]) => { readonly added: readonly protocol.Incarnation[], readonly vanished: readonly protocol.Incarnation[] }
+  /** A message carried a round; true when it is not older than the highest seen. */
+  readonly observeRound: (entry: protocol.Incarnation, round: number, nowMs: number) => boolean
+  readonly isFresh: (entry: protocol.Incarnation, nowMs: number) => boolean
+  readonly recordCollect: (entry: protocol.Incarnation, nowMs: number) => void
+  /** An answer to a collect; gives the send time of the oldest collect that it can answer. */
+  readonly recordAnswer: (entry: protocol.Incarnation) => number | undefined
+  readonly hasAllAnswered: () => boolean
+  /** Forgets rounds and answers, as after a pause of the process. */
+  readonly reset: () => void
+}
+
+/** Most unanswered collects that are remembered for an entry. */
+const MAX_COLLECTS = 8
+/** Age of a round above which no grant echoes it, milliseconds. */
+const ROUND_VALIDITY_MS = protocol.GRANT_VALIDITY_MS / 2
+/** Entries that were never listed are kept up to this number. */
+const MAX_UNLISTED_ENTRIES = 1_000
+
+const UNKNOWN: Entry = { isLive: false, round: -1, roundAtMs: -Infinity, hasAnswered: false, collects: [], lastCollectAtMs: -Infinity }
+
+/**
+ * Creates an empty table.
+ *
+ * @example
+ * ```ts
+ * const entries = createEntryTable()
+ * entries.update(['3k5x8q1m9d2ab'])
+ * entries.observeRound('3k5x8q1m9d2ab', 7, nowMs)
+ * entries.isFresh('3k5x8q1m9d2ab', nowMs) // true
+ * ```
+ */
+export function createEntryTable (): EntryTable {
+  const entries = new Map<protocol.Incarnation, Entry>()
+  let listed: readonly protocol.Incarnation[] = []
+
+  function change (name: protocol.Incarnation, part: Partial<Entry>): void {
+    entries.set(name, { ...entries.get(name) ?? UNKNOWN, ...part })
+  }
+
+  return {
+    get: (name) => entries.get(name),
+    live: () => listed,
+    update (next) {
+      const wanted = new Set(next)
+      const vanished = listed.filter((name) => !wanted.has(name))
+      const added = [...wanted].filter((name) => entries.get(name)?.isLive !== true)
+      for (const name of vanished) entries.delete(name)
+      for (const name of added) change(name, { isLive: true, hasAnswered: false })
+      listed = [...wanted]
+      return { added, vanished }
+    },
+    observeRound (name, round, nowMs) {
+      const known = entries.get(name)
+      if (known === undefined && entries.size >= listed.length + MAX_UNLISTED_ENTRIES) return false
+      if (known !== undefined && round < known.round) return false
+      if (known?.round === round) return true
+      change(name, { round, roundAtMs: nowMs })
+      return true
+    },
+    isFresh (name, nowMs) {
+      const known = entries.get(name)
+      return known !== undefined && known.isLive && nowMs - known.roundAtMs <= ROUND_VALIDITY_MS
+    },
+    recordCollect (name, nowMs) {
+      const { collects } = entries.get(name) ?? UNKNOWN
+      change(name, { collects: collects.length < MAX_COLLECTS ? [...collects, nowMs] : collects, lastCollectAtMs: nowMs })
+    },
+    recordAnswer (name) {
+      const known = entries.get(name)
+      if (known === undefined || !known.isLive) return undefined
+      const [sentAtMs, ...rest] = known.collects
+      change(name, { hasAnswered: true, collects: rest })
+      return sentAtMs
+    },
+    hasAllAnswered: () => listed.every((name) => entries.get(name)?.hasAnswered === true),
+    reset () {
+      for (const name of entries.keys()) change(name, { hasAnswered: false, roundAtMs: -Infinity })
+    }
+  }
+}
--- /dev/null
+++ b/packages/authority/src/floor-messages.ts
@@ -0,0 +1,44 @@
+/**
+ * Serves floors that the authorities of other pools raise here, and takes their answers.
+ *
+ * @module
+ */
+import * as outputs from './outputs.js'
+import * as preemption from './preemption.js'
+import type * as context from './context.js'
+import type * as protocol from '@persimmonhatch/protocol'
+
+function isAuthority (state: context.Context, from: protocol.Incarnation): boolean {
+  return [...state.authorities().values()].includes(from)
+}
+
+/** Stops what may not go on below the floors, and tells their holders what is left. */
+export function * enforceFloors (state: context.Context, nowMs: number): outputs.Outputs {
+  if (state.recovery.phase() !== 'settled' || !state.entries.hasAllAnswered()) return
+  for (const [from, floor] of state.floors.accepted(nowMs)) {
+    const below = [...state.slots.all()].filter((granted) => granted.tier > floor.tier)
+    for (const granted of below) yield * preemption.revoke(state, granted, nowMs)
+    const isRevocable = below.some((granted) => !granted.nonIdempotent)
+    if (isRevocable || floor.reportedRunning === below.length) continue
+    state.floors.recordReport(from, below.length)
+    yield outputs.send(from, { kind: 'floor-reached', pool: state.options.pool, tier: floor.tier, running: below.length })
+  }
+}
+
+/** Another pool's authority raises a floor here. */
+export function * handleFloor (state: context.Context, from: protocol.Incarnation, message: protocol.Floor, nowMs: number): outputs.Outputs {
+  if (message.pool !== state.options.pool || !isAuthority(state, from) || state.recovery.phase() === 'idle') {
+    yield outputs.count('foreign.floor')
+    return
+  }
+  state.floors.accept(from, message.tier, message.holdMs, nowMs)
+  yield outputs.count('floors.accepted')
+  yield * enforceFloors(state, nowMs)
+}
+
+/** Another pool's authority says what still runs below a floor that was raised there. */
+export function * handleFloorReached (state: context.Context, from: protocol.Incarnation, message: protocol.FloorReached, nowMs: number): outputs.Outputs {
+  const isKnown = state.authorities().get(message.pool) === from
+  const isTaken = isKnown && state.floors.recordReached(message.pool, message.tier, message.running, nowMs)
+  yield outputs.count(isTaken ? 'floors.reached' : 'foreign.floor-reached')
+}
--- /dev/null
+++ b/packages/authority/src/holdings.ts
@@ -0,0 +1,115 @@
+/**
+ * Learns from the entries what runs in the pool, after this daemon became its authority.
+ *
+ * @module
+ */
+import * as floors from './floors.js'
+import * as grants from './grants.js'
+import * as outputs from './outputs.js'
+import * as refusals from './refusals.js'
+import * as releases from './releases.js'
+import * as waitingAsk from './waiting-ask.js'
+import type * as context from './context.js'
+import type * as protocol from '@persimmonhatch/protocol'
+
+/** Interval at which entries that have not answered are asked again, milliseconds. */
+const COLLECT_INTERVAL_MS = 1_000
+/** Longest possible run of a request whose deadline is not known, milliseconds. */
+const LONGEST_RUN_MS = 600_000
+/** Rank of the most important tier. */
+const TOP_RANK = 0
+
+/** Asks an entry what it holds. */
+export function * collect (state: context.Context, entry: protocol.Incarnation, nowMs: number): outputs.Outputs {
+  state.entries.recordCollect(entry, nowMs)
+  yield outputs.send(entry, { kind: 'collect', pool: state.options.pool })
+}
+
+/**
+ * Begins to collect holdings from all entries. Floors that other pools raised with the predecessor
+ * are not known, so for as long as one may hold only the top tier starts.
+ */
+export function * startRecovery (state: context.Context, nowMs: number): outputs.Outputs {
+  state.recovery.start(nowMs)
+  state.entries.reset()
+  const hasOtherPools = [...state.view().services.values()].some((service) => service.otherPools.length > 0)
+  if (hasOtherPools) state.floors.hold(TOP_RANK, floors.FLOOR_HOLD_MS, nowMs)
+  for (const entry of state.entries.live()) yield * collect(state, entry, nowMs)
+  yield outputs.count('recoveries')
+  yield * settle(state, nowMs)
+}
+
+/** Settles when all have answered or the time is over; asks again those that have not answered. */
+export function * settle (state: context.Context, nowMs: number): outputs.Outputs {
+  if (state.recovery.phase() === 'idle') return
+  if (state.recovery.update(state.entries.hasAllAnswered(), nowMs)) yield * grants.grantWaiting(state, nowMs)
+  if (state.entries.hasAllAnswered()) return
+  for (const name of state.entries.live()) {
+    const entry = state.entries.get(name)
+    if (entry === undefined || entry.hasAnswered || nowMs - entry.lastCollectAtMs < COLLECT_INTERVAL_MS) continue
+    yield * collect(state, name, nowMs)
+  }
+}
+
+function adopt (state: context.Context, from: protocol.Incarnation, holding: protocol.Holding, nowMs: number): void {
+  const key = waitingAsk.keyOf(from, holding.ask)
+  const known = state.slots.get(key)
+  if (state.slots.isClosed(key) || known?.target === holding.target) return
+  if (known !== undefined) releases.freeSlot(state, key, nowMs)
+  const ask = state.queue.get(key)
+  if (ask !== undefined) refusals.drop(state, ask)
+  const isPlain = state.targets.kind(holding.target) === 'plain'
+  const answerTokens = state.answers.expect(holding.service, holding.answerTokens)
+  const costTokens = Math.max(1, isPlain ? holding.answerTokens : holding.promptTokens + answerTokens)
+  const expectation = state.targets.model(holding.target)?.expect(holding.promptTokens, answerTokens)
+  const { service, organisation, tier, promptTokens, nonIdempotent, fingerprint, target } = holding
+  state.slots.add({
+    key,
+    entry: from,
+    ask: holding.ask,
+    service,
+    organisation,
+    tier,
+    promptTokens,
+    answerTokens: holding.answerTokens,
+    costTokens,
+    nonIdempotent,
+    fingerprint,
+    target,
+    grantedAtMs: nowMs - holding.runningMs,
+    expiresAtMs: nowMs + LONGEST_RUN_MS,
+    cachedTokens: 0,
+    expectedFirstTokenMs: expectation?.firstTokenMs ?? 0,
+    expectedTotalMs: expectation?.totalMs ?? 0,
+    revokedAtMs: undefined,
+    figures: { service, target }
+  })
+  state.targets.model(target)?.add(costTokens, nowMs)
+  if (state.suspects.get(fingerprint, nowMs)?.news.state === 'suspect') state.reservations.reserve(target, key)
+}
+
+/** Frees slots that the entry did not list although it must have had them when it answered. */
+function reconcile (state: context.Context, from: protocol.Incarnation, holdings: readonly protocol.Holding[], collectedAtMs: number, validityMs: number, nowMs: number): number {
+  const listed = new Set(holdings.map((holding) => waitingAsk.keyOf(from, holding.ask)))
+  let freed = 0
+  for (const granted of state.slots.ofEntry(from)) {
+    if (listed.has(granted.key) || granted.grantedAtMs >= collectedAtMs - validityMs) continue
+    releases.freeSlot(state, granted.key, nowMs)
+    freed += 1
+  }
+  return freed
+}
+
+/** Takes an entry's answer to a collect; a repeated or late answer changes nothing. */
+export function * handleHoldings (state: context.Context, from: protocol.Incarnation, message: protocol.Holdings, validityMs: number, nowMs: number): outputs.Outputs {
+  if (message.pool !== state.options.pool || state.entries.get(from)?.isLive !== true) {
+    yield outputs.count('foreign.holdings')
+    return
+  }
+  const collectedAtMs = state.entries.recordAnswer(from)
+  if (collectedAtMs === undefined) yield outputs.count('unknown.holdings')
+  for (const holding of message.holdings) adopt(state, from, holding, nowMs)
+  const freed = collectedAtMs === undefined ? 0 : reconcile(state, from, message.holdings, collectedAtMs, validityMs, nowMs)
+  if (freed > 0) yield outputs.count('reconciled', freed)
+  yield * settle(state, nowMs)
+}
--- /dev/null
+++ b/packages/authority/src/in-flight-history.ts
@@ -0,0 +1,53 @@
+/**
+ * Tokens in flight in the recent past, to compare a late load report with what was known at its time.
+ *
+ * @module
+ */
+
+/** A bounded history of one count. */
+export interface InFlightHistory {
+  readonly record: (atMs: number, tokens: number) => void
+  /** The highest count known around `atMs`, so that a report's rounding of its age does no harm. */
+  readonly at: (atMs: number) => number
+}
+
+/** Records kept for one target. */
+const CAPACITY = 256
+/** Records this close to the wanted time count as simultaneous, milliseconds. */
+const TOLERANCE_MS = 250
+
+/**
+ * Creates an empty history.
+ *
+ * @example
+ * ```ts
+ * const history = createInFlightHistory()
+ * history.record(1_000, 800)
+ * history.at(1_500) // 800
+ * ```
+ */
+export function createInFlightHistory (): InFlightHistory {
+  const times = new Float64Array(CAPACITY)
+  const counts = new Float64Array(CAPACITY)
+  let next = 0
+  let length = 0
+  return {
+    record (atMs, tokens) {
+      times[next] = atMs
+      counts[next] = tokens
+      next = (next + 1) % CAPACITY
+      length = Math.min(CAPACITY, length + 1)
+    },
+    at (atMs) {
+      let highest = 0
+      for (let back = 1; back <= length; back++) {
+        const index = (next - back + CAPACITY) % CAPACITY
+        const time = times[index] ?? 0
+        if (time > atMs + TOLERANCE_MS) continue
+        highest = Math.max(highest, counts[index] ?? 0)
+        if (time < atMs - TOLERANCE_MS) break
+      }
+      return highest
+    }
+  }
+}
--- /dev/null
+++ b/packages/authority/src/overload.ts
@@ -0,0 +1,193 @@
+/**
+ * Decides about asks that find no room: stop lower tiers, refuse, or let them wait.
+ *
+ * @module
+ */
+import * as clearance from './clearance.js'
+import type * as outputs from './outputs.js'
+import * as place from './place.js'
+import * as preemption from './preemption.js'
+import * as refusals from './refusals.js'
+import type * as context from './context.js'
+import type * as poolView from './pool-view.js'
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as waitEstimate from './wait-estimate.js'
+import type * as waitingAsk from './waiting-ask.js'
+
+/** Time before the latest possible start at which lower tiers are stopped for an ask, milliseconds. */
+const PREEMPT_LEAD_MS = 500
+/** Time for which an ask waits for a target of its service to appear, milliseconds. */
+const NO_TARGET_HOLD_MS = 5_000
+/** Asks refused or looked at again in one tick. */
+const MAX_PER_TICK = 64
+/** Factor by which a queued ask's expected wait may grow beyond its limit. */
+const QUEUED_TOLERANCE = 1.5
+/** Share of the first-token objective that may be spent waiting. */
+const FIRST_TOKEN_WAIT_SHARE = 0.5
+/** Share of the completion objective that may be spent waiting. */
+const COMPLETION_WAIT_SHARE = 0.25
+/** Share of the longest wait that is allowed where no objective is stated. */
+const MAX_WAIT_SHARE = 0.5
+/** Finished requests from which on a target's rates are trusted. */
+const MIN_SAMPLES = 8
+
+function serviceOf (state: context.Context, ask: waitingAsk.WaitingAsk): poolView.Service | undefined {
+  return state.view().services.get(ask.message.service)
+}
+
+function hasTarget (state: context.Context, service: poolView.Service | undefined): boolean {
+  return service !== undefined && service.targets.some((target) => state.targets.state(target) === 'serving')
+}
+
+function isMeasured (state: context.Context, service: poolView.Service): boolean {
+  const open = service.targets.filter((target) => !state.targets.isLeaving(target))
+  return open.length > 0 && open.every((target) => (state.targets.model(target)?.rates().samples ?? 0) >= MIN_SAMPLES)
+}
+
+/** Time that the request needs on an idle target; 0 while this has not been measured. */
+function serviceTime (state: context.Context, ask: waitingAsk.WaitingAsk): number {
+  const service = serviceOf(state, ask)
+  return service === undefined || !isMeasured(state, service) ? 0 : place.expectIdle(state, ask, service)
+}
+
+/** Wait that a tier may be left with while lower tiers run. */
+function allowedWait (service: poolView.Service, tier: protocol.Rank): number {
+  const content = service.tiers.get(tier)
+  if (content === undefined) return 0
+  const { firstTokenMs, completionMs } = content.objectives
+  if (firstTokenMs !== undefined) return firstTokenMs * FIRST_TOKEN_WAIT_SHARE
+  if (completionMs !== undefined) return completionMs * COMPLETION_WAIT_SHARE
+  return content.maxWaitMs * MAX_WAIT_SHARE
+}
+
+function * dropLower (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): outputs.Outputs {
+  const { service, tier } = ask.message
+  const hasLower = state.queue.ranks().some((rank) => rank > tier && state.queue.tier(rank).backlog(service).asks > 0)
+  if (!hasLower) return
+  const lower = [...state.queue.all()].filter((other) => other.message.service === service && other.message.tier > tier)
+    .sort((left, right) => right.message.tier - left.message.tier)
+  for (const other of lower) yield * refusals.refuse(state, other, 'shed', nowMs)
+}
+
+/** Refuses an ask as soon as nothing of a lower tier runs on its targets; until then it stays pending. */
+export function * considerRefusal (state: context.Context, ask: waitingAsk.WaitingAsk, reason: protocol.Reason, nowMs: number): outputs.Outputs {
+  const service = serviceOf(state, ask)
+  const isAllowed = service === undefined || (yield * clearance.clearLower(state, ask.message.tier, service, ask.costTokens, nowMs))
+  if (!isAllowed) {
+    state.pending.set(ask.key, reason)
+    return
+  }
+  if (reason === 'shed') yield * dropLower(state, ask, nowMs)
+  yield * refusals.refuse(state, ask, reason, nowMs)
+}
+
+/**
+ * Whether no idle target could finish the request within its deadline.
+ *
+ * @example
+ * ```ts
+ * if (isUnreachable(context, ask, nowMs)) yield * refuse(context, ask, 'deadline-unreachable', nowMs)
+ * ```
+ */
+export function isUnreachable (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): boolean {
+  return nowMs + serviceTime(state, ask) > ask.deadlineAtMs
+}
+
+function findReason (state: context.Context, ask: waitingAsk.WaitingAsk, estimate: waitEstimate.WaitEstimate, tolerance: number, nowMs: number): protocol.Reason | undefined {
+  if (!estimate.isMeasured) return undefined
+  if (estimate.waitMs > refusals.maxWaitOf(state, ask.message.service, ask.message.tier) * tolerance) return 'shed'
+  return nowMs + estimate.waitMs / tolerance + serviceTime(state, ask) > ask.deadlineAtMs ? 'deadline-unreachable' : undefined
+}
+
+/** Schedules the next look at an ask that waits. */
+export function schedule (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): void {
+  if (!hasTarget(state, serviceOf(state, ask))) state.deadlines.push({ atMs: nowMs + NO_TARGET_HOLD_MS, key: ask.key })
+  state.deadlines.push({ atMs: ask.deadlineAtMs - serviceTime(state, ask) - PREEMPT_LEAD_MS, key: ask.key })
+}
+
+/** Decides about an ask that was queued just now and found no room. */
+export function * handleQueued (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): outputs.Outputs {
+  schedule(state, ask, nowMs)
+  const service = serviceOf(state, ask)
+  const estimate = refusals.estimateFor(state, ask)
+  if (service === undefined || estimate === undefined || !hasTarget(state, service)) return
+  const reason = findReason(state, ask, estimate, 1, nowMs)
+  if (reason !== undefined) {
+    yield * considerRefusal(state, ask, reason, nowMs)
+    return
+  }
+  if (service.document.weighing.prefer !== 'goodput-by-tier' || estimate.waitMs <= allowedWait(service, ask.message.tier)) return
+  yield * preemption.preempt(state, ask.message.tier, service, estimate.aheadTokens + ask.costTokens, nowMs)
+}
+
+function * handleDue (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): outputs.Outputs {
+  const service = serviceOf(state, ask)
+  if (!hasTarget(state, service) && nowMs - ask.queuedAtMs >= NO_TARGET_HOLD_MS) {
+    yield * considerRefusal(state, ask, 'no-target', nowMs)
+    return
+  }
+  const latestStartMs = ask.deadlineAtMs - serviceTime(state, ask)
+  if (nowMs <= latestStartMs) {
+    const isNear = nowMs >= latestStartMs - PREEMPT_LEAD_MS
+    if (service !== undefined && isNear) yield * preemption.preempt(state, ask.message.tier, service, ask.costTokens, nowMs)
+    state.deadlines.push({ atMs: isNear ? latestStartMs + 1 : latestStartMs - PREEMPT_LEAD_MS, key: ask.key })
+    return
+  }
+  if (nowMs > ask.deadlineAtMs) state.queue.hold(ask.key)
+  yield * considerRefusal(state, ask, 'deadline-unreachable', nowMs)
+}
+
+/** Looks at asks whose latest possible start has come. */
+export function * handleDeadlines (state: context.Context, nowMs: number): outputs.Outputs {
+  for (let looks = 0; looks < MAX_PER_TICK; looks++) {
+    const item = state.deadlines.popDue(nowMs)
+    if (item === undefined) return
+    const ask = state.queue.get(item.key)
+    if (ask !== undefined && !state.pending.has(item.key)) yield * handleDue(state, ask, nowMs)
+  }
+}
+
+function isStillDue (state: context.Context, ask: waitingAsk.WaitingAsk, reason: protocol.Reason, nowMs: number): boolean {
+  if (reason === 'no-target') return !hasTarget(state, serviceOf(state, ask))
+  if (isUnreachable(state, ask, nowMs)) return true
+  const estimate = refusals.estimateFor(state, ask)
+  return estimate === undefined || findReason(state, ask, estimate, 1, nowMs) !== undefined
+}
+
+/** Looks again at asks that could not be refused because a lower tier still ran. */
+export function * handlePending (state: context.Context, nowMs: number): outputs.Outputs {
+  let looks = 0
+  for (const [key, reason] of [...state.pending]) {
+    if (looks++ >= MAX_PER_TICK) return
+    const ask = state.queue.get(key)
+    state.pending.delete(key)
+    if (ask === undefined) continue
+    if (isStillDue(state, ask, reason, nowMs)) yield * considerRefusal(state, ask, isUnreachable(state, ask, nowMs) ? 'deadline-unreachable' : reason, nowMs)
+    else schedule(state, ask, nowMs)
+  }
+}
+
+/** Refuses the newest asks of lanes whose expected wait has grown beyond what is allowed. */
+export function * handleTails (state: context.Context, nowMs: number): outputs.Outputs {
+  let refused = 0
+  for (const ask of state.queue.tails()) {
+    const estimate = refusals.estimateFor(state, ask)
+    if (estimate === undefined || state.pending.has(ask.key)) continue
+    const reason = findReason(state, ask, estimate, QUEUED_TOLERANCE, nowMs)
+    if (reason === undefined) continue
+    yield * considerRefusal(state, ask, reason, nowMs)
+    if (++refused >= MAX_PER_TICK) return
+  }
+}
+
+/** Stops lower tiers for the first ask of each tier that has waited longer than its objective allows. */
+export function * handleHeads (state: context.Context, nowMs: number): outputs.Outputs {
+  for (const [name, service] of state.view().services) {
+    if (service.document.weighing.prefer !== 'goodput-by-tier') continue
+    for (const rank of state.queue.ranks()) {
+      const ask = state.queue.tier(rank).next((other) => other === name)
+      if (ask === undefined || nowMs - ask.arrivedAtMs <= allowedWait(service, rank)) continue
+      yield * preemption.preempt(state, rank, service, ask.costTokens, nowMs)
+    }
+  }
+}
--- /dev/null
+++ b/packages/authority/src/pace.ts
@@ -0,0 +1,45 @@
+/**
+ * How late a target's recent first tokens were against its own best; 1 is normal. Without new
+ * evidence the figure returns to 1, so that a target that was slow is tried again.
+ *
+ * @module
+ */
+
+/** A ratio that fades. */
+export interface Pace {
+  readonly at: (nowMs: number) => number
+  readonly learn: (ratio: number, nowMs: number) => void
+  readonly reset: () => void
+}
+
+const GAIN = 0.3
+const HALF_LIFE_MS = 20_000
+
+/**
+ * Creates a normal pace.
+ *
+ * @example
+ * ```ts
+ * const pace = createPace()
+ * pace.learn(3, nowMs)
+ * pace.at(nowMs) // 1.6
+ * ```
+ */
+export function createPace (): Pace {
+  let value = 1
+  let atMs = 0
+
+  function at (nowMs: number): number {
+    return 1 + (value - 1) * 2 ** (-Math.max(0, nowMs - atMs) / HALF_LIFE_MS)
+  }
+
+  return {
+    at,
+    learn (ratio, nowMs) {
+      const current = at(nowMs)
+      value = current + GAIN * (ratio - current)
+      atMs = nowMs
+    },
+    reset () { value = 1 }
+  }
+}
--- /dev/null
+++ b/packages/authority/src/pool-view.ts
@@ -0,0 +1,74 @@
+/**
+ * What the documents in force say about one pool.
+ *
+ * @module
+ */
+import type * as document from '@persimmonhatch/document'
+import type * as protocol from '@persimmonhatch/protocol'
+
+/** A service as far as it concerns one pool. */
+export interface Service {
+  readonly document: document.serviceDocument.ServiceDocument
+  /** Names of its targets in this pool. */
+  readonly targets: readonly string[]
+  /** The other pools that serve it. */
+  readonly otherPools: readonly string[]
+  readonly shares: ReadonlyMap<string, number>
+  readonly tiers: ReadonlyMap<protocol.Rank, document.serviceDocument.Tier>
+  readonly lowestRank: protocol.Rank
+  /** Services of this pool with at least one target in common, itself included. */
+  readonly neighbours: readonly string[]
+}
+
+/** A target as far as it concerns one pool. */
+export interface PoolTarget {
+  readonly name: string
+  readonly kind: 'model' | 'plain'
+  readonly hardware: string
+}
+
+/** The documents in force, by service and by target. */
+export interface PoolView {
+  readonly services: ReadonlyMap<string, Service>
+  readonly targets: ReadonlyMap<string, PoolTarget>
+}
+
+type Document = document.serviceDocument.ServiceDocument
+
+function listTargets (pool: string, content: Document): readonly document.serviceDocument.Target[] {
+  return content.targets.filter((target) => target.pool === pool)
+}
+
+function readService (pool: string, content: Document, all: readonly Document[]): Service {
+  const targets = listTargets(pool, content).map((target) => target.name)
+  const sharesTarget = (other: Document): boolean => listTargets(pool, other).some((target) => targets.includes(target.name))
+  return {
+    document: content,
+    targets,
+    otherPools: [...new Set(content.targets.map((target) => target.pool))].filter((name) => name !== pool),
+    shares: new Map(content.organisations.map((organisation) => [organisation.name, organisation.share])),
+    tiers: new Map(content.tiers.map((tier) => [tier.rank, tier])),
+    lowestRank: Math.max(...content.tiers.map((tier) => tier.rank)),
+    neighbours: all.filter(sharesTarget).map((other) => other.service)
+  }
+}
+
+/**
+ * Reads the documents in force for one pool.
+ *
+ * @example
+ * ```ts
+ * const view = readPool('east', [listings, stock])
+ * view.services.get('listings')?.targets // ['replica-1', 'replica-2']
+ * ```
+ */
+export function readPool (pool: string, documents: readonly Document[]): PoolView {
+  const own = documents.filter((content) => listTargets(pool, content).length > 0)
+  const targets = new Map<string, PoolTarget>()
+  for (const content of own) {
+    for (const target of listTargets(pool, content)) {
+      targets.set(target.name, { name: target.name, kind: content.kind, hardware: target.hardware })
+    }
+  }
+  return { services: new Map(own.map((content) => [content.service, readService(pool, content, own)])), targets }
+}
--- /dev/null
+++ b/packages/authority/src/preemption.ts
@@ -0,0 +1,60 @@
+/**
+ * Stops running requests of lower tiers to make room for higher ones.
+ *
+ * @module
+ */
+import * as outputs from './outputs.js'
+import type * as context from './context.js'
+import type * as poolView from './pool-view.js'
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as slot from './slot.js'
+
+/** Time after which a preemption without an answer is sent again, milliseconds. */
+const RESEND_INTERVAL_MS = 2_000
+
+/** Prompt tokens that were read for a request and would have to be read again. */
+export function lostPrefill (granted: slot.Slot, nowMs: number): number {
+  const share = Math.min(1, (nowMs - granted.grantedAtMs) / Math.max(1, granted.expectedFirstTokenMs))
+  return (granted.promptTokens - granted.cachedTokens) * share
+}
+
+/** Slots of lower tiers than `rank` on a service's targets, without those on leaving targets. */
+export function listLower (state: context.Context, rank: protocol.Rank, service: poolView.Service): readonly slot.Slot[] {
+  return service.targets.filter((target) => !state.targets.isLeaving(target) && state.slots.countLower(target, rank) > 0)
+    .flatMap((target) => state.slots.onTarget(target).filter((granted) => granted.tier > rank))
+}
+
+/** Stops one request, or repeats the order if it was not answered. */
+export function * revoke (state: context.Context, granted: slot.Slot, nowMs: number): outputs.Outputs {
+  if (granted.nonIdempotent) return
+  if (granted.revokedAtMs !== undefined && nowMs - granted.revokedAtMs < RESEND_INTERVAL_MS) return
+  if (granted.revokedAtMs === undefined) yield outputs.count('preempted')
+  state.slots.replace({ ...granted, revokedAtMs: nowMs })
+  yield outputs.send(granted.entry, { kind: 'revocation', ask: granted.ask, cause: 'preempted' })
+}
+
+/**
+ * Stops requests of tiers lower than `rank` until `wantedTokens` are being freed: the lowest tier
+ * first, and within a tier those that lose the least prefill. Non-idempotent requests go on.
+ *
+ * @example
+ * ```ts
+ * yield * preempt(context, 0, service, 2_000, nowMs)
+ * ```
+ */
+export function * preempt (state: context.Context, rank: protocol.Rank, service: poolView.Service, wantedTokens: number, nowMs: number): outputs.Outputs {
+  const lower = listLower(state, rank, service).filter((granted) => !granted.nonIdempotent)
+  let missing = wantedTokens
+  for (const granted of lower) {
+    if (granted.revokedAtMs === undefined) continue
+    missing -= granted.costTokens
+    yield * revoke(state, granted, nowMs)
+  }
+  const candidates = lower.filter((granted) => granted.revokedAtMs === undefined)
+    .sort((left, right) => right.tier - left.tier || lostPrefill(left, nowMs) - lostPrefill(right, nowMs))
+  for (const granted of candidates) {
+    if (missing <= 0) return
+    missing -= granted.costTokens
+    yield * revoke(state, granted, nowMs)
+  }
+}
--- /dev/null
+++ b/packages/authority/src/rate-estimator.ts
@@ -0,0 +1,90 @@
+/**
+ * Measured prefill and decode rates of one target.
+ *
+ * @module
+ */
+
+/** Rates of a target. For a plain service the whole call counts as its first token. */
+export interface Rates {
+  /** Prompt tokens read in a millisecond, at the target's best. */
+  readonly prefillTokensPerMs: number
+  /** Time to the first token apart from reading the prompt, milliseconds. */
+  readonly baseMs: number
+  /** Usual time between tokens, milliseconds. */
+  readonly decodeMs: number
+  /** Shortest recent time between tokens, milliseconds. */
+  readonly bestDecodeMs: number
+  /** Finished requests behind these figures. */
+  readonly samples: number
+}
+
+/** What a finished request showed. */
+export interface Sample {
+  readonly uncachedTokens: number
+  readonly answerTokens: number
+  readonly costTokens: number
+  readonly firstTokenMs: number
+  readonly totalMs: number
+  /** Objective for the time between tokens, if the service states one. */
+  readonly betweenTokensMs: number | undefined
+}
+
+const DEFAULT_RATES: Rates = { prefillTokensPerMs: 4, baseMs: 20, decodeMs: 20, bestDecodeMs: 20, samples: 0 }
+const MIN_PREFILL_SAMPLE_TOKENS = 128
+const MIN_PREFILL_TOKENS_PER_MS = 1e-6
+const GAIN_BETTER = 0.3
+const GAIN_WORSE = 0.01
+const DECODE_GAIN = 0.1
+
+/** Time between the tokens of a finished request, milliseconds; undefined for answers of a single token. */
+export function decodeTime (sample: Sample): number | undefined {
+  if (sample.answerTokens <= 1) return undefined
+  return Math.max(0, sample.totalMs - sample.firstTokenMs) / (sample.answerTokens - 1)
+}
+
+function learnPrefill (kind: 'model' | 'plain', rates: Rates, sample: Sample, gainWorse: number): number {
+  if (kind === 'model' && sample.uncachedTokens < MIN_PREFILL_SAMPLE_TOKENS) return rates.prefillTokensPerMs
+  const measured = sample.uncachedTokens / Math.max(1, sample.firstTokenMs - rates.baseMs)
+  const gain = rates.samples === 0 ? 1 : measured > rates.prefillTokensPerMs ? GAIN_BETTER : gainWorse
+  return Math.max(MIN_PREFILL_TOKENS_PER_MS, rates.prefillTokensPerMs + gain * (measured - rates.prefillTokensPerMs))
+}
+
+function learnBase (rates: Rates, sample: Sample, prefillTokensPerMs: number, gainWorse: number): number {
+  const rest = Math.max(0, sample.firstTokenMs - sample.uncachedTokens / prefillTokensPerMs)
+  return rates.baseMs + (rest < rates.baseMs ? GAIN_BETTER : gainWorse) * (rest - rates.baseMs)
+}
+
+/** Rates before the first request; `prior` is what targets on the same hardware measured. */
+export function startRates (kind: 'model' | 'plain', prior: Rates | undefined): Rates {
+  const start = { ...prior ?? DEFAULT_RATES, samples: 0 }
+  return kind === 'plain' ? { ...start, baseMs: 0, decodeMs: 0 } : start
+}
+
+/**
+ * Rates after one more finished request. Better figures are taken over fast and worse ones slowly, so
+ * that the rates show the target without a queue of its own.
+ *
+ * @example
+ * ```ts
+ * const rates = learnRates('model', startRates('model', undefined), sample)
+ * ```
+ */
+export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample): Rates {
+  const samples = rates.samples + 1
+  const gainWorse = Math.max(GAIN_WORSE, 1 / samples)
+  const prefillTokensPerMs = learnPrefill(kind, rates, sample, gainWorse)
+  const baseMs = kind === 'plain' ? 0 : learnBase(rates, sample, prefillTokensPerMs, gainWorse)
+  const measured = decodeTime(sample)
+  if (measured === undefined) return { ...rates, prefillTokensPerMs, baseMs, samples }
+  const isFirst = rates.samples === 0
+  const decodeMs = isFirst ? measured : rates.decodeMs + DECODE_GAIN * (measured - rates.decodeMs)
+  const bestDecodeMs = isFirst ? measured : Math.min(measured, rates.bestDecodeMs + GAIN_WORSE * (measured - rates.bestDecodeMs))
+  return { prefillTokensPerMs, baseMs, decodeMs, bestDecodeMs, samples }
+}
+
+/** Rates that a new target starts from: the median of its like. */
+export function pickPrior (measured: readonly Rates[]): Rates | undefined {
+  const sorted = measured.filter((rates) => rates.samples > 0)
+    .sort((left, right) => left.prefillTokensPerMs - right.prefillTokensPerMs)
+  return sorted[sorted.length >> 1]
+}
--- /dev/null
+++ b/packages/authority/src/slot-table.ts
@@ -0,0 +1,107 @@
+/**
+ * Granted slots, by ask, by target and by entry, and the asks that recently ended.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as slot from './slot.js'
+
+/** All slots of a pool. */
+export interface SlotTable {
+  readonly size: () => number
+  readonly get: (key: string) => slot.Slot | undefined
+  readonly add: (granted: slot.Slot) => void
+  /** Puts a changed copy in the place of a slot with the same key. */
+  readonly replace: (changed: slot.Slot) => void
+  readonly remove: (key: string) => slot.Slot | undefined
+  readonly onTarget: (target: string) => readonly slot.Slot[]
+  readonly ofEntry: (entry: protocol.Incarnation) => readonly slot.Slot[]
+  readonly all: () => Iterable<slot.Slot>
+  /** Slots on a target of tiers less important than `rank`. */
+  readonly countLower: (target: string, rank: protocol.Rank) => number
+  /** Remembers that an ask ran to some end, so that a late copy of its messages does no harm. */
+  readonly close: (key: string, nowMs: number) => void
+  readonly isClosed: (key: string) => boolean
+  /** Forgets asks that ended long ago. */
+  readonly expire: (nowMs: number) => void
+}
+
+/** Time for which the end of an ask is remembered, milliseconds. */
+const CLOSED_RETENTION_MS = 60_000
+
+type SlotsByKey = ReadonlyMap<string, slot.Slot>
+
+const NONE: SlotsByKey = new Map()
+
+class Index {
+  private readonly groups = new Map<string, Map<string, slot.Slot>>()
+
+  set (group: string, granted: slot.Slot): void {
+    const members = this.groups.get(group) ?? new Map<string, slot.Slot>()
+    this.groups.set(group, members.set(granted.key, granted))
+  }
+
+  delete (group: string, key: string): void {
+    const members = this.groups.get(group)
+    members?.delete(key)
+    if (members?.size === 0) this.groups.delete(group)
+  }
+
+  get (group: string): SlotsByKey {
+    return this.groups.get(group) ?? NONE
+  }
+}
+
+/**
+ * Creates an empty table.
+ *
+ * @example
+ * ```ts
+ * const slots = createSlotTable()
+ * slots.add(granted)
+ * slots.onTarget(granted.target) // [granted]
+ * ```
+ */
+export function createSlotTable (): SlotTable {
+  const slots = new Map<string, slot.Slot>()
+  const byTarget = new Index()
+  const byEntry = new Index()
+  const closed = new Map<string, number>()
+
+  function set (granted: slot.Slot): void {
+    slots.set(granted.key, granted)
+    byTarget.set(granted.target, granted)
+    byEntry.set(granted.entry, granted)
+  }
+
+  return {
+    size: () => slots.size,
+    get: (key) => slots.get(key),
+    add: set,
+    replace: set,
+    remove (key) {
+      const granted = slots.get(key)
+      if (granted === undefined) return undefined
+      slots.delete(key)
+      byTarget.delete(granted.target, key)
+      byEntry.delete(granted.entry, key)
+      return granted
+    },
+    onTarget: (target) => [...byTarget.get(target).values()],
+    ofEntry: (entry) => [...byEntry.get(entry).values()],
+    all: () => slots.values(),
+    countLower (target, rank) {
+      let count = 0
+      for (const granted of byTarget.get(target).values()) if (granted.tier > rank) count += 1
+      return count
+    },
+    close: (key, nowMs) => closed.set(key, nowMs),
+    isClosed: (key) => closed.has(key),
+    expire (nowMs) {
+      for (const [key, closedAtMs] of closed) {
+        if (nowMs - closedAtMs < CLOSED_RETENTION_MS) return
+        closed.delete(key)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/authority/src/tick.ts
@@ -0,0 +1,92 @@
+/**
+ * What an authority does at every tick.
+ *
+ * @module
+ */
+import * as floorMessages from './floor-messages.js'
+import * as grants from './grants.js'
+import * as holdings from './holdings.js'
+import * as outputs from './outputs.js'
+import * as overload from './overload.js'
+import * as refusals from './refusals.js'
+import * as releases from './releases.js'
+import type * as context from './context.js'
+
+/** Interval of the slower checks, milliseconds. */
+const SLOW_INTERVAL_MS = 500
+/** Time for which a daemon that is not the authority keeps asks that came too early, milliseconds. */
+const EARLY_ASK_RETENTION_MS = 10_000
+/** Factor by which a running request exceeds its expected time before it counts as late. */
+const OVERDUE_FACTOR = 2
+
+function * expireSlots (state: context.Context, nowMs: number): outputs.Outputs {
+  for (const granted of [...state.slots.all()]) {
+    if (granted.expiresAtMs > nowMs) continue
+    const entry = state.entries.get(granted.entry)
+    if (entry?.isLive === true) {
+      if (nowMs - entry.lastCollectAtMs > EARLY_ASK_RETENTION_MS) yield * holdings.collect(state, granted.entry, nowMs)
+      continue
+    }
+    releases.freeSlot(state, granted.key, nowMs)
+    yield outputs.count('slots.expired')
+  }
+}
+
+function learnOverdue (state: context.Context, nowMs: number): void {
+  for (const granted of state.slots.all()) {
+    const factor = (nowMs - granted.grantedAtMs) / Math.max(1, granted.expectedTotalMs)
+    if (factor > OVERDUE_FACTOR) state.targets.model(granted.target)?.learnOverdue(factor, nowMs)
+  }
+}
+
+function * handleSlow (state: context.Context, nowMs: number): outputs.Outputs {
+  learnOverdue(state, nowMs)
+  state.targets.compare(nowMs)
+  state.suspects.expire(nowMs)
+  state.slots.expire(nowMs)
+  yield * expireSlots(state, nowMs)
+  yield * overload.handleTails(state, nowMs)
+}
+
+function * handleIdle (state: context.Context, nowMs: number): outputs.Outputs {
+  for (const ask of [...state.queue.all()]) {
+    if (nowMs - ask.queuedAtMs < EARLY_ASK_RETENTION_MS) continue
+    refusals.drop(state, ask)
+    yield outputs.count('asks.dropped')
+  }
+}
+
+/** Takes a tick. `isSlow` says whether the slower checks are due. */
+export function * handleTick (state: context.Context, isSlow: boolean, nowMs: number): outputs.Outputs {
+  if (state.recovery.phase() === 'idle') {
+    yield * handleIdle(state, nowMs)
+    return
+  }
+  yield * holdings.settle(state, nowMs)
+  yield * floorMessages.enforceFloors(state, nowMs)
+  yield * grants.grantWaiting(state, nowMs)
+  if (state.recovery.phase() !== 'settled') return
+  yield * overload.handlePending(state, nowMs)
+  yield * overload.handleDeadlines(state, nowMs)
+  yield * overload.handleHeads(state, nowMs)
+  if (isSlow) yield * handleSlow(state, nowMs)
+}
+
+/**
+ * Creates a check that holds once in each slow interval.
+ *
+ * @example
+ * ```ts
+ * const isSlowDue = createSlowCheck()
+ * isSlowDue(0) // true
+ * isSlowDue(100) // false
+ * ```
+ */
+export function createSlowCheck (): (nowMs: number) => boolean {
+  let lastMs = -Infinity
+  return (nowMs) => {
+    if (nowMs - lastMs < SLOW_INTERVAL_MS) return false
+    lastMs = nowMs
+    return true
+  }
+}
--- /dev/null
+++ b/packages/authority/tests/authority.test.ts
@@ -0,0 +1,85 @@
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as fixture from './fixture.js'
+
+const grants = uvu.suite('grants')
+
+function fill (driver: fixture.Driver, tier: number, count = 40): readonly number[] {
+  const asks = Array.from({ length: count }, (_, index) => 1_000 + index)
+  for (const ask of asks) driver.deliver('e1', fixture.askOf(ask, { tier, round: driver.nowMs }))
+  return fixture.only(driver.sent, 'grant').map((grant) => grant.ask)
+}
+
+grants('nothing before the entries said what they hold', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')])
+  assert.equal(fixture.only(driver.deliver('e1', fixture.askOf(1)), 'grant'), [])
+  assert.equal(fixture.only(driver.settle().sent, 'grant').map((grant) => grant.ask), [1])
+})
+
+grants('after the settle time when an entry stays silent', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')])
+  driver.deliver('e1', fixture.askOf(1))
+  assert.equal(fixture.only(driver.pass(2_900), 'grant'), [])
+  assert.is(fixture.only(driver.pass(200), 'grant').length, 1)
+})
+
+grants('with the highest round seen and the figures of the decision', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')]).settle()
+  driver.deliver('e1', { kind: 'round', round: 9 })
+  const [grant] = fixture.only(driver.deliver('e1', fixture.askOf(1, { round: 8 })), 'grant')
+  assert.is(grant?.round, 9)
+  for (const name of ['service', 'target', 'waitedMs', 'expectedMs', 'queueTokens', 'tokensInFlight', 'cachedTokens', 'slowdown']) {
+    assert.ok(grant?.figures[name] !== undefined, name)
+  }
+})
+
+grants('nothing on a stale round, and on a fresh one again', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')]).settle()
+  const running = fill(driver, 1)
+  driver.nowMs += 1_500
+  for (const ask of running) driver.deliver('e1', fixture.releaseOf(ask))
+  assert.is(fixture.only(driver.sent, 'grant').length, running.length)
+  driver.deliver('e1', { kind: 'round', round: driver.nowMs })
+  assert.ok(fixture.only(driver.sent, 'grant').length > running.length)
+})
+
+grants('a higher tier before a lower one that came earlier', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')]).settle()
+  const running = fill(driver, 1)
+  assert.equal(fixture.only(driver.deliver('e2', fixture.askOf(1, { tier: 0, round: driver.nowMs })), 'grant'), [])
+  driver.deliver('e1', fixture.releaseOf(running[0] ?? 0))
+  assert.is(fixture.only(driver.sent, 'grant').at(-1)?.ask, 1)
+})
+
+grants('the headroom to tiers above the lowest alone', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')]).settle()
+  fill(driver, 2)
+  assert.is(fixture.only(driver.deliver('e2', fixture.askOf(1, { tier: 1, round: driver.nowMs })), 'grant').length, 1)
+  assert.is(fixture.only(driver.deliver('e2', fixture.askOf(2, { tier: 2, round: driver.nowMs })), 'grant').length, 0)
+})
+
+grants('again when the same ask comes twice, without a second slot', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')]).settle()
+  driver.deliver('e1', fixture.askOf(1))
+  const again = fixture.only(driver.deliver('e1', fixture.askOf(1, { round: 5 })), 'grant')
+  assert.equal(again.map((grant) => [grant.ask, grant.round]), [[1, 5]])
+  assert.is(driver.core.status().targets.reduce((sum, target) => sum + target.requestsInFlight, 0), 1)
+})
+
+grants('nothing for a late copy of an ask that has finished', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')]).settle()
+  driver.deliver('e1', fixture.askOf(1))
+  driver.deliver('e1', fixture.releaseOf(1))
+  assert.equal(driver.deliver('e1', fixture.askOf(1)), [])
+})
+
+grants('nothing on a leaving target, and takes back what may not have been dispatched', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings', { targets: ['t1'] })]).settle()
+  driver.deliver('e1', fixture.askOf(1))
+  const sent = driver.handle({ kind: 'target', news: { kind: 'target', target: 't1', version: 1, state: 'leaving' } })
+  assert.equal(fixture.only(sent, 'revocation'), [{ kind: 'revocation', ask: 1, cause: 'withdrawn' }])
+  assert.equal(fixture.only(driver.deliver('e1', fixture.askOf(2)), 'grant'), [])
+  assert.equal(fixture.only(driver.pass(6_000), 'refusal').map((refusal) => refusal.reason), ['no-target'])
+})
+
+grants.run()
--- /dev/null
+++ b/packages/authority/tests/fixture.ts
@@ -0,0 +1,125 @@
+/**
+ * Documents, messages and a driver that the authority's tests share.
+ *
+ * @module
+ */
+import * as document from '@persimmonhatch/document'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as authority from '../src/authority.js'
+import type * as event from '../src/event.js'
+
+/** What a test wants of a document. */
+export interface DocumentOptions {
+  readonly targets?: readonly string[]
+  readonly otherPool?: string
+  readonly kind?: 'model' | 'plain'
+  readonly prefer?: 'wasted-prefill' | 'goodput-by-tier'
+  readonly maxWaitMs?: number
+}
+
+/** A document with tiers of rank 0, 1 and 2 and three organisations, the second with twice the share. */
+export function documentOf (service: string, options: DocumentOptions = {}): document.serviceDocument.ServiceDocument {
+  const names = options.targets ?? ['t1', 't2']
+  const target = (name: string, pool: string): object => ({ name, address: '10.0.0.1:9000', pool, availabilityZone: 'a' })
+  const other = options.otherPool === undefined ? [] : [target('other-1', options.otherPool)]
+  return document.serviceDocument.schema.parse({
+    service,
+    kind: options.kind ?? 'model',
+    tiers: [0, 1, 2].map((rank) => ({ name: `tier-${rank}`, rank, maxWaitMs: options.maxWaitMs ?? 30_000 })),
+    defaultTier: 'tier-1',
+    organisations: [{ name: 'north' }, { name: 'south', share: 2 }, { name: 'west' }],
+    targets: [...names.map((name) => target(name, 'east')), ...other],
+    weighing: { prefer: options.prefer ?? 'wasted-prefill' }
+  })
+}
+
+/** A deterministic source of random numbers in [0, 1). */
+export function randomOf (seed: number): protocol.Random {
+  let state = seed >>> 0
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
+    return state / 4_294_967_296
+  }
+}
+
+/** An ask with the fields that a test does not care about filled in. */
+export function askOf (ask: number, part: Partial<protocol.Ask> = {}): protocol.Ask {
+  return {
+    kind: 'ask',
+    ask,
+    pool: 'east',
+    service: 'listings',
+    organisation: 'north',
+    tier: 1,
+    promptTokens: 1_000,
+    answerTokens: 200,
+    prefixes: [],
+    deadlineMs: 60_000,
+    nonIdempotent: false,
+    fingerprint: `f${ask}`,
+    waitedMs: 0,
+    round: 1,
+    ...part
+  }
+}
+
+/** A release of a request that ran normally. */
+export function releaseOf (ask: number, part: Partial<protocol.Release> = {}): protocol.Release {
+  return { kind: 'release', ask, outcome: 'finished', promptTokens: 1_000, cachedTokens: 0, answerTokens: 200, firstTokenMs: 200, totalMs: 2_000, ...part }
+}
+
+/** Incarnation of the authority under test. */
+export const SELF = 'self'
+
+/** Drives one authority and keeps what it sent. */
+export class Driver {
+  readonly core: authority.Authority
+  readonly sent: protocol.Outbound[] = []
+  readonly news: protocol.News[] = []
+  nowMs = 1_000
+
+  constructor (documents: readonly document.serviceDocument.ServiceDocument[], readonly entries: readonly string[] = ['e1', 'e2'], others: readonly (readonly [string, string])[] = []) {
+    this.core = authority.createAuthority({ pool: 'east', incarnation: SELF, random: randomOf(7) })
+    this.handle({ kind: 'documents', documents })
+    this.handle({ kind: 'members', entries, authorities: new Map([['east', SELF], ...others]) })
+  }
+
+  /** Handles one event; gives the messages that it led to. */
+  handle (input: event.Event): readonly protocol.Outbound[] {
+    const sent: protocol.Outbound[] = []
+    for (const output of this.core.handle(input, this.nowMs)) {
+      if (output.kind === 'send') sent.push(output.outbound)
+      if (output.kind === 'news') this.news.push(output.news)
+    }
+    this.sent.push(...sent)
+    return sent
+  }
+
+  /** Delivers a message. */
+  deliver (from: string, message: event.Received): readonly protocol.Outbound[] {
+    return this.handle({ kind: 'message', from, message })
+  }
+
+  /** Answers the collects with what the entries hold. */
+  settle (holdings: Readonly<Record<string, readonly protocol.Holding[]>> = {}): this {
+    for (const entry of this.entries) this.deliver(entry, { kind: 'holdings', pool: 'east', holdings: holdings[entry] ?? [] })
+    return this
+  }
+
+  /** Lets time pass in ticks, with fresh rounds of all entries. */
+  pass (ms: number): readonly protocol.Outbound[] {
+    const sent: protocol.Outbound[] = []
+    for (const end = this.nowMs + ms; this.nowMs < end;) {
+      this.nowMs = Math.min(end, this.nowMs + 100)
+      for (const entry of this.entries) sent.push(...this.deliver(entry, { kind: 'round', round: this.nowMs }))
+      sent.push(...this.handle({ kind: 'tick' }))
+    }
+    return sent
+  }
+}
+
+/** The messages of one kind, in order. */
+export function only<Kind extends protocol.PeerMessage['kind']> (sent: readonly protocol.Outbound[], kind: Kind): readonly Extract<protocol.PeerMessage, { readonly kind: Kind }>[] {
+  return sent.map((outbound) => outbound.message)
+    .filter((message): message is Extract<protocol.PeerMessage, { readonly kind: Kind }> => message.kind === kind)
+}
