--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -1,13 +1,18 @@
 /**
- * Service documents: schema, checks across documents, change chain and adoption.
+ * Service documents: schema, checks across documents, change chain and adoption; and the counts of
+ * service levels that are measured against them.
  *
  * @module
  */
 export * as adoption from './adoption.js'
+export * as burnCounter from './burn-counter.js'
+export * as burnRate from './burn-rate.js'
+export * as burnRecord from './burn-record.js'
 export * as changeFlow from './change-flow.js'
 export * as changePlan from './change-plan.js'
 export * as checkAgainstOthers from './check-against-others.js'
 export * as checkSchema from './check-schema.js'
+export * as judgeRequest from './judge-request.js'
 export * as parseJsonc from './parse-jsonc.js'
 export * as parseServiceDocument from './parse-service-document.js'
 export * as problem from './problem.js'
