--- /dev/null
+++ b/packages/daemon/tests/answer-record.test.ts
@@ -0,0 +1,68 @@
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as answerRecord from '../src/dispatch/answer-record.js'
+
+const RECEIPT = { identity: 'i', service: 's', organisation: 'o', tier: 't', reason: 'finished', execution: 'ran', waitedMs: 0, target: 'x', figures: {}, end: undefined } as const
+const HEAD: answerRecord.Head = { status: 200, headers: [], receipt: RECEIPT, eventStream: true }
+
+async function collect (record: answerRecord.AnswerRecord): Promise<readonly string[]> {
+  const steps: string[] = []
+  for await (const step of record.read()) steps.push(step.kind === 'chunk' ? Buffer.from(step.bytes).toString() : step.kind)
+  return steps
+}
+
+const records = uvu.suite('createAnswerRecord')
+
+records('gives a late reader everything from the first byte', async () => {
+  const record = answerRecord.createAnswerRecord(true)
+  const early = collect(record)
+  record.start(HEAD)
+  await record.append(Buffer.from('a'))
+  await record.append(Buffer.from('b'))
+  const late = collect(record)
+  record.end()
+  assert.equal(await early, ['head', 'a', 'b', 'end'])
+  assert.equal(await late, ['head', 'a', 'b', 'end'])
+  assert.equal(await collect(record), ['head', 'a', 'b', 'end'])
+})
+
+records('keeps nothing that was read when nobody can join', async () => {
+  const record = answerRecord.createAnswerRecord(false)
+  const reader = collect(record)
+  record.start(HEAD)
+  await record.append(Buffer.from('abc'))
+  record.end()
+  assert.equal(await reader, ['head', 'abc', 'end'])
+  assert.is(record.heldBytes(), 0)
+})
+
+records('holds the target back while a slow caller has much to read', async () => {
+  const record = answerRecord.createAnswerRecord(false)
+  let more = false
+  const appended = record.append(Buffer.alloc(2_000_000)).then(() => { more = true })
+  await Promise.resolve()
+  assert.not(more)
+  const reader = collect(record)
+  await appended
+  record.end()
+  assert.is((await reader).length, 2)
+})
+
+records('ends with the first final step only', async () => {
+  const record = answerRecord.createAnswerRecord(true)
+  record.refuse({ receipt: RECEIPT, retryAfterMs: 0 })
+  record.end()
+  assert.equal(await collect(record), ['refused'])
+  assert.not(record.ended())
+})
+
+records('says that a dropped answer is no longer held', async () => {
+  const record = answerRecord.createAnswerRecord(true)
+  record.start(HEAD)
+  await record.append(Buffer.from('a'))
+  record.end()
+  record.drop()
+  assert.equal(await collect(record), ['dropped'])
+})
+
+records.run()
--- /dev/null
+++ b/packages/daemon/tests/event-splitter.test.ts
@@ -0,0 +1,52 @@
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as eventSplitter from '../src/dispatch/event-splitter.js'
+
+const STREAM = 'data: {"id":"a","n":1}\n\ndata: {"n":2}\n\ndata: [DONE]\n\n'
+
+function split (pieces: readonly string[]): readonly eventSplitter.StreamEvent[] {
+  const splitter = eventSplitter.createEventSplitter()
+  return pieces.flatMap((piece) => [...splitter.push(piece)])
+}
+
+const splitting = uvu.suite('createEventSplitter')
+
+for (const size of [1, 2, 7, 1_000]) {
+  splitting(`gives the same events in pieces of ${size}`, () => {
+    const pieces = STREAM.match(new RegExp(`[\\s\\S]{1,${size}}`, 'g')) ?? []
+    const events = split(pieces)
+    assert.is(events.map((event) => event.text).join(''), STREAM)
+    assert.equal(events.map((event) => event.done), [false, false, true])
+    assert.equal(events.map((event) => event.content), [true, true, false])
+  })
+}
+
+splitting('gives no part of an event that has not ended', () => {
+  const splitter = eventSplitter.createEventSplitter()
+  assert.equal([...splitter.push('data: {"n":')], [])
+  assert.is(splitter.pending(), 11)
+})
+
+splitting('counts no comment as content', () => {
+  assert.equal(split([': keep-alive\n\n']).map((event) => event.content), [false])
+})
+
+splitting('gives up on an event without an end', () => {
+  const splitter = eventSplitter.createEventSplitter()
+  assert.throws(() => [...splitter.push('x'.repeat(5_000_000))], /without an end/)
+})
+
+const usage = uvu.suite('readUsage')
+
+for (const [text, expected] of [
+  ['{"usage":{"prompt_tokens":9,"completion_tokens":2}}', { promptTokens: 9, answerTokens: 2, cachedTokens: 0 }],
+  ['{"usage":{"prompt_tokens":9,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":4}}}', { promptTokens: 9, answerTokens: 2, cachedTokens: 4 }],
+  ['{"usage":null}', undefined],
+  ['{}', undefined],
+  ['not json', undefined]
+] as const) {
+  usage(text, () => assert.equal(eventSplitter.readUsage(text), expected))
+}
+
+splitting.run()
+usage.run()
