--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,6 +27,9 @@
 /** Time for the last news of a stopping daemon to leave, milliseconds. */
 const FAREWELL_MS = 200
 
+/** Interval at which a daemon that knows no other tries its seeds, milliseconds. */
+const SEED_INTERVAL_MS = 2_000
+
 const CONNECT_TIMEOUT_MS = 1_000
 
 /** What a daemon needs of its surroundings. */
@@ -101,6 +104,17 @@
   ]
 }
 
+/** Tries the seeds for as long as this daemon knows no other. */
+async function meetSeeds (options: Options, tasks: tasksModule.Tasks, peers: peerConnections.Peers, signal: AbortSignal): Promise<void> {
+  const { seeds, listen } = options.settings
+  while (!signal.aborted) {
+    if (tasks.members.peers().length === 0) {
+      for (const seed of seeds) if (seed !== listen.peers) peers.introduce(seed)
+    }
+    await pause.pause(SEED_INTERVAL_MS, signal)
+  }
+}
+
 function wait (milliseconds: number): Promise<void> {
   return pause.pause(milliseconds, new AbortController().signal)
 }
@@ -136,7 +150,7 @@
     tasks.tick()
     peers.tick()
   }, TICK_INTERVAL_MS)
-  const background = startBackground(options, tasks, calls, stopping.signal)
+  const background = [...startBackground(options, tasks, calls, stopping.signal), meetSeeds(options, tasks, peers, stopping.signal)]
   log.info('started', { address: settings.listen.callers, peers: settings.listen.peers, incarnation: options.incarnation })
 
   async function stop (): Promise<void> {
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -35,6 +35,8 @@
   readonly send: (outbound: protocol.Outbound) => void
   /** Closes the connections to a daemon that is gone. */
   readonly drop: (incarnation: protocol.Incarnation) => void
+  /** Connects to an address without knowing who is there. */
+  readonly introduce: (address: protocol.Address) => void
   readonly tick: () => void
   readonly close: () => Promise<void>
 }
@@ -84,12 +86,16 @@
     if (peer !== undefined && links.get(peer) === link) links.delete(peer)
   }
 
-  function dial (member: protocol.MemberNews, message: protocol.PeerMessage): void {
-    dialing.set(member.incarnation, [message])
-    const socket = new ws.WebSocket(`ws://${member.peerAddress}/`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
+  function connect (address: protocol.Address): ws.WebSocket {
+    const socket = new ws.WebSocket(`ws://${address}/`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
     const link = startLink(socket)
     socket.once('open', () => link.greet())
-    socket.once('close', () => {
+    return socket
+  }
+
+  function dial (member: protocol.MemberNews, message: protocol.PeerMessage): void {
+    dialing.set(member.incarnation, [message])
+    connect(member.peerAddress).once('close', () => {
       const lost = dialing.get(member.incarnation)?.length ?? 0
       dialing.delete(member.incarnation)
       options.count('peers.undelivered', lost)
@@ -132,5 +138,5 @@
     await new Promise<void>((resolve) => httpServer.close(() => resolve()))
   }
 
-  return { send, drop, tick: () => { for (const link of all) link.tick() }, close }
+  return { send, drop, introduce: (address) => { connect(address) }, tick: () => { for (const link of all) link.tick() }, close }
 }
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -42,6 +42,8 @@
   /** Addresses given to others when they differ from those listened on. */
   advertise: listen.optional(),
   platform,
+  /** Peer addresses of a few other daemons, met when the platform can't introduce any. */
+  seeds: z.array(ADDRESS).max(32).readonly().default([]),
   /** Where StatsD metrics are sent; left out, none are sent. */
   metrics: z.strictObject({ address: ADDRESS, prefix: z.string().default('persimmonhatch.') }).readonly().optional(),
   limits: limits.prefault({}),
