Detect failures, spread news, choose authorities and addresses

Cause: daemons must know each other, their targets and their documents' revisions at 320 members within 20 KB/s, without the platform.

Change: SWIM probes with news on them, local suspicion, gone news at the member's estimated beat (so that its older beats do not revive it and its own next beat refutes it), urgent news in unanswered probes, full synchronisation in pages, rendezvous with bounded loads, steering.

Open: 160 daemons that start together and are introduced to 8 each do not all know each other after 80 s (most do after 25 s).

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -4,4 +4,6 @@
  * @module
  */
 export * as event from './event.js'
+export * as addresses from './addresses.js'
 export * as membership from './membership.js'
+export * as rendezvous from './rendezvous.js'
--- /dev/null
+++ b/packages/membership/src/learning.ts
@@ -0,0 +1,79 @@
+/**
+ * Takes in news and decides how fast it is passed on.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import type * as event from './event.js'
+import * as newsOrder from './news-order.js'
+import type * as newsStore from './news-store.js'
+import type * as state from './parts.js'
+
+/** Daemon that sent the news; undefined for news that this daemon learned itself. */
+export type Source = protocol.Incarnation | undefined
+
+function isUrgent (news: protocol.News): boolean {
+  return news.kind !== 'member' || news.state !== 'alive'
+}
+
+function passOn (parts: state.Parts, news: protocol.News, nowMs: number): void {
+  const key = newsOrder.keyOf(news)
+  parts.rumors.add(key)
+  if (isUrgent(news)) parts.urgent.add(key, nowMs)
+}
+
+/**
+ * Spreads the own entry, at once.
+ *
+ * @example
+ * ```ts
+ * announceSelf(parts, nowMs)
+ * ```
+ */
+export function announceSelf (parts: state.Parts, nowMs: number): void {
+  const key = newsOrder.keyOf(parts.self.news(nowMs))
+  parts.rumors.add(key)
+  parts.urgent.add(key, nowMs)
+}
+
+function * learnSelf (parts: state.Parts, news: protocol.MemberNews, nowMs: number): Generator<event.Output, void> {
+  const own = parts.self.news(nowMs)
+  if (news.state !== 'gone' || own.state === 'gone' || news.beat < own.beat) return
+  parts.self.refute(news.beat, nowMs)
+  announceSelf(parts, nowMs)
+  yield { kind: 'count', counter: 'membership.refutations', value: 1 }
+}
+
+function * learnMember (parts: state.Parts, news: protocol.MemberNews, from: Source, nowMs: number): Generator<event.Output, void> {
+  const isKnown = parts.table.find(news.incarnation) !== undefined
+  const change = parts.table.accept(news, nowMs)
+  if (change === 'none') return
+  parts.seeds.remove(news.incarnation)
+  parts.suspicions.clearByBeat(news.incarnation, news.beat)
+  if (change === 'beat') return
+  if (!isKnown) parts.confirmation.memberAdded(nowMs)
+  // What a newcomer hears of third members is news to nobody else.
+  const isFirstHand = from === news.incarnation || news.state !== 'alive'
+  if (isFirstHand || parts.confirmation.isConfirmed(nowMs)) passOn(parts, news, nowMs)
+  yield { kind: 'learned', news }
+}
+
+function * learnOther (parts: state.Parts, news: newsStore.StoredNews, nowMs: number): Generator<event.Output, void> {
+  if (!parts.store.accept(news, nowMs)) return
+  passOn(parts, news, nowMs)
+  yield { kind: 'learned', news }
+}
+
+/**
+ * Takes in one piece of news; older or equal news changes nothing.
+ *
+ * @example
+ * ```ts
+ * yield * learn(parts, { kind: 'revision', service: 'listings', revision: 7 }, undefined, nowMs)
+ * ```
+ */
+export function * learn (parts: state.Parts, news: protocol.News, from: Source, nowMs: number): Generator<event.Output, void> {
+  if (news.kind !== 'member') yield * learnOther(parts, news, nowMs)
+  else if (news.incarnation === parts.self.incarnation) yield * learnSelf(parts, news, nowMs)
+  else yield * learnMember(parts, news, from, nowMs)
+}
--- /dev/null
+++ b/packages/membership/src/parts.ts
@@ -0,0 +1,62 @@
+/**
+ * The parts of membership's state, each with one job.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import * as composer from './composer.js'
+import * as confirmation from './confirmation.js'
+import * as localHealth from './local-health.js'
+import * as memberTable from './member-table.js'
+import * as newsStore from './news-store.js'
+import * as pendingProbes from './pending-probes.js'
+import * as probeOrder from './probe-order.js'
+import * as rumorQueue from './rumor-queue.js'
+import * as seeds from './seeds.js'
+import * as ownEntry from './self.js'
+import * as suspicions from './suspicions.js'
+import * as synchronisation from './synchronisation.js'
+import * as urgentQueue from './urgent-queue.js'
+
+/** All state of one daemon's membership. */
+export interface Parts extends composer.Sources {
+  readonly composer: composer.Composer
+  readonly confirmation: confirmation.Confirmation
+  readonly health: localHealth.LocalHealth
+  readonly pending: pendingProbes.PendingProbes
+  readonly probeOrder: probeOrder.ProbeOrder
+  readonly seeds: seeds.Seeds
+  readonly suspicions: suspicions.Suspicions
+  readonly synchronisation: synchronisation.Synchronisation
+  readonly urgent: urgentQueue.UrgentQueue
+}
+
+/**
+ * Creates the state of a daemon that knows only itself.
+ *
+ * @example
+ * ```ts
+ * const parts = createParts(options.self, options.random)
+ * ```
+ */
+export function createParts (self: protocol.MemberNews, random: protocol.Random): Parts {
+  const sources = {
+    self: ownEntry.createSelf(self),
+    table: memberTable.createMemberTable(),
+    store: newsStore.createNewsStore(),
+    rumors: rumorQueue.createRumorQueue(),
+    random
+  }
+  return {
+    ...sources,
+    composer: composer.createComposer(sources),
+    confirmation: confirmation.createConfirmation(),
+    health: localHealth.createLocalHealth(),
+    pending: pendingProbes.createPendingProbes(),
+    probeOrder: probeOrder.createProbeOrder(self.region, random),
+    seeds: seeds.createSeeds(random),
+    suspicions: suspicions.createSuspicions(),
+    synchronisation: synchronisation.createSynchronisation(),
+    urgent: urgentQueue.createUrgentQueue()
+  }
+}
--- /dev/null
+++ b/packages/membership/src/sampling.ts
@@ -0,0 +1,40 @@
+/**
+ * Random choices with an injected source.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+
+/**
+ * A copy in random order (Fisher and Yates, in Durstenfeld's form: CACM 7(7), Algorithm 235, 1964).
+ *
+ * @example
+ * ```ts
+ * shuffle(['a', 'b', 'c'], random)
+ * ```
+ */
+export function shuffle<Item> (items: readonly Item[], random: protocol.Random): readonly Item[] {
+  const copy = [...items]
+  for (let last = copy.length - 1; last > 0; last--) {
+    const other = Math.floor(random() * (last + 1))
+    const moved = copy[last] as Item
+    copy[last] = copy[other] as Item
+    copy[other] = moved
+  }
+  return copy
+}
+
+/**
+ * Up to `count` different items.
+ *
+ * @example
+ * ```ts
+ * sample(['a', 'b', 'c'], 2, random).length // 2
+ * ```
+ */
+export function sample<Item> (items: readonly Item[], count: number, random: protocol.Random): readonly Item[] {
+  if (items.length <= count * 4) return shuffle(items, random).slice(0, count)
+  const chosen = new Set<number>()
+  while (chosen.size < count) chosen.add(Math.floor(random() * items.length))
+  return [...chosen].map((index) => items[index] as Item)
+}
