--- /dev/null
+++ b/packages/cli/src/burn-table.ts
@@ -0,0 +1,77 @@
+/**
+ * Burn rates as a table of text.
+ *
+ * @module
+ */
+import type * as document from '@persimmonhatch/document'
+import * as table from './table.js'
+
+type Row = document.burnRate.Row
+
+const OBJECTIVES = {
+  firstToken: 'first token',
+  betweenTokens: 'between tokens',
+  completion: 'completion',
+  refused: 'refused'
+} as const satisfies Readonly<Record<document.burnRate.Objective, string>>
+
+const CAUSES = [
+  ['waited', 'causeWaited'],
+  ['slow target', 'causeStraggler'],
+  ['cut', 'causeCut']
+] as const
+
+const REFUSAL_CAUSES = [
+  ['shed', 'causeShed'],
+  ['refused', 'causeRefused']
+] as const
+
+/** Headings of a row's cells; the two windows are added in their places. */
+export function headings (windows: document.burnRate.Windows): readonly string[] {
+  return ['service', 'tier', 'organisation', 'objective', 'budget', `missed ${windows.longMinutes} min`, `rate ${windows.shortMinutes} min`, `rate ${windows.longMinutes} min`, 'state', 'causes']
+}
+
+function showRate (rate: number | undefined): string {
+  return rate === undefined ? '-' : rate.toFixed(1)
+}
+
+function showCauses (row: Row): string {
+  const causes = row.objective === 'refused' ? REFUSAL_CAUSES : CAUSES
+  const seen = causes.filter(([, name]) => row.counts[name] > 0)
+  return seen.map(([label, name]) => `${label} ${row.counts[name]}`).join(', ')
+}
+
+/**
+ * The cells of one row.
+ *
+ * @example
+ * ```ts
+ * cells(row) // ['listings', 'urgent', 'all', 'refused', '1 %', '2 of 110', '10.0', '1.8', 'ok', 'shed 2']
+ * ```
+ */
+export function cells (row: Row): readonly string[] {
+  return [
+    row.service,
+    row.tier,
+    row.organisation ?? 'all',
+    OBJECTIVES[row.objective],
+    `${Number(row.budgetPercent.toFixed(3))} %`,
+    `${row.long.missed} of ${row.long.eligible}`,
+    showRate(row.short.rate),
+    showRate(row.long.rate),
+    row.isBurning ? 'BURNING' : 'ok',
+    showCauses(row)
+  ]
+}
+
+/**
+ * All rows as a table.
+ *
+ * @example
+ * ```ts
+ * formatBurn(rows, { shortMinutes: 5, longMinutes: 60 })
+ * ```
+ */
+export function formatBurn (rows: readonly Row[], windows: document.burnRate.Windows): string {
+  return table.formatTable(headings(windows), rows.map(cells))
+}
--- a/packages/cli/src/ports.ts
+++ b/packages/cli/src/ports.ts
@@ -7,6 +7,7 @@
 import type * as protocol from '@persimmonhatch/protocol'
 import type * as clipanion from 'clipanion'
 import type * as neverthrow from 'neverthrow'
+import type * as burnPage from './burn-page.js'
 import type * as failure from './failure.js'
 import type * as settings from './settings.js'
 
@@ -43,5 +44,7 @@
   readonly files: Files
   /** Name of the user who runs the tool. */
   readonly userName: string
+  /** Draws curves for HTML pages; undefined for pages with tables only. */
+  readonly plot: burnPage.Plot | undefined
   readonly connect: (settings: settings.Settings) => Ports
 }
--- /dev/null
+++ b/packages/cli/src/receipt.ts
@@ -0,0 +1,89 @@
+/**
+ * Receipts: why one request waited, ran or was refused, in sentences.
+ *
+ * @module
+ */
+import * as document from '@persimmonhatch/document'
+import * as protocol from '@persimmonhatch/protocol'
+import type * as neverthrow from 'neverthrow'
+import * as z from 'zod'
+import * as failure from './failure.js'
+
+const schema = z.object({
+  identity: z.string(),
+  service: z.string(),
+  organisation: z.string(),
+  tier: z.string(),
+  reason: z.string(),
+  execution: z.enum(['not-run', 'ran', 'unknown']),
+  waitedMs: z.number(),
+  target: z.string().optional(),
+  figures: z.record(z.string(), z.union([z.string(), z.number()])).readonly()
+}).readonly()
+
+/** What the tool reads of a receipt. */
+export type Receipt = z.infer<typeof schema>
+
+/** A receipt in words. */
+export interface Explanation {
+  readonly sentences: readonly string[]
+  readonly remedy: string | undefined
+}
+
+const EXECUTIONS = {
+  'not-run': 'It was not run.',
+  ran: 'It was run, at least in part.',
+  unknown: 'It is not known whether it was run.'
+} as const satisfies Readonly<Record<protocol.Execution, string>>
+
+function isReason (reason: string): reason is protocol.Reason {
+  return Object.hasOwn(protocol.EXPLANATIONS, reason)
+}
+
+/**
+ * Checks a receipt's value.
+ *
+ * @example
+ * ```ts
+ * checkReceipt(answer.receipt).map((receipt) => receipt.reason)
+ * ```
+ */
+export function checkReceipt (value: unknown): neverthrow.Result<Receipt, failure.Failure> {
+  return document.checkSchema.checkSchema(schema, value).mapErr((problems) => {
+    const lines = problems.map(document.problem.describeProblem)
+    return new failure.Failure('invalid', 'receipt-malformed', { problems: lines.join('; ') })
+  })
+}
+
+/**
+ * Reads the text of an `x-persimmonhatch-receipt` header.
+ *
+ * @example
+ * ```ts
+ * decodeReceipt('eyJpZGVudGl0eSI6…')
+ * ```
+ */
+export function decodeReceipt (text: string): neverthrow.Result<Receipt, failure.Failure> {
+  const json = Buffer.from(text.trim(), 'base64url').toString('utf8')
+  return document.parseJsonc.parseJsonc(json)
+    .mapErr(() => new failure.Failure('invalid', 'receipt-malformed', { problems: 'it is no base64url text of a JSON value' }))
+    .andThen(checkReceipt)
+}
+
+/**
+ * A receipt in sentences. `unknownReason` is said for a reason that this version does not know.
+ *
+ * @example
+ * ```ts
+ * explainReceipt(receipt, []).sentences.join(' ')
+ * ```
+ */
+export function explainReceipt (receipt: Receipt, unknownReason: readonly string[]): Explanation {
+  const opening = `A request of ${receipt.organisation} to ${receipt.service}, tier ${receipt.tier}, waited ${receipt.waitedMs} ms.`
+  const { reason } = receipt
+  if (!isReason(reason)) return { sentences: [opening, ...unknownReason, EXECUTIONS[receipt.execution]], remedy: undefined }
+  const known = protocol.EXPLANATIONS[reason]
+  const figures = { target: receipt.target ?? 'unknown', ...receipt, ...receipt.figures } as Readonly<Record<string, unknown>>
+  const filled = Object.fromEntries(Object.entries(figures).filter((entry): entry is [string, string | number] => typeof entry[1] !== 'object' && entry[1] !== undefined))
+  return { sentences: [opening, protocol.explain(reason, filled), EXECUTIONS[receipt.execution]], remedy: known.remedy }
+}
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -5,9 +5,12 @@
  */
 import * as clipanion from 'clipanion'
 import * as applyCommand from './commands/apply-command.js'
+import * as burnCommand from './commands/burn-command.js'
 import * as deleteCommand from './commands/delete-command.js'
+import * as explainCommand from './commands/explain-command.js'
 import * as historyCommand from './commands/history-command.js'
 import * as showCommand from './commands/show-command.js'
+import * as statusCommand from './commands/status-command.js'
 import * as exitCode from './exit-code.js'
 import type * as ports from './ports.js'
 
@@ -15,9 +18,12 @@
   clipanion.Builtins.HelpCommand,
   clipanion.Builtins.VersionCommand,
   applyCommand.ApplyCommand,
+  burnCommand.BurnCommand,
   deleteCommand.DeleteCommand,
+  explainCommand.ExplainCommand,
   historyCommand.HistoryCommand,
-  showCommand.ShowCommand
+  showCommand.ShowCommand,
+  statusCommand.StatusCommand
 ]
 
 /** Version that the tool prints. */
--- /dev/null
+++ b/packages/cli/src/show-burn.ts
@@ -0,0 +1,104 @@
+/**
+ * Reports how fast the error budgets of services burn.
+ *
+ * @module
+ */
+import * as document from '@persimmonhatch/document'
+import * as neverthrow from 'neverthrow'
+import * as burnPage from './burn-page.js'
+import * as burnTable from './burn-table.js'
+import * as failure from './failure.js'
+import * as message from './message.js'
+import type * as session from './session.js'
+import * as store from './store.js'
+
+type BurnRecord = document.burnRecord.BurnRecord
+type ServiceDocument = document.serviceDocument.ServiceDocument
+
+const MINUTES_PER_HOUR = 60
+
+/** What to report. */
+export interface Choices {
+  /** One service; undefined for all. */
+  readonly service: string | undefined
+  readonly windows: document.burnRate.Windows
+  /** File to write an HTML page to. */
+  readonly html: string | undefined
+  readonly plot: burnPage.Plot | undefined
+}
+
+/** Records that could be read, and why others could not. */
+interface Records {
+  readonly records: readonly BurnRecord[]
+  readonly problems: readonly string[]
+}
+
+function parseMinutes (text: string): number {
+  const found = /^(\d{1,4})([mh])$/.exec(text.trim())
+  return found === null ? Number.NaN : Number(found[1]) * (found[2] === 'h' ? MINUTES_PER_HOUR : 1)
+}
+
+/**
+ * Reads the two windows of a report.
+ *
+ * @example
+ * ```ts
+ * parseWindows('5m,1h') // ok({ shortMinutes: 5, longMinutes: 60 })
+ * ```
+ */
+export function parseWindows (text: string): neverthrow.Result<document.burnRate.Windows, failure.Failure> {
+  const [shortMinutes = Number.NaN, longMinutes = Number.NaN, ...more] = text.split(',').map(parseMinutes)
+  const inOrder = shortMinutes >= 1 && longMinutes > shortMinutes && longMinutes <= document.burnRecord.MAX_REPORT_MINUTES
+  if (inOrder && more.length === 0) return neverthrow.ok({ shortMinutes, longMinutes })
+  const limit = `${document.burnRecord.MAX_REPORT_MINUTES / MINUTES_PER_HOUR}h`
+  return neverthrow.err(new failure.Failure('usage', 'wrong-windows', { value: text, limit }))
+}
+
+async function readRecords (run: session.Session, fromMinute: number, toMinute: number): Promise<neverthrow.Result<Records, failure.Failure>> {
+  const records: BurnRecord[] = []
+  const problems: string[] = []
+  for (const window of document.burnRecord.windowsBetween(fromMinute, toMinute)) {
+    const listing = await run.ports.keyValue.list(document.burnRecord.windowPrefix(window))
+    if (listing.isErr()) return neverthrow.err(store.readFailure(listing.error))
+    for (const entry of listing.value.entries) {
+      document.burnRecord.readRecord(entry.key, entry.value).match((record) => records.push(record), (error) => problems.push(error.message))
+    }
+  }
+  return neverthrow.ok({ records, problems })
+}
+
+function parseDocuments (services: readonly store.StoredService[]): readonly ServiceDocument[] {
+  const contents = services.flatMap((each) => each.stored.isOk() && each.stored.value.content !== null ? [each.stored.value.content] : [])
+  return contents.flatMap((content) => document.parseServiceDocument.parseServiceDocument(content).match((parsed) => [parsed], () => []))
+}
+
+function choose (documents: readonly ServiceDocument[], service: string | undefined): neverthrow.Result<readonly ServiceDocument[], failure.Failure> {
+  if (service === undefined) return neverthrow.ok(documents)
+  const found = documents.filter((each) => each.service === service)
+  return found.length > 0 ? neverthrow.ok(found) : neverthrow.err(new failure.Failure('notFound', 'unknown-service', { service }))
+}
+
+/**
+ * Reports budgets and burn rates, as a table and on request as a page.
+ *
+ * @example
+ * ```ts
+ * const report = await showBurn(session, { service: 'listings', windows, html: 'burn.html', plot })
+ * ```
+ */
+export function showBurn (run: session.Session, choices: Choices): session.Outcome {
+  return neverthrow.safeTry<session.Report, failure.Failure>(async function * () {
+    const { windows } = choices
+    const documents = yield * choose(parseDocuments(yield * store.listServices(run.ports)), choices.service)
+    const toMinute = document.burnRecord.minuteOf(run.ports.nowMs())
+    const { records, problems } = yield * await readRecords(run, toMinute - windows.longMinutes + 1, toMinute)
+    const sums = document.burnRate.sumRecords(records, toMinute, windows)
+    const rows = [...document.burnRate.burnRows(documents, sums, windows)]
+    const text = [rows.length === 0 ? message.formatMessage('no-burn-records', { what: choices.service ?? 'any service' }) : burnTable.formatBurn(rows, windows), ...problems]
+    if (choices.html !== undefined) {
+      yield * run.files.write(choices.html, burnPage.formatPage({ rows, records, windows, toMinute, plot: choices.plot }))
+      text.push(message.formatMessage('report-written', { file: choices.html }))
+    }
+    return neverthrow.ok({ exit: 'done' as const, text: text.join('\n'), json: { windows, rows, problems } })
+  })
+}
--- /dev/null
+++ b/packages/cli/src/show-status.ts
@@ -0,0 +1,81 @@
+/**
+ * Shows what the daemons say of themselves.
+ *
+ * @module
+ */
+import * as neverthrow from 'neverthrow'
+import * as daemons from './daemons.js'
+import * as failure from './failure.js'
+import type * as session from './session.js'
+import * as table from './table.js'
+
+interface Reached {
+  readonly address: string
+  readonly status: daemons.Status
+}
+
+interface Unreached {
+  readonly address: string
+  readonly problem: string
+}
+
+function split (everyone: readonly daemons.Asked[]): { readonly reached: readonly Reached[], readonly unreached: readonly Unreached[] } {
+  const reached = everyone.flatMap(({ address, status }) => status.isOk() ? [{ address, status: status.value }] : [])
+  const unreached = everyone.flatMap(({ address, status }) => status.isErr() ? [{ address, problem: status.error.message }] : [])
+  return { reached, unreached }
+}
+
+function showDaemons (reached: readonly Reached[]): string {
+  const rows = reached.map(({ address, status }) => [address, status.availabilityZone, status.state, String(status.entry.waiting), String(status.entry.running), status.platform.state])
+  return table.formatTable(['daemon', 'zone', 'state', 'waiting', 'running', 'platform'], rows)
+}
+
+function showServices (reached: readonly Reached[]): string {
+  const rows = reached.flatMap(({ address, status }) => status.services.map((each) => [each.service, address, String(each.revision), each.problem ?? '']))
+  return table.formatTable(['service', 'daemon', 'revision', 'problem'], rows.sort((left, right) => left.join() < right.join() ? -1 : 1))
+}
+
+function showTargets (reached: readonly Reached[]): string {
+  const rows = reached.flatMap(({ address, status }) => status.pools.flatMap((pool) => pool.targets.map((target) => [
+    pool.pool,
+    address,
+    pool.settled ? String(pool.waiting) : 'settling',
+    target.target,
+    target.state,
+    String(target.requestsInFlight),
+    `${target.tokensInFlight}/${target.limitTokens}`,
+    target.slowdown.toFixed(1)
+  ])))
+  return table.formatTable(['pool', 'authority', 'waiting', 'target', 'state', 'requests', 'tokens', 'slowdown'], rows)
+}
+
+function showUnreached (unreached: readonly Unreached[]): string {
+  return unreached.map((each) => `  ${each.problem}`).join('\n')
+}
+
+function show (reached: readonly Reached[], unreached: readonly Unreached[]): string {
+  const parts = [showDaemons(reached), showServices(reached), showTargets(reached)]
+  const leaving = [...new Set(reached.flatMap(({ status }) => status.leavingTargets))].sort()
+  if (leaving.length > 0) parts.push(`leaving targets: ${leaving.join(', ')}`)
+  if (unreached.length > 0) parts.push(`not reached:\n${showUnreached(unreached)}`)
+  return parts.join('\n\n')
+}
+
+/**
+ * Asks every live daemon for its status. Some may be out of reach, as long as one answers.
+ *
+ * @example
+ * ```ts
+ * const report = await showStatus(session)
+ * ```
+ */
+export function showStatus (run: session.Session): session.Outcome {
+  return neverthrow.safeTry<session.Report, failure.Failure>(async function * () {
+    const everyone = await daemons.askEveryone(run)
+    const { reached, unreached } = split(everyone)
+    if (everyone.length === 0) return neverthrow.err(new failure.Failure('daemonUnreachable', 'no-daemon-known', {}))
+    if (reached.length === 0) return neverthrow.err(new failure.Failure('daemonUnreachable', 'no-daemon-reached', { daemons: showUnreached(unreached) }))
+    const json = { daemons: reached.map((each) => each.status), unreached }
+    return neverthrow.ok({ exit: 'done' as const, text: show(reached, unreached), json })
+  })
+}
--- a/packages/cli/tests/harness.ts
+++ b/packages/cli/tests/harness.ts
@@ -6,6 +6,7 @@
 import * as stream from 'node:stream'
 import * as platform from '@persimmonhatch/platform'
 import * as neverthrow from 'neverthrow'
+import type * as burnPage from '../src/burn-page.js'
 import * as failure from '../src/failure.js'
 import type * as ports from '../src/ports.js'
 import * as run from '../src/run.js'
@@ -31,6 +32,7 @@
   readonly environment: Record<string, string> = {}
   fates: readonly Fate[] = []
   platformIsDown = false
+  plot: burnPage.Plot | undefined = undefined
   /** Runs before each write. */
   beforeWrite = (): void => {}
   /** Runs on each sleep. */
@@ -55,6 +57,7 @@
       stderr: err,
       colorDepth: 1,
       userName: 'ana',
+      plot: this.plot,
       files: this.createFiles(),
       connect: () => this.createPorts()
     } satisfies ports.Context)
--- a/packages/cli/tests/show.test.ts
+++ b/packages/cli/tests/show.test.ts
@@ -50,7 +50,7 @@
   })
 }
 
-for (const command of ['apply', 'delete', 'show', 'history']) {
+for (const command of ['apply', 'delete', 'show', 'history', 'status', 'explain', 'burn']) {
   show(`${command} has help with examples`, async () => {
     const ran = await new harness.World().run(command, '--help')
     assert.is(ran.code, 0)
