--- /dev/null
+++ b/packages/cli/src/adapters/connect.ts
@@ -0,0 +1,38 @@
+/**
+ * Connects the tool to the platform and the daemons that its settings name.
+ *
+ * @module
+ */
+import * as crypto from 'node:crypto'
+import * as timers from 'node:timers/promises'
+import * as platform from '@persimmonhatch/platform'
+import type * as ports from '../ports.js'
+import type * as settings from '../settings.js'
+import * as daemonClient from './daemon-client.js'
+
+/**
+ * Opens connections as they are needed.
+ *
+ * @example
+ * ```ts
+ * const access = connect(settings)
+ * ```
+ */
+export function connect (chosen: settings.Settings): ports.Ports {
+  const { endpoints, timeoutMs } = chosen.platform
+  const client = platform.httpClient.httpClient({
+    connectTimeoutMs: Math.max(timeoutMs, chosen.daemonTimeoutMs),
+    headersTimeoutMs: 0,
+    bodyTimeoutMs: 0
+  })
+  return {
+    keyValue: platform.etcdKeyValue.etcdKeyValue({ client, endpoints, timeoutMs }),
+    askDaemon: daemonClient.daemonClient(client, chosen.daemonTimeoutMs),
+    nowMs: () => Date.now(),
+    sleep: (durationMs) => timers.setTimeout(durationMs),
+    random: () => Math.random(),
+    createChangeId: () => crypto.randomUUID(),
+    hash: (content) => crypto.createHash('sha256').update(content).digest('hex'),
+    close: () => client.destroy()
+  }
+}
--- /dev/null
+++ b/packages/cli/src/adapters/daemon-client.ts
@@ -0,0 +1,33 @@
+/**
+ * Asks daemons over HTTP.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import * as neverthrow from 'neverthrow'
+import * as undici from 'undici'
+import * as failure from '../failure.js'
+import type * as ports from '../ports.js'
+
+async function get (client: undici.Dispatcher, url: string, timeoutMs: number): Promise<ports.DaemonAnswer> {
+  const answer = await undici.request(url, { dispatcher: client, signal: AbortSignal.timeout(timeoutMs) })
+  const text = await answer.body.text()
+  const body = neverthrow.fromThrowable(() => JSON.parse(text) as unknown)().unwrapOr(undefined)
+  return { status: answer.statusCode, body }
+}
+
+/**
+ * A function that sends one GET and does not repeat it.
+ *
+ * @example
+ * ```ts
+ * const askDaemon = daemonClient(client, 2_000)
+ * const answer = await askDaemon('10.0.0.7:7400', '/v1/status')
+ * ```
+ */
+export function daemonClient (client: undici.Dispatcher, timeoutMs: number): ports.Ports['askDaemon'] {
+  return (address: protocol.Address, path: string) => neverthrow.ResultAsync.fromPromise(
+    get(client, `http://${address}${path}`, timeoutMs),
+    (error) => new failure.Failure('daemonUnreachable', 'daemon-unreachable', { address, detail: (error as Error).message })
+  )
+}
--- a/packages/cli/src/commands/change-command.ts
+++ b/packages/cli/src/commands/change-command.ts
@@ -19,7 +19,7 @@
   readonly expectRevision = clipanion.Option.String('--expect-revision', { description: 'Write only when this revision is stored; 0 when none may be' })
   readonly comment = clipanion.Option.String('--comment', '', { description: 'Why the change is made, for history' })
   readonly operator = clipanion.Option.String('--operator', { description: 'Name under which the change is recorded' })
-  readonly replaceUnreadable = clipanion.Option.Boolean('--replace-unreadable', false, { description: 'Write over a stored value that can not be read; its history is lost' })
+  readonly replaceUnreadable = clipanion.Option.Boolean('--replace-unreadable', false, { description: 'Write over a stored value that cannot be read; its history is lost' })
 
   protected override operatorFlag (): string | undefined {
     return this.operator
--- a/packages/cli/tests/apply.test.ts
+++ b/packages/cli/tests/apply.test.ts
@@ -88,7 +88,7 @@
 })
 
 const REFUSED: ReadonlyArray<readonly [name: string, content: string | undefined, args: readonly string[], code: number, text: RegExp]> = [
-  ['a missing file', undefined, [], 3, /listings.jsonc can not be read/],
+  ['a missing file', undefined, [], 3, /listings.jsonc cannot be read/],
   ['a malformed file', '{', [], 3, /line 1/],
   ['a document with a problem', harness.listings({ defaultTier: 'gold' }), [], 3, /defaultTier is "gold".*urgent/],
   ['a document that disagrees with another', harness.listings({ service: 'warranty', kind: 'plain' }), [], 3, /disagrees .*\n.*listings uses this target as kind model/],
--- a/packages/cli/tests/questions.test.ts
+++ b/packages/cli/tests/questions.test.ts
@@ -149,7 +149,7 @@
   assert.match(world.files.get('burn.html') ?? '', /<figure><svg><title>listings, tier urgent: refused 50<\/title>/)
 })
 
-ask('burn names records that it can not read, and goes on', async () => {
+ask('burn names records that it cannot read, and goes on', async () => {
   const world = await createBurning()
   world.put('/persimmonhatch/burn/10/zone-b/inc2', '{"format":9}')
   assert.match((await world.run('burn')).out, /shed 1[^]*zone-b\/inc2 holds no burn record of this version/)
--- a/packages/cli/tests/settings.test.ts
+++ b/packages/cli/tests/settings.test.ts
@@ -36,7 +36,7 @@
   ['an unknown variable', '{}', { PERSIMMONHATCH_PLATFROM: 'x' }, {}, /PERSIMMONHATCH_PLATFROM is "x": unknown variable/],
   ['a wrong variable', '{}', { PERSIMMONHATCH_PLATFORM: 'localhost' }, {}, /environment is not valid:\n {2}platform.endpoints\[0\] is "localhost": use a base URL/],
   ['a wrong flag', '{}', {}, { daemons: ['here'] }, /command line is not valid:\n {2}daemons\[0\] is "here": use an IP number and a port/],
-  ['a missing file', '{}', {}, { settings: 'other.jsonc' }, /other.jsonc can not be read/]
+  ['a missing file', '{}', {}, { settings: 'other.jsonc' }, /other.jsonc cannot be read/]
 ]
 
 for (const [name, file, environment, flags, text] of WRONG) {
