--- a/packages/daemon/src/bin/persimmonhatchd.ts
+++ b/packages/daemon/src/bin/persimmonhatchd.ts
@@ -67,6 +67,7 @@
       settings,
       incarnation,
       clock: () => performance.now(),
+      wallClock: () => Date.now(),
       random: randomSource.createRandom(),
       hashes: await hashes.loadHashes(),
       log: logger,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -37,6 +37,8 @@
   readonly settings: settingsModule.Settings
   readonly incarnation: protocol.Incarnation
   readonly clock: protocol.Clock
+  /** Milliseconds since 1970, for records that outlive this process. */
+  readonly wallClock: () => number
   readonly random: protocol.Random
   readonly hashes: readArrival.Hashes
   readonly log: log.Log
@@ -93,6 +95,7 @@
   const { members, targetStates } = tasks
   return [
     tasks.documents.follow(signal),
+    tasks.burn.store(signal),
     registration.keepRegistered({ random, count, keyValue: calls.keyValue, self: members.self, onIntroduced: (found) => members.post({ kind: 'introduced', members: found }) }, signal),
     vmList.readVmList({
       random,
--- a/packages/daemon/src/http/refusal-body.ts
+++ b/packages/daemon/src/http/refusal-body.ts
@@ -58,7 +58,12 @@
   const explanation = protocol.EXPLANATIONS[reason]
   return {
     status: explanation.status,
-    headers: { 'content-type': JSON_TYPE, [protocol.HEADERS.reason]: reason, [protocol.HEADERS.execution]: explanation.execution },
+    headers: {
+      'content-type': JSON_TYPE,
+      ...(reason === 'no-authority' ? { 'retry-after': '1' } : {}),
+      [protocol.HEADERS.reason]: reason,
+      [protocol.HEADERS.execution]: explanation.execution
+    },
     body: plainBody(reason, figures)
   }
 }
--- /dev/null
+++ b/packages/daemon/src/tasks/burn.ts
@@ -0,0 +1,128 @@
+/**
+ * Counts the service levels of this daemon's requests and stores them, rolled up, about once a minute.
+ *
+ * @module
+ */
+import * as document from '@persimmonhatch/document'
+import type * as entry from '@persimmonhatch/entry'
+import type * as platform from '@persimmonhatch/platform'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as pause from '../util/pause.js'
+
+const WRITE_INTERVAL_MS = 60_000
+
+/** Outcomes that say nothing about the service: the caller's own mistakes and departures. */
+const NOT_COUNTED: ReadonlySet<protocol.Reason> = new Set(['caller-gone', 'caller-gone-dispatched', 'identity-reused', 'identity-expired', 'other-address'])
+
+const CUT: ReadonlySet<protocol.Reason> = new Set(['preempted', 'answer-incomplete', 'target-failed'])
+
+/** What the task needs of its surroundings. */
+export interface Options {
+  readonly keyValue: platform.keyValue.KeyValue
+  readonly random: protocol.Random
+  /** Milliseconds since 1970. */
+  readonly wallClock: () => number
+  readonly availabilityZone: string
+  readonly incarnation: protocol.Incarnation
+  readonly count: (counter: string, value: number) => void
+}
+
+/** The running task. */
+export interface Burn {
+  readonly documents: (documents: readonly document.serviceDocument.ServiceDocument[]) => void
+  readonly settled: (receipt: entry.event.Receipt) => void
+  /** Stores until `signal` aborts, then once more. */
+  readonly store: (signal: AbortSignal) => Promise<void>
+}
+
+/** A record as last written. */
+interface Written {
+  readonly modRevision: number
+  readonly text: string
+}
+
+function outcomeOf (reason: protocol.Reason): document.judgeRequest.Ended['outcome'] {
+  if (reason === 'finished') return 'whole'
+  if (reason === 'shed') return 'shed'
+  return CUT.has(reason) ? 'cut' : 'refused'
+}
+
+function endedOf (receipt: entry.event.Receipt): document.judgeRequest.Ended {
+  const { end, waitedMs } = receipt
+  const hasTokens = end !== undefined && end.firstTokenMs > 0
+  const streamed = hasTokens && end.answerTokens > 1
+  return {
+    service: receipt.service,
+    organisation: receipt.organisation,
+    outcome: outcomeOf(receipt.reason),
+    waitedMs,
+    firstTokenMs: hasTokens ? waitedMs + end.firstTokenMs : undefined,
+    betweenTokensMs: streamed ? (end.totalMs - end.firstTokenMs) / (end.answerTokens - 1) : undefined,
+    completionMs: waitedMs + (end?.totalMs ?? 0)
+  }
+}
+
+/**
+ * Starts with nothing counted.
+ *
+ * @example
+ * ```ts
+ * const burn = startBurn(options)
+ * burn.settled(receipt)
+ * ```
+ */
+export function startBurn (options: Options): Burn {
+  const { keyValue, wallClock, availabilityZone, incarnation } = options
+  const counter = document.burnCounter.createBurnCounter({ availabilityZone, incarnation })
+  const written = new Map<string, Written>()
+  let tiers: ReadonlyMap<string, document.serviceDocument.Tier> = new Map()
+  let lease: string | undefined
+
+  function takeDocuments (documents: readonly document.serviceDocument.ServiceDocument[]): void {
+    tiers = new Map(documents.flatMap((one) => one.tiers.map((tier) => [`${one.service} ${tier.name}`, tier])))
+  }
+
+  function settled (receipt: entry.event.Receipt): void {
+    const tier = tiers.get(`${receipt.service} ${receipt.tier}`)
+    if (tier === undefined || NOT_COUNTED.has(receipt.reason)) return
+    counter.count(document.judgeRequest.judgeRequest(tier, endedOf(receipt)), wallClock())
+  }
+
+  async function currentLease (): Promise<string | undefined> {
+    if (lease !== undefined) return lease
+    const granted = await keyValue.grantLease(document.burnRecord.RETENTION_S)
+    lease = granted.isOk() ? granted.value : undefined
+    return lease
+  }
+
+  async function write (record: document.burnRecord.BurnRecord): Promise<void> {
+    const key = document.burnRecord.recordKey(record)
+    const text = document.burnRecord.writeRecord(record)
+    const before = written.get(key)
+    if (before?.text === text) return
+    // A record lives as long as the lease of its window's first write.
+    if (before === undefined) lease = undefined
+    const held = await currentLease()
+    if (held === undefined) return options.count('burn.notStored', 1)
+    const swap = await keyValue.compareAndSwap({ key, expectedRevision: before?.modRevision ?? 0, value: text, lease: held })
+    if (swap.isErr()) return options.count('burn.notStored', 1)
+    // After a lost answer the stored revision differs; the next write goes on from the one found.
+    written.set(key, { modRevision: swap.value.succeeded ? swap.value.revision : swap.value.current?.modRevision ?? 0, text: swap.value.succeeded ? text : '' })
+  }
+
+  async function storeOnce (): Promise<void> {
+    const records = counter.records(wallClock())
+    const current = new Set(records.map(document.burnRecord.recordKey))
+    for (const key of written.keys()) if (!current.has(key)) written.delete(key)
+    for (const record of records) await write(record)
+  }
+
+  async function store (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await pause.pause(WRITE_INTERVAL_MS * (0.5 + options.random()), signal)
+      await storeOnce()
+    }
+  }
+
+  return { documents: takeDocuments, settled, store }
+}
--- a/packages/daemon/src/tasks/tasks.ts
+++ b/packages/daemon/src/tasks/tasks.ts
@@ -12,6 +12,7 @@
 import * as readReports from '../adapters/read-reports.js'
 import type * as readArrival from '../http/read-arrival.js'
 import type * as settingsModule from '../settings/settings.js'
+import * as burnTask from './burn.js'
 import * as documentsTask from './documents.js'
 import * as membersTask from './members.js'
 import type * as platformCalls from './platform-calls.js'
@@ -26,6 +27,8 @@
   readonly settings: settingsModule.Settings
   readonly incarnation: protocol.Incarnation
   readonly clock: protocol.Clock
+  /** Milliseconds since 1970, for records that outlive this process. */
+  readonly wallClock: () => number
   readonly random: protocol.Random
   readonly hashes: readArrival.Hashes
   readonly log: log.Log
@@ -46,6 +49,7 @@
   readonly requests: requestsTask.Requests
   readonly pools: poolsTask.Pools
   readonly documents: documentsTask.Documents
+  readonly burn: burnTask.Burn
   readonly targetStates: targetStates.TargetStates
   readonly route: router.Route
   /** A connection to a daemon was opened. */
@@ -117,7 +121,10 @@
     core,
     heldAnswerBytes: common.settings.limits.heldAnswerBytes,
     addresses: () => otherAddresses(common),
-    onSettled: (receipt) => common.metrics.timing('requests.waited', receipt.waitedMs)
+    onSettled: (receipt) => {
+      common.metrics.timing('requests.waited', receipt.waitedMs)
+      common.tasks().burn.settled(receipt)
+    }
   })
 }
 
@@ -189,6 +196,7 @@
   function takeDocuments (next: readonly document.serviceDocument.ServiceDocument[]): void {
     documents = next
     started.requests.post({ kind: 'documents', documents })
+    started.burn.documents(documents)
     updateView()
   }
 
@@ -215,6 +223,7 @@
     requests: startRequests(common, core),
     pools: startPools(common),
     documents: startDocuments(common, takeDocuments),
+    burn: burnTask.startBurn({ ...common, keyValue: common.calls.keyValue, availabilityZone: common.settings.availabilityZone }),
     targetStates: targetStates.createTargetStates(),
     route,
     connected,
