--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,12 +5,15 @@
  */
 import * as platform from '@persimmonhatch/platform'
 import * as protocol from '@persimmonhatch/protocol'
+import type * as undici from 'undici'
 import type * as log from './adapters/log.js'
 import type * as metrics from './adapters/metrics.js'
+import * as engineOrders from './adapters/engine-orders.js'
 import * as callerServer from './http/caller-server.js'
 import type * as readArrival from './http/read-arrival.js'
 import * as peerConnections from './peer/peers.js'
 import type * as settingsModule from './settings/settings.js'
+import * as orders from './tasks/orders.js'
 import * as operatorAnswers from './tasks/operator-answers.js'
 import * as platformCalls from './tasks/platform-calls.js'
 import * as registration from './tasks/registration.js'
@@ -89,6 +92,16 @@
   })
 }
 
+function startOrders (options: Options, tasks: tasksModule.Tasks, calls: platformCalls.PlatformCalls, httpClient: undici.Dispatcher, signal: AbortSignal): Promise<void> {
+  return orders.giveOrders({
+    ...options,
+    ...engineOrders.createEngineOrders(httpClient),
+    keyValue: calls.keyValue,
+    engines: () => orders.enginesOf(tasks.documents.inForce(), tasks.pools.hosted()),
+    count: options.metrics.count
+  }, signal)
+}
+
 function startBackground (options: Options, tasks: tasksModule.Tasks, calls: platformCalls.PlatformCalls, signal: AbortSignal): readonly Promise<void>[] {
   const { random, clock } = options
   const { count } = options.metrics
@@ -153,7 +166,11 @@
     tasks.tick()
     peers.tick()
   }, TICK_INTERVAL_MS)
-  const background = [...startBackground(options, tasks, calls, stopping.signal), meetSeeds(options, tasks, peers, stopping.signal)]
+  const background = [
+    ...startBackground(options, tasks, calls, stopping.signal),
+    startOrders(options, tasks, calls, httpClient, stopping.signal),
+    meetSeeds(options, tasks, peers, stopping.signal)
+  ]
   log.info('started', { address: settings.listen.callers, peers: settings.listen.peers, incarnation: options.incarnation })
 
   async function stop (): Promise<void> {
--- a/packages/daemon/src/tasks/documents.ts
+++ b/packages/daemon/src/tasks/documents.ts
@@ -40,6 +40,7 @@
   readonly tick: () => void
   /** Whether any document was seen or the platform said that there is none. */
   readonly ready: () => boolean
+  readonly inForce: () => readonly document.serviceDocument.ServiceDocument[]
   readonly status: () => readonly document.adoption.Status[]
   readonly platformState: () => PlatformState
 }
@@ -135,5 +136,5 @@
     options.send({ to: from, message: { kind: 'document-copy', service: found.service, revision: found.revision, content: found.text } })
   }
 
-  return { follow, heard, received, tick, ready: () => ready, status: adoption.status, platformState: () => state }
+  return { follow, heard, received, tick, ready: () => ready, inForce: () => adoption.resolution().documents, status: adoption.status, platformState: () => state }
 }
--- a/packages/daemon/src/tasks/pools.ts
+++ b/packages/daemon/src/tasks/pools.ts
@@ -44,6 +44,8 @@
   readonly resumed: () => void
   readonly tick: () => void
   readonly status: () => readonly authority.authority.Status[]
+  /** Pools that this daemon is the authority of. */
+  readonly hosted: () => ReadonlySet<string>
   readonly authorities: () => ReadonlyMap<string, protocol.Incarnation>
   /** Whether a pool lies in this daemon's region. */
   readonly isLocal: (pool: string) => boolean
@@ -167,6 +169,7 @@
     resumed: () => postAll({ kind: 'resumed' }),
     tick: () => postAll({ kind: 'tick' }),
     status: () => [...hosted.values()].map((one) => one.core.status()),
+    hosted: () => new Set(hosted.keys()),
     authorities: () => authorities,
     isLocal: (pool) => local.has(pool),
     stop: () => { for (const [pool, one] of hosted) letGo(pool, one) }
