Show that the HTTP client repeats no request; add the platform's stand-ins

Cause: a request is dispatched at most once, so the client library may not repeat one by itself. Ruled out: retrying by method, as undici's own rule for idempotent methods might do; with one request in flight per connection it sent nothing twice. Change: 32 cases of resets, kept connections, queues and redirects count the arrivals; stand-ins for the key-value service and the list of VMs.

--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -2,8 +2,8 @@
  * The HTTP client that every adapter shares. It sends each request at most once: no retry, no
  * redirect, one request in flight per connection.
  *
- * undici repeats nothing on a lost connection while one request is in flight per connection. With
- * more, it would send the ones behind the lost request again on a new connection.
+ * With one request in flight per connection, a lost connection fails that request and undici sends
+ * nothing again; `tests/http-client.test.ts` holds that for idempotent methods too.
  *
  * @module
  */
--- /dev/null
+++ b/packages/platform/tests/http-client.test.ts
@@ -0,0 +1,174 @@
+import * as assert from 'uvu/assert'
+import * as net from 'node:net'
+import * as undici from 'undici'
+import * as uvu from 'uvu'
+import * as httpClient from '../src/http-client.js'
+
+const LARGE_BODY = 'x'.repeat(2_000_000)
+const METHODS = ['GET', 'PUT', 'DELETE', 'POST'] as const
+const OK = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+const RESETS = ['on connection', 'on the first bytes', 'after the whole request', 'after part of the answer'] as const
+
+type Reset = typeof RESETS[number]
+
+/** Counts the request lines that arrive on any connection, and lets `onData` decide what follows. */
+class Arrivals {
+  readonly lines: string[] = []
+  connections = 0
+  readonly server: net.Server
+
+  constructor (onConnection: (socket: net.Socket) => void, onData: (socket: net.Socket, text: string, arrivals: Arrivals) => void) {
+    this.server = net.createServer((socket) => {
+      this.connections += 1
+      let text = ''
+      socket.on('error', () => undefined)
+      socket.on('data', (chunk) => {
+        this.lines.push(...chunk.toString('latin1').match(/[A-Z]+ \/\S+ HTTP\/1\.1/g) ?? [])
+        text += chunk.toString('latin1')
+        onData(socket, text, this)
+        if (text.endsWith('\r\n\r\n')) text = ''
+      })
+      onConnection(socket)
+    })
+  }
+
+  async listen (): Promise<string> {
+    await new Promise<void>((resolve) => { this.server.listen(0, '127.0.0.1', resolve) })
+    return `http://127.0.0.1:${(this.server.address() as net.AddressInfo).port}`
+  }
+}
+
+function client (limit: Partial<httpClient.Options> = {}): undici.Agent {
+  return httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0, ...limit })
+}
+
+async function attempt (url: string, options: NonNullable<Parameters<typeof undici.request>[1]>): Promise<string> {
+  try {
+    const answer = await undici.request(url, options)
+    return `${answer.statusCode} ${await answer.body.text()}`
+  } catch {
+    return 'failed'
+  }
+}
+
+function resetAt (reset: Reset): Arrivals {
+  return new Arrivals(
+    (socket) => { if (reset === 'on connection') socket.resetAndDestroy() },
+    (socket, text) => {
+      if (reset === 'on the first bytes') socket.resetAndDestroy()
+      const whole = text.endsWith('\r\n\r\n') || text.length > LARGE_BODY.length
+      if (reset === 'after the whole request' && whole) socket.resetAndDestroy()
+      if (reset === 'after part of the answer' && whole) socket.write('HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\npart', () => socket.resetAndDestroy())
+    }
+  )
+}
+
+const repeats = uvu.suite('no request is repeated')
+
+for (const reset of RESETS) {
+  for (const method of METHODS) {
+    repeats(`${method}, reset ${reset}`, async () => {
+      const arrivals = resetAt(reset)
+      const url = await arrivals.listen()
+      const agent = client()
+      const body = method === 'PUT' || method === 'POST' ? LARGE_BODY : null
+      assert.is(await attempt(`${url}/one`, { dispatcher: agent, method, body }), 'failed')
+      // A request sent after it shows that nothing of the first is still on its way.
+      await attempt(`${url}/two`, { dispatcher: agent, method: 'GET' })
+      await agent.close()
+      arrivals.server.close()
+      assert.ok(arrivals.lines.filter((line) => line.includes('/one')).length <= 1)
+      assert.is(arrivals.connections, 2)
+    })
+  }
+}
+
+for (const method of METHODS) {
+  repeats(`${method} on a kept connection that resets when its bytes arrive`, async () => {
+    const arrivals = new Arrivals(() => undefined, (socket, _text, { lines }) => {
+      if (lines.length === 1) socket.write(OK)
+      else socket.resetAndDestroy()
+    })
+    const url = await arrivals.listen()
+    const agent = client({ connections: 1 })
+    assert.is(await attempt(`${url}/first`, { dispatcher: agent }), '200 ok')
+    assert.is(await attempt(`${url}/one`, { dispatcher: agent, method }), 'failed')
+    await agent.close()
+    arrivals.server.close()
+    assert.is(arrivals.connections, 1, 'the second request went out on the kept connection')
+    assert.is(arrivals.lines.filter((line) => line.includes('/one')).length, 1)
+  })
+
+  repeats(`${method} on a kept connection that the server closes at the same moment`, async () => {
+    const arrivals = new Arrivals(() => undefined, (socket) => { socket.end(OK) })
+    const url = await arrivals.listen()
+    const agent = client()
+    const results: string[] = []
+    for (let index = 0; index < 50; index += 1) results.push(await attempt(`${url}/${index}`, { dispatcher: agent, method }))
+    await agent.close()
+    arrivals.server.close()
+    for (const [index, result] of results.entries()) {
+      const count = arrivals.lines.filter((line) => line.includes(`/${index} `)).length
+      assert.ok(count <= 1)
+      if (result !== 'failed') assert.is(count, 1)
+    }
+  })
+
+  repeats(`${method}s waiting for one connection that resets after every third`, async () => {
+    let whole = 0
+    const arrivals = new Arrivals(() => undefined, (socket) => {
+      whole += 1
+      if (whole % 3 === 0) socket.resetAndDestroy()
+      else socket.write(OK)
+    })
+    const url = await arrivals.listen()
+    const agent = client({ connections: 1 })
+    const results = await Promise.all(Array.from({ length: 30 }, async (_, index) => await attempt(`${url}/${index}`, { dispatcher: agent, method })))
+    await agent.close()
+    arrivals.server.close()
+    for (const index of results.keys()) assert.is(arrivals.lines.filter((line) => line.includes(`/${index} `)).length, 1)
+    assert.is(results.filter((result) => result === 'failed').length, 10)
+  })
+
+  repeats(`${method} answered by a redirect`, async () => {
+    const arrivals = new Arrivals(() => undefined, (socket) => { socket.write('HTTP/1.1 307 Temporary Redirect\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\r\n') })
+    const url = await arrivals.listen()
+    const agent = client()
+    assert.is(await attempt(`${url}/one`, { dispatcher: agent, method }), '307 ')
+    await agent.close()
+    arrivals.server.close()
+    assert.is(arrivals.lines.length, 1)
+  })
+}
+
+repeats.run()
+
+const notice = uvu.suite('dispatch notice')
+
+notice('comes before the first byte', async () => {
+  const order: string[] = []
+  const arrivals = new Arrivals(() => undefined, (socket) => {
+    order.push('arrived')
+    socket.write(OK)
+  })
+  const url = await arrivals.listen()
+  const agent = client()
+  await attempt(url, { dispatcher: httpClient.withDispatchNotice(agent, () => order.push('dispatched')) })
+  await agent.close()
+  arrivals.server.close()
+  assert.equal(order, ['dispatched', 'arrived'])
+})
+
+notice('does not come when the connection is refused', async () => {
+  const arrivals = new Arrivals(() => undefined, () => undefined)
+  const url = await arrivals.listen()
+  await new Promise((resolve) => { arrivals.server.close(resolve) })
+  const agent = client()
+  let dispatched = false
+  const result = await attempt(url, { dispatcher: httpClient.withDispatchNotice(agent, () => { dispatched = true }), method: 'POST', body: 'x' })
+  await agent.close()
+  assert.is(result, 'failed')
+  assert.not(dispatched)
+})
+
+notice.run()
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,4 +3,6 @@
  *
  * @module
  */
-export {}
+export * as keyValueService from './key-value-service.js'
+export * as timers from './timers.js'
+export * as vmListService from './vm-list-service.js'
