--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -3,4 +3,4 @@
  *
  * @module
  */
-export {}
+export * as mix from './mix.js'
--- a/packages/system/src/index.ts
+++ b/packages/system/src/index.ts
@@ -1,6 +1,13 @@
 /**
- * Starts the whole system as separate processes.
+ * Starts the whole system as separate processes for the demo, the soak and the end-to-end tests.
  *
  * @module
  */
-export {}
+export * as call from './call.js'
+export * as collectRuns from './collect-runs.js'
+export * as daemonProcess from './daemon-process.js'
+export * as deployment from './deployment.js'
+export * as recorder from './recorder.js'
+export * as summary from './summary.js'
+export * as system from './system.js'
+export * as waitUntil from './wait-until.js'
