Prove the entry over interleavings of two entries and authorities that grant at will

Change: a model of two entries, two authorities whose grants are lost, late, repeated, foreign or stale, pauses with and without notice, crashes, resends at both entries, leaving targets, changed documents and expired epochs. A non-idempotent run that ends with its killed daemon is no cancellation.

The first version of the tests did not notice a missing authority check, because a foreign authority has no fresh round either; a case and a check in the model now do.

--- a/packages/entry/tests/entry.test.ts
+++ b/packages/entry/tests/entry.test.ts
@@ -119,6 +119,14 @@
   assert.equal(fixtures.effects(driver.grant(fourth, 'stock-1', OTHER_AUTHORITY)), ['dispatch 1 stock-1'])
 })
 
+test('a former authority cannot grant the present ask, even in a fresh round', () => {
+  const driver = started()
+  const former = fixtures.askOf(driver.arrive())
+  const present = fixtures.askOf(driver.assign(OTHER_AUTHORITY))
+  assert.equal(fixtures.effects(driver.grant({ ...present, round: former.round })), [])
+  assert.equal(fixtures.effects(driver.grant(present, 'stock-1', OTHER_AUTHORITY)), ['dispatch 1 stock-1'])
+})
+
 test('rounds are renewed while asks wait, and a grant that echoes a renewed round is used', () => {
   const driver = started()
   const ask = fixtures.askOf(driver.arrive())
--- /dev/null
+++ b/packages/entry/tests/model.ts
@@ -0,0 +1,428 @@
+/**
+ * A model of two entries among callers, authorities that grant at will, and targets. Its commands
+ * come from a generator; its history is what callers and targets see.
+ *
+ * @module
+ */
+import type * as document from '@persimmonhatch/document'
+import type * as history from '@persimmonhatch/history'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as index from '../src/index.js'
+import * as fixtures from './fixtures.js'
+
+/** One step of a run. Numbers choose among what there is at that moment. */
+export type Command =
+  | { readonly kind: 'send', readonly request: number, readonly elsewhere: boolean }
+  | { readonly kind: 'caller-gone', readonly call: number }
+  | { readonly kind: 'grant', readonly ask: number, readonly foreign: boolean, readonly target: number, readonly renewed: boolean, readonly prompt: boolean }
+  | { readonly kind: 'refusal', readonly ask: number, readonly reason: protocol.Reason }
+  | { readonly kind: 'revocation', readonly ask: number, readonly cause: protocol.Revocation['cause'] }
+  | { readonly kind: 'deliver', readonly message: number, readonly keep: boolean, readonly reachable: boolean }
+  | { readonly kind: 'lose', readonly message: number }
+  | { readonly kind: 'end', readonly dispatch: number, readonly outcome: index.event.DispatchEnd['outcome'] }
+  | { readonly kind: 'authority', readonly entry: number, readonly authority: number, readonly reconnected: boolean }
+  | { readonly kind: 'collect', readonly entry: number, readonly authority: number }
+  | { readonly kind: 'pause' | 'crash' | 'drain', readonly entry: number }
+  | { readonly kind: 'resume', readonly entry: number, readonly told: boolean }
+  | { readonly kind: 'leaving', readonly target: number }
+  | { readonly kind: 'documents', readonly entry: number, readonly variant: number }
+  | { readonly kind: 'beat', readonly entry: number, readonly by: number }
+  | { readonly kind: 'wait', readonly durationMs: number }
+
+interface Call {
+  readonly call: number
+  readonly request: string
+  readonly daemon: protocol.Incarnation
+}
+
+interface Asked {
+  readonly entry: protocol.Incarnation
+  readonly authority: protocol.Incarnation
+  readonly ask: protocol.Ask
+}
+
+interface Message {
+  readonly to: protocol.Incarnation
+  readonly from: protocol.Incarnation
+  readonly message: index.event.Received
+}
+
+interface Dispatch {
+  readonly entry: protocol.Incarnation
+  readonly request: number
+  readonly run: number
+  readonly reached: boolean
+  readonly cancelled: boolean
+}
+
+const AUTHORITIES = [fixtures.AUTHORITY, fixtures.OTHER_AUTHORITY]
+
+const TARGETS = fixtures.STOCK.targets.map((target) => target.name)
+
+const DOCUMENTS: ReadonlyArray<readonly document.serviceDocument.ServiceDocument[]> = [
+  [fixtures.STOCK],
+  [{ ...fixtures.STOCK, targets: fixtures.STOCK.targets.slice(1) }],
+  [{ ...fixtures.STOCK, tiers: fixtures.STOCK.tiers.map((tier) => ({ ...tier, rank: tier.rank + 1 })) }],
+  []
+]
+
+const REQUESTS = [
+  { owner: 0, path: '/reserve' },
+  { owner: 1, path: '/reserve' },
+  { owner: 0, path: '/tag' },
+  { owner: 1, path: '/tag' },
+  { owner: undefined, path: '/tag' }
+]
+
+const LONGEST_DEADLINE_MS = 200_000
+
+function pickLatest<T> (items: readonly T[], choice: number): T | undefined {
+  return items[items.length - 1 - choice % Math.max(1, items.length)]
+}
+
+function pick<T> (items: readonly T[], choice: number): T | undefined {
+  return items[choice % Math.max(1, items.length)]
+}
+
+class Process {
+  readonly entry: index.entry.Entry
+  readonly leaving = new Set<string>()
+  readonly held: index.event.Event[] = []
+  authorities: ReadonlyMap<string, protocol.Incarnation> = new Map()
+  beat = 10
+  paused = false
+
+  constructor (readonly incarnation: protocol.Incarnation, options: Pick<index.entry.Options, 'findMember' | 'random'>) {
+    this.entry = index.entry.createEntry({ incarnation, requestLimit: 4, identityLimit: 6, ...options })
+  }
+}
+
+/** The entries and all around them. */
+export class Model {
+  nowMs = 0
+  readonly facts: history.history.Fact[] = []
+  /** What goes wrong inside the model, where no caller or target would see it. */
+  readonly faults: string[] = []
+  readonly counts = new Map<string, number>()
+  readonly #calls = new Map<number, Call>()
+  readonly #joined = new Map<number, number[]>()
+  readonly #answers = new Map<number, string>()
+  readonly #identities = new Map<number, string>()
+  readonly #asked: Asked[] = []
+  readonly #latestRound = new Map<string, number>()
+  readonly #messages: Message[] = []
+  #dispatches: readonly Dispatch[] = []
+  #processes: readonly Process[] = []
+  readonly #leaving = new Set<string>()
+  /** Calls whose connection is closed: their callers see nothing more. */
+  readonly #closed = new Set<number>()
+  #lastCall = 0
+  #started = 0
+  #runs = 0
+  #reachable = true
+
+  constructor () {
+    this.#processes = [this.#start(), this.#start()]
+  }
+
+  history (): history.history.History {
+    return { facts: this.facts, targets: new Map([['stock', TARGETS]]) }
+  }
+
+  perform (command: Command): void {
+    switch (command.kind) {
+      case 'send': return this.#send(command.request, command.elsewhere)
+      case 'caller-gone': return this.#leave(pick([...this.#calls.values()], command.call))
+      case 'end': return this.#end(pick(this.#dispatches, command.dispatch), command.outcome)
+      case 'leaving': return this.#announceLeaving(TARGETS[command.target] ?? '')
+      case 'wait': return this.#wait(command.durationMs)
+      case 'grant':
+      case 'refusal':
+      case 'revocation':
+      case 'deliver':
+      case 'lose': return this.#performMessage(command)
+      default: return this.#performProcess(command, this.#process(command.entry))
+    }
+  }
+
+  #performMessage (command: Extract<Command, { readonly kind: 'grant' | 'refusal' | 'revocation' | 'deliver' | 'lose' }>): void {
+    switch (command.kind) {
+      case 'grant': return this.#grant(command)
+      case 'refusal': return this.#answerAsk(command.ask, (ask) => ({ kind: 'refusal', ask, reason: command.reason, retryAfterMs: 500, figures: {} }))
+      case 'revocation': return this.#answerAsk(command.ask, (ask) => ({ kind: 'revocation', ask, cause: command.cause }))
+      case 'deliver': return this.#deliver(command)
+      case 'lose': this.#messages.splice(command.message, 1)
+    }
+  }
+
+  #performProcess (command: Extract<Command, { readonly entry: number }>, process: Process): void {
+    switch (command.kind) {
+      case 'authority': return this.#assign(process, AUTHORITIES[command.authority], command.reconnected)
+      case 'collect': return this.#handle(process, { kind: 'message', from: AUTHORITIES[command.authority] ?? '', message: { kind: 'collect', pool: 'north' } })
+      case 'pause': process.paused = true; return
+      case 'resume': return this.#resume(process, command.told)
+      case 'crash': return this.#crash(process)
+      case 'drain': return this.#handle(process, { kind: 'drain' })
+      case 'documents': return this.#handle(process, { kind: 'documents', documents: DOCUMENTS[command.variant] ?? [] })
+      case 'beat': return this.#advanceBeat(process, command.by)
+    }
+  }
+
+  /** Lets everything come to its end: running requests finish, waiting ones meet their deadlines. */
+  finish (): void {
+    for (const process of this.#processes) this.#resume(process, true)
+    for (let round = 0; round < 2; round++) {
+      for (const dispatch of this.#dispatches) this.#end(dispatch, 'finished')
+      this.#wait(LONGEST_DEADLINE_MS)
+    }
+    for (const { entry } of this.#processes) {
+      const { waiting, running } = entry.status()
+      if (waiting + running > 0) this.faults.push(`${waiting} requests still wait and ${running} run`)
+    }
+  }
+
+  #start (): Process {
+    this.#started += 1
+    const process = new Process(`entry${String(this.#started).padStart(8, '0')}`, {
+      random: () => this.#started / 100,
+      findMember: (incarnation) => this.#findMember(incarnation)
+    })
+    this.#processes = [...this.#processes, process]
+    this.#handle(process, { kind: 'beat', beat: process.beat })
+    this.#handle(process, { kind: 'documents', documents: DOCUMENTS[0] ?? [] })
+    this.#assign(process, fixtures.AUTHORITY, false)
+    for (const target of this.#leaving) this.#tellLeaving(process, target)
+    return process
+  }
+
+  #process (choice: number): Process {
+    const process = this.#processes[choice]
+    if (process === undefined) throw new Error(`no entry ${choice}`)
+    return process
+  }
+
+  #findMember (incarnation: protocol.Incarnation): protocol.MemberNews | undefined {
+    if (this.#processes.every((process) => process.incarnation !== incarnation)) return undefined
+    const address = `10.0.0.1:${incarnation.length}`
+    return { kind: 'member', incarnation, address, peerAddress: address, availabilityZone: 'a', region: 'r', beat: 0, state: 'alive', load: 0 }
+  }
+
+  /** A paused process gets its events when it goes on. */
+  #handle (process: Process, input: index.event.Event): void {
+    if (process.paused) {
+      process.held.push(input)
+      return
+    }
+    if (input.kind === 'authorities') process.authorities = input.authorities
+    if (input.kind === 'target') process.leaving.add(input.news.target)
+    const outputs = [...process.entry.handle(input, this.nowMs)]
+    if (input.kind === 'message' && input.message.kind === 'grant') this.#checkGrant(process, input.from, input.message, outputs)
+    for (const output of outputs) this.#output(process, output)
+  }
+
+  /** Each grant leads to a dispatch or is released to its sender, unless it repeats the grant in use. */
+  #checkGrant (process: Process, from: protocol.Incarnation, grant: protocol.Grant, outputs: readonly index.event.Output[]): void {
+    const isUsed = outputs.some((output) => output.kind === 'dispatch')
+    if (isUsed && process.authorities.get('north') !== from) this.faults.push(`grant of ${from} was used, which is no authority`)
+    const isReleased = fixtures.releases(outputs).includes(`${grant.ask} unused ${from}`)
+    const isRepeated = outputs.some((output) => output.kind === 'count' && output.counter === 'entry.grants-repeated')
+    if ([isUsed, isReleased, isRepeated].filter(Boolean).length !== 1) this.faults.push(`grant of ask ${grant.ask} was neither used nor released`)
+  }
+
+  #output (process: Process, output: index.event.Output): void {
+    this.counts.set(output.kind, (this.counts.get(output.kind) ?? 0) + 1)
+    switch (output.kind) {
+      case 'send': return this.#record(process, output.outbound)
+      case 'dispatch': return this.#dispatch(process, output.request, output.placement.target)
+      case 'cancel':
+        this.#dispatches = this.#dispatches.map((each) => each.entry === process.incarnation && each.request === output.request ? { ...each, cancelled: true } : each)
+        return
+      case 'refuse': return this.#refuse(output.request, output.receipt)
+      case 'join': return this.#join(output.request, output.original)
+      case 'redirect': return this.#conclude({ kind: 'redirected', atMs: this.nowMs, call: output.request })
+      case 'forget': this.#answers.delete(output.request); return
+      case 'drained': return this.#checkDrained(process)
+      default:
+    }
+  }
+
+  #checkDrained (process: Process): void {
+    const { waiting, running } = process.entry.status()
+    if (waiting + running > 0) this.faults.push('drained too early')
+  }
+
+  #record (process: Process, outbound: protocol.Outbound): void {
+    const { to, message } = outbound
+    if (message.kind === 'ask') this.#asked.push({ entry: process.incarnation, authority: to, ask: message })
+    if (message.kind === 'ask' || message.kind === 'round') this.#latestRound.set(`${process.incarnation} ${to}`, message.round)
+  }
+
+  /** Callers send to the owner of the identity, or elsewhere. */
+  #send (choice: number, elsewhere: boolean): void {
+    const request = REQUESTS[choice % REQUESTS.length]
+    if (request === undefined) return
+    const process = this.#process(((request.owner ?? 0) + Number(elsewhere)) % 2)
+    const call = this.#nextCall()
+    const identity = request.owner === undefined ? undefined : this.#identity(choice, this.#process(request.owner))
+    const name = identity ?? `unnamed ${call}`
+    const nonIdempotent = request.path === '/reserve'
+    this.#calls.set(call, { call, request: name, daemon: process.incarnation })
+    this.facts.push({
+      kind: 'sent', atMs: this.nowMs, call, request: name, service: 'stock', rank: nonIdempotent ? 0 : 3, nonIdempotent, daemon: process.incarnation, deadlineMs: undefined
+    })
+    const arrival = { ...fixtures.ARRIVAL, request: call, identity, path: request.path, fingerprint: `f${choice % REQUESTS.length}` }
+    this.#handle(process, { kind: 'arrival', arrival })
+  }
+
+  #nextCall (): number {
+    this.#lastCall += 1
+    return this.#lastCall
+  }
+
+  /** The identity under which a caller sends one of its requests; each choice is one request. */
+  #identity (choice: number, owner: Process): string {
+    const identity = this.#identities.get(choice) ?? `${owner.incarnation}.${owner.beat}.r${choice}`
+    this.#identities.set(choice, identity)
+    return identity
+  }
+
+  #leave (call: Call | undefined): void {
+    if (call === undefined) return
+    this.#conclude({ kind: 'disconnected', atMs: this.nowMs, call: call.call, by: 'caller' })
+    this.#closed.add(call.call)
+    const process = this.#processes.find((each) => each.incarnation === call.daemon)
+    if (process !== undefined) this.#handle(process, { kind: 'caller-gone', request: call.call })
+  }
+
+  #grant (command: Extract<Command, { readonly kind: 'grant' }>): void {
+    const asked = pickLatest(this.#asked, command.ask)
+    if (asked === undefined) return
+    const from = command.foreign ? AUTHORITIES.find((each) => each !== asked.authority) ?? '' : asked.authority
+    const latest = this.#latestRound.get(`${asked.entry} ${from}`)
+    const round = command.renewed && latest !== undefined ? latest : asked.ask.round
+    const eligible = fixtures.STOCK.targets.filter((target) => command.foreign || target.pool === asked.ask.pool)
+    const target = pick(eligible, command.target)?.name ?? ''
+    this.#messages.push({ to: asked.entry, from, message: { kind: 'grant', ask: asked.ask.ask, target, round, figures: {} } })
+    if (command.prompt) this.#deliver({ kind: 'deliver', message: 0, keep: false, reachable: true })
+  }
+
+  #answerAsk (choice: number, message: (ask: number) => index.event.Received): void {
+    const asked = pickLatest(this.#asked, choice)
+    if (asked !== undefined) this.#messages.push({ to: asked.entry, from: asked.authority, message: message(asked.ask.ask) })
+  }
+
+  #deliver (command: Extract<Command, { readonly kind: 'deliver' }>): void {
+    const chosen = pickLatest(this.#messages, command.message)
+    if (chosen === undefined) return
+    if (!command.keep) this.#messages.splice(this.#messages.indexOf(chosen), 1)
+    const process = this.#processes.find((each) => each.incarnation === chosen.to)
+    this.#reachable = command.reachable
+    if (process !== undefined) this.#handle(process, { kind: 'message', from: chosen.from, message: chosen.message })
+    this.#reachable = true
+  }
+
+  #dispatch (process: Process, request: number, target: string): void {
+    const call = this.facts.find((fact) => fact.kind === 'sent' && fact.call === request)
+    if (call?.kind !== 'sent') throw new Error(`nobody sent ${request}`)
+    this.#runs += 1
+    this.#dispatches = [...this.#dispatches, { entry: process.incarnation, request, run: this.#runs, reached: this.#reachable, cancelled: false }]
+    if (process.leaving.has(target)) this.faults.push(`dispatch on ${target}, which is known to be leaving`)
+    if (!this.#reachable) return
+    const { service, rank, nonIdempotent } = call
+    this.facts.push({ kind: 'run-started', atMs: this.nowMs, run: this.#runs, target, request: call.request, service, rank, nonIdempotent })
+  }
+
+  #end (dispatch: Dispatch | undefined, wanted: index.event.DispatchEnd['outcome']): void {
+    const process = this.#processes.find((each) => each.incarnation === dispatch?.entry)
+    if (dispatch === undefined || process === undefined) return
+    this.#dispatches = this.#dispatches.filter((each) => each !== dispatch)
+    const outcome = this.#possibleOutcome(dispatch, wanted)
+    const answer = `answer to ${dispatch.run}`
+    if (dispatch.reached) {
+      const seen = outcome === 'finished' || outcome === 'cancelled' ? outcome : 'broken'
+      this.facts.push({ kind: 'run-ended', atMs: this.nowMs, run: dispatch.run, outcome: seen, answer })
+    }
+    if (outcome === 'finished') this.#complete(dispatch.request, answer)
+    this.#handle(process, { kind: 'ended', request: dispatch.request, end: { ...fixtures.END, outcome } })
+  }
+
+  #possibleOutcome (dispatch: Dispatch, wanted: index.event.DispatchEnd['outcome']): index.event.DispatchEnd['outcome'] {
+    if (!dispatch.reached) return 'unreachable'
+    if (dispatch.cancelled && wanted !== 'finished') return 'cancelled'
+    return wanted === 'unreachable' || wanted === 'cancelled' ? 'finished' : wanted
+  }
+
+  #complete (request: number, answer: string): void {
+    this.#answers.set(request, answer)
+    for (const call of [request, ...this.#joined.get(request) ?? []]) this.#answer(call, answer)
+  }
+
+  #answer (call: number, answer: string): void {
+    if (!this.#closed.has(call)) this.facts.push({ kind: 'received', atMs: this.nowMs, call, text: answer })
+    this.#conclude({ kind: 'answered', atMs: this.nowMs, call })
+  }
+
+  #conclude (final: history.calls.Final): void {
+    this.#calls.delete(final.call)
+    if (!this.#closed.has(final.call)) this.facts.push(final)
+  }
+
+  #join (call: number, original: number): void {
+    const answer = this.#answers.get(original)
+    if (answer !== undefined) this.#answer(call, answer)
+    else this.#joined.set(original, [...this.#joined.get(original) ?? [], call])
+  }
+
+  #refuse (call: number, receipt: index.event.Receipt): void {
+    this.#conclude({ kind: 'refused', atMs: this.nowMs, call, reason: receipt.reason, execution: receipt.execution })
+  }
+
+  #assign (process: Process, authority: protocol.Incarnation | undefined, reconnected: boolean): void {
+    const authorities = new Map(authority === undefined ? [] : [['north', authority], ['south', authority]])
+    this.#handle(process, { kind: 'authorities', authorities, reconnected: reconnected && authority !== undefined ? [authority] : [] })
+  }
+
+  #resume (process: Process, told: boolean): void {
+    if (!process.paused) return
+    process.paused = false
+    for (const input of process.held.splice(0)) this.#handle(process, input)
+    if (told) this.#handle(process, { kind: 'resumed' })
+  }
+
+  /** The process dies with its connections, and another takes its place. */
+  #crash (crashed: Process): void {
+    this.facts.push({ kind: 'process-ended', atMs: this.nowMs, daemon: crashed.incarnation, code: undefined })
+    for (const call of this.#calls.values()) {
+      if (call.daemon !== crashed.incarnation) continue
+      this.#conclude({ kind: 'disconnected', atMs: this.nowMs, call: call.call, by: 'daemon' })
+      this.#closed.add(call.call)
+    }
+    for (const dispatch of this.#dispatches) {
+      if (dispatch.entry === crashed.incarnation && dispatch.reached) this.facts.push({ kind: 'run-ended', atMs: this.nowMs, run: dispatch.run, outcome: 'cancelled', answer: '' })
+    }
+    this.#dispatches = this.#dispatches.filter((each) => each.entry !== crashed.incarnation)
+    const survivors = this.#processes.map((each) => each === crashed ? undefined : each)
+    const replacement = this.#start()
+    this.#processes = survivors.map((each) => each ?? replacement)
+  }
+
+  #announceLeaving (target: string): void {
+    this.facts.push({ kind: 'target-leaving', atMs: this.nowMs, target })
+    this.#leaving.add(target)
+    for (const process of this.#processes) this.#tellLeaving(process, target)
+  }
+
+  #tellLeaving (process: Process, target: string): void {
+    this.#handle(process, { kind: 'target', news: { kind: 'target', target, version: 1, state: 'leaving' } })
+  }
+
+  #advanceBeat (process: Process, by: number): void {
+    process.beat += by
+    this.#handle(process, { kind: 'beat', beat: process.beat })
+  }
+
+  #wait (durationMs: number): void {
+    this.nowMs += durationMs
+    for (const process of this.#processes) this.#handle(process, { kind: 'tick' })
+  }
+}
--- a/packages/history/src/single-effect.ts
+++ b/packages/history/src/single-effect.ts
@@ -1,5 +1,5 @@
 /**
- * A non-idempotent request runs at most once, and nothing stops it once it runs.
+ * A non-idempotent request runs at most once, and nothing but the death of its daemon stops it once it runs.
  *
  * @module
  */
@@ -8,16 +8,24 @@
 
 const PROMISE = 'single-effect'
 
-function judge (request: string, all: readonly runs.Run[]): readonly history.Violation[] {
-  const repeated = all.slice(1).map(({ started }) => ({
+function findRepeated (request: string, all: readonly runs.Run[]): readonly history.Violation[] {
+  return all.slice(1).map(({ started }) => ({
     promise: PROMISE,
     atMs: started.atMs,
     message: `non-idempotent ${request} ran again on ${started.target}`
   }))
-  const stopped = all.flatMap(({ started, ended }) => ended?.outcome !== 'cancelled'
+}
+
+function findCancelled (request: string, all: readonly runs.Run[]): readonly history.Violation[] {
+  return all.flatMap(({ started, ended }) => ended?.outcome !== 'cancelled'
     ? []
     : [{ promise: PROMISE, atMs: ended.atMs, message: `non-idempotent ${request} was cancelled on ${started.target}` }])
-  return [...repeated, ...stopped]
+}
+
+/** Requests that were sent to a daemon that was killed at some time, which closes its connections to targets. */
+function findOrphaned (of: history.History): ReadonlySet<string> {
+  const killed = new Set(of.facts.flatMap((fact) => fact.kind === 'process-ended' && fact.code !== 0 ? [fact.daemon] : []))
+  return new Set(of.facts.flatMap((fact) => fact.kind === 'sent' && killed.has(fact.daemon) ? [fact.request] : []))
 }
 
 /**
@@ -29,6 +37,10 @@
  * ```
  */
 export function singleEffect (of: history.History): readonly history.Violation[] {
+  const orphaned = findOrphaned(of)
   const nonIdempotent = [...runs.runsByRequest(of)].filter(([, all]) => all.some((run) => run.started.nonIdempotent))
-  return nonIdempotent.flatMap(([request, all]) => judge(request, all))
+  return nonIdempotent.flatMap(([request, all]) => [
+    ...findRepeated(request, all),
+    ...orphaned.has(request) ? [] : findCancelled(request, all)
+  ])
 }
--- a/packages/history/tests/promises.test.ts
+++ b/packages/history/tests/promises.test.ts
@@ -41,6 +41,7 @@
 check('single-effect', index.singleEffect.singleEffect, [
   { name: 'one run', facts: [started(1, 1, { nonIdempotent: true }), ended(2, 1, 'finished')] },
   { name: 'a cancelled idempotent request', facts: [started(1, 1), ended(2, 1, 'cancelled')] },
+  { name: 'cancelled by the death of its daemon', facts: [sent(0, 1), started(1, 1, { nonIdempotent: true }), ended(2, 1, 'cancelled'), { ...exited, code: undefined, atMs: 2 }] },
   { name: 'a second run', facts: [started(1, 1, { nonIdempotent: true }), started(2, 2, { nonIdempotent: true })], violation: 'ran again' },
   { name: 'stopped while it ran', facts: [started(1, 1, { nonIdempotent: true }), ended(2, 1, 'cancelled')], violation: 'was cancelled' }
 ])
