Keep non-idempotent requests under their rule however their path is spelled

Cause: one malformed escape left the whole path undecoded, so that /%/../%72eserve escaped the rule of /reserve and could have run without an identity.

Change: each run of escapes is decoded by itself. With it: a grant after the deadline is released; a resend under another organisation is answered without a claim about what ran; the ledger looks for the oldest epoch without copying its identities.

--- a/packages/entry/src/arrival.ts
+++ b/packages/entry/src/arrival.ts
@@ -35,7 +35,9 @@
 
 function * joinOrReplay (own: state.State, arrival: event.Arrival, known: identityLedger.Remembered): output.Outputs {
   if (known.fingerprint !== arrival.fingerprint || known.organisation !== arrival.organisation) {
-    yield * refuseUnremembered(arrival, receipt.notRun('identity-reused', {}))
+    // The same content under another organisation may be the request that ran.
+    const execution = known.fingerprint === arrival.fingerprint ? 'unknown' : 'not-run'
+    yield * refuseUnremembered(arrival, { reason: 'identity-reused', execution, figures: {} })
     return
   }
   yield output.count('entry.resends')
--- a/packages/entry/src/grant.ts
+++ b/packages/entry/src/grant.ts
@@ -13,7 +13,7 @@
 import type * as state from './state.js'
 
 /** Why a grant must not be used. */
-export type Unusable = 'not-waiting' | 'other-authority' | 'stale-round' | 'unknown-target' | 'other-pool' | 'leaving-target'
+export type Unusable = 'not-waiting' | 'past-deadline' | 'other-authority' | 'stale-round' | 'unknown-target' | 'other-pool' | 'leaving-target'
 
 interface Usable {
   readonly waiting: request.Waiting
@@ -27,6 +27,7 @@
   const waiting = own.findByAsk(grant.ask)
   if (waiting === undefined || waiting.state !== 'waiting' || waiting.slot?.ask !== grant.ask) return neverthrow.err('not-waiting')
   const slot = waiting.slot
+  if (nowMs >= waiting.deadlineAtMs) return neverthrow.err('past-deadline')
   if (slot.authority !== from || own.authorities.get(slot.pool) !== from) return neverthrow.err('other-authority')
   if (!own.rounds.isFresh(from, grant.round, nowMs)) return neverthrow.err('stale-round')
   const service = own.services.get(waiting.arrival.service)
--- a/packages/entry/src/identity-ledger.ts
+++ b/packages/entry/src/identity-ledger.ts
@@ -102,13 +102,16 @@
     this.#lowWaterEpoch = Math.max(this.#lowWaterEpoch, epoch)
   }
 
-  #isSettled (identity: string): boolean {
-    return this.#byIdentity.get(identity)?.settlement !== undefined
+  #hasSettled (epoch: number): boolean {
+    for (const identity of this.#byEpoch.get(epoch) ?? []) {
+      if (this.#byIdentity.get(identity)?.settlement !== undefined) return true
+    }
+    return false
   }
 
   #oldestSettledEpoch (): number | undefined {
-    const settled = [...this.#byEpoch].filter(([, identities]) => [...identities].some((identity) => this.#isSettled(identity)))
-    return settled.length === 0 ? undefined : Math.min(...settled.map(([epoch]) => epoch))
+    const epochs = [...this.#byEpoch.keys()].sort((left, right) => left - right)
+    return epochs.find((epoch) => this.#hasSettled(epoch))
   }
 
   #forgetBelowLowWater (): readonly Remembered[] {
--- a/packages/entry/src/request-rule.ts
+++ b/packages/entry/src/request-rule.ts
@@ -5,14 +5,21 @@
  */
 import type * as document from '@persimmonhatch/document'
 
-function decode (path: string): string {
+const ESCAPES = /(?:%[0-9a-f]{2})+/gi
+
+function decodeEscapes (escapes: string): string {
   try {
-    return decodeURIComponent(path)
+    return decodeURIComponent(escapes)
   } catch {
-    return path
+    return escapes
   }
 }
 
+/** Decodes each run of escapes by itself, so that a malformed one leaves the others readable. */
+function decode (path: string): string {
+  return path.replace(ESCAPES, decodeEscapes)
+}
+
 function dropDotSegments (segments: readonly string[]): readonly string[] {
   const kept: string[] = []
   for (const segment of segments) {
