Check conflicts after writing too, and ask fewer daemons

Two documents can pass their checks at one time and disagree once both are stored; the tool looks again after its write and says so. While waiting, a daemon that has the revision is not asked again, and one that lacks it is never forgotten, also when the platform stops answering: before, such a daemon dropped out and the tool could have claimed a revision in force everywhere.

--- a/packages/cli/src/apply-document.ts
+++ b/packages/cli/src/apply-document.ts
@@ -36,28 +36,60 @@
     .mapErr((error) => new failure.Failure('invalid', 'invalid-document', { file, problems: showProblems(error.problems) }))
 }
 
-function parseStored (service: store.StoredService): readonly ServiceDocument[] {
-  const content = service.stored.isOk() ? service.stored.value.content : null
-  const parsed = content === null ? undefined : document.parseServiceDocument.parseServiceDocument(content)
-  return parsed?.isOk() === true ? [parsed.value] : []
+// Valid documents of other services, and the names of those that are not valid.
+interface Others {
+  readonly documents: readonly ServiceDocument[]
+  readonly invalid: readonly string[]
 }
 
-function checkOthers (file: string, checked: ServiceDocument, services: readonly store.StoredService[]): neverthrow.Result<void, failure.Failure> {
-  const problems = document.checkAgainstOthers.checkAgainstOthers(checked, services.flatMap(parseStored))
+async function readOthers (run: session.Session, service: string): Promise<neverthrow.Result<Others, failure.Failure>> {
+  const listed = await store.listServices(run.ports)
+  return listed.map((services) => {
+    const stored = services.filter((each) => each.service !== service && !store.isDeleted(each))
+    const parsed = stored.map((each) => ({ service: each.service, document: store.parseContent(each) }))
+    return {
+      documents: parsed.flatMap((each) => each.document === undefined ? [] : [each.document]),
+      invalid: parsed.flatMap((each) => each.document === undefined ? [each.service] : [])
+    }
+  })
+}
+
+function checkOthers (file: string, checked: ServiceDocument, others: Others): neverthrow.Result<void, failure.Failure> {
+  const problems = document.checkAgainstOthers.checkAgainstOthers(checked, others.documents)
   if (problems.length === 0) return neverthrow.ok(undefined)
   return neverthrow.err(new failure.Failure('invalid', 'conflicting-documents', { file, problems: showProblems(problems) }))
 }
 
+function checkOrigin (file: string, service: string, origin: changeText.Origin | undefined): neverthrow.Result<void, failure.Failure> {
+  if (origin === undefined || origin.service === service) return neverthrow.ok(undefined)
+  return neverthrow.err(new failure.Failure('invalid', 'origin-of-another-service', { file, service, origin: origin.service }))
+}
+
+// Two documents may pass their checks at one time and still disagree once both are stored.
+async function noteConflicts (run: session.Session, checked: ServiceDocument): Promise<readonly session.Note[]> {
+  const others = await readOthers(run, checked.service)
+  const problems = others.isOk() ? document.checkAgainstOthers.checkAgainstOthers(checked, others.value.documents) : []
+  if (problems.length === 0) return []
+  return [{ exit: 'notInForce', text: message.formatMessage('conflicting-since', { problems: showProblems(problems) }) }]
+}
+
+// The new content, checked, and what there is to say about the checks.
+interface Edit {
+  readonly content: string | null
+  readonly document: ServiceDocument | undefined
+  readonly notes: readonly session.Note[]
+}
+
 interface InForce {
   readonly revision: number
   readonly asked: boolean
 }
 
 async function findInForce (run: session.Session, service: string): Promise<InForce> {
-  const everyone = await daemons.askEveryone(run)
-  const known = everyone.flatMap((asked) => asked.status.isOk() ? asked.status.value.services : [])
+  const some = await daemons.askSome(run)
+  const known = some.flatMap((asked) => asked.status.isOk() ? asked.status.value.services : [])
   const revisions = known.filter((each) => each.service === service).map((each) => each.revision)
-  return { revision: Math.max(0, ...revisions), asked: everyone.some((asked) => asked.status.isOk()) }
+  return { revision: Math.max(0, ...revisions), asked: some.some((asked) => asked.status.isOk()) }
 }
 
 function toWanted (request: document.changePlan.Request, verdict: document.changeFlow.Verdict): awaitRevision.Wanted | undefined {
@@ -67,17 +99,19 @@
   return undefined
 }
 
-function join (stored: session.Report, notes: readonly string[], waited: session.Report | undefined): session.Report {
-  if (waited === undefined) return { ...stored, text: [stored.text, ...notes].join('\n') }
-  const text = [stored.text, ...notes, waited.text].join('\n')
-  return { exit: waited.exit, text, json: { ...stored.json as object, daemons: waited.json } }
+function join (stored: session.Report, notes: readonly session.Note[], waited: session.Report | undefined): session.Report {
+  const parts = waited === undefined ? [stored, ...notes] : [stored, ...notes, waited]
+  const exit = parts.find((part) => part.exit !== 'done')?.exit ?? 'done'
+  const json = { ...stored.json as object, notes: notes.map((note) => note.text) }
+  const text = parts.map((part) => part.text).join('\n')
+  return { exit, text, json: waited === undefined ? json : { ...json, daemons: waited.json } }
 }
 
-async function * change (run: session.Session, service: string, content: string | null, choices: Choices): Failures {
+async function * change (run: session.Session, service: string, edited: Edit, choices: Choices): Failures {
   const inForce = await findInForce(run, service)
   const request = {
     service,
-    content,
+    content: edited.content,
     change: { id: run.ports.createChangeId(), operator: run.operator, atMs: run.ports.nowMs(), comment: choices.comment },
     expectedRevision: choices.expectedRevision,
     revisionInForce: inForce.revision,
@@ -86,12 +120,19 @@
   }
   const verdict = yield * (await performChange.performChange(run.ports, request)).mapErr(changeReport.planFailure)
   const report = yield * changeReport.reportVerdict(request, verdict)
-  const wanted = choices.waitS === undefined ? undefined : toWanted(request, verdict)
-  const waited = wanted === undefined ? undefined : await awaitRevision.awaitRevision(run, wanted, choices.waitS ?? 0)
-  const notes = inForce.asked ? [] : [message.formatMessage('revision-unchecked', {})]
+  const notes: session.Note[] = [...edited.notes]
+  if (!inForce.asked) notes.push({ exit: 'done', text: message.formatMessage('revision-unchecked', {}) })
+  if (edited.document !== undefined) notes.push(...await noteConflicts(run, edited.document))
+  const wanted = toWanted(request, verdict)
+  const waited = choices.waitS === undefined || wanted === undefined ? undefined : await awaitRevision.awaitRevision(run, wanted, choices.waitS)
   return neverthrow.ok(join(report, notes, waited))
 }
 
+function noteInvalid (others: Others): readonly session.Note[] {
+  if (others.invalid.length === 0) return []
+  return [{ exit: 'done', text: message.formatMessage('others-unreadable', { services: others.invalid.join(', ') }) }]
+}
+
 /**
  * Checks a file and makes it its service's document.
  *
@@ -102,12 +143,14 @@
  */
 export function applyDocument (run: session.Session, file: string, choices: Choices): session.Outcome {
   return neverthrow.safeTry<session.Report, failure.Failure>(async function * () {
-    const edited = changeText.takeRevisionLine(yield * run.files.read(file))
-    const checked = yield * parse(file, edited.content)
-    const services = yield * store.listServices(run.ports)
-    yield * checkOthers(file, checked, services)
-    const expectedRevision = choices.expectedRevision ?? edited.revision
-    return yield * change(run, checked.service, edited.content, { ...choices, expectedRevision })
+    const { content, origin } = changeText.takeRevisionLine(yield * run.files.read(file))
+    const checked = yield * parse(file, content)
+    yield * checkOrigin(file, checked.service, origin)
+    const others = yield * await readOthers(run, checked.service)
+    yield * checkOthers(file, checked, others)
+    const expectedRevision = choices.expectedRevision ?? origin?.revision
+    const edited = { content, document: checked, notes: noteInvalid(others) }
+    return yield * change(run, checked.service, edited, { ...choices, expectedRevision })
   })
 }
 
@@ -122,6 +165,6 @@
 export function deleteDocument (run: session.Session, service: string, choices: Choices): session.Outcome {
   return neverthrow.safeTry<session.Report, failure.Failure>(async function * () {
     yield * store.readService(run.ports, service)
-    return yield * change(run, service, null, choices)
+    return yield * change(run, service, { content: null, document: undefined, notes: [] }, choices)
   })
 }
--- a/packages/cli/src/await-revision.ts
+++ b/packages/cli/src/await-revision.ts
@@ -41,20 +41,24 @@
   })
 }
 
-function report (wanted: Wanted, everyone: readonly daemons.Asked[], waitS: number): session.Report {
-  if (everyone.length === 0) {
-    return { exit: 'notInForce', text: message.formatMessage('no-daemon-known', {}), json: { inForce: [], missing: [] } }
-  }
-  const missing = findMissing(everyone, wanted)
-  const inForce = everyone.map((asked) => asked.address).filter((address) => !missing.some((each) => each.address === address))
-  const figures = { service: wanted.service, revision: wanted.revision, count: everyone.length, seconds: waitS }
-  if (missing.length === 0) return { exit: 'done', text: message.formatMessage('in-force-everywhere', figures), json: { inForce, missing } }
+function reportMissing (wanted: Wanted, inForce: readonly protocol.Address[], missing: readonly Missing[], waitS: number): session.Report {
   const lines = missing.map((each) => `  ${each.address}: ${each.detail}`).join('\n')
-  return { exit: 'notInForce', text: message.formatMessage('not-in-force', { ...figures, daemons: lines }), json: { inForce, missing } }
+  const figures = { service: wanted.service, revision: wanted.revision, seconds: waitS, daemons: lines }
+  return { exit: 'notInForce', text: message.formatMessage('not-in-force', figures), json: { inForce, missing } }
+}
+
+function report (wanted: Wanted, inForce: readonly protocol.Address[], missing: readonly Missing[], waitS: number): session.Report {
+  if (missing.length > 0) return reportMissing(wanted, inForce, missing, waitS)
+  const json = { inForce, missing }
+  if (inForce.length === 0) return { exit: 'notInForce', text: message.formatMessage('no-daemon-known', {}), json }
+  const figures = { service: wanted.service, revision: wanted.revision, count: inForce.length }
+  return { exit: 'done', text: message.formatMessage('in-force-everywhere', figures), json }
 }
 
 /**
- * Asks the daemons until all have the change, or a later one, in force, or the time is over.
+ * Asks the daemons until all have the change, or a later one, in force, or the time is over. A
+ * daemon that has it is not asked again, because a revision in force never goes back. One that has
+ * it not stays on the list, also when the platform or the peer that named it no longer answers.
  *
  * @example
  * ```ts
@@ -63,9 +67,15 @@
  */
 export async function awaitRevision (run: session.Session, wanted: Wanted, waitS: number): Promise<session.Report> {
   const endMs = run.ports.nowMs() + waitS * MS_PER_S
+  const inForce = new Set<protocol.Address>()
+  let missing: readonly Missing[] = []
   for (;;) {
-    const everyone = await daemons.askEveryone(run)
-    const current = report(wanted, everyone, waitS)
+    const asked = await daemons.askEveryone(run, { also: missing.map((each) => each.address), except: inForce })
+    missing = findMissing(asked, wanted)
+    for (const { address } of asked) {
+      if (!missing.some((each) => each.address === address)) inForce.add(address)
+    }
+    const current = report(wanted, [...inForce], missing, waitS)
     if (current.exit === 'done' || run.ports.nowMs() >= endMs) return current
     await run.ports.sleep(POLL_INTERVAL_MS)
   }
--- a/packages/cli/src/change-text.ts
+++ b/packages/cli/src/change-text.ts
@@ -5,12 +5,18 @@
  */
 import type * as document from '@persimmonhatch/document'
 
-const HEADER = /^\/\/ revision (\d+) of [a-z0-9-]+[^\n]*\n/
+const HEADER = /^\/\/ revision (\d+) of ([a-z0-9-]+)[^\n]*\n/
 
-/** A document's text without its revision line, and the revision that the line names. */
+/** The revision of a service that a file was made from. */
+export interface Origin {
+  readonly service: string
+  readonly revision: number
+}
+
+/** A document's text without its revision line, and what the line says. */
 export interface Edited {
   readonly content: string
-  readonly revision: number | undefined
+  readonly origin: Origin | undefined
 }
 
 /**
@@ -68,11 +74,11 @@
  *
  * @example
  * ```ts
- * takeRevisionLine(addRevisionLine('listings', 4, '{}')) // { content: '{}', revision: 4 }
+ * takeRevisionLine(addRevisionLine('listings', 4, '{}')) // { content: '{}', origin: { service: 'listings', revision: 4 } }
  * ```
  */
 export function takeRevisionLine (text: string): Edited {
   const found = HEADER.exec(text)
-  if (found === null) return { content: text, revision: undefined }
-  return { content: text.slice(found[0].length), revision: Number(found[1]) }
+  if (found === null) return { content: text, origin: undefined }
+  return { content: text.slice(found[0].length), origin: { service: found[2] ?? '', revision: Number(found[1]) } }
 }
--- a/packages/cli/src/daemons.ts
+++ b/packages/cli/src/daemons.ts
@@ -15,6 +15,9 @@
 /** Prefix of the keys that daemons introduce themselves under. */
 export const MEMBER_PREFIX = '/persimmonhatch/members/'
 
+/** Daemons that are asked for what all of them know. */
+const SAMPLE_SIZE = 3
+
 const member = z.object({
   incarnation: z.string(),
   address: z.string(),
@@ -113,19 +116,49 @@
   return members.filter((each) => each.state !== 'gone').map((each) => each.address)
 }
 
+/** Daemons to ask beside those that are found, and daemons not to ask. */
+export interface Choice {
+  readonly also: readonly protocol.Address[]
+  readonly except: ReadonlySet<protocol.Address>
+}
+
+/** Asks those that are found. */
+export const NO_CHOICE: Choice = { also: [], except: new Set() }
+
+async function findFirst (run: session.Session): Promise<readonly protocol.Address[]> {
+  const members = (await listMembers(run.ports)).unwrapOr([])
+  return [...new Set([...run.settings.daemons, ...members.map((each) => each.address)])]
+}
+
 /**
  * Asks every daemon that the platform, the settings or another daemon knows as live. The platform
  * may be unreachable; then the named daemons and their peers are asked.
  *
  * @example
  * ```ts
- * const everyone = await askEveryone(session)
+ * const everyone = await askEveryone(session, NO_CHOICE)
  * ```
  */
-export async function askEveryone (run: session.Session): Promise<readonly Asked[]> {
-  const members = (await listMembers(run.ports)).unwrapOr([])
-  const first = [...new Set([...run.settings.daemons, ...members.map((each) => each.address)])]
+export async function askEveryone (run: session.Session, { also, except }: Choice): Promise<readonly Asked[]> {
+  const found = new Set([...await findFirst(run), ...also])
+  const first = [...found].filter((address) => !except.has(address))
   const asked = await Promise.all(first.map((address) => askStatus(run.ports, address)))
-  const further = [...new Set(liveAddresses(asked))].filter((address) => !first.includes(address))
+  const further = [...new Set(liveAddresses(asked))].filter((address) => !first.includes(address) && !except.has(address))
   return [...asked, ...await Promise.all(further.map((address) => askStatus(run.ports, address)))]
 }
+
+/**
+ * Asks some daemons, chosen at random beside those of the settings. Enough for what all daemons
+ * tell each other.
+ *
+ * @example
+ * ```ts
+ * const some = await askSome(session)
+ * ```
+ */
+export async function askSome (run: session.Session): Promise<readonly Asked[]> {
+  const first = await findFirst(run)
+  const keyed = first.map((address) => ({ address, key: run.settings.daemons.includes(address) ? -1 : run.ports.random() }))
+  const chosen = keyed.sort((left, right) => left.key - right.key).slice(0, run.settings.daemons.length + SAMPLE_SIZE)
+  return await Promise.all(chosen.map(({ address }) => askStatus(run.ports, address)))
+}
--- a/packages/cli/src/explain-request.ts
+++ b/packages/cli/src/explain-request.ts
@@ -89,7 +89,7 @@
   return neverthrow.safeTry<session.Report, failure.Failure>(async function * () {
     const incarnation = IDENTITY.exec(identity)?.[1]
     if (incarnation === undefined) return neverthrow.err(new failure.Failure('usage', 'identity-malformed', { identity }))
-    const everyone = await daemons.askEveryone(run)
+    const everyone = await daemons.askEveryone(run, daemons.NO_CHOICE)
     const replies = await askInOrder(run, identity, ownerFirst(everyone, incarnation))
     const last = replies.at(-1)?.found
     return last?.isOk() === true ? neverthrow.ok(report(last.value)) : neverthrow.err(notFound(identity, everyone, replies))
--- a/packages/cli/src/session.ts
+++ b/packages/cli/src/session.ts
@@ -25,5 +25,11 @@
   readonly json: unknown
 }
 
+/** A further sentence of a report. */
+export interface Note {
+  readonly exit: exitCode.ExitName
+  readonly text: string
+}
+
 /** A command's report, later. */
 export type Outcome = neverthrow.ResultAsync<Report, failure.Failure>
--- a/packages/cli/src/show-burn.ts
+++ b/packages/cli/src/show-burn.ts
@@ -67,12 +67,8 @@
   return neverthrow.ok({ records, problems })
 }
 
-function parseDocuments (services: readonly store.StoredService[]): readonly ServiceDocument[] {
-  const contents = services.flatMap((each) => each.stored.isOk() && each.stored.value.content !== null ? [each.stored.value.content] : [])
-  return contents.flatMap((content) => document.parseServiceDocument.parseServiceDocument(content).match((parsed) => [parsed], () => []))
-}
-
-function choose (documents: readonly ServiceDocument[], service: string | undefined): neverthrow.Result<readonly ServiceDocument[], failure.Failure> {
+function choose (parsed: ReadonlyArray<ServiceDocument | undefined>, service: string | undefined): neverthrow.Result<readonly ServiceDocument[], failure.Failure> {
+  const documents = parsed.filter((each) => each !== undefined) as readonly ServiceDocument[]
   if (service === undefined) return neverthrow.ok(documents)
   const found = documents.filter((each) => each.service === service)
   return found.length > 0 ? neverthrow.ok(found) : neverthrow.err(new failure.Failure('notFound', 'unknown-service', { service }))
@@ -89,7 +85,7 @@
 export function showBurn (run: session.Session, choices: Choices): session.Outcome {
   return neverthrow.safeTry<session.Report, failure.Failure>(async function * () {
     const { windows } = choices
-    const documents = yield * choose(parseDocuments(yield * store.listServices(run.ports)), choices.service)
+    const documents = yield * choose((yield * store.listServices(run.ports)).map(store.parseContent), choices.service)
     const toMinute = document.burnRecord.minuteOf(run.ports.nowMs())
     const { records, problems } = yield * await readRecords(run, toMinute - windows.longMinutes + 1, toMinute)
     const sums = document.burnRate.sumRecords(records, toMinute, windows)
--- a/packages/cli/src/show-status.ts
+++ b/packages/cli/src/show-status.ts
@@ -71,7 +71,7 @@
  */
 export function showStatus (run: session.Session): session.Outcome {
   return neverthrow.safeTry<session.Report, failure.Failure>(async function * () {
-    const everyone = await daemons.askEveryone(run)
+    const everyone = await daemons.askEveryone(run, daemons.NO_CHOICE)
     const { reached, unreached } = split(everyone)
     if (everyone.length === 0) return neverthrow.err(new failure.Failure('daemonUnreachable', 'no-daemon-known', {}))
     if (reached.length === 0) return neverthrow.err(new failure.Failure('daemonUnreachable', 'no-daemon-reached', { daemons: showUnreached(unreached) }))
--- a/packages/cli/src/store.ts
+++ b/packages/cli/src/store.ts
@@ -49,6 +49,31 @@
     .map((listing) => listing.entries.map(toService).sort(byName))
 }
 
+/**
+ * Whether a service is stored as deleted.
+ *
+ * @example
+ * ```ts
+ * services.filter((service) => !isDeleted(service))
+ * ```
+ */
+export function isDeleted (service: StoredService): boolean {
+  return service.stored.isOk() && service.stored.value.content === null
+}
+
+/**
+ * A stored service's checked document; undefined when it is deleted or not valid.
+ *
+ * @example
+ * ```ts
+ * const documents = services.map(parseContent)
+ * ```
+ */
+export function parseContent (service: StoredService): document.serviceDocument.ServiceDocument | undefined {
+  const content = service.stored.isOk() ? service.stored.value.content : null
+  return content === null ? undefined : document.parseServiceDocument.parseServiceDocument(content).unwrapOr(undefined)
+}
+
 /**
  * One service's document.
  *
--- a/packages/cli/tests/apply.test.ts
+++ b/packages/cli/tests/apply.test.ts
@@ -92,6 +92,7 @@
   ['a malformed file', '{', [], 3, /line 1/],
   ['a document with a problem', harness.listings({ defaultTier: 'gold' }), [], 3, /defaultTier is "gold".*urgent/],
   ['a document that disagrees with another', harness.listings({ service: 'warranty', kind: 'plain' }), [], 3, /disagrees .*\n.*listings uses this target as kind model/],
+  ['the revision line of another service', `// revision 1 of stock; \n${harness.listings()}`, [], 3, /first line is for stock/],
   ['a negative wait', harness.listings(), ['--wait=-1'], 2, /--wait -1 is not valid/],
   ['a wrong revision', harness.listings(), ['--expect-revision', 'four'], 2, /--expect-revision four/],
   ['a revision that is not stored', harness.listings({ organisations: [{ name: 'fes' }] }), ['--expect-revision', '9'], 4, /at revision 1, but your file is for revision 9/],
@@ -120,6 +121,26 @@
   assert.match(ran.out, /revision 7 is stored/)
 })
 
+apply('says when a document written at the same time disagrees', async () => {
+  const world = createWorld()
+  const theirs = new harness.World()
+  await otherOperator(theirs, harness.listings({ service: 'catalogue', kind: 'plain' }))
+  world.beforeWrite = () => {
+    for (const [key, entry] of theirs.entries) world.put(key, entry.value)
+  }
+  const ran = await world.run('apply', 'listings.jsonc')
+  assert.is(ran.code, 8)
+  assert.match(ran.out, /revision 1 is stored[^]*written at the same time disagrees[^]*service catalogue uses this target as kind plain/)
+})
+
+apply('names services that it could not check against', async () => {
+  const world = createWorld()
+  world.put('/persimmonhatch/services/stock', '{')
+  const ran = await world.run('apply', 'listings.jsonc')
+  assert.is(ran.code, 0)
+  assert.match(ran.out, /Not checked against stock/)
+})
+
 function adoptAfter (world: harness.World, sleeps: number): void {
   world.onSleep = () => {
     sleeps -= 1
@@ -151,6 +172,18 @@
   assert.match(ran.out, /127.0.0.1:7403: .*connection refused/)
 })
 
+apply('does not forget a daemon whose peer or platform stops answering for it', async () => {
+  const world = createWorld()
+  const silent = '127.0.0.1:7403'
+  const inForce = [{ service: 'listings', revision: 1, changeId: 'change-0001' }]
+  world.put('/persimmonhatch/members/inc-1', JSON.stringify(harness.member(DAEMON)))
+  world.daemons.set(DAEMON, () => ({ status: 200, body: harness.status(DAEMON, inForce, [harness.member(silent)]) }))
+  world.onSleep = () => { world.platformIsDown = true }
+  const ran = await world.run('apply', 'listings.jsonc', '--wait', '3')
+  assert.is(ran.code, 8)
+  assert.match(ran.out, /127.0.0.1:7403/)
+})
+
 apply('does not claim a revision in force without a daemon', async () => {
   const ran = await createWorld().run('apply', 'listings.jsonc', '--wait', '0')
   assert.is(ran.code, 8)
--- a/packages/document/src/adoption.ts
+++ b/packages/document/src/adoption.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import * as parseServiceDocument from './parse-service-document.js'
+import * as problemModule from './problem.js'
 import * as resolveTargets from './resolve-targets.js'
 import type * as serviceDocument from './service-document.js'
 import * as storedDocument from './stored-document.js'
@@ -57,6 +58,7 @@
   readonly find: (service: string) => InForce | undefined
   /** Documents in force with their conflicting targets left out. */
   readonly resolution: () => resolveTargets.Resolution
+  /** A service's problem is the one with its revisions, or else its first conflict with another document. */
   readonly status: () => readonly Status[]
 }
 
@@ -163,8 +165,13 @@
   return heldProblem(state)
 }
 
-function statusOf (service: string, state: State): Status {
-  const problem = problemOf(state)
+function conflictOf (service: string, resolution: resolveTargets.Resolution): string | undefined {
+  const found = resolution.problems.find((each) => each.service === service)?.problem
+  return found === undefined ? undefined : `Goes without a target: ${problemModule.describeProblem(found)}`
+}
+
+function statusOf (service: string, state: State, resolution: resolveTargets.Resolution): Status {
+  const problem = problemOf(state) ?? conflictOf(service, resolution)
   const status = { service, revision: state.inForce?.revision ?? 0, changeId: state.inForce?.change.id ?? '' }
   return problem === undefined ? status : { ...status, problem }
 }
@@ -220,7 +227,8 @@
 
   function status (): readonly Status[] {
     const sorted = [...states].sort(([left], [right]) => resolveTargets.compareNames(left, right))
-    return sorted.map(([service, state]) => statusOf(service, state))
+    const resolved = resolution()
+    return sorted.map(([service, state]) => statusOf(service, state, resolved))
   }
 
   return { handle, find: (service) => states.get(service)?.inForce, resolution, status }
--- a/packages/document/tests/adoption.test.ts
+++ b/packages/document/tests/adoption.test.ts
@@ -81,6 +81,14 @@
   }
 })
 
+adopt('shows a conflict between documents in force', () => {
+  const other = fixtures.listings({ service: 'warranty', targets: [{ ...fixtures.LISTINGS.targets[0], pool: 'spare' }] })
+  const text = fixtures.stored(1, other, fixtures.change('other')).replace('"service":"listings"', '"service":"warranty"')
+  const { adopted } = handleAll([copy(one), { service: 'warranty', text, source: 'platform' }])
+  assert.is(adopted.status()[0]?.problem, undefined)
+  assert.match(adopted.status()[1]?.problem ?? '', /Goes without a target: targets\[0\].pool is "spare"/)
+})
+
 interface Sent {
   readonly revision: number
   readonly atMs: number
