--- /dev/null
+++ b/packages/cli/tests/pages.test.ts
@@ -0,0 +1,35 @@
+import * as fs from 'node:fs'
+import * as uvu from 'uvu'
+import * as assert from 'uvu/assert'
+import * as document from '@persimmonhatch/document'
+import * as exitCode from '../src/exit-code.js'
+import * as settings from '../src/settings.js'
+import * as harness from './harness.js'
+
+const pages = uvu.suite('pages')
+
+function readPage (name: string): string {
+  return fs.readFileSync(new URL(`../../../../docs/${name}`, import.meta.url), 'utf8')
+}
+
+function example (name: string): string {
+  return /```jsonc\n([^]*?)```/.exec(readPage(name))?.[1] ?? ''
+}
+
+pages('cli.md lists every exit code', () => {
+  for (const [name, code] of Object.entries(exitCode.EXIT_CODES)) assert.match(readPage('cli.md'), `| ${code} | \`${name}\` |`)
+})
+
+pages('cli.md shows settings that are in order', () => {
+  const world = new harness.World()
+  world.files.set(settings.DEFAULT_FILE, example('cli.md'))
+  const flags = { settings: undefined, platform: undefined, daemons: undefined, operator: undefined }
+  const checked = settings.readSettings(world.createFiles(), {}, flags)
+  assert.is(checked._unsafeUnwrap().operator, 'ana')
+})
+
+pages('service-document.md shows a document that is in order', () => {
+  assert.ok(document.parseServiceDocument.parseServiceDocument(example('service-document.md')).isOk())
+})
+
+pages.run()
