--- a/packages/cli/src/apply-document.ts
+++ b/packages/cli/src/apply-document.ts
@@ -92,7 +92,7 @@
   return { revision: Math.max(0, ...revisions), asked: some.some((asked) => asked.status.isOk()) }
 }
 
-function toWanted (request: document.changePlan.Request, verdict: document.changeFlow.Verdict): awaitRevision.Wanted | undefined {
+function toWanted (request: document.changePlan.Request, verdict: document.changeFlow.Verdict): awaitRevision.StoredRevision | undefined {
   const service = request.service
   if (verdict.kind === 'took-effect') return { service, revision: verdict.revision, changeId: request.change.id }
   if (verdict.kind === 'already-in-force') return { service, revision: verdict.stored.revision, changeId: verdict.stored.change.id }
--- a/packages/cli/src/await-revision.ts
+++ b/packages/cli/src/await-revision.ts
@@ -12,19 +12,19 @@
 const MS_PER_S = 1_000
 
 /** A stored change that has to come into force. */
-export interface Wanted {
+export interface StoredRevision {
   readonly service: string
   readonly revision: number
   readonly changeId: string
 }
 
 /** A daemon that is not known to have the change in force, and why. */
-export interface Missing {
+export interface MissingDaemon {
   readonly address: protocol.Address
   readonly detail: string
 }
 
-function missingDetail (asked: daemons.Asked, wanted: Wanted): string | undefined {
+function missingDetail (asked: daemons.Reply, wanted: StoredRevision): string | undefined {
   if (asked.status.isErr()) return asked.status.error.message
   const service = asked.status.value.services.find((each) => each.service === wanted.service)
   if (service === undefined) return 'does not know the service'
@@ -34,20 +34,20 @@
   return service.changeId === wanted.changeId ? undefined : `has revision ${service.revision} of change ${service.changeId}${problem}`
 }
 
-function findMissing (everyone: readonly daemons.Asked[], wanted: Wanted): readonly Missing[] {
+function findMissing (everyone: readonly daemons.Reply[], wanted: StoredRevision): readonly MissingDaemon[] {
   return everyone.flatMap((asked) => {
     const detail = missingDetail(asked, wanted)
     return detail === undefined ? [] : [{ address: asked.address, detail }]
   })
 }
 
-function reportMissing (wanted: Wanted, inForce: readonly protocol.Address[], missing: readonly Missing[], waitS: number): session.Report {
+function reportMissing (wanted: StoredRevision, inForce: readonly protocol.Address[], missing: readonly MissingDaemon[], waitS: number): session.Report {
   const lines = missing.map((each) => `  ${each.address}: ${each.detail}`).join('\n')
   const figures = { service: wanted.service, revision: wanted.revision, seconds: waitS, daemons: lines }
   return { exit: 'notInForce', text: message.formatMessage('not-in-force', figures), json: { inForce, missing } }
 }
 
-function report (wanted: Wanted, inForce: readonly protocol.Address[], missing: readonly Missing[], waitS: number): session.Report {
+function report (wanted: StoredRevision, inForce: readonly protocol.Address[], missing: readonly MissingDaemon[], waitS: number): session.Report {
   if (missing.length > 0) return reportMissing(wanted, inForce, missing, waitS)
   const json = { inForce, missing }
   if (inForce.length === 0) return { exit: 'notInForce', text: message.formatMessage('no-daemon-known', {}), json }
@@ -65,10 +65,10 @@
  * const report = await awaitRevision(session, { service: 'listings', revision: 5, changeId }, 10)
  * ```
  */
-export async function awaitRevision (run: session.Session, wanted: Wanted, waitS: number): Promise<session.Report> {
+export async function awaitRevision (run: session.Session, wanted: StoredRevision, waitS: number): Promise<session.Report> {
   const endMs = run.ports.nowMs() + waitS * MS_PER_S
   const inForce = new Set<protocol.Address>()
-  let missing: readonly Missing[] = []
+  let missing: readonly MissingDaemon[] = []
   for (;;) {
     const asked = await daemons.askEveryone(run, { also: missing.map((each) => each.address), except: inForce })
     missing = findMissing(asked, wanted)
--- a/packages/cli/src/change-report.ts
+++ b/packages/cli/src/change-report.ts
@@ -13,7 +13,7 @@
 
 type Verdict = document.changeFlow.Verdict
 
-interface Worded {
+interface Wording {
   readonly exit: exitCode.ExitName
   readonly id: message.MessageId
   readonly figures: message.Figures
@@ -28,7 +28,7 @@
   return { revision: stored.revision, operator: stored.change.operator, at: changeText.showTime(stored.change.atMs) }
 }
 
-function wordVerdict (verdict: Verdict): Worded {
+function wordVerdict (verdict: Verdict): Wording {
   switch (verdict.kind) {
     case 'already-in-force':
       return { exit: 'done', id: 'already-in-force', figures: wordStored(verdict.stored) }
--- a/packages/cli/src/change-text.ts
+++ b/packages/cli/src/change-text.ts
@@ -14,7 +14,7 @@
 }
 
 /** A document's text without its revision line, and what the line says. */
-export interface Edited {
+export interface EditedText {
   readonly content: string
   readonly origin: Origin | undefined
 }
@@ -77,7 +77,7 @@
  * takeRevisionLine(addRevisionLine('listings', 4, '{}')) // { content: '{}', origin: { service: 'listings', revision: 4 } }
  * ```
  */
-export function takeRevisionLine (text: string): Edited {
+export function takeRevisionLine (text: string): EditedText {
   const found = HEADER.exec(text)
   if (found === null) return { content: text, origin: undefined }
   return { content: text.slice(found[0].length), origin: { service: found[2] ?? '', revision: Number(found[1]) } }
--- a/packages/cli/src/daemons.ts
+++ b/packages/cli/src/daemons.ts
@@ -68,7 +68,7 @@
 export type Status = z.infer<typeof status>
 
 /** A daemon's status, or why there is none. */
-export interface Asked {
+export interface Reply {
   readonly address: protocol.Address
   readonly status: neverthrow.Result<Status, failure.Failure>
 }
@@ -102,7 +102,7 @@
  * const asked = await askStatus(ports, '10.0.0.7:7400')
  * ```
  */
-export async function askStatus (access: ports.Ports, address: protocol.Address): Promise<Asked> {
+export async function askStatus (access: ports.Ports, address: protocol.Address): Promise<Reply> {
   const answer = await access.askDaemon(address, '/v1/status')
   const parsed = answer.andThen(({ body }) => {
     const checked = status.safeParse(body)
@@ -111,7 +111,7 @@
   return { address, status: parsed }
 }
 
-function liveAddresses (asked: readonly Asked[]): readonly protocol.Address[] {
+function liveAddresses (asked: readonly Reply[]): readonly protocol.Address[] {
   const members = asked.flatMap((each) => each.status.isOk() ? each.status.value.members : [])
   return members.filter((each) => each.state !== 'gone').map((each) => each.address)
 }
@@ -139,7 +139,7 @@
  * const everyone = await askEveryone(session, NO_CHOICE)
  * ```
  */
-export async function askEveryone (run: session.Session, { also, except }: Choice): Promise<readonly Asked[]> {
+export async function askEveryone (run: session.Session, { also, except }: Choice): Promise<readonly Reply[]> {
   const found = new Set([...await findFirst(run), ...also])
   const first = [...found].filter((address) => !except.has(address))
   const asked = await Promise.all(first.map((address) => askStatus(run.ports, address)))
@@ -156,7 +156,7 @@
  * const some = await askSome(session)
  * ```
  */
-export async function askSome (run: session.Session): Promise<readonly Asked[]> {
+export async function askSome (run: session.Session): Promise<readonly Reply[]> {
   const first = await findFirst(run)
   const keyed = first.map((address) => ({ address, key: run.settings.daemons.includes(address) ? -1 : run.ports.random() }))
   const chosen = keyed.sort((left, right) => left.key - right.key).slice(0, run.settings.daemons.length + SAMPLE_SIZE)
--- a/packages/cli/src/explain-request.ts
+++ b/packages/cli/src/explain-request.ts
@@ -15,7 +15,7 @@
 
 const answer = z.object({ receipt: z.unknown(), sentences: z.array(z.string()).readonly().default([]) }).readonly()
 
-interface Found {
+interface RequestAnswer {
   readonly receipt: receipt.Receipt
   readonly sentences: readonly string[]
 }
@@ -23,10 +23,10 @@
 /** One daemon's answer about a request: the receipt, or why there is none. */
 interface Reply {
   readonly address: string
-  readonly found: neverthrow.Result<Found, string>
+  readonly found: neverthrow.Result<RequestAnswer, string>
 }
 
-function report (found: Found): session.Report {
+function report (found: RequestAnswer): session.Report {
   const { sentences, remedy } = receipt.explainReceipt(found.receipt, found.sentences)
   const figures = Object.entries(found.receipt.figures).map(([name, value]) => `  ${name}: ${value}`)
   const lines = [
@@ -37,7 +37,7 @@
   return { exit: 'done', text: lines.join('\n'), json: { receipt: found.receipt, sentences, remedy } }
 }
 
-function readAnswer (body: unknown): neverthrow.Result<Found, string> {
+function readAnswer (body: unknown): neverthrow.Result<RequestAnswer, string> {
   const parsed = answer.safeParse(body)
   if (!parsed.success) return neverthrow.err('gave an answer of another form')
   return receipt.checkReceipt(parsed.data.receipt)
@@ -53,12 +53,12 @@
   return { address, found }
 }
 
-function ownerFirst (everyone: readonly daemons.Asked[], incarnation: string): readonly daemons.Asked[] {
-  const owns = (asked: daemons.Asked): boolean => asked.status.isOk() && asked.status.value.incarnation === incarnation
+function ownerFirst (everyone: readonly daemons.Reply[], incarnation: string): readonly daemons.Reply[] {
+  const owns = (asked: daemons.Reply): boolean => asked.status.isOk() && asked.status.value.incarnation === incarnation
   return [...everyone.filter(owns), ...everyone.filter((asked) => !owns(asked))]
 }
 
-async function askInOrder (run: session.Session, identity: string, order: readonly daemons.Asked[]): Promise<readonly Reply[]> {
+async function askInOrder (run: session.Session, identity: string, order: readonly daemons.Reply[]): Promise<readonly Reply[]> {
   const replies: Reply[] = []
   for (const asked of order) {
     const reply = asked.status.isOk()
@@ -70,7 +70,7 @@
   return replies
 }
 
-function notFound (identity: string, everyone: readonly daemons.Asked[], replies: readonly Reply[]): failure.Failure {
+function notFound (identity: string, everyone: readonly daemons.Reply[], replies: readonly Reply[]): failure.Failure {
   if (everyone.length === 0) return new failure.Failure('daemonUnreachable', 'no-daemon-known', {})
   const lines = replies.flatMap(({ address, found }) => found.isErr() ? [`  ${address}: ${found.error}`] : []).join('\n')
   if (everyone.every((asked) => asked.status.isErr())) return new failure.Failure('daemonUnreachable', 'no-daemon-reached', { daemons: lines })
--- a/packages/cli/src/perform-change.ts
+++ b/packages/cli/src/perform-change.ts
@@ -13,7 +13,7 @@
 type Step = document.changeFlow.Step
 type Reply = document.changeFlow.Reply
 
-function toHeld (entry: platform.keyValue.Entry | undefined): document.changePlan.Held | undefined {
+function toHeld (entry: platform.keyValue.Entry | undefined): document.changePlan.StoredValue | undefined {
   return entry === undefined ? undefined : { text: entry.value, modRevision: entry.modRevision }
 }
 
--- a/packages/cli/src/show-status.ts
+++ b/packages/cli/src/show-status.ts
@@ -9,33 +9,33 @@
 import type * as session from './session.js'
 import * as table from './table.js'
 
-interface Reached {
+interface ReachedDaemon {
   readonly address: string
   readonly status: daemons.Status
 }
 
-interface Unreached {
+interface UnreachedDaemon {
   readonly address: string
   readonly problem: string
 }
 
-function split (everyone: readonly daemons.Asked[]): { readonly reached: readonly Reached[], readonly unreached: readonly Unreached[] } {
+function split (everyone: readonly daemons.Reply[]): { readonly reached: readonly ReachedDaemon[], readonly unreached: readonly UnreachedDaemon[] } {
   const reached = everyone.flatMap(({ address, status }) => status.isOk() ? [{ address, status: status.value }] : [])
   const unreached = everyone.flatMap(({ address, status }) => status.isErr() ? [{ address, problem: status.error.message }] : [])
   return { reached, unreached }
 }
 
-function showDaemons (reached: readonly Reached[]): string {
+function showDaemons (reached: readonly ReachedDaemon[]): string {
   const rows = reached.map(({ address, status }) => [address, status.availabilityZone, status.state, String(status.entry.waiting), String(status.entry.running), status.platform.state])
   return table.formatTable(['daemon', 'zone', 'state', 'waiting', 'running', 'platform'], rows)
 }
 
-function showServices (reached: readonly Reached[]): string {
+function showServices (reached: readonly ReachedDaemon[]): string {
   const rows = reached.flatMap(({ address, status }) => status.services.map((each) => [each.service, address, String(each.revision), each.problem ?? '']))
   return table.formatTable(['service', 'daemon', 'revision', 'problem'], rows.sort((left, right) => left.join() < right.join() ? -1 : 1))
 }
 
-function showTargets (reached: readonly Reached[]): string {
+function showTargets (reached: readonly ReachedDaemon[]): string {
   const rows = reached.flatMap(({ address, status }) => status.pools.flatMap((pool) => pool.targets.map((target) => [
     pool.pool,
     address,
@@ -49,11 +49,11 @@
   return table.formatTable(['pool', 'authority', 'waiting', 'target', 'state', 'requests', 'tokens', 'slowdown'], rows)
 }
 
-function showUnreached (unreached: readonly Unreached[]): string {
+function showUnreached (unreached: readonly UnreachedDaemon[]): string {
   return unreached.map((each) => `  ${each.problem}`).join('\n')
 }
 
-function show (reached: readonly Reached[], unreached: readonly Unreached[]): string {
+function show (reached: readonly ReachedDaemon[], unreached: readonly UnreachedDaemon[]): string {
   const parts = [showDaemons(reached), showServices(reached), showTargets(reached)]
   const leaving = [...new Set(reached.flatMap(({ status }) => status.leavingTargets))].sort()
   if (leaving.length > 0) parts.push(`leaving targets: ${leaving.join(', ')}`)
--- a/packages/cli/tests/harness.ts
+++ b/packages/cli/tests/harness.ts
@@ -15,7 +15,7 @@
 export type Fate = 'answered' | 'lost-after' | 'lost-before'
 
 /** What one command line gave. */
-export interface Ran {
+export interface Output {
   readonly code: number
   readonly out: string
   readonly err: string
@@ -48,7 +48,7 @@
   }
 
   /** Runs one command line. */
-  async run (...args: readonly string[]): Promise<Ran> {
+  async run (...args: readonly string[]): Promise<Output> {
     const [out, err] = [new Sink(), new Sink()]
     const code = await run.run(args, {
       env: this.environment,
--- a/packages/document/src/adoption.ts
+++ b/packages/document/src/adoption.ts
@@ -69,7 +69,7 @@
 }
 
 /** What the platform was last seen to hold. */
-type Held =
+type PlatformCopy =
   | { readonly kind: 'nothing-heard' }
   | { readonly kind: 'missing' }
   | { readonly kind: 'unreadable', readonly message: string }
@@ -82,7 +82,7 @@
   readonly invalid: Candidate | undefined
   /** The highest candidate that shares the winner's revision and lost to it. */
   readonly rival: Candidate | undefined
-  readonly held: Held
+  readonly held: PlatformCopy
 }
 
 const EMPTY: State = { inForce: undefined, invalid: undefined, rival: undefined, held: { kind: 'nothing-heard' } }
@@ -198,7 +198,7 @@
   if (copy.text === undefined) return yield * handleMissing(state, copy)
   const candidate = sameAs(state, copy.text) ?? readCandidate(copy.service, copy.text)
   if (typeof candidate === 'string') return yield * handleUnreadable(state, copy, candidate)
-  const held: Held = copy.source === 'platform' ? { kind: 'revision', revision: candidate.revision } : state.held
+  const held: PlatformCopy = copy.source === 'platform' ? { kind: 'revision', revision: candidate.revision } : state.held
   const next = { ...join(state, candidate), held }
   yield * joinEvents(state, next, candidate)
   return next
--- a/packages/document/src/burn-counter.ts
+++ b/packages/document/src/burn-counter.ts
@@ -21,7 +21,7 @@
 
 type Buckets = ReadonlyMap<number, burnRecord.Counts>
 
-interface Counted {
+interface CountedSeries {
   readonly observation: burnRecord.Observation
   readonly buckets: Buckets
 }
@@ -39,7 +39,7 @@
   return new Map([...buckets].filter(([each]) => each >= minute))
 }
 
-function toSeries (counted: Counted, window: number): burnRecord.Series {
+function toSeries (counted: CountedSeries, window: number): burnRecord.Series {
   const { service, tier, organisation } = counted.observation
   const inWindow = [...counted.buckets].filter(([minute]) => burnRecord.windowOf(minute) === window)
   return { service, tier, organisation, buckets: inWindow.map(([minute, counts]) => ({ ...counts, minute })) }
@@ -55,7 +55,7 @@
  * ```
  */
 export function createBurnCounter (options: Options): BurnCounter {
-  const all = new Map<string, Counted>()
+  const all = new Map<string, CountedSeries>()
 
   function count (observation: burnRecord.Observation, nowMs: number): void {
     const minute = burnRecord.minuteOf(nowMs)
--- a/packages/document/src/burn-rate.ts
+++ b/packages/document/src/burn-rate.ts
@@ -60,7 +60,7 @@
 }
 
 /** Counts of one series over both windows. */
-export interface Summed {
+export interface Sum {
   readonly service: string
   readonly tier: string
   readonly organisation: string | undefined
@@ -101,7 +101,7 @@
   return within.reduce<burnRecord.Counts>(burnRecord.addCounts, burnRecord.ZERO)
 }
 
-function sumSeries (series: burnRecord.Series, organisation: string | undefined, toMinute: number, windows: Windows): Summed {
+function sumSeries (series: burnRecord.Series, organisation: string | undefined, toMinute: number, windows: Windows): Sum {
   const { service, tier, buckets } = series
   const short = sumBuckets(buckets, toMinute - windows.shortMinutes + 1, toMinute)
   const long = sumBuckets(buckets, toMinute - windows.longMinutes + 1, toMinute)
@@ -117,8 +117,8 @@
  * const sums = sumRecords(records, minuteOf(nowMs), { shortMinutes: 5, longMinutes: 60 })
  * ```
  */
-export function sumRecords (records: readonly burnRecord.BurnRecord[], toMinute: number, windows: Windows): readonly Summed[] {
-  const sums = new Map<string, Summed>()
+export function sumRecords (records: readonly burnRecord.BurnRecord[], toMinute: number, windows: Windows): readonly Sum[] {
+  const sums = new Map<string, Sum>()
   for (const series of records.flatMap((record) => record.series)) {
     for (const organisation of [undefined, series.organisation]) {
       const added = sumSeries(series, organisation, toMinute, windows)
@@ -148,7 +148,7 @@
   yield { objective: 'refused', budgetPercent: tier.objectives.refusedPercent }
 }
 
-function toRow (sum: Summed, objective: Objective, budgetPercent: number, windows: Windows): Row {
+function toRow (sum: Sum, objective: Objective, budgetPercent: number, windows: Windows): Row {
   const { service, tier, organisation } = sum
   const short = burnOf(sum.short, objective, budgetPercent)
   const long = burnOf(sum.long, objective, budgetPercent)
@@ -165,7 +165,7 @@
  * const rows = [...burnRows(documents, sums, windows)]
  * ```
  */
-export function * burnRows (documents: readonly serviceDocument.ServiceDocument[], sums: readonly Summed[], windows: Windows): Generator<Row> {
+export function * burnRows (documents: readonly serviceDocument.ServiceDocument[], sums: readonly Sum[], windows: Windows): Generator<Row> {
   for (const sum of sums) {
     const tiers = documents.find((document) => document.service === sum.service)?.tiers
     const tier = tiers?.find((each) => each.name === sum.tier)
--- a/packages/document/src/change-flow.ts
+++ b/packages/document/src/change-flow.ts
@@ -23,8 +23,8 @@
 
 /** The answer to a step. `unanswered`: a write may have taken effect; `not-done`: it certainly did not. */
 export type Reply =
-  | { readonly kind: 'held', readonly held: changePlan.Held | undefined }
-  | { readonly kind: 'swap', readonly succeeded: boolean, readonly held: changePlan.Held | undefined }
+  | { readonly kind: 'held', readonly held: changePlan.StoredValue | undefined }
+  | { readonly kind: 'swap', readonly succeeded: boolean, readonly held: changePlan.StoredValue | undefined }
   | { readonly kind: 'failed', readonly failure: 'not-done' | 'unanswered', readonly message: string }
   | { readonly kind: 'paused' }
 
@@ -74,7 +74,7 @@
  * judgeChange(request, plan, held)?.kind // 'superseded'
  * ```
  */
-export function judgeChange (request: changePlan.Request, write: Write, held: changePlan.Held | undefined): Verdict | undefined {
+export function judgeChange (request: changePlan.Request, write: Write, held: changePlan.StoredValue | undefined): Verdict | undefined {
   if ((held?.modRevision ?? 0) === write.expectedModRevision) return undefined
   if (held === undefined) return { kind: 'unknown', cause: 'unreadable', message: 'the key was removed from the platform' }
   const stored = storedDocument.readStoredDocument(request.service, held.text)
@@ -82,7 +82,7 @@
   return findVerdict(request, write, stored.value)
 }
 
-function * readHeld (): Generator<Step, neverthrow.Result<changePlan.Held | undefined, Verdict>, Reply> {
+function * readHeld (): Generator<Step, neverthrow.Result<changePlan.StoredValue | undefined, Verdict>, Reply> {
   let message = ''
   for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
     if (attempt > 1) yield { kind: 'pause', attempt }
@@ -93,7 +93,7 @@
   return neverthrow.err({ kind: 'not-sent', message })
 }
 
-function sinceOf (request: changePlan.Request, write: Write, held: changePlan.Held | undefined): readonly storedDocument.RecentChange[] {
+function sinceOf (request: changePlan.Request, write: Write, held: changePlan.StoredValue | undefined): readonly storedDocument.RecentChange[] {
   const stored = held === undefined ? undefined : storedDocument.readStoredDocument(request.service, held.text).unwrapOr(undefined)
   return changePlan.changesSince(stored, write.replaced?.revision ?? 0)
 }
--- a/packages/document/src/change-plan.ts
+++ b/packages/document/src/change-plan.ts
@@ -7,7 +7,7 @@
 import * as storedDocument from './stored-document.js'
 
 /** The key's value in the store. */
-export interface Held {
+export interface StoredValue {
   readonly text: string
   readonly modRevision: number
 }
@@ -57,7 +57,7 @@
   return (stored?.recent ?? []).filter((change) => change.revision > revision)
 }
 
-function readHeld (request: Request, held: Held | undefined): neverthrow.Result<storedDocument.StoredDocument | undefined, storedDocument.UnreadableDocument> {
+function readHeld (request: Request, held: StoredValue | undefined): neverthrow.Result<storedDocument.StoredDocument | undefined, storedDocument.UnreadableDocument> {
   if (held === undefined) return neverthrow.ok(undefined)
   const stored = storedDocument.readStoredDocument(request.service, held.text)
   return stored.isErr() && request.replaceUnreadable ? neverthrow.ok(undefined) : stored
@@ -83,7 +83,7 @@
  * const plan = planChange(held, { service, content, change, expectedRevision: 4, revisionInForce: 4, replaceUnreadable: false, hash })
  * ```
  */
-export function planChange (held: Held | undefined, request: Request): neverthrow.Result<Plan, Failure> {
+export function planChange (held: StoredValue | undefined, request: Request): neverthrow.Result<Plan, Failure> {
   return neverthrow.safeTry<Plan, Failure>(function * () {
     const current = yield * readHeld(request, held)
     const inForce = findInForce(request, current)
--- a/packages/document/tests/burn.test.ts
+++ b/packages/document/tests/burn.test.ts
@@ -67,7 +67,7 @@
 })
 
 // 100 requests an hour ago and 10 now, from two daemons; budgets of 10 % and 1 %.
-function sums (): readonly burnRate.Summed[] {
+function sums (): readonly burnRate.Sum[] {
   const [one, two] = [createCounter('inc-1'), createCounter('inc-2')]
   observe(one, 100, [...Array.from({ length: 99 }, () => ({})), { outcome: 'shed' as const }])
   const early = one.records(100 * MINUTE_MS)
--- a/packages/document/tests/change-flow.test.ts
+++ b/packages/document/tests/change-flow.test.ts
@@ -20,7 +20,7 @@
 type Fate = 'answered' | 'not-done' | 'lost-after' | 'lost-before' | 'delayed'
 
 class Store {
-  held: changePlan.Held | undefined
+  held: changePlan.StoredValue | undefined
   late: Array<() => void> = []
   others = 0
 }
