--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,12 +5,15 @@
  */
 import * as platform from '@persimmonhatch/platform'
 import * as protocol from '@persimmonhatch/protocol'
+import type * as undici from 'undici'
 import type * as log from './adapters/log.js'
 import type * as metrics from './adapters/metrics.js'
+import * as engineOrders from './adapters/engine-orders.js'
 import * as callerServer from './http/caller-server.js'
 import type * as readArrival from './http/read-arrival.js'
 import * as peerConnections from './peer/peers.js'
 import type * as settingsModule from './settings/settings.js'
+import * as orders from './tasks/orders.js'
 import * as operatorAnswers from './tasks/operator-answers.js'
 import * as platformCalls from './tasks/platform-calls.js'
 import * as registration from './tasks/registration.js'
@@ -27,6 +30,9 @@
 /** Time for the last news of a stopping daemon to leave, milliseconds. */
 const FAREWELL_MS = 200
 
+/** Interval at which a daemon that knows no other tries its seeds, milliseconds. */
+const SEED_INTERVAL_MS = 2_000
+
 const CONNECT_TIMEOUT_MS = 1_000
 
 /** What a daemon needs of its surroundings. */
@@ -34,6 +40,8 @@
   readonly settings: settingsModule.Settings
   readonly incarnation: protocol.Incarnation
   readonly clock: protocol.Clock
+  /** Milliseconds since 1970, for records that outlive this process. */
+  readonly wallClock: () => number
   readonly random: protocol.Random
   readonly hashes: readArrival.Hashes
   readonly log: log.Log
@@ -84,12 +92,23 @@
   })
 }
 
+function startOrders (options: Options, tasks: tasksModule.Tasks, calls: platformCalls.PlatformCalls, httpClient: undici.Dispatcher, signal: AbortSignal): Promise<void> {
+  return orders.giveOrders({
+    ...options,
+    ...engineOrders.createEngineOrders(httpClient),
+    keyValue: calls.keyValue,
+    engines: () => orders.enginesOf(tasks.documents.inForce(), tasks.pools.hosted()),
+    count: options.metrics.count
+  }, signal)
+}
+
 function startBackground (options: Options, tasks: tasksModule.Tasks, calls: platformCalls.PlatformCalls, signal: AbortSignal): readonly Promise<void>[] {
   const { random, clock } = options
   const { count } = options.metrics
   const { members, targetStates } = tasks
   return [
     tasks.documents.follow(signal),
+    tasks.burn.store(signal),
     registration.keepRegistered({ random, count, keyValue: calls.keyValue, self: members.self, onIntroduced: (found) => members.post({ kind: 'introduced', members: found }) }, signal),
     vmList.readVmList({
       random,
@@ -101,6 +120,17 @@
   ]
 }
 
+/** Tries the seeds for as long as this daemon knows no other. */
+async function meetSeeds (options: Options, tasks: tasksModule.Tasks, peers: peerConnections.Peers, signal: AbortSignal): Promise<void> {
+  const { seeds, listen } = options.settings
+  while (!signal.aborted) {
+    if (tasks.members.peers().length === 0) {
+      for (const seed of seeds) if (seed !== listen.peers) peers.introduce(seed)
+    }
+    await pause.pause(SEED_INTERVAL_MS, signal)
+  }
+}
+
 function wait (milliseconds: number): Promise<void> {
   return pause.pause(milliseconds, new AbortController().signal)
 }
@@ -136,7 +166,11 @@
     tasks.tick()
     peers.tick()
   }, TICK_INTERVAL_MS)
-  const background = startBackground(options, tasks, calls, stopping.signal)
+  const background = [
+    ...startBackground(options, tasks, calls, stopping.signal),
+    startOrders(options, tasks, calls, httpClient, stopping.signal),
+    meetSeeds(options, tasks, peers, stopping.signal)
+  ]
   log.info('started', { address: settings.listen.callers, peers: settings.listen.peers, incarnation: options.incarnation })
 
   async function stop (): Promise<void> {
