--- a/packages/cli/src/daemons.ts
+++ b/packages/cli/src/daemons.ts
@@ -15,6 +15,9 @@
 /** Prefix of the keys that daemons introduce themselves under. */
 export const MEMBER_PREFIX = '/persimmonhatch/members/'
 
+/** Daemons that are asked for what all of them know. */
+const SAMPLE_SIZE = 3
+
 const member = z.object({
   incarnation: z.string(),
   address: z.string(),
@@ -65,7 +68,7 @@
 export type Status = z.infer<typeof status>
 
 /** A daemon's status, or why there is none. */
-export interface Asked {
+export interface Reply {
   readonly address: protocol.Address
   readonly status: neverthrow.Result<Status, failure.Failure>
 }
@@ -99,7 +102,7 @@
  * const asked = await askStatus(ports, '10.0.0.7:7400')
  * ```
  */
-export async function askStatus (access: ports.Ports, address: protocol.Address): Promise<Asked> {
+export async function askStatus (access: ports.Ports, address: protocol.Address): Promise<Reply> {
   const answer = await access.askDaemon(address, '/v1/status')
   const parsed = answer.andThen(({ body }) => {
     const checked = status.safeParse(body)
@@ -108,24 +111,54 @@
   return { address, status: parsed }
 }
 
-function liveAddresses (asked: readonly Asked[]): readonly protocol.Address[] {
+function liveAddresses (asked: readonly Reply[]): readonly protocol.Address[] {
   const members = asked.flatMap((each) => each.status.isOk() ? each.status.value.members : [])
   return members.filter((each) => each.state !== 'gone').map((each) => each.address)
 }
 
+/** Daemons to ask beside those that are found, and daemons not to ask. */
+export interface Choice {
+  readonly also: readonly protocol.Address[]
+  readonly except: ReadonlySet<protocol.Address>
+}
+
+/** Asks those that are found. */
+export const NO_CHOICE: Choice = { also: [], except: new Set() }
+
+async function findFirst (run: session.Session): Promise<readonly protocol.Address[]> {
+  const members = (await listMembers(run.ports)).unwrapOr([])
+  return [...new Set([...run.settings.daemons, ...members.map((each) => each.address)])]
+}
+
 /**
  * Asks every daemon that the platform, the settings or another daemon knows as live. The platform
  * may be unreachable; then the named daemons and their peers are asked.
  *
  * @example
  * ```ts
- * const everyone = await askEveryone(session)
+ * const everyone = await askEveryone(session, NO_CHOICE)
  * ```
  */
-export async function askEveryone (run: session.Session): Promise<readonly Asked[]> {
-  const members = (await listMembers(run.ports)).unwrapOr([])
-  const first = [...new Set([...run.settings.daemons, ...members.map((each) => each.address)])]
+export async function askEveryone (run: session.Session, { also, except }: Choice): Promise<readonly Reply[]> {
+  const found = new Set([...await findFirst(run), ...also])
+  const first = [...found].filter((address) => !except.has(address))
   const asked = await Promise.all(first.map((address) => askStatus(run.ports, address)))
-  const further = [...new Set(liveAddresses(asked))].filter((address) => !first.includes(address))
+  const further = [...new Set(liveAddresses(asked))].filter((address) => !first.includes(address) && !except.has(address))
   return [...asked, ...await Promise.all(further.map((address) => askStatus(run.ports, address)))]
 }
+
+/**
+ * Asks some daemons, chosen at random beside those of the settings. Enough for what all daemons
+ * tell each other.
+ *
+ * @example
+ * ```ts
+ * const some = await askSome(session)
+ * ```
+ */
+export async function askSome (run: session.Session): Promise<readonly Reply[]> {
+  const first = await findFirst(run)
+  const keyed = first.map((address) => ({ address, key: run.settings.daemons.includes(address) ? -1 : run.ports.random() }))
+  const chosen = keyed.sort((left, right) => left.key - right.key).slice(0, run.settings.daemons.length + SAMPLE_SIZE)
+  return await Promise.all(chosen.map(({ address }) => askStatus(run.ports, address)))
+}
