Take up authority as soon as the view of the members is confirmed

Cause: the view was renewed only when members or documents changed, but membership confirms its view by time. Ruled out: a lost ask (the entry kept one waiting, no authority was named in status). Change: compare at each tick.

--- a/packages/daemon/src/tasks/tasks.ts
+++ b/packages/daemon/src/tasks/tasks.ts
@@ -179,6 +179,7 @@
  */
 export function startTasks (options: Options): Tasks {
   let documents: readonly document.serviceDocument.ServiceDocument[] = []
+  let confirmed = false
   const tasks = (): Tasks => started
   const route = createRoute(tasks)
   const watch = watchSuspension(options, tasks)
@@ -190,7 +191,8 @@
 
   function updateView (): void {
     const { core } = started.members
-    started.pools.update({ members: core.members(), documents, confirmed: core.isConfirmed() })
+    confirmed = core.isConfirmed()
+    started.pools.update({ members: core.members(), documents, confirmed })
   }
 
   function takeDocuments (next: readonly document.serviceDocument.ServiceDocument[]): void {
@@ -205,6 +207,7 @@
     const { waiting, running } = started.entry.status()
     started.members.post({ kind: 'load', load: (waiting + running) / options.settings.limits.requests })
     started.members.post({ kind: 'tick' })
+    if (started.members.core.isConfirmed() !== confirmed) updateView()
     started.pools.tick()
     started.requests.post({ kind: 'tick' })
     started.documents.tick()
--- a/packages/system/src/summary.ts
+++ b/packages/system/src/summary.ts
@@ -5,7 +5,7 @@
  */
 import type * as callModule from './call.js'
 import * as collectRuns from './collect-runs.js'
-import type * as systemModule from './system.js'
+import * as systemModule from './system.js'
 
 /** A request and what came of it. */
 export interface Served {
