Prove refusals, floors and recovery by interleavings

Found and mended: a renewed floor was sent with another tier than it was recorded with, so that pending requests waited for ever; a re-asked request whose deadline had run out was refused at once while a lower tier ran.

--- a/packages/authority/src/asks.ts
+++ b/packages/authority/src/asks.ts
@@ -69,8 +69,8 @@
     yield * refusals.refuseSuspect(state, ask, suspicion.news.crashes, suspicion.expiresAtMs - nowMs)
     return
   }
-  if (overload.isUnreachable(state, ask, nowMs)) {
-    yield * refusals.refuse(state, ask, 'deadline-unreachable', nowMs)
+  if (overload.isUnreachable(state, ask)) {
+    yield * refusals.refuseUnreachable(state, ask, nowMs)
     return
   }
   state.queue.add(ask)
--- a/packages/authority/src/clearance.ts
+++ b/packages/authority/src/clearance.ts
@@ -30,9 +30,8 @@
     yield outputs.count('clearance.authority-missing')
     return false
   }
-  if (state.floors.raise(pool, rank, nowMs)) {
-    yield outputs.send(other, { kind: 'floor', pool, tier: rank, holdMs: floors.FLOOR_HOLD_MS })
-  }
+  const tier = state.floors.raise(pool, rank, nowMs)
+  if (tier !== undefined) yield outputs.send(other, { kind: 'floor', pool, tier, holdMs: floors.FLOOR_HOLD_MS })
   return state.floors.isClear(pool, rank, nowMs)
 }
 
--- a/packages/authority/src/entry-table.ts
+++ b/packages/authority/src/entry-table.ts
@@ -27,8 +27,8 @@
   readonly observeRound: (entry: protocol.Incarnation, round: number, nowMs: number) => boolean
   readonly isFresh: (entry: protocol.Incarnation, nowMs: number) => boolean
   readonly recordCollect: (entry: protocol.Incarnation, nowMs: number) => void
-  /** An answer to a collect; gives the send time of the oldest collect that it can answer. */
-  readonly recordAnswer: (entry: protocol.Incarnation) => number | undefined
+  /** An answer to a collect; gives the send time of the oldest collect that it can answer. Answers to collects before `sinceMs` do not count as answered. */
+  readonly recordAnswer: (entry: protocol.Incarnation, sinceMs: number) => number | undefined
   readonly hasAllAnswered: () => boolean
   /** Forgets rounds and answers, as after a pause of the process. */
   readonly reset: () => void
@@ -90,11 +90,11 @@
       const { collects } = entries.get(name) ?? UNKNOWN
       change(name, { collects: collects.length < MAX_COLLECTS ? [...collects, nowMs] : collects, lastCollectAtMs: nowMs })
     },
-    recordAnswer (name) {
-      const known = entries.get(name)
-      if (known === undefined || !known.isLive) return undefined
-      const [sentAtMs, ...rest] = known.collects
-      change(name, { hasAnswered: true, collects: rest })
+    recordAnswer (name, sinceMs) {
+      const [sentAtMs, ...rest] = entries.get(name)?.collects ?? []
+      if (sentAtMs === undefined) return undefined
+      change(name, { collects: rest })
+      if (sentAtMs >= sinceMs) change(name, { hasAnswered: true })
       return sentAtMs
     },
     hasAllAnswered: () => listed.every((name) => entries.get(name)?.hasAnswered === true),
--- a/packages/authority/src/floors.ts
+++ b/packages/authority/src/floors.ts
@@ -20,8 +20,8 @@
 export interface RaisedFloor {
   readonly tier: protocol.Rank
   readonly sentAtMs: number
-  /** Start of the unbroken time for which this floor holds there. */
-  readonly heldFromMs: number
+  /** The most important tier that needed the floor since it was last sent. */
+  readonly neededTier: protocol.Rank
   readonly isClear: boolean
 }
 
@@ -34,9 +34,8 @@
   readonly accept: (from: protocol.Incarnation, tier: protocol.Rank, holdMs: number, nowMs: number) => void
   readonly accepted: (nowMs: number) => readonly (readonly [from: protocol.Incarnation, floor: HeldFloor])[]
   readonly recordReport: (from: protocol.Incarnation, running: number) => void
-  readonly raised: (pool: string) => RaisedFloor | undefined
-  /** Whether a floor should be sent to a pool now; records that it is. */
-  readonly raise: (pool: string, tier: protocol.Rank, nowMs: number) => boolean
+  /** A tier needs a floor in another pool; gives the floor to send now, if any, and records that it is sent. */
+  readonly raise: (pool: string, tier: protocol.Rank, nowMs: number) => protocol.Rank | undefined
   /** The authority of another pool says that nothing below the floor runs there, or how much does. */
   readonly recordReached: (pool: string, tier: protocol.Rank, running: number, nowMs: number) => boolean
   /** Whether nothing less important than `tier` runs in the pool, for certain. */
@@ -99,16 +98,20 @@
       const floor = accepted.get(from)
       if (floor !== undefined) accepted.set(from, { ...floor, reportedRunning: running })
     },
-    raised: (pool) => raised.get(pool),
     raise (pool, tier, nowMs) {
       const known = raised.get(pool)
-      const isContinued = known !== undefined && isHeld(known, nowMs)
-      if (known !== undefined && !isContinued && nowMs < known.sentAtMs + FLOOR_HOLD_MS + QUIET_TIME_MS) return false
-      if (isContinued && known.tier <= tier && nowMs < known.sentAtMs + RAISE_INTERVAL_MS) return false
-      const wanted = isContinued ? Math.min(known.tier, tier) : tier
-      const isSame = isContinued && known.tier === wanted
-      raised.set(pool, { tier: wanted, sentAtMs: nowMs, heldFromMs: isSame ? known.heldFromMs : nowMs, isClear: isSame && known.isClear })
-      return true
+      if (known !== undefined && !isHeld(known, nowMs)) {
+        if (nowMs < known.sentAtMs + FLOOR_HOLD_MS + QUIET_TIME_MS) return undefined
+        raised.delete(pool)
+      }
+      const held = raised.get(pool)
+      const neededTier = Math.min(held?.neededTier ?? Infinity, tier)
+      if (held !== undefined && held.tier <= tier && nowMs < held.sentAtMs + RAISE_INTERVAL_MS) {
+        raised.set(pool, { ...held, neededTier })
+        return undefined
+      }
+      raised.set(pool, { tier: neededTier, sentAtMs: nowMs, neededTier: Infinity, isClear: held?.tier === neededTier && held.isClear })
+      return neededTier
     },
     recordReached (pool, tier, running, nowMs) {
       const known = raised.get(pool)
--- a/packages/authority/src/holdings.ts
+++ b/packages/authority/src/holdings.ts
@@ -25,15 +25,17 @@
   yield outputs.send(entry, { kind: 'collect', pool: state.options.pool })
 }
 
-/**
- * Begins to collect holdings from all entries. Floors that other pools raised with the predecessor
- * are not known, so for as long as one may hold only the top tier starts.
- */
+/** Floors that other pools raised with a predecessor are not known: while one may hold, only the top tier starts. */
+export function holdUnknownFloors (state: context.Context, nowMs: number): void {
+  const hasOtherPools = [...state.view().services.values()].some((service) => service.otherPools.length > 0)
+  if (hasOtherPools) state.floors.hold(TOP_RANK, floors.FLOOR_HOLD_MS, nowMs)
+}
+
+/** Begins to collect holdings from all entries. */
 export function * startRecovery (state: context.Context, nowMs: number): outputs.Outputs {
   state.recovery.start(nowMs)
   state.entries.reset()
-  const hasOtherPools = [...state.view().services.values()].some((service) => service.otherPools.length > 0)
-  if (hasOtherPools) state.floors.hold(TOP_RANK, floors.FLOOR_HOLD_MS, nowMs)
+  holdUnknownFloors(state, nowMs)
   for (const entry of state.entries.live()) yield * collect(state, entry, nowMs)
   yield outputs.count('recoveries')
   yield * settle(state, nowMs)
@@ -106,7 +108,7 @@
     yield outputs.count('foreign.holdings')
     return
   }
-  const collectedAtMs = state.entries.recordAnswer(from)
+  const collectedAtMs = state.entries.recordAnswer(from, state.recovery.startedAtMs())
   if (collectedAtMs === undefined) yield outputs.count('unknown.holdings')
   for (const holding of message.holdings) adopt(state, from, holding, nowMs)
   const freed = collectedAtMs === undefined ? 0 : reconcile(state, from, message.holdings, collectedAtMs, validityMs, nowMs)
--- a/packages/authority/src/overload.ts
+++ b/packages/authority/src/overload.ts
@@ -82,14 +82,19 @@
 }
 
 /**
- * Whether no idle target could finish the request within its deadline.
+ * Whether no idle target could have finished the request within its whole deadline.
  *
  * @example
  * ```ts
- * if (isUnreachable(context, ask, nowMs)) yield * refuse(context, ask, 'deadline-unreachable', nowMs)
+ * if (isUnreachable(context, ask)) yield * refuseUnreachable(context, ask, nowMs)
  * ```
  */
-export function isUnreachable (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): boolean {
+export function isUnreachable (state: context.Context, ask: waitingAsk.WaitingAsk): boolean {
+  return serviceTime(state, ask) > ask.deadlineAtMs - ask.arrivedAtMs
+}
+
+/** Whether an idle target could no longer finish the request in time. */
+function isTooLate (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): boolean {
   return nowMs + serviceTime(state, ask) > ask.deadlineAtMs
 }
 
@@ -149,7 +154,7 @@
 
 function isStillDue (state: context.Context, ask: waitingAsk.WaitingAsk, reason: protocol.Reason, nowMs: number): boolean {
   if (reason === 'no-target') return !hasTarget(state, serviceOf(state, ask))
-  if (isUnreachable(state, ask, nowMs)) return true
+  if (isTooLate(state, ask, nowMs)) return true
   const estimate = refusals.estimateFor(state, ask)
   return estimate === undefined || findReason(state, ask, estimate, 1, nowMs) !== undefined
 }
@@ -162,7 +167,7 @@
     const ask = state.queue.get(key)
     state.pending.delete(key)
     if (ask === undefined) continue
-    if (isStillDue(state, ask, reason, nowMs)) yield * considerRefusal(state, ask, isUnreachable(state, ask, nowMs) ? 'deadline-unreachable' : reason, nowMs)
+    if (isStillDue(state, ask, reason, nowMs)) yield * considerRefusal(state, ask, isTooLate(state, ask, nowMs) ? 'deadline-unreachable' : reason, nowMs)
     else schedule(state, ask, nowMs)
   }
 }
--- a/packages/authority/src/recovery.ts
+++ b/packages/authority/src/recovery.ts
@@ -10,6 +10,7 @@
 /** The phase of an authority. */
 export interface Recovery {
   readonly phase: () => Phase
+  readonly startedAtMs: () => number
   readonly start: (nowMs: number) => void
   readonly stop: () => void
   /** Settles when all entries have answered or the settle time is over; true when it just settled. */
@@ -35,6 +36,7 @@
   let startedAtMs = 0
   return {
     phase: () => phase,
+    startedAtMs: () => startedAtMs,
     start (nowMs) {
       phase = 'settling'
       startedAtMs = nowMs
--- a/packages/authority/src/refusals.ts
+++ b/packages/authority/src/refusals.ts
@@ -71,6 +71,15 @@
   yield outputs.count(`refused.${reason}`)
 }
 
+/** Refuses an ask whose deadline no target could meet, however idle. */
+export function * refuseUnreachable (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): outputs.Outputs {
+  const figures = listFigures(state, ask, undefined, nowMs)
+  drop(state, ask)
+  const retryAfterMs = retryAfter(state, 'deadline-unreachable', figures)
+  yield outputs.send(ask.entry, { kind: 'refusal', ask: ask.message.ask, reason: 'deadline-unreachable', retryAfterMs, figures })
+  yield outputs.count('refused.deadline-unreachable')
+}
+
 /** Refuses an ask whose content crashes targets. */
 export function * refuseSuspect (state: context.Context, ask: waitingAsk.WaitingAsk, crashes: number, remainingMs: number): outputs.Outputs {
   drop(state, ask)
--- a/packages/authority/src/surroundings.ts
+++ b/packages/authority/src/surroundings.ts
@@ -25,7 +25,9 @@
 /** Takes the documents in force. A target that no document names any more is leaving. */
 export function * handleDocuments (state: context.Context, documents: Extract<event.Event, { readonly kind: 'documents' }>['documents'], nowMs: number): outputs.Outputs {
   const before = new Set([...state.targets.names()].filter((target) => !state.targets.isLeaving(target)))
+  const isFirst = state.view().services.size === 0
   state.setView(poolView.readPool(state.options.pool, documents))
+  if (isFirst && state.recovery.phase() !== 'idle') holdings.holdUnknownFloors(state, nowMs)
   state.targets.update(state.view())
   for (const target of before) if (state.targets.isLeaving(target)) yield * withdrawGrants(state, target, nowMs)
   yield * grants.grantWaiting(state, nowMs)
--- a/packages/authority/src/tick.ts
+++ b/packages/authority/src/tick.ts
@@ -11,22 +11,33 @@
 import * as refusals from './refusals.js'
 import * as releases from './releases.js'
 import type * as context from './context.js'
+import type * as slot from './slot.js'
 
 /** Interval of the slower checks, milliseconds. */
 const SLOW_INTERVAL_MS = 500
 /** Time for which a daemon that is not the authority keeps asks that came too early, milliseconds. */
 const EARLY_ASK_RETENTION_MS = 10_000
+/** Interval at which an entry with doubtful slots is asked what it holds, milliseconds. */
+const COLLECT_AGAIN_MS = 10_000
+/** Factor by which a slot exceeds its expected time before its release may have been lost. */
+const DOUBTFUL_FACTOR = 3
 /** Factor by which a running request exceeds its expected time before it counts as late. */
 const OVERDUE_FACTOR = 2
 
+/** Whether a slot has been held for so long that its release may have been lost. */
+function isDoubtful (granted: slot.Slot, nowMs: number): boolean {
+  return nowMs - granted.grantedAtMs > Math.max(COLLECT_AGAIN_MS, DOUBTFUL_FACTOR * granted.expectedTotalMs)
+}
+
 function * expireSlots (state: context.Context, nowMs: number): outputs.Outputs {
   for (const granted of [...state.slots.all()]) {
-    if (granted.expiresAtMs > nowMs) continue
     const entry = state.entries.get(granted.entry)
     if (entry?.isLive === true) {
-      if (nowMs - entry.lastCollectAtMs > EARLY_ASK_RETENTION_MS) yield * holdings.collect(state, granted.entry, nowMs)
+      const isDue = isDoubtful(granted, nowMs) && nowMs - entry.lastCollectAtMs > COLLECT_AGAIN_MS
+      if (isDue) yield * holdings.collect(state, granted.entry, nowMs)
       continue
     }
+    if (granted.expiresAtMs > nowMs) continue
     releases.freeSlot(state, granted.key, nowMs)
     yield outputs.count('slots.expired')
   }
--- /dev/null
+++ b/packages/authority/tests/world.ts
@@ -0,0 +1,342 @@
+/**
+ * A small world around authorities: daemons that are entries and may be authorities, two pools, and
+ * messages that are late and can be lost. It records what ran on the targets and what was refused.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import * as authority from '../src/authority.js'
+import type * as event from '../src/event.js'
+import * as fixture from './fixture.js'
+
+/** One run on a target, as the target saw it. */
+export interface Run {
+  readonly key: string
+  readonly pool: string
+  readonly target: string
+  readonly tier: number
+  readonly nonIdempotent: boolean
+  readonly fingerprint: string
+  readonly startMs: number
+}
+
+/** Pools and their targets. */
+export const POOLS: Readonly<Record<string, readonly string[]>> = { east: ['t1', 't2'], west: ['w1'] }
+
+const DAEMONS = ['d1', 'd2', 'd3']
+const MAX_DELAY_MS = 40
+const TICK_MS = 100
+const STEP_MS = 20
+
+class Request {
+  state: 'waiting' | 'running' | 'ended' = 'waiting'
+  endMs = 0
+  constructor (readonly ask: protocol.Ask, readonly pool: string, readonly bornMs: number, readonly runMs: number) {}
+}
+
+class Daemon {
+  readonly cores = new Map<string, authority.Authority>()
+  readonly requests = new Map<number, Request>()
+  readonly rounds = new Map<string, number>()
+  authorities: ReadonlyMap<string, string> = new Map()
+  pausedUntilMs = 0
+  round = 0
+  roundAtMs = -Infinity
+  constructor (readonly name: string) {}
+}
+
+interface Envelope {
+  readonly from: string
+  readonly to: string
+  readonly message: protocol.PeerMessage
+  readonly atMs: number
+}
+
+/** Drives the daemons. `violations` lists every broken promise that was seen. */
+export class World {
+  nowMs = 0
+  readonly violations: string[] = []
+  readonly runs = new Map<string, Run>()
+  readonly counts = { ended: 0, shed: 0, preempted: 0, dispatched: 0, asked: 0 }
+  private readonly daemons = new Map(DAEMONS.map((name) => [name, new Daemon(name)]))
+  private readonly wire: Envelope[] = []
+  private readonly lastAtMs = new Map<string, number>()
+  private readonly later: Array<{ readonly atMs: number, readonly act: () => void }> = []
+  private readonly leavingSinceMs = new Map<string, number>()
+  private readonly random: protocol.Random
+  private elected: ReadonlyMap<string, string> = new Map([['east', 'd1'], ['west', 'd2']])
+  private nextAsk = 1
+  private version = 1
+
+  constructor (seed: number, maxWaitMs: number) {
+    this.random = fixture.randomOf(seed)
+    const documents = [fixture.documentOf('listings', { targets: POOLS.east ?? [], otherPool: 'west', maxWaitMs })]
+    const west = documents.map((content) => ({ ...content, targets: content.targets.map((target) => target.pool === 'west' ? { ...target, name: 'w1' } : target) }))
+    for (const daemon of this.daemons.values()) {
+      for (const pool of Object.keys(POOLS)) daemon.cores.set(pool, authority.createAuthority({ pool, incarnation: daemon.name, random: this.random }))
+      for (const pool of Object.keys(POOLS)) this.tell(daemon, pool, { kind: 'documents', documents: west })
+      this.learnMembers(daemon)
+    }
+  }
+
+  private all (): readonly Daemon[] {
+    return [...this.daemons.values()]
+  }
+
+  private daemon (name: string): Daemon {
+    return this.daemons.get(name) as Daemon
+  }
+
+  private tell (daemon: Daemon, pool: string, input: event.Event): void {
+    const core = daemon.cores.get(pool)
+    if (core === undefined) return
+    for (const output of core.handle(input, this.nowMs)) {
+      if (output.kind === 'send') this.send(daemon.name, output.outbound.to, output.outbound.message, pool)
+      if (output.kind === 'news') for (const other of this.all()) this.after(this.random() * 300, () => this.tellAll(other, { kind: 'suspect', news: output.news as protocol.SuspectNews }))
+    }
+    this.checkLimits(core)
+  }
+
+  private tellAll (daemon: Daemon, input: event.Event): void {
+    for (const pool of daemon.cores.keys()) this.tell(daemon, pool, input)
+  }
+
+  private checkLimits (core: authority.Authority): void {
+    for (const target of core.status().targets) {
+      if (target.tokensInFlight < 0 || (target.requestsInFlight === 0) !== (target.tokensInFlight === 0)) this.violations.push(`count of ${target.target}`)
+    }
+  }
+
+  private send (from: string, to: string, message: protocol.PeerMessage, pool: string): void {
+    if (message.kind === 'refusal') this.checkRefusal(from, to, message, pool)
+    if (message.kind === 'revocation' && message.cause === 'preempted') this.checkRevocation(to, message)
+    const link = `${from}>${to}`
+    const atMs = Math.max(this.lastAtMs.get(link) ?? 0, this.nowMs + this.random() * MAX_DELAY_MS)
+    this.lastAtMs.set(link, atMs)
+    this.wire.push({ from, to, message, atMs })
+  }
+
+  /** A refusal for want of capacity while a lower tier runs breaks the promise, if the entry takes it. */
+  private checkRefusal (from: string, to: string, message: protocol.Refusal, pool: string): void {
+    const request = this.daemon(to).requests.get(message.ask)
+    if (request === undefined || request.state !== 'waiting' || this.daemon(to).authorities.get(pool) !== from) return
+    if (message.reason === 'shed') this.counts.shed += 1
+    const { expectedMs, deadlineMs, expectedWaitMs, waitedMs } = message.figures
+    // Not for want of capacity: an idle target would have been too slow for the whole deadline.
+    if (message.reason === 'deadline-unreachable' && expectedWaitMs === 0 && Number(expectedMs) - Number(waitedMs) > Number(deadlineMs)) return
+    for (const run of this.runs.values()) {
+      if (run.tier <= request.ask.tier || this.leavingSinceMs.has(run.target)) continue
+      this.violations.push(`${message.reason} of ${to}/${message.ask} tier ${request.ask.tier} at ${this.nowMs} while ${run.key} tier ${run.tier} ran on ${run.target}`)
+    }
+  }
+
+  private checkRevocation (to: string, message: protocol.Revocation): void {
+    if (this.daemon(to).requests.get(message.ask)?.ask.nonIdempotent === true) this.violations.push(`revocation of non-idempotent ${to}/${message.ask}`)
+  }
+
+  private after (delayMs: number, act: () => void): void {
+    this.later.push({ atMs: this.nowMs + delayMs, act })
+  }
+
+  private learnMembers (daemon: Daemon): void {
+    const before = daemon.authorities
+    daemon.authorities = this.elected
+    this.tellAll(daemon, { kind: 'members', entries: DAEMONS, authorities: this.elected })
+    for (const [pool, name] of this.elected) if (before.get(pool) !== name) this.askAgain(daemon, pool)
+  }
+
+  private askAgain (daemon: Daemon, pool: string): void {
+    for (const request of daemon.requests.values()) if (request.pool === pool && request.state === 'waiting') this.sendAsk(daemon, request)
+  }
+
+  private sendAsk (daemon: Daemon, request: Request): void {
+    const to = daemon.authorities.get(request.pool) as string
+    const waitedMs = this.nowMs - request.bornMs
+    this.send(daemon.name, to, { ...request.ask, waitedMs, deadlineMs: request.ask.deadlineMs - waitedMs, round: daemon.round }, request.pool)
+  }
+
+  private release (daemon: Daemon, request: Request, outcome: protocol.SlotOutcome, to = daemon.authorities.get(request.pool) as string): void {
+    const { ask, promptTokens, answerTokens } = request.ask
+    this.send(daemon.name, to, fixture.releaseOf(ask, { outcome, promptTokens, answerTokens, firstTokenMs: outcome === 'finished' ? 100 : 0, totalMs: request.runMs }), request.pool)
+  }
+
+  private end (daemon: Daemon, request: Request, outcome: protocol.SlotOutcome | 'refused'): void {
+    const key = `${daemon.name}/${request.ask.ask}`
+    this.runs.delete(key)
+    request.state = 'ended'
+    this.counts.ended += 1
+    if (outcome === 'refused') return
+    if (outcome === 'cancelled') this.counts.preempted += 1
+    this.release(daemon, request, outcome)
+  }
+
+  private dispatch (daemon: Daemon, request: Request, target: string): void {
+    const key = `${daemon.name}/${request.ask.ask}`
+    const leavingMs = this.leavingSinceMs.get(target)
+    if (leavingMs !== undefined && this.nowMs > leavingMs + 3_000) this.violations.push(`dispatch on leaving ${target}`)
+    if (this.runs.has(key)) this.violations.push(`second dispatch of ${key}`)
+    const { tier, nonIdempotent, fingerprint } = request.ask
+    request.state = 'running'
+    request.endMs = this.nowMs + request.runMs
+    this.counts.dispatched += 1
+    this.runs.set(key, { key, pool: request.pool, target, tier, nonIdempotent, fingerprint, startMs: this.nowMs })
+  }
+
+  private takeGrant (daemon: Daemon, from: string, message: protocol.Grant): void {
+    const request = daemon.requests.get(message.ask)
+    if (request === undefined || request.state === 'running') return
+    const isUsable = request.state === 'waiting' && daemon.authorities.get(request.pool) === from &&
+      this.nowMs - (daemon.rounds.get(String(message.round)) ?? -Infinity) < 2_000
+    if (isUsable) {
+      this.dispatch(daemon, request, message.target)
+      return
+    }
+    this.release(daemon, request, 'unused', from)
+    if (request.state === 'waiting') this.sendAsk(daemon, request)
+  }
+
+  private takeRevocation (daemon: Daemon, message: protocol.Revocation): void {
+    const request = daemon.requests.get(message.ask)
+    if (request === undefined || request.state === 'ended') return
+    if (request.state === 'waiting') {
+      this.release(daemon, request, 'unused')
+      this.sendAsk(daemon, request)
+    } else if (message.cause === 'preempted') {
+      this.end(daemon, request, 'cancelled')
+    }
+  }
+
+  private answerCollect (daemon: Daemon, from: string, pool: string): void {
+    if (daemon.authorities.get(pool) !== from) return
+    const holdings = [...daemon.requests.values()].filter((request) => request.state === 'running' && request.pool === pool).map((request) => {
+      const run = this.runs.get(`${daemon.name}/${request.ask.ask}`) as Run
+      return { ...request.ask, target: run.target, runningMs: this.nowMs - run.startMs }
+    })
+    this.send(daemon.name, from, { kind: 'holdings', pool, holdings }, pool)
+    this.askAgain(daemon, pool)
+  }
+
+  private deliver ({ from, to, message }: Envelope): void {
+    const daemon = this.daemon(to)
+    switch (message.kind) {
+      case 'grant': return this.takeGrant(daemon, from, message)
+      case 'revocation': return this.takeRevocation(daemon, message)
+      case 'collect': return this.answerCollect(daemon, from, message.pool)
+      case 'refusal': {
+        const request = daemon.requests.get(message.ask)
+        if (request?.state === 'waiting' && daemon.authorities.get(request.pool) === from) this.end(daemon, request, 'refused')
+        return
+      }
+      case 'ask': case 'holdings': case 'floor': return this.tell(daemon, message.pool, { kind: 'message', from, message })
+      case 'withdraw': case 'round': case 'release': case 'floor-reached':
+        for (const pool of daemon.cores.keys()) this.tell(daemon, pool, { kind: 'message', from, message })
+        return
+      default:
+        throw new Error(`no daemon of this world sends ${message.kind}`)
+    }
+  }
+
+  private isPaused (name: string): boolean {
+    return this.daemon(name).pausedUntilMs > this.nowMs
+  }
+
+  private beat (daemon: Daemon): void {
+    if (this.nowMs - daemon.roundAtMs >= 500) {
+      daemon.round += 1
+      daemon.roundAtMs = this.nowMs
+      daemon.rounds.set(String(daemon.round), this.nowMs)
+      for (const to of new Set(daemon.authorities.values())) this.send(daemon.name, to, { kind: 'round', round: daemon.round }, '')
+    }
+    this.tellAll(daemon, { kind: 'tick' })
+  }
+
+  private endRuns (daemon: Daemon): void {
+    for (const request of daemon.requests.values()) {
+      if (request.state === 'running' && request.endMs <= this.nowMs) this.end(daemon, request, 'finished')
+    }
+  }
+
+  /** Lets time pass until nothing is open, up to a limit. */
+  settle (limitMs: number): void {
+    for (const end = this.nowMs + limitMs; this.nowMs < end && (this.open().length > 0 || this.leftover() > 0);) this.pass(2_000)
+  }
+
+  /** Lets time pass in small steps. */
+  pass (ms: number): void {
+    for (const end = this.nowMs + ms; this.nowMs < end;) {
+      this.nowMs += STEP_MS
+      for (const item of this.later.filter(({ atMs }) => atMs <= this.nowMs)) {
+        this.later.splice(this.later.indexOf(item), 1)
+        item.act()
+      }
+      const due = this.wire.filter((item) => item.atMs <= this.nowMs && !this.isPaused(item.to))
+      for (const item of due) {
+        this.wire.splice(this.wire.indexOf(item), 1)
+        this.deliver(item)
+      }
+      for (const daemon of this.all()) {
+        if (this.isPaused(daemon.name)) continue
+        this.endRuns(daemon)
+        if (this.nowMs % TICK_MS === 0) this.beat(daemon)
+      }
+    }
+  }
+
+  /** A request arrives at a daemon. */
+  ask (daemonIndex: number, part: Partial<protocol.Ask>, runMs: number): void {
+    const daemon = this.all()[daemonIndex % DAEMONS.length] as Daemon
+    const number = this.nextAsk++
+    const pool = number % 4 === 0 ? 'west' : 'east'
+    const request = new Request(fixture.askOf(number, { pool, ...part }), pool, this.nowMs, runMs)
+    daemon.requests.set(number, request)
+    this.counts.asked += 1
+    if (!this.isPaused(daemon.name)) this.sendAsk(daemon, request)
+    else this.after(daemon.pausedUntilMs - this.nowMs + 10, () => this.sendAsk(daemon, request))
+  }
+
+  /** Another daemon becomes a pool's authority; each daemon learns it at its own time. */
+  elect (pool: string, daemonIndex: number): void {
+    this.elected = new Map([...this.elected, [pool, DAEMONS[daemonIndex % DAEMONS.length] as string]])
+    for (const daemon of this.all()) this.after(this.random() * 600, () => this.whenAwake(daemon, () => this.learnMembers(daemon)))
+  }
+
+  private whenAwake (daemon: Daemon, act: () => void): void {
+    if (this.isPaused(daemon.name)) this.after(daemon.pausedUntilMs - this.nowMs + 10, () => this.whenAwake(daemon, act))
+    else act()
+  }
+
+  /** All messages on their way between two daemons are lost; then the connection is made anew. */
+  cut (left: number, right: number): void {
+    const names = [DAEMONS[left % DAEMONS.length] as string, DAEMONS[right % DAEMONS.length] as string]
+    for (const item of this.wire.filter(({ from, to }) => names.includes(from) && names.includes(to))) this.wire.splice(this.wire.indexOf(item), 1)
+    for (const name of names) {
+      const daemon = this.daemon(name)
+      this.after(50, () => this.whenAwake(daemon, () => { for (const pool of Object.keys(POOLS)) this.askAgain(daemon, pool) }))
+    }
+  }
+
+  /** A daemon's process stands still; its runs go on at the targets. */
+  pause (daemonIndex: number, ms: number): void {
+    const daemon = this.all()[daemonIndex % DAEMONS.length] as Daemon
+    daemon.pausedUntilMs = Math.max(daemon.pausedUntilMs, this.nowMs + ms)
+    this.after(ms + 1, () => this.whenAwake(daemon, () => this.tellAll(daemon, { kind: 'resumed' })))
+  }
+
+  /** A target is leaving or returns. */
+  announce (target: string, state: 'leaving' | 'serving'): void {
+    if (state === 'leaving') this.leavingSinceMs.set(target, this.nowMs)
+    else this.leavingSinceMs.delete(target)
+    const news: protocol.TargetNews = { kind: 'target', target, version: this.version++, state }
+    for (const daemon of this.all()) this.after(this.random() * 300, () => this.whenAwake(daemon, () => this.tellAll(daemon, { kind: 'target', news })))
+  }
+
+  /** Requests that have neither run nor been refused. */
+  open (): readonly string[] {
+    return this.all().flatMap((daemon) => [...daemon.requests.values()].filter((request) => request.state !== 'ended').map((request) => `${daemon.name}/${request.ask.ask} ${request.state}`))
+  }
+
+  /** Tokens that the authorities still count although nothing runs. */
+  leftover (): number {
+    return this.all().flatMap((daemon) => [...daemon.cores.values()]).flatMap((core) => core.status().targets).reduce((sum, target) => sum + target.tokensInFlight, 0)
+  }
+}
