--- a/packages/entry/src/grant.ts
+++ b/packages/entry/src/grant.ts
@@ -45,9 +45,8 @@
 
 /** From here on the request counts as dispatched: no path leads back but an unreachable target. */
 function * dispatch (own: state.State, usable: Usable, figures: protocol.Figures, nowMs: number): output.Outputs {
-  const { askAgainAtMs: _, ...waiting } = usable.waiting
   const running: request.Running = {
-    ...waiting,
+    ...usable.waiting,
     state: 'running',
     slot: usable.slot,
     target: usable.target.name,
--- a/packages/entry/src/slot-request.ts
+++ b/packages/entry/src/slot-request.ts
@@ -71,10 +71,17 @@
   }
 }
 
+function askedAuthorities (own: state.State): ReadonlySet<protocol.Incarnation> {
+  const authorities = new Set<protocol.Incarnation>()
+  for (const each of own.requests.values()) {
+    if (each.state === 'waiting' && each.slot !== undefined) authorities.add(each.slot.authority)
+  }
+  return authorities
+}
+
 /** Sends a round to each authority that has asks of this entry waiting, when the latest is due for renewal. */
 export function * renewRounds (own: state.State, nowMs: number): output.Outputs {
-  const authorities = new Set(own.waiting().flatMap((waiting) => waiting.slot?.authority ?? []))
-  for (const authority of authorities) {
+  for (const authority of askedAuthorities(own)) {
     if (own.rounds.isDue(authority, nowMs)) yield output.send(authority, { kind: 'round', round: own.rounds.current(authority, nowMs) })
   }
 }
