Keep outcomes of requests without an identity apart from the ledger

Cause: each request without an identity took a place in the ledger. A flood of such requests, also of refused ones, would have raised the low-water mark and turned resends of real identities into identity-expired.

Change: these outcomes are kept for questions in a bounded list of their own. Nonces that begin with an underscore are kept for them and nothing is accepted under one, so that dropping one can't lead to a second run. Ruled out: dropping them from the ledger first, since a caller may send under the identity that its receipt names.

--- a/packages/entry/src/arrival.ts
+++ b/packages/entry/src/arrival.ts
@@ -56,7 +56,7 @@
   own.requests.set(original, { ...joined, callers: new Set([...joined.callers, arrival.request]), abandonedMs: undefined })
 }
 
-function * remember (own: state.State, arrival: event.Arrival, named: identity.Identity): output.Outputs {
+function remember (own: state.State, arrival: event.Arrival, named: identity.Identity): void {
   own.ledger.add({
     identity: identity.format(named),
     epoch: named.epoch,
@@ -65,16 +65,15 @@
     organisation: arrival.organisation,
     settlement: undefined
   })
-  yield output.count('entry.arrivals')
 }
 
 /** Refuses an arrival for good: a late copy of it, under the same identity, is refused as well. */
 function * refuse (own: state.State, arrival: event.Arrival, known: string, outcome: receipt.Outcome, retryAfterMs: number): output.Outputs {
   const final = receipt.ofArrival(arrival, known, outcome)
-  own.ledger.settle(known, { receipt: final, retryAfterMs })
   yield output.count(`entry.outcome.${outcome.reason}`)
   yield { kind: 'refuse', request: arrival.request, receipt: final, retryAfterMs }
   yield { kind: 'settled', receipt: final }
+  yield * settle.keep(own, arrival, final, retryAfterMs)
 }
 
 function isLessUrgent (left: request.Waiting, right: request.Waiting): boolean {
@@ -150,7 +149,7 @@
 function * handleNew (own: state.State, arrival: event.Arrival, named: identity.Identity, nowMs: number): output.Outputs {
   for (const forgotten of own.ledger.makeRoom()) yield { kind: 'forget', request: forgotten.request }
   const verdict = own.ledger.judge(named.epoch)
-  if (verdict === 'expired') {
+  if (verdict === 'expired' || identity.isUnnamed(named)) {
     const figures = { retentionS: protocol.IDENTITY_RETENTION_BEATS * protocol.BEAT_INTERVAL_MS / MILLISECONDS_PER_SECOND }
     yield * refuseUnremembered(arrival, { reason: 'identity-expired', execution: 'unknown', figures })
     return
@@ -159,14 +158,14 @@
     yield * refuseUnremembered(arrival, receipt.notRun('identity-malformed', {}))
     return
   }
-  yield * remember(own, arrival, named)
+  remember(own, arrival, named)
+  yield output.count('entry.arrivals')
   yield * admit(own, arrival, identity.format(named), nowMs)
 }
 
 function * handleUnnamed (own: state.State, arrival: event.Arrival, nowMs: number): output.Outputs {
-  for (const forgotten of own.ledger.makeRoom()) yield { kind: 'forget', request: forgotten.request }
-  const issued = identity.issue(own.settings.incarnation, own.ledger.issuingEpoch, own.settings.random)
-  yield * remember(own, arrival, issued)
+  const issued = identity.issueUnnamed(own.settings.incarnation, own.ledger.beat, own.settings.random)
+  yield output.count('entry.arrivals')
   yield * admit(own, arrival, identity.format(issued), nowMs)
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,6 +18,9 @@
 /** Identities that an entry remembers when its settings don't say. */
 export const DEFAULT_IDENTITY_LIMIT = 50_000
 
+/** Outcomes of requests without an identity that an entry keeps when its settings don't say. */
+export const DEFAULT_UNNAMED_LIMIT = 10_000
+
 /** Settings of an entry. */
 export interface Options {
   readonly incarnation: protocol.Incarnation
@@ -28,6 +31,8 @@
   readonly requestLimit: number
   /** Most identities remembered; a full ledger shortens the retention. `DEFAULT_IDENTITY_LIMIT` when left out. */
   readonly identityLimit?: number
+  /** Most outcomes kept of requests without an identity. `DEFAULT_UNNAMED_LIMIT` when left out. */
+  readonly unnamedLimit?: number
   /** In which order a request tries the pools of its service; rendezvous hashing when left out. */
   readonly orderPools?: poolOrder.PoolOrder
   /** Whether requests may go to a pool, such as those of the daemon's region; all when left out. */
@@ -53,6 +58,7 @@
 function readSettings (options: Options): state.Settings {
   return {
     identityLimit: DEFAULT_IDENTITY_LIMIT,
+    unnamedLimit: DEFAULT_UNNAMED_LIMIT,
     orderPools: poolOrder.rendezvousOrder,
     isEligiblePool: () => true,
     ...options
@@ -61,6 +67,7 @@
 
 function * advanceBeat (own: state.State, beat: number): output.Outputs {
   for (const forgotten of own.ledger.advance(beat)) yield { kind: 'forget', request: forgotten.request }
+  yield * own.unnamed.expire(own.ledger.lowWaterEpoch)
 }
 
 function * react (own: state.State, input: event.Event, nowMs: number): output.Outputs {
@@ -105,9 +112,9 @@
     status: () => ({
       waiting: own.waiting().length,
       running: own.running().length,
-      remembered: own.ledger.size,
+      remembered: own.ledger.size + own.unnamed.size,
       draining: own.draining
     }),
-    receipt: (identity) => own.ledger.find(identity)?.settlement?.receipt
+    receipt: (identity) => own.ledger.find(identity)?.settlement?.receipt ?? own.unnamed.find(identity)
   }
 }
--- a/packages/entry/src/identity-ledger.ts
+++ b/packages/entry/src/identity-ledger.ts
@@ -50,9 +50,9 @@
     return this.#lowWaterEpoch
   }
 
-  /** The epoch of identities that the entry issues for requests that came without one. */
-  get issuingEpoch (): number {
-    return Math.max(this.#beat, this.#lowWaterEpoch)
+  /** The owner's latest beat. */
+  get beat (): number {
+    return this.#beat
   }
 
   find (identity: string): Remembered | undefined {
--- a/packages/entry/src/identity.ts
+++ b/packages/entry/src/identity.ts
@@ -13,6 +13,9 @@
 
 const NONCE_RADIX = 36
 
+/** First character of the nonces that an entry gives to requests that came without an identity. */
+const UNNAMED_MARK = '_'
+
 /** The parts of a request's identity. */
 export interface Identity {
   readonly incarnation: protocol.Incarnation
@@ -58,14 +61,26 @@
 }
 
 /**
- * Issues an identity with a random nonce.
+ * Issues an identity with a random nonce to a request that came without one, for its receipt alone.
  *
  * @example
  * ```ts
- * format(issue('k3j9x0q2m4z7a', 57, Math.random)) // 'k3j9x0q2m4z7a.57.0f8k2…'
+ * format(issueUnnamed('k3j9x0q2m4z7a', 57, Math.random)) // 'k3j9x0q2m4z7a.57._0f8k2…'
  * ```
  */
-export function issue (incarnation: protocol.Incarnation, epoch: number, random: protocol.Random): Identity {
+export function issueUnnamed (incarnation: protocol.Incarnation, epoch: number, random: protocol.Random): Identity {
   const digits = Array.from({ length: NONCE_LENGTH }, () => Math.floor(random() * NONCE_RADIX).toString(NONCE_RADIX))
-  return { incarnation, epoch, nonce: digits.join('') }
+  return { incarnation, epoch, nonce: `${UNNAMED_MARK}${digits.join('')}` }
+}
+
+/**
+ * Whether an identity was issued to a request that came without one. Nothing can be sent under it.
+ *
+ * @example
+ * ```ts
+ * isUnnamed({ incarnation: 'k3j9x0q2m4z7a', epoch: 57, nonce: '_0f8k2' }) // true
+ * ```
+ */
+export function isUnnamed (identity: Identity): boolean {
+  return identity.nonce.startsWith(UNNAMED_MARK)
 }
--- a/packages/entry/src/settle.ts
+++ b/packages/entry/src/settle.ts
@@ -19,15 +19,21 @@
   own.requests.delete(settled.arrival.request)
 }
 
+/** Keeps a final outcome: for resends when the request has an identity of its caller, otherwise for questions. */
+export function * keep (own: state.State, arrival: event.Arrival, final: event.Receipt, retryAfterMs: number): output.Outputs {
+  if (arrival.identity === undefined) yield * own.unnamed.add({ request: arrival.request, epoch: own.ledger.beat, receipt: final })
+  else own.ledger.settle(final.identity, { receipt: final, retryAfterMs })
+}
+
 /** Records a final outcome; callers that get no answer of a target are refused. */
 export function * settle (own: state.State, settled: request.Request, final: event.Receipt, retryAfterMs: number): output.Outputs {
   forgetRequest(own, settled)
-  own.ledger.settle(settled.identity, { receipt: final, retryAfterMs })
   yield output.count(`entry.outcome.${final.reason}`)
   if (final.reason !== 'finished') {
     for (const caller of settled.callers) yield { kind: 'refuse', request: caller, receipt: final, retryAfterMs }
   }
   yield { kind: 'settled', receipt: final }
+  yield * keep(own, settled.arrival, final, retryAfterMs)
 }
 
 /** Gives up on a waiting request: it was not run. */
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -11,6 +11,7 @@
 import * as rounds from './rounds.js'
 import * as suspects from './suspects.js'
 import * as targetStates from './target-states.js'
+import * as unnamedOutcomes from './unnamed-outcomes.js'
 
 /** Settings that have been given their defaults. */
 export interface Settings {
@@ -19,6 +20,7 @@
   readonly findMember: (incarnation: protocol.Incarnation) => protocol.MemberNews | undefined
   readonly requestLimit: number
   readonly identityLimit: number
+  readonly unnamedLimit: number
   readonly orderPools: poolOrder.PoolOrder
   readonly isEligiblePool: (pool: string) => boolean
 }
@@ -32,6 +34,7 @@
   /** The request of each ask that waits for a grant or holds a slot. */
   readonly requestOfAsk = new Map<number, number>()
   readonly ledger: identityLedger.IdentityLedger
+  readonly unnamed: unnamedOutcomes.UnnamedOutcomes
   readonly rounds = new rounds.Rounds()
   readonly suspects = new suspects.Suspects()
   readonly targets = new targetStates.TargetStates()
@@ -43,6 +46,7 @@
 
   constructor (readonly settings: Settings) {
     this.ledger = new identityLedger.IdentityLedger(settings.identityLimit)
+    this.unnamed = new unnamedOutcomes.UnnamedOutcomes(settings.unnamedLimit)
   }
 
   /** A number for an ask, never used before in this incarnation. */
--- a/packages/entry/tests/entry.test.ts
+++ b/packages/entry/tests/entry.test.ts
@@ -232,6 +232,18 @@
   assert.equal(fixtures.effects(driver.end('cancelled', 2)), ['settled caller-gone-dispatched unknown'])
 })
 
+test('outcomes without an identity are kept for questions, take no room from identities, and nothing runs under theirs', () => {
+  const driver = started({ identityLimit: 1, unnamedLimit: 1 })
+  driver.arrive()
+  const refused = driver.arrive({ request: 2, identity: undefined, tier: 'gold' }).find((output) => output.kind === 'refuse')
+  const identity = refused?.kind === 'refuse' ? refused.receipt.identity : ''
+  assert.is(driver.entry.receipt(identity)?.reason, 'unknown-tier')
+  assert.equal(fixtures.effects(driver.arrive({ request: 3, identity })), ['refuse 3 identity-expired unknown'])
+  assert.equal(fixtures.effects(driver.arrive({ request: 4, identity: undefined, organisation: undefined })).at(-1), 'forget 2')
+  assert.equal(fixtures.effects(driver.arrive({ request: 5 })), ['join 5 1'])
+  assert.equal(fixtures.effects(driver.do({ kind: 'beat', beat: 611 })), ['forget 4'])
+})
+
 test('at the limit a waiting request of a lower tier is displaced, otherwise the arrival is shed', () => {
   const driver = started({ requestLimit: 1 })
   driver.arrive()
--- /dev/null
+++ b/packages/history/src/run-index.ts
@@ -0,0 +1,43 @@
+/**
+ * Finds runs by time without looking at all of them.
+ *
+ * @module
+ */
+import type * as runs from './runs.js'
+
+const BUCKET_MS = 1_000
+
+/** Runs that may have been in progress at some moment of an interval; with some that were not. */
+export type RunIndex = (fromMs: number, untilMs: number) => readonly runs.Run[]
+
+function bucketOf (atMs: number): number {
+  return Math.floor(atMs / BUCKET_MS)
+}
+
+/**
+ * Sorts runs into buckets of a second. Runs without an end are always found.
+ *
+ * @example
+ * ```ts
+ * createRunIndex(runs(history))(4_000, 5_000) // the runs of these seconds
+ * ```
+ */
+export function createRunIndex (all: readonly runs.Run[]): RunIndex {
+  const buckets = new Map<number, runs.Run[]>()
+  const unended = all.filter((run) => run.ended === undefined)
+  for (const run of all) {
+    if (run.ended === undefined) continue
+    for (let bucket = bucketOf(run.started.atMs); bucket <= bucketOf(run.ended.atMs); bucket++) {
+      const others = buckets.get(bucket)
+      if (others === undefined) buckets.set(bucket, [run])
+      else others.push(run)
+    }
+  }
+  return (fromMs, untilMs) => {
+    const found = new Set(unended)
+    for (let bucket = bucketOf(fromMs); bucket <= bucketOf(untilMs); bucket++) {
+      for (const run of buckets.get(bucket) ?? []) found.add(run)
+    }
+    return [...found]
+  }
+}
