--- a/packages/cli/src/apply-document.ts
+++ b/packages/cli/src/apply-document.ts
@@ -154,8 +154,14 @@
   })
 }
 
+async function mayDelete (run: session.Session, service: string, error: failure.Failure, choices: Choices): Promise<boolean> {
+  if (error.exit === 'notFound') return (await findInForce(run, service)).revision > 0
+  return error.exit === 'invalid' && choices.replaceUnreadable
+}
+
 /**
- * Deletes a service; its revisions and chain of changes are kept.
+ * Deletes a service; its revisions and chain of changes are kept. A service that the platform has
+ * lost, but daemons have in force, can be deleted too.
  *
  * @example
  * ```ts
@@ -164,7 +170,8 @@
  */
 export function deleteDocument (run: session.Session, service: string, choices: Choices): session.Outcome {
   return neverthrow.safeTry<session.Report, failure.Failure>(async function * () {
-    yield * store.readService(run.ports, service)
+    const stored = await store.readService(run.ports, service)
+    if (stored.isErr() && !await mayDelete(run, service, stored.error, choices)) return neverthrow.err(stored.error)
     return yield * change(run, service, { content: null, document: undefined, notes: [] }, choices)
   })
 }
--- a/packages/cli/src/change-report.ts
+++ b/packages/cli/src/change-report.ts
@@ -31,7 +31,7 @@
 function wordVerdict (verdict: Verdict): Wording {
   switch (verdict.kind) {
     case 'already-in-force':
-      return { exit: 'done', id: 'already-in-force', figures: wordStored(verdict.stored) }
+      return { exit: 'done', id: verdict.stored.content === null ? 'already-deleted' : 'already-in-force', figures: wordStored(verdict.stored) }
     case 'took-effect':
       return { exit: 'done', id: verdict.answerLost ? 'took-effect-answer-lost' : 'took-effect', figures: { revision: verdict.revision, replaced: showReplaced(verdict.replaced) } }
     case 'superseded':
--- a/packages/cli/src/message.ts
+++ b/packages/cli/src/message.ts
@@ -7,6 +7,7 @@
 /** Message id to message. */
 export const MESSAGES = {
   'already-in-force': '{service}: this text is revision {revision} already, written by {operator} at {at}. Nothing was written.',
+  'already-deleted': '{service} is deleted already, by {operator} at {at} (revision {revision}). Nothing was written.',
   'took-effect': '{service}: revision {revision} is stored (change {changeId}), replacing {replaced}.',
   'took-effect-answer-lost': '{service}: the answer of the platform was lost, but reading back shows that revision {revision} is stored (change {changeId}), replacing {replaced}.',
   superseded: '{service}: revision {revision} was stored (change {changeId}), and has been replaced since by:\n{changes}\nRead it with: persimmonhatch show {service}',
--- a/packages/cli/tests/apply.test.ts
+++ b/packages/cli/tests/apply.test.ts
@@ -201,6 +201,14 @@
   assert.match((await world.run('history', 'listings')).out, /revision 3 .*\n.*revision 2 .*deleted the service\n.*revision 1/)
 })
 
+apply('deletes a service that only daemons still have, and says when it is deleted already', async () => {
+  const world = new harness.World()
+  world.daemons.set(DAEMON, () => ({ status: 200, body: harness.status(DAEMON, [{ service: 'listings', revision: 6, changeId: 'change-x' }]) }))
+  assert.match((await world.run('delete', 'listings', '--daemon', DAEMON)).out, /revision 7 is stored/)
+  assert.match((await world.run('delete', 'listings', '--daemon', DAEMON)).out, /deleted already, by ana/)
+  assert.is((await world.run('delete', 'stock', '--daemon', DAEMON)).code, 9)
+})
+
 apply('writes over an unreadable value only when told to', async () => {
   const world = createWorld()
   world.put(KEY, '{')
