Take a change made while the tool runs for a race

The checks now hold for the revision that was listed with them. Figures in explanations are rounded to whole numbers.

--- a/packages/cli/src/apply-document.ts
+++ b/packages/cli/src/apply-document.ts
@@ -38,6 +38,8 @@
 
 // Valid documents of other services, and the names of those that are not valid.
 interface Others {
+  /** Revision of the service itself; undefined when it can't be read. */
+  readonly ownRevision: number | undefined
   readonly documents: readonly ServiceDocument[]
   readonly invalid: readonly string[]
 }
@@ -48,6 +50,7 @@
     const stored = services.filter((each) => each.service !== service && !store.isDeleted(each))
     const parsed = stored.map((each) => ({ service: each.service, document: store.parseContent(each) }))
     return {
+      ownRevision: store.revisionOf(services, service),
       documents: parsed.flatMap((each) => each.document === undefined ? [] : [each.document]),
       invalid: parsed.flatMap((each) => each.document === undefined ? [each.service] : [])
     }
@@ -148,9 +151,13 @@
     yield * checkOrigin(file, checked.service, origin)
     const others = yield * await readOthers(run, checked.service)
     yield * checkOthers(file, checked, others)
-    const expectedRevision = choices.expectedRevision ?? origin?.revision
     const edited = { content, document: checked, notes: noteInvalid(others) }
-    return yield * change(run, checked.service, edited, { ...choices, expectedRevision })
+    const stated = choices.expectedRevision ?? origin?.revision
+    if (stated !== undefined) return yield * change(run, checked.service, edited, { ...choices, expectedRevision: stated })
+    // The checks hold for what was listed; a change made since then came at the same moment.
+    const unstated = { ...choices, expectedRevision: others.ownRevision }
+    const changed = await neverthrow.safeTry(() => change(run, checked.service, edited, unstated))
+    return changed.mapErr(changeReport.withoutStatedRevision)
   })
 }
 
--- a/packages/cli/src/change-report.ts
+++ b/packages/cli/src/change-report.ts
@@ -77,3 +77,15 @@
     changes: changeText.showChanges(error.since)
   })
 }
+
+/**
+ * The failure to report when the operator stated no revision: the other change came while the tool ran.
+ *
+ * @example
+ * ```ts
+ * withoutStatedRevision(planFailure(error)).id // 'raced'
+ * ```
+ */
+export function withoutStatedRevision (error: failure.Failure): failure.Failure {
+  return error.id === 'changed-since-read' ? new failure.Failure('conflict', 'raced', error.figures) : error
+}
--- a/packages/cli/src/receipt.ts
+++ b/packages/cli/src/receipt.ts
@@ -36,6 +36,10 @@
   unknown: 'It is not known whether it was run.'
 } as const satisfies Readonly<Record<protocol.Execution, string>>
 
+function round (value: string | number): string | number {
+  return typeof value === 'number' ? Math.round(value) : value
+}
+
 function isReason (reason: string): reason is protocol.Reason {
   return Object.hasOwn(protocol.EXPLANATIONS, reason)
 }
@@ -79,11 +83,11 @@
  * ```
  */
 export function explainReceipt (receipt: Receipt, unknownReason: readonly string[]): Explanation {
-  const opening = `A request of ${receipt.organisation} to ${receipt.service}, tier ${receipt.tier}, waited ${receipt.waitedMs} ms.`
+  const opening = `A request of ${receipt.organisation} to ${receipt.service}, tier ${receipt.tier}, waited ${round(receipt.waitedMs)} ms.`
   const { reason } = receipt
   if (!isReason(reason)) return { sentences: [opening, ...unknownReason, EXECUTIONS[receipt.execution]], remedy: undefined }
   const known = protocol.EXPLANATIONS[reason]
-  const figures = { target: receipt.target ?? 'unknown', ...receipt, ...receipt.figures } as Readonly<Record<string, unknown>>
-  const filled = Object.fromEntries(Object.entries(figures).filter((entry): entry is [string, string | number] => typeof entry[1] !== 'object' && entry[1] !== undefined))
-  return { sentences: [opening, protocol.explain(reason, filled), EXECUTIONS[receipt.execution]], remedy: known.remedy }
+  const figures: protocol.Figures = { ...receipt.figures, target: receipt.target ?? receipt.figures.target ?? 'unknown', waitedMs: receipt.waitedMs, service: receipt.service, organisation: receipt.organisation, tier: receipt.tier }
+  const rounded = Object.fromEntries(Object.entries(figures).map(([name, value]) => [name, round(value)]))
+  return { sentences: [opening, protocol.explain(reason, rounded), EXECUTIONS[receipt.execution]], remedy: known.remedy }
 }
--- a/packages/cli/src/store.ts
+++ b/packages/cli/src/store.ts
@@ -61,6 +61,20 @@
   return service.stored.isOk() && service.stored.value.content === null
 }
 
+/**
+ * The stored revision of a service: 0 when it is not stored, undefined when it can't be read.
+ *
+ * @example
+ * ```ts
+ * revisionOf(services, 'listings') // 4
+ * ```
+ */
+export function revisionOf (services: readonly StoredService[], service: string): number | undefined {
+  const found = services.find((each) => each.service === service)
+  if (found === undefined) return 0
+  return found.stored.isOk() ? found.stored.value.revision : undefined
+}
+
 /**
  * A stored service's checked document; undefined when it is deleted or not valid.
  *
--- a/packages/cli/tests/apply.test.ts
+++ b/packages/cli/tests/apply.test.ts
@@ -63,6 +63,23 @@
   assert.match(ran.err, /another change came first, nothing was written:\n {2}revision 2 by bo/)
 })
 
+apply('takes a change made while the tool ran for a race, though the file states no revision', async () => {
+  const world = createWorld()
+  await world.run('apply', 'listings.jsonc')
+  const theirs = new harness.World()
+  for (const [key, entry] of world.entries) theirs.put(key, entry.value)
+  await otherOperator(theirs, harness.listings({ organisations: [{ name: 'fes' }] }))
+  // The daemons are asked between the checks and the write.
+  world.daemons.set(DAEMON, () => {
+    world.put(KEY, theirs.entries.get(KEY)?.value ?? '')
+    return { status: 200, body: harness.status(DAEMON, []) }
+  })
+  world.files.set('listings.jsonc', harness.listings({ organisations: [{ name: 'sale' }] }))
+  const ran = await world.run('apply', 'listings.jsonc', '--daemon', DAEMON)
+  assert.is(ran.code, 4)
+  assert.match(ran.err, /another change came first, nothing was written:\n {2}revision 2 by bo/)
+})
+
 apply('reads back after a lost answer', async () => {
   const world = createWorld()
   world.fates = ['lost-after']
--- a/packages/cli/tests/questions.test.ts
+++ b/packages/cli/tests/questions.test.ts
@@ -15,7 +15,7 @@
   tier: 'batch',
   reason: 'shed',
   execution: 'not-run',
-  waitedMs: 1_200,
+  waitedMs: 1_200.4,
   figures: { ahead: 4, expectedWaitMs: 9_000, maxWaitMs: 3_000 }
 }
 
