--- a/packages/cli/src/apply-document.ts
+++ b/packages/cli/src/apply-document.ts
@@ -38,6 +38,8 @@
 
 // Valid documents of other services, and the names of those that are not valid.
 interface Others {
+  /** Revision of the service itself; undefined when it can't be read. */
+  readonly ownRevision: number | undefined
   readonly documents: readonly ServiceDocument[]
   readonly invalid: readonly string[]
 }
@@ -48,6 +50,7 @@
     const stored = services.filter((each) => each.service !== service && !store.isDeleted(each))
     const parsed = stored.map((each) => ({ service: each.service, document: store.parseContent(each) }))
     return {
+      ownRevision: store.revisionOf(services, service),
       documents: parsed.flatMap((each) => each.document === undefined ? [] : [each.document]),
       invalid: parsed.flatMap((each) => each.document === undefined ? [each.service] : [])
     }
@@ -148,14 +151,24 @@
     yield * checkOrigin(file, checked.service, origin)
     const others = yield * await readOthers(run, checked.service)
     yield * checkOthers(file, checked, others)
-    const expectedRevision = choices.expectedRevision ?? origin?.revision
     const edited = { content, document: checked, notes: noteInvalid(others) }
-    return yield * change(run, checked.service, edited, { ...choices, expectedRevision })
+    const stated = choices.expectedRevision ?? origin?.revision
+    if (stated !== undefined) return yield * change(run, checked.service, edited, { ...choices, expectedRevision: stated })
+    // The checks hold for what was listed; a change made since then came at the same moment.
+    const unstated = { ...choices, expectedRevision: others.ownRevision }
+    const changed = await neverthrow.safeTry(() => change(run, checked.service, edited, unstated))
+    return changed.mapErr(changeReport.withoutStatedRevision)
   })
 }
 
+async function mayDelete (run: session.Session, service: string, error: failure.Failure, choices: Choices): Promise<boolean> {
+  if (error.exit === 'notFound') return (await findInForce(run, service)).revision > 0
+  return error.exit === 'invalid' && choices.replaceUnreadable
+}
+
 /**
- * Deletes a service; its revisions and chain of changes are kept.
+ * Deletes a service; its revisions and chain of changes are kept. A service that the platform has
+ * lost, but daemons have in force, can be deleted too.
  *
  * @example
  * ```ts
@@ -164,7 +177,8 @@
  */
 export function deleteDocument (run: session.Session, service: string, choices: Choices): session.Outcome {
   return neverthrow.safeTry<session.Report, failure.Failure>(async function * () {
-    yield * store.readService(run.ports, service)
+    const stored = await store.readService(run.ports, service)
+    if (stored.isErr() && !await mayDelete(run, service, stored.error, choices)) return neverthrow.err(stored.error)
     return yield * change(run, service, { content: null, document: undefined, notes: [] }, choices)
   })
 }
