--- a/packages/platform/src/etcd-key-value.ts
+++ b/packages/platform/src/etcd-key-value.ts
@@ -19,6 +19,8 @@
   /** Base URLs, such as `http://10.0.0.9:2379`. */
   readonly endpoints: readonly string[]
   readonly timeoutMs: number
+  /** Starts the time limit of a call; the machine's timers when left out. */
+  readonly timeoutSignal?: jsonCall.TimeoutSignal
   /** Silence after which a watch counts as lost, so that the caller lists again. */
   readonly watchIdleMs?: number
 }
@@ -91,7 +93,8 @@
     const endpoint = endpoints.current()
     if (endpoint === undefined) return neverthrow.errAsync(noEndpoint())
     const { path, ...rest } = method
-    return jsonCall.jsonCall({ ...rest, client: options.client, url: `${endpoint}${path}`, timeoutMs: options.timeoutMs }).orElse((failure) => {
+    const { client, timeoutMs, timeoutSignal } = options
+    return jsonCall.jsonCall({ ...rest, client, url: `${endpoint}${path}`, timeoutMs, timeoutSignal }).orElse((failure) => {
       if (failure.failure === 'unavailable' || failure.failure === 'unanswered') endpoints.skip(endpoint)
       return mayFailOver(failure) && attemptsLeft > 1 ? attempt(method, attemptsLeft - 1) : neverthrow.errAsync(failure)
     })
--- a/packages/platform/src/json-call.ts
+++ b/packages/platform/src/json-call.ts
@@ -19,6 +19,9 @@
 /** A call's effect: `write` may not be repeated when it may have been carried out. */
 export type Effect = 'read' | 'write'
 
+/** Gives a signal that aborts after a time. */
+export type TimeoutSignal = (timeoutMs: number) => AbortSignal
+
 /** One call. */
 export interface Call<Value> {
   readonly client: undici.Dispatcher
@@ -27,6 +30,8 @@
   readonly body?: unknown
   readonly effect: Effect
   readonly timeoutMs: number
+  /** Starts the time limit; the machine's timers when left out. */
+  readonly timeoutSignal?: TimeoutSignal | undefined
   readonly schema: zod.ZodType<Value>
 }
 
@@ -86,7 +91,7 @@
   const answer = await undici.request(call.url, {
     ...post,
     dispatcher: httpClient.withDispatchNotice(call.client, onDispatch),
-    signal: AbortSignal.timeout(call.timeoutMs)
+    signal: (call.timeoutSignal ?? AbortSignal.timeout)(call.timeoutMs)
   })
   return { status: answer.statusCode, text: await answer.body.text() }
 }
--- a/packages/standins/src/key-value-store.ts
+++ b/packages/standins/src/key-value-store.ts
@@ -52,8 +52,7 @@
 export type Listener = (events: readonly Event[]) => void
 
 class Lease {
-  expiresAtMs = 0
-  constructor (readonly timeToLiveS: number) {}
+  constructor (readonly timeToLiveS: number, public expiresAtMs: number) {}
 }
 
 const COMPARISONS: Readonly<Record<Compare['result'], (found: number, operand: number) => boolean>> = {
@@ -124,8 +123,7 @@
   grantLease (timeToLiveS: number): number {
     const id = this.#nextLeaseId
     this.#nextLeaseId += 1
-    this.#leases.set(id, new Lease(timeToLiveS))
-    this.keepLeaseAlive(id)
+    this.#leases.set(id, new Lease(timeToLiveS, this.now() + timeToLiveS * MS_PER_S))
     return id
   }
 
