--- a/packages/standins/src/engine-answer.ts
+++ b/packages/standins/src/engine-answer.ts
@@ -58,6 +58,7 @@
   }
 
   outgoing.writeHead(200, { 'content-type': 'text/event-stream' })
+  outgoing.flushHeaders()
   cancelOnClose(options, () => hasEndedEarly && fault === 'cut')
   const stop = job.read(after, {
     onEvent: (event) => {
--- a/packages/standins/src/loopback-server.ts
+++ b/packages/standins/src/loopback-server.ts
@@ -80,13 +80,14 @@
   const port = await listen(service, options.port ?? 0)
   const controlPort = await listen(control, 0)
   let wantsListening = true
+  let isClosed = false
 
   function handle (incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
     listener(incoming, outgoing).catch(() => incoming.socket.destroy())
   }
 
   function relisten (): void {
-    if (wantsListening && !service.listening) service.listen(port, HOST)
+    if (wantsListening && !isClosed && !service.listening) service.listen(port, HOST)
   }
   // The port may be taken for a moment by an outgoing connection.
   service.on('error', () => { setTimeout(relisten, RELISTEN_INTERVAL_MS) })
@@ -111,6 +112,7 @@
     },
     cutAll,
     close: async () => {
+      isClosed = true
       refuse()
       control.close()
       for (const socket of controlSockets) socket.destroy()
--- /dev/null
+++ b/packages/standins/tests/plain-service.test.ts
@@ -0,0 +1,48 @@
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as plainService from '../src/plain-service.js'
+
+interface Log {
+  readonly requests: readonly plainService.LogEntry[]
+}
+
+const suite = uvu.suite('plain service')
+
+async function reserve (address: string, marker: string, body = 'x'.repeat(100_000)): Promise<string> {
+  try {
+    const answer = await fetch(`http://${address}/reserve`, { method: 'POST', body, headers: { 'x-marker': marker } })
+    return (await answer.json() as { readonly marker: string }).marker
+  } catch {
+    return 'failed'
+  }
+}
+
+const RESET_CASES = [
+  { when: 'before', ran: 0 },
+  { when: 'during', ran: 0 },
+  { when: 'after', ran: 1 }
+] as const
+
+for (const { when, ran } of RESET_CASES) {
+  suite(`a reset ${when} the request's bytes`, async () => {
+    const service = await plainService.startPlainService({})
+    await fetch(`http://${service.controlAddress}/standin/faults`, { method: 'POST', body: JSON.stringify({ resetNext: [when] }) })
+    assert.is(await reserve(service.address, 'r1'), 'failed')
+    assert.is(await reserve(service.address, 'r2'), 'r2')
+    const { requests } = await (await fetch(`http://${service.controlAddress}/standin/log`)).json() as Log
+    assert.is(requests.filter((entry) => entry.marker === 'r1' && entry.ranAtMs !== undefined).length, ran)
+    assert.is(requests.filter((entry) => entry.marker === 'r2' && entry.outcome === 'answered').length, 1)
+    await service.close()
+  })
+}
+
+suite('a marked body crashes it', async () => {
+  const service = await plainService.startPlainService({ crashMarker: 'CRASH' })
+  assert.is(await reserve(service.address, 'r1', 'CRASH'), 'failed')
+  assert.is(await reserve(service.address, 'r2'), 'failed')
+  const { requests } = await (await fetch(`http://${service.controlAddress}/standin/log`)).json() as Log
+  assert.equal(requests.map((entry) => entry.outcome), ['crashed'])
+  await service.close()
+})
+
+suite.run()
