--- a/packages/system/src/bin/demo.ts
+++ b/packages/system/src/bin/demo.ts
@@ -4,13 +4,14 @@
  * @module
  */
 import * as load from '@persimmonhatch/load'
-import * as platform from '@persimmonhatch/platform'
-import * as protocol from '@persimmonhatch/protocol'
 import * as distribution from 'pure-rand/distribution/uniformFloat64'
 import * as generator from 'pure-rand/generator/xoroshiro128plus'
-import * as callModule from '../call.js'
+import type * as callModule from '../call.js'
+import * as callersModule from '../callers.js'
+import type * as daemonProcess from '../daemon-process.js'
 import * as deployment from '../deployment.js'
 import * as recorderModule from '../recorder.js'
+import * as requestModule from '../request.js'
 import * as summary from '../summary.js'
 import * as systemModule from '../system.js'
 
@@ -19,50 +20,26 @@
 const REQUESTS_PER_S = 40
 const MS_PER_S = 1_000
 
-function toRequest (drawn: load.mix.Draw, name: string): callModule.Request {
-  const { kind } = drawn
-  return {
-    request: name,
-    service: kind.service,
-    kind: kind.target,
-    method: kind.method,
-    path: kind.path,
-    organisation: drawn.organisation,
-    tier: kind.tier,
-    rank: kind.rank,
-    nonIdempotent: kind.nonIdempotent,
-    promptText: load.mix.promptText(drawn, name, protocol.BYTES_PER_TOKEN),
-    answerTokens: drawn.answerTokens,
-    stream: kind.stream
-  }
-}
-
-async function askIdentity (address: string, service: string): Promise<string | undefined> {
-  const response = await fetch(`http://${address}/v1/addresses?service=${service}`)
-  const { addresses } = await response.json() as { readonly addresses: readonly { readonly address: string, readonly identities: readonly string[] }[] }
-  return addresses.find((choice) => choice.address === address)?.identities[0]
-}
-
 async function serveLoad (system: systemModule.System, recorder: recorderModule.Recorder): Promise<readonly summary.Served[]> {
   const source = generator.xoroshiro128plus(SEED)
   const random = (): number => distribution.uniformFloat64(source)
-  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const callers = callersModule.createCallers({ recorder, daemons: system.daemons })
   const daemons = system.daemons()
   const pending: Promise<summary.Served>[] = []
 
-  async function serve (request: callModule.Request, daemon: (typeof daemons)[number]): Promise<summary.Served> {
-    const identity = request.nonIdempotent ? await askIdentity(daemon.address, request.service) : undefined
-    return { request, result: await callModule.makeCall({ recorder, httpClient, daemon, request, identity }) }
+  async function serve (request: callModule.Request, asked: daemonProcess.DaemonProcess): Promise<summary.Served> {
+    const steer = await callers.steer(asked, request.service)
+    return { request, result: await callers.send(request, steer ?? { daemon: asked, identity: undefined }) }
   }
 
   for (let index = 0; index < REQUESTS; index += 1) {
     const daemon = daemons[Math.floor(random() * daemons.length)]
     if (daemon === undefined) break
-    pending.push(serve(toRequest(load.mix.draw(load.mix.ATLASRENEW, random), `r${index}`), daemon))
+    pending.push(serve(requestModule.toRequest(load.mix.draw(load.mix.ATLASRENEW, random), `r${index}`), daemon))
     await new Promise((resolve) => setTimeout(resolve, -Math.log(1 - random()) * MS_PER_S / REQUESTS_PER_S))
   }
   const served = await Promise.all(pending)
-  await httpClient.close()
+  await callers.close()
   return served
 }
 
--- a/packages/system/src/index.ts
+++ b/packages/system/src/index.ts
@@ -4,10 +4,13 @@
  * @module
  */
 export * as call from './call.js'
+export * as callers from './callers.js'
 export * as collectRuns from './collect-runs.js'
 export * as daemonProcess from './daemon-process.js'
 export * as deployment from './deployment.js'
+export * as judge from './judge.js'
 export * as recorder from './recorder.js'
+export * as request from './request.js'
 export * as summary from './summary.js'
 export * as system from './system.js'
 export * as waitUntil from './wait-until.js'
