Notice a store that came back older; keep the engine stand-in's memory bounded

Cause: a watch from a revision that a restored store has not reached yet is silent, so its caller would miss changes. The engine stand-in kept every prompt and event for its log. Change: each watch message's revision is compared with the revision seen; the stand-in drops prompts and old events, and sends tokens at an interval.

--- a/packages/platform/src/etcd-schema.ts
+++ b/packages/platform/src/etcd-schema.ts
@@ -35,6 +35,7 @@
 /** One message of a watch. */
 export const WATCH_MESSAGE = zod.object({
   result: zod.object({
+    header: HEADER,
     canceled: zod.boolean().default(false),
     compact_revision: INTEGER,
     cancel_reason: zod.string().default(''),
--- a/packages/platform/src/etcd-watch.ts
+++ b/packages/platform/src/etcd-watch.ts
@@ -45,12 +45,19 @@
   })
 }
 
-function readMessage (url: string, line: string): etcdSchema.WatchMessage {
+// A store that was restored from a backup is older than what the caller has seen. A watch from the
+// caller's revision would then miss every change up to it.
+function wentBack (url: string, revision: number, afterRevision: number): keyValue.PlatformFailure {
+  return new keyValue.PlatformFailure('compacted', `${url} is at revision ${revision}, before revision ${afterRevision} that was seen. List the prefix again and watch from its revision.`)
+}
+
+function readMessage (url: string, line: string, afterRevision: number): etcdSchema.WatchMessage {
   const json = jsonCall.parseJson(line).unwrapOr(undefined)
   const message = etcdSchema.WATCH_MESSAGE.safeParse(json)
   if (!message.success) throw jsonCall.rejected('read', url, 200, line)
   const { result } = message.data
   if (result.compact_revision > 0) throw new keyValue.PlatformFailure('compacted', `${url} no longer holds changes before revision ${result.compact_revision}. List the prefix again and watch from its revision.`)
+  if (result.header.revision < afterRevision) throw wentBack(url, result.header.revision, afterRevision)
   if (result.canceled) throw lost(url, result.cancel_reason || 'cancelled by the service')
   return result
 }
@@ -77,7 +84,7 @@
     const answer = await open(url, options)
     if (answer.statusCode !== 200) throw jsonCall.rejected('read', url, answer.statusCode, await answer.body.text())
     for await (const line of jsonLines.jsonLines(answer.body)) {
-      const changes = toChanges(readMessage(url, line))
+      const changes = toChanges(readMessage(url, line, options.afterRevision))
       if (changes.length > 0) yield changes
     }
     throw lost(url, 'the connection closed')
--- a/packages/platform/tests/etcd-key-value.test.ts
+++ b/packages/platform/tests/etcd-key-value.test.ts
@@ -253,6 +253,22 @@
   assert.is(await watchFailure(setup.store, 1), 'unavailable')
 })
 
+watches('says when the store came back older', async ({ setup }) => {
+  await writeValues(setup.store, '/a/1', 4)
+  await control(setup, 'faults', { restoreOlder: 3 })
+  assert.is(await watchFailure(setup.store, 5), 'compacted')
+})
+
+watches('ends at the service when its reader stops', async ({ setup }) => {
+  await writeValues(setup.store, '/a/1', 1)
+  const changes = setup.store.watch('/a/', 1, new AbortController().signal)
+  assert.is((await changes.next()).value?.length, 1)
+  await changes.return(undefined)
+  let open = 1
+  while (open > 0) open = (await control(setup, 'calls') as { readonly openWatches: number }).openWatches
+  assert.is(open, 0)
+})
+
 watches('counts as one call against the limit', async ({ setup }) => {
   await control(setup, 'faults', { rejectRate: 1 })
   assert.is(await watchFailure(setup.store, 1), 'over-limit')
--- a/packages/standins/src/engine-job.ts
+++ b/packages/standins/src/engine-job.ts
@@ -41,7 +41,7 @@
 
 /** One request in the engine. */
 export class Job {
-  readonly events: string[] = []
+  events: readonly string[] = []
   readonly readers = new Set<Reader>()
   readonly sequence: batch.Sequence
   outcome: Outcome = 'running'
@@ -49,6 +49,7 @@
   firstByteAtMs: number | undefined
   endedAtMs: number | undefined
   #publishedTokens = 0
+  #publishedAtMs = -Infinity
 
   constructor (
     readonly id: string,
@@ -69,15 +70,22 @@
     return { form: this.request.form, id: this.id, model: this.request.model, text, finished, ...(wantsUsage ? { usage } : {}) }
   }
 
-  /** Publishes the tokens that are new as one event. */
-  publish (): void {
+  /** Publishes the tokens that are new as one event; the last tokens at once, others at an interval. */
+  publish (nowMs: number, intervalMs: number): void {
+    if (!this.sequence.done && nowMs - this.#publishedAtMs < intervalMs) return
+    this.#publishedAtMs = nowMs
     const text = answerToken.answerText(this.request.marker, this.#publishedTokens, this.sequence.wholeTokens)
     this.#publishedTokens = this.sequence.wholeTokens
     const event = completionFormat.chunkEvent(this.content(text, this.sequence.done))
-    this.events.push(event)
+    this.events = [...this.events, event]
     for (const reader of this.readers) reader.onEvent(event)
   }
 
+  /** Frees the events of a stream that can no longer be resumed. */
+  dropEvents (): void {
+    this.events = []
+  }
+
   end (outcome: Outcome, atMs: number): void {
     this.outcome = outcome
     this.endedAtMs = atMs
--- a/packages/standins/src/engine-request.ts
+++ b/packages/standins/src/engine-request.ts
@@ -27,7 +27,8 @@
 export interface EngineRequest {
   readonly form: completionFormat.Form
   readonly model: string
-  readonly text: string
+  /** The prompt contains the text that crashes the engine. */
+  readonly crashes: boolean
   readonly marker: string
   readonly user: string | undefined
   readonly identity: string | undefined
@@ -43,6 +44,8 @@
   readonly form: completionFormat.Form
   readonly identity: string | undefined
   readonly hash: protocol.TextHash
+  /** Text of a prompt that crashes the engine. */
+  readonly crashMarker: string | undefined
 }
 
 /**
@@ -50,7 +53,7 @@
  *
  * @example
  * ```ts
- * readRequest({ prompt: 'Tag this', max_tokens: 8, user: 'm1' }, { form: 'text', identity: undefined, hash })
+ * readRequest({ prompt: 'Tag this', max_tokens: 8, user: 'm1' }, { form: 'text', identity: undefined, crashMarker: undefined, hash })
  * ```
  */
 export function readRequest (json: unknown, origin: Origin): EngineRequest | undefined {
@@ -62,7 +65,7 @@
   return {
     form: origin.form,
     model: body.model,
-    text: prompt.text,
+    crashes: origin.crashMarker !== undefined && prompt.text.includes(origin.crashMarker),
     marker: body.metadata?.marker ?? body.user ?? origin.identity ?? 'unmarked',
     user: body.user,
     identity: origin.identity,
--- a/packages/standins/src/engine.ts
+++ b/packages/standins/src/engine.ts
@@ -12,7 +12,7 @@
 
 const TICK_MS = 5
 const LOAD_SAMPLE_INTERVAL_MS = 20
-const MAX_HELD_JOBS = 2_000
+const MAX_HELD_JOBS = 256
 
 /** Sizes and lags of an engine. */
 export interface Options extends batch.Options {
@@ -23,8 +23,8 @@
   readonly cacheEventLagMs: number
   /** Share of cache events that are lost. */
   readonly cacheEventLossRate: number
-  /** A prompt that contains this text crashes the engine. */
-  readonly crashMarker: string | undefined
+  /** Shortest time between two events of a stream; tokens in between are sent together. */
+  readonly eventIntervalMs: number
   readonly onCrash: () => void
 }
 
@@ -64,7 +64,7 @@
     this.#batch = new batch.Batch(options, {
       onStart: (sequence) => this.#start(sequence),
       onPrefilled: (sequence) => this.storePrefixes(this.#jobs.get(sequence.id)?.request.prefixes ?? []),
-      onTokens: (sequence) => this.#jobs.get(sequence.id)?.publish(),
+      onTokens: (sequence) => this.#jobs.get(sequence.id)?.publish(options.timers.now(), options.eventIntervalMs),
       onDone: (sequence) => this.#jobs.get(sequence.id)?.end('finished', options.timers.now())
     })
   }
@@ -158,9 +158,7 @@
   }
 
   #shouldCrash (): boolean {
-    const { crashMarker } = this.options
-    if (crashMarker === undefined) return false
-    return [...this.#batch.running].some((sequence) => this.#jobs.get(sequence.id)?.request.text.includes(crashMarker))
+    return [...this.#batch.running].some((sequence) => this.#jobs.get(sequence.id)?.request.crashes)
   }
 
   #sampleLoad (): void {
@@ -176,7 +174,9 @@
   #forgetOldJobs (): void {
     for (const [id, job] of this.#jobs) {
       if (this.#jobs.size <= MAX_HELD_JOBS) return
-      if (job.outcome !== 'running') this.#jobs.delete(id)
+      if (job.outcome === 'running') continue
+      this.#jobs.delete(id)
+      job.dropEvents()
     }
   }
 }
--- a/packages/standins/src/model-engine.ts
+++ b/packages/standins/src/model-engine.ts
@@ -18,6 +18,7 @@
 import * as timers from './timers.js'
 
 const DEFAULT_CRASH_FOR_MS = 2_000
+const DEFAULT_EVENT_INTERVAL_MS = 20
 const DEFAULT_KV_BYTES_PER_TOKEN = 64
 const IDENTITY_HEADER = 'idempotency-key'
 const KV_TOKENS_HEADER = 'x-kv-cache-tokens'
@@ -35,6 +36,7 @@
   readonly statesLoadAge?: boolean | undefined
   readonly cacheEventLagMs?: number | undefined
   readonly cacheEventLossRate?: number | undefined
+  readonly eventIntervalMs?: number | undefined
   readonly crashMarker?: string | undefined
   readonly crashForMs?: number | undefined
   readonly checksFencing?: boolean | undefined
@@ -77,9 +79,9 @@
   return (text) => h32ToString(text)
 }
 
-function addCompletions ({ app, engine, faults, clock }: Parts, hash: protocol.TextHash): void {
+function addCompletions ({ app, engine, faults, clock }: Parts, hash: protocol.TextHash, crashMarker: string | undefined): void {
   async function complete (context: Context, form: 'chat' | 'text'): Promise<Response> {
-    const request = engineRequest.readRequest(await readJson(context), { form, identity: context.req.header(IDENTITY_HEADER), hash })
+    const request = engineRequest.readRequest(await readJson(context), { form, identity: context.req.header(IDENTITY_HEADER), hash, crashMarker })
     if (request === undefined) return context.json({ error: { message: 'not a completion request', type: 'invalid_request_error' } }, 400)
     const options = { engine, job: engine.submit(request), outgoing: context.env.outgoing, now: clock.now }
     if (request.stream) engineAnswer.streamAnswer(options, 0, faults.take())
@@ -152,7 +154,7 @@
     loadLagMs: options.loadLagMs ?? 0,
     cacheEventLagMs: options.cacheEventLagMs ?? 0,
     cacheEventLossRate: options.cacheEventLossRate ?? 0,
-    crashMarker: options.crashMarker,
+    eventIntervalMs: options.eventIntervalMs ?? DEFAULT_EVENT_INTERVAL_MS,
     onCrash
   })
 }
@@ -177,7 +179,7 @@
     clock.after(options.crashForMs ?? DEFAULT_CRASH_FOR_MS, () => { if (!refusesConnections) server.accept() })
   }
 
-  addCompletions(parts, await loadHash())
+  addCompletions(parts, await loadHash(), options.crashMarker)
   addStreams(parts)
   addReports(parts, options.statesLoadAge === false ? undefined : loadLagMs)
   addOrders(parts, new engineOrders.Orders(options.checksFencing ?? true))
--- a/packages/standins/src/standin-set.ts
+++ b/packages/standins/src/standin-set.ts
@@ -35,6 +35,7 @@
   statesLoadAge: zod.boolean().optional(),
   cacheEventLagMs: NUMBER,
   cacheEventLossRate: NUMBER,
+  eventIntervalMs: NUMBER,
   crashMarker: zod.string().optional(),
   crashForMs: NUMBER,
   checksFencing: zod.boolean().optional(),
--- a/packages/standins/tests/engine.test.ts
+++ b/packages/standins/tests/engine.test.ts
@@ -30,7 +30,7 @@
     loadLagMs: 0,
     cacheEventLagMs: 0,
     cacheEventLossRate: 0,
-    crashMarker: 'CRASH',
+    eventIntervalMs: 0,
     onCrash: () => crashes.push(clock.now()),
     ...options
   })
@@ -40,7 +40,7 @@
     crashes,
     submit: (marker, promptTokens, answerTokens, text = 'p') => {
       const prompt = text.repeat(Math.ceil(promptTokens * TOKEN_CHARS / text.length)).slice(0, promptTokens * TOKEN_CHARS)
-      const request = engineRequest.readRequest({ prompt, user: marker, max_tokens: answerTokens, stream: true }, { form: 'text', identity: undefined, hash: (part) => `${part[0]}${part.length}` })
+      const request = engineRequest.readRequest({ prompt, user: marker, max_tokens: answerTokens, stream: true }, { form: 'text', identity: undefined, crashMarker: 'CRASH', hash: (part) => `${part[0]}${part.length}` })
       if (request === undefined) throw new Error('not a request')
       return bench.submit(request)
     }
@@ -75,6 +75,14 @@
   near(jobs[2]?.endedAtMs, 1_500)
 })
 
+batching('tokens within the event interval are sent together', () => {
+  const { clock, submit } = createBench({ eventIntervalMs: 100 })
+  const job = submit('m', 1, 50)
+  clock.advance(2_000)
+  assert.is(job.outcome, 'finished')
+  assert.ok(job.events.length >= 5 && job.events.length <= 7, `${job.events.length} events`)
+})
+
 batching('a straggler is slower by its factor', () => {
   const { clock, submit, engine: bench } = createBench()
   bench.slowdown = 4
