Show that an aborted or early-answered request is not repeated

Cause: undici puts the requests behind an abort back in its queue, so the aborted one itself has to be shown to stay out. Change: cases for an abort after the arrival and for an answer that closes before the request is read.

--- a/packages/platform/tests/http-client.test.ts
+++ b/packages/platform/tests/http-client.test.ts
@@ -130,6 +130,38 @@
     assert.is(results.filter((result) => result === 'failed').length, 10)
   })
 
+  repeats(`${method} that the caller aborts after it arrived`, async () => {
+    const abort = new AbortController()
+    const arrivals = new Arrivals(() => undefined, (socket, _text, { lines }) => {
+      if (lines.length === 1) abort.abort()
+      else socket.write(OK)
+    })
+    const url = await arrivals.listen()
+    const agent = client({ connections: 1 })
+    const aborted = attempt(`${url}/one`, { dispatcher: agent, method, signal: abort.signal })
+    const next = attempt(`${url}/two`, { dispatcher: agent, method })
+    assert.equal([await aborted, await next], ['failed', '200 ok'])
+    await agent.close()
+    arrivals.server.close()
+    assert.is(arrivals.lines.filter((line) => line.includes('/one')).length, 1)
+  })
+
+  repeats(`${method} answered and closed before the whole request is read`, async () => {
+    const arrivals = new Arrivals(() => undefined, (socket) => {
+      socket.end('HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
+    })
+    const url = await arrivals.listen()
+    const agent = client({ connections: 1 })
+    const body = method === 'PUT' || method === 'POST' ? LARGE_BODY : null
+    const results = await Promise.all([0, 1, 2].map(async (index) => await attempt(`${url}/${index}`, { dispatcher: agent, method, body })))
+    await agent.close()
+    arrivals.server.close()
+    for (const [index, result] of results.entries()) {
+      assert.match(result, /^(503 |failed)$/)
+      assert.is(arrivals.lines.filter((line) => line.includes(`/${index} `)).length, 1)
+    }
+  })
+
   repeats(`${method} answered by a redirect`, async () => {
     const arrivals = new Arrivals(() => undefined, (socket) => { socket.write('HTTP/1.1 307 Temporary Redirect\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\r\n') })
     const url = await arrivals.listen()
