--- a/packages/platform/tests/http-client.test.ts
+++ b/packages/platform/tests/http-client.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'uvu/assert'
+import * as fastCheck from 'fast-check'
 import * as net from 'node:net'
 import * as undici from 'undici'
 import * as uvu from 'uvu'
@@ -173,6 +174,40 @@
   })
 }
 
+const ANSWERS = ['keep', 'close', 'reset', 'cut answer', 'reset later'] as const
+
+type Answer = typeof ANSWERS[number]
+
+/** Answers the n-th request that arrives in the n-th way. */
+function answering (answers: readonly Answer[]): Arrivals {
+  let next = 0
+  return new Arrivals(() => undefined, (socket, text) => {
+    if (!text.endsWith('\r\n\r\n')) return
+    const answer = answers[next % answers.length]
+    next += 1
+    if (answer === 'reset') socket.resetAndDestroy()
+    else if (answer === 'close') socket.end(OK)
+    else if (answer === 'cut answer') socket.end(OK.slice(0, -1))
+    else socket.write(OK, () => { if (answer === 'reset later') socket.resetAndDestroy() })
+  })
+}
+
+repeats('any mix of answers and lost connections', async () => {
+  const mixes = fastCheck.tuple(fastCheck.array(fastCheck.constantFrom(...ANSWERS), { minLength: 1, maxLength: 8 }), fastCheck.array(fastCheck.constantFrom(...METHODS), { minLength: 1, maxLength: 30 }), fastCheck.integer({ min: 1, max: 4 }))
+  await fastCheck.assert(fastCheck.asyncProperty(mixes, async ([answers, methods, connections]) => {
+    const arrivals = answering(answers)
+    const url = await arrivals.listen()
+    const agent = client({ connections })
+    const results = await Promise.all(methods.map(async (method, index) => await attempt(`${url}/${index}`, { dispatcher: agent, method })))
+    await agent.close()
+    arrivals.server.close()
+    for (const [index, result] of results.entries()) {
+      const count = arrivals.lines.filter((line) => line.includes(`/${index} `)).length
+      assert.ok(count <= 1 && (result === 'failed' || count === 1), `request ${index}: ${result}, ${count} arrivals`)
+    }
+  }), { seed: 20_261_203, numRuns: 100 })
+})
+
 repeats.run()
 
 const notice = uvu.suite('dispatch notice')
