--- a/packages/platform/tests/http-client.test.ts
+++ b/packages/platform/tests/http-client.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'uvu/assert'
+import * as fastCheck from 'fast-check'
 import * as net from 'node:net'
 import * as undici from 'undici'
 import * as uvu from 'uvu'
@@ -130,6 +131,38 @@
     assert.is(results.filter((result) => result === 'failed').length, 10)
   })
 
+  repeats(`${method} that the caller aborts after it arrived`, async () => {
+    const abort = new AbortController()
+    const arrivals = new Arrivals(() => undefined, (socket, _text, { lines }) => {
+      if (lines.length === 1) abort.abort()
+      else socket.write(OK)
+    })
+    const url = await arrivals.listen()
+    const agent = client({ connections: 1 })
+    const aborted = attempt(`${url}/one`, { dispatcher: agent, method, signal: abort.signal })
+    const next = attempt(`${url}/two`, { dispatcher: agent, method })
+    assert.equal([await aborted, await next], ['failed', '200 ok'])
+    await agent.close()
+    arrivals.server.close()
+    assert.is(arrivals.lines.filter((line) => line.includes('/one')).length, 1)
+  })
+
+  repeats(`${method} answered and closed before the whole request is read`, async () => {
+    const arrivals = new Arrivals(() => undefined, (socket) => {
+      socket.end('HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n')
+    })
+    const url = await arrivals.listen()
+    const agent = client({ connections: 1 })
+    const body = method === 'PUT' || method === 'POST' ? LARGE_BODY : null
+    const results = await Promise.all([0, 1, 2].map(async (index) => await attempt(`${url}/${index}`, { dispatcher: agent, method, body })))
+    await agent.close()
+    arrivals.server.close()
+    for (const [index, result] of results.entries()) {
+      assert.match(result, /^(503 |failed)$/)
+      assert.is(arrivals.lines.filter((line) => line.includes(`/${index} `)).length, 1)
+    }
+  })
+
   repeats(`${method} answered by a redirect`, async () => {
     const arrivals = new Arrivals(() => undefined, (socket) => { socket.write('HTTP/1.1 307 Temporary Redirect\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\r\n') })
     const url = await arrivals.listen()
@@ -141,6 +174,40 @@
   })
 }
 
+const ANSWERS = ['keep', 'close', 'reset', 'cut answer', 'reset later'] as const
+
+type Answer = typeof ANSWERS[number]
+
+/** Answers the n-th request that arrives in the n-th way. */
+function answering (answers: readonly Answer[]): Arrivals {
+  let next = 0
+  return new Arrivals(() => undefined, (socket, text) => {
+    if (!text.endsWith('\r\n\r\n')) return
+    const answer = answers[next % answers.length]
+    next += 1
+    if (answer === 'reset') socket.resetAndDestroy()
+    else if (answer === 'close') socket.end(OK)
+    else if (answer === 'cut answer') socket.end(OK.slice(0, -1))
+    else socket.write(OK, () => { if (answer === 'reset later') socket.resetAndDestroy() })
+  })
+}
+
+repeats('any mix of answers and lost connections', async () => {
+  const mixes = fastCheck.tuple(fastCheck.array(fastCheck.constantFrom(...ANSWERS), { minLength: 1, maxLength: 8 }), fastCheck.array(fastCheck.constantFrom(...METHODS), { minLength: 1, maxLength: 30 }), fastCheck.integer({ min: 1, max: 4 }))
+  await fastCheck.assert(fastCheck.asyncProperty(mixes, async ([answers, methods, connections]) => {
+    const arrivals = answering(answers)
+    const url = await arrivals.listen()
+    const agent = client({ connections })
+    const results = await Promise.all(methods.map(async (method, index) => await attempt(`${url}/${index}`, { dispatcher: agent, method })))
+    await agent.close()
+    arrivals.server.close()
+    for (const [index, result] of results.entries()) {
+      const count = arrivals.lines.filter((line) => line.includes(`/${index} `)).length
+      assert.ok(count <= 1 && (result === 'failed' || count === 1), `request ${index}: ${result}, ${count} arrivals`)
+    }
+  }), { seed: 20_261_203, numRuns: 100 })
+})
+
 repeats.run()
 
 const notice = uvu.suite('dispatch notice')
