Heal doubtful slots by asking the entry what it holds

A grant or a release that was lost left a slot counted until its deadline. Entries with slots that are overdue, revoked or on leaving targets are asked again; what they do not list is freed. Holdings that reach a daemon which is not the authority are ignored: the interleavings found a slot counted for ever.

--- a/packages/authority/src/asks.ts
+++ b/packages/authority/src/asks.ts
@@ -48,18 +48,17 @@
   if (state.entries.isFresh(from, nowMs)) state.queue.unpark(from)
 }
 
-/** A re-ask of an ask that has a slot: the grant was lost, or the ask was sent twice. */
+/**
+ * A re-ask of an ask that has a slot: the grant was lost, or the ask was sent twice. A grant that may
+ * not be used any more is not repeated; what became of it shows in the entry's next holdings.
+ */
 function * repeatGrant (state: context.Context, key: string, nowMs: number): outputs.Outputs {
   const granted = state.slots.get(key)
   if (granted === undefined) return
   yield outputs.count('duplicate.ask')
   const round = state.entries.get(granted.entry)?.round
   if (round === undefined || !state.entries.isFresh(granted.entry, nowMs)) return
-  if (state.targets.isLeaving(granted.target) || granted.revokedAtMs !== undefined) {
-    const cause = granted.revokedAtMs === undefined ? 'withdrawn' : 'preempted'
-    yield outputs.send(granted.entry, { kind: 'revocation', ask: granted.ask, cause })
-    return
-  }
+  if (state.targets.isLeaving(granted.target) || granted.revokedAtMs !== undefined) return
   yield outputs.send(granted.entry, { kind: 'grant', ask: granted.ask, target: granted.target, round, figures: granted.figures })
 }
 
--- a/packages/authority/src/entry-table.ts
+++ b/packages/authority/src/entry-table.ts
@@ -35,7 +35,7 @@
 }
 
 /** Most unanswered collects that are remembered for an entry. */
-const MAX_COLLECTS = 8
+const MAX_COLLECTS = 3
 /** Age of a round above which no grant echoes it, milliseconds. */
 const ROUND_VALIDITY_MS = protocol.GRANT_VALIDITY_MS / 2
 /** Entries that were never listed are kept up to this number. */
--- a/packages/authority/src/holdings.ts
+++ b/packages/authority/src/holdings.ts
@@ -104,7 +104,8 @@
 
 /** Takes an entry's answer to a collect; a repeated or late answer changes nothing. */
 export function * handleHoldings (state: context.Context, from: protocol.Incarnation, message: protocol.Holdings, validityMs: number, nowMs: number): outputs.Outputs {
-  if (message.pool !== state.options.pool || state.entries.get(from)?.isLive !== true) {
+  const isExpected = state.recovery.phase() !== 'idle' && state.entries.get(from)?.isLive === true
+  if (message.pool !== state.options.pool || !isExpected) {
     yield outputs.count('foreign.holdings')
     return
   }
--- a/packages/authority/src/tick.ts
+++ b/packages/authority/src/tick.ts
@@ -18,22 +18,27 @@
 /** Time for which a daemon that is not the authority keeps asks that came too early, milliseconds. */
 const EARLY_ASK_RETENTION_MS = 10_000
 /** Interval at which an entry with doubtful slots is asked what it holds, milliseconds. */
-const COLLECT_AGAIN_MS = 10_000
+const COLLECT_AGAIN_MS = 5_000
+/** Age from which on a grant can no longer be used, with the time for its messages, milliseconds. */
+const DOUBT_AFTER_MS = 3_000
 /** Factor by which a slot exceeds its expected time before its release may have been lost. */
 const DOUBTFUL_FACTOR = 3
 /** Factor by which a running request exceeds its expected time before it counts as late. */
 const OVERDUE_FACTOR = 2
 
-/** Whether a slot has been held for so long that its release may have been lost. */
-function isDoubtful (granted: slot.Slot, nowMs: number): boolean {
-  return nowMs - granted.grantedAtMs > Math.max(COLLECT_AGAIN_MS, DOUBTFUL_FACTOR * granted.expectedTotalMs)
+/** Whether the release of a slot, or its grant, may have been lost. */
+function isDoubtful (state: context.Context, granted: slot.Slot, nowMs: number): boolean {
+  const heldMs = nowMs - granted.grantedAtMs
+  if (heldMs <= DOUBT_AFTER_MS) return false
+  const isUnwanted = granted.revokedAtMs !== undefined || state.targets.isLeaving(granted.target)
+  return isUnwanted || heldMs > Math.max(COLLECT_AGAIN_MS, DOUBTFUL_FACTOR * granted.expectedTotalMs)
 }
 
 function * expireSlots (state: context.Context, nowMs: number): outputs.Outputs {
   for (const granted of [...state.slots.all()]) {
     const entry = state.entries.get(granted.entry)
     if (entry?.isLive === true) {
-      const isDue = isDoubtful(granted, nowMs) && nowMs - entry.lastCollectAtMs > COLLECT_AGAIN_MS
+      const isDue = isDoubtful(state, granted, nowMs) && nowMs - entry.lastCollectAtMs > COLLECT_AGAIN_MS
       if (isDue) yield * holdings.collect(state, granted.entry, nowMs)
       continue
     }
--- a/packages/authority/tests/interleavings.test.ts
+++ b/packages/authority/tests/interleavings.test.ts
@@ -48,7 +48,7 @@
     scene.settle(QUIET_MS)
     assert.ok(scene.violations.length === 0, scene.violations.slice(0, 5).join('; '))
     assert.ok(scene.open().length === 0, `open: ${scene.open().join('; ')}`)
-    assert.is(scene.leftover(), 0)
+    assert.ok(scene.leftover().length === 0, `leftover: ${scene.leftover().join('; ')}`)
     for (const [name, value] of Object.entries(scene.counts)) totals[name as keyof typeof totals] += value
   }), { seed: SEED, numRuns: RUNS, endOnFailure: true, includeErrorInReport: true })
   for (const [name, value] of Object.entries(totals)) assert.ok(value > 0, `${name} never happened`)
--- a/packages/authority/tests/world.ts
+++ b/packages/authority/tests/world.ts
@@ -39,7 +39,9 @@
   readonly requests = new Map<number, Request>()
   readonly rounds = new Map<string, number>()
   authorities: ReadonlyMap<string, string> = new Map()
+  readonly news = new Map<string, protocol.TargetNews>()
   pausedUntilMs = 0
+  mustResume = false
   round = 0
   roundAtMs = -Infinity
   constructor (readonly name: string) {}
@@ -185,7 +187,7 @@
   private takeGrant (daemon: Daemon, from: string, message: protocol.Grant): void {
     const request = daemon.requests.get(message.ask)
     if (request === undefined || request.state === 'running') return
-    const isUsable = request.state === 'waiting' && daemon.authorities.get(request.pool) === from &&
+    const isUsable = request.state === 'waiting' && daemon.news.get(message.target)?.state !== 'leaving' && daemon.authorities.get(request.pool) === from &&
       this.nowMs - (daemon.rounds.get(String(message.round)) ?? -Infinity) < 2_000
     if (isUsable) {
       this.dispatch(daemon, request, message.target)
@@ -197,13 +199,8 @@
 
   private takeRevocation (daemon: Daemon, message: protocol.Revocation): void {
     const request = daemon.requests.get(message.ask)
-    if (request === undefined || request.state === 'ended') return
-    if (request.state === 'waiting') {
-      this.release(daemon, request, 'unused')
-      this.sendAsk(daemon, request)
-    } else if (message.cause === 'preempted') {
-      this.end(daemon, request, 'cancelled')
-    }
+    // A grant is used or returned when it arrives, so a request that waits has nothing to give back.
+    if (request?.state === 'running' && message.cause === 'preempted') this.end(daemon, request, 'cancelled')
   }
 
   private answerCollect (daemon: Daemon, from: string, pool: string): void {
@@ -240,6 +237,12 @@
     return this.daemon(name).pausedUntilMs > this.nowMs
   }
 
+  private resume (daemon: Daemon): void {
+    if (!daemon.mustResume || this.isPaused(daemon.name)) return
+    daemon.mustResume = false
+    this.tellAll(daemon, { kind: 'resumed' })
+  }
+
   private beat (daemon: Daemon): void {
     if (this.nowMs - daemon.roundAtMs >= 500) {
       daemon.round += 1
@@ -258,7 +261,7 @@
 
   /** Lets time pass until nothing is open, up to a limit. */
   settle (limitMs: number): void {
-    for (const end = this.nowMs + limitMs; this.nowMs < end && (this.open().length > 0 || this.leftover() > 0);) this.pass(2_000)
+    for (const end = this.nowMs + limitMs; this.nowMs < end && (this.open().length > 0 || this.leftover().length > 0);) this.pass(2_000)
   }
 
   /** Lets time pass in small steps. */
@@ -269,6 +272,7 @@
         this.later.splice(this.later.indexOf(item), 1)
         item.act()
       }
+      for (const daemon of this.all()) this.resume(daemon)
       const due = this.wire.filter((item) => item.atMs <= this.nowMs && !this.isPaused(item.to))
       for (const item of due) {
         this.wire.splice(this.wire.indexOf(item), 1)
@@ -319,7 +323,7 @@
   pause (daemonIndex: number, ms: number): void {
     const daemon = this.all()[daemonIndex % DAEMONS.length] as Daemon
     daemon.pausedUntilMs = Math.max(daemon.pausedUntilMs, this.nowMs + ms)
-    this.after(ms + 1, () => this.whenAwake(daemon, () => this.tellAll(daemon, { kind: 'resumed' })))
+    daemon.mustResume = true
   }
 
   /** A target is leaving or returns. */
@@ -327,7 +331,12 @@
     if (state === 'leaving') this.leavingSinceMs.set(target, this.nowMs)
     else this.leavingSinceMs.delete(target)
     const news: protocol.TargetNews = { kind: 'target', target, version: this.version++, state }
-    for (const daemon of this.all()) this.after(this.random() * 300, () => this.whenAwake(daemon, () => this.tellAll(daemon, { kind: 'target', news })))
+    for (const daemon of this.all()) {
+      this.after(this.random() * 300, () => this.whenAwake(daemon, () => {
+        if ((daemon.news.get(target)?.version ?? 0) < news.version) daemon.news.set(target, news)
+        this.tellAll(daemon, { kind: 'target', news })
+      }))
+    }
   }
 
   /** Requests that have neither run nor been refused. */
@@ -335,8 +344,9 @@
     return this.all().flatMap((daemon) => [...daemon.requests.values()].filter((request) => request.state !== 'ended').map((request) => `${daemon.name}/${request.ask.ask} ${request.state}`))
   }
 
-  /** Tokens that the authorities still count although nothing runs. */
-  leftover (): number {
-    return this.all().flatMap((daemon) => [...daemon.cores.values()]).flatMap((core) => core.status().targets).reduce((sum, target) => sum + target.tokensInFlight, 0)
+  /** Slots that the authorities still count although nothing runs. */
+  leftover (): readonly string[] {
+    return this.all().flatMap((daemon) => [...daemon.cores.entries()].flatMap(([pool, core]) => core.status().targets
+      .filter((target) => target.requestsInFlight > 0).map((target) => `${daemon.name} ${pool} ${target.target} ${target.requestsInFlight}`)))
   }
 }
