Release slots to every daemon that counts them

Cause: a daemon that became authority and collected the entry's slots before the entry learned of it was never told of their release, and counted them for ever.

Change: a running request knows which daemons its slot was reported to; the release goes to all of them, and any of them may preempt it. Ruled out: releasing to the present authority as well, which is what the entry did: its view may lag.

--- a/packages/entry/src/authority-message.ts
+++ b/packages/entry/src/authority-message.ts
@@ -41,13 +41,13 @@
   }
 }
 
-function mayRevoke (own: state.State, from: protocol.Incarnation, slot: request.Slot): boolean {
-  return slot.authority === from || own.authorities.get(slot.pool) === from
+function mayRevoke (revoked: request.Request, from: protocol.Incarnation): boolean {
+  return revoked.state === 'running' ? revoked.holders.has(from) : revoked.slot?.authority === from
 }
 
 function * handleRevocation (own: state.State, from: protocol.Incarnation, revocation: protocol.Revocation, nowMs: number): output.Outputs {
   const revoked = own.findByAsk(revocation.ask)
-  if (revoked?.slot === undefined || !mayRevoke(own, from, revoked.slot)) {
+  if (revoked === undefined || !mayRevoke(revoked, from)) {
     yield output.count('entry.revocations-ignored')
     return
   }
@@ -83,6 +83,7 @@
 /** Tells an authority every slot that this entry holds in a pool. No other former ask of the entry is of use any more. */
 export function * reportHoldings (own: state.State, to: protocol.Incarnation, pool: string, nowMs: number): output.Outputs {
   const held = own.running().filter((running) => running.slot.pool === pool)
+  for (const running of held) own.requests.set(running.arrival.request, { ...running, holders: new Set([...running.holders, to]) })
   yield output.send(to, { kind: 'holdings', pool, holdings: held.map((running) => holding(running, nowMs)) })
 }
 
--- a/packages/entry/src/dispatch-end.ts
+++ b/packages/entry/src/dispatch-end.ts
@@ -30,16 +30,13 @@
   }
 }
 
-/** A slot that was granted by a former authority is known to both daemons. */
-function * releaseSlot (own: state.State, running: request.Running, end: event.DispatchEnd): output.Outputs {
-  const current = own.authorities.get(running.slot.pool)
-  yield output.send(running.slot.authority, release(running, end))
-  if (current !== undefined && current !== running.slot.authority) yield output.send(current, release(running, end))
+function * releaseSlot (running: request.Running, end: event.DispatchEnd): output.Outputs {
+  for (const holder of running.holders) yield output.send(holder, release(running, end))
 }
 
 /** The target refused the connection, so the request was not dispatched and may go elsewhere. */
 function * returnToQueue (own: state.State, running: request.Running, end: event.DispatchEnd, nowMs: number): output.Outputs {
-  const { target, dispatchedMs: _, cancelCause, ...rest } = running
+  const { target, dispatchedMs: _, holders: __, cancelCause, ...rest } = running
   const waiting: request.Waiting = { ...rest, state: 'waiting', slot: undefined, askAgainAtMs: nowMs, unreachableCount: rest.unreachableCount + 1 }
   own.requestOfAsk.delete(running.slot.ask)
   own.requests.set(waiting.arrival.request, waiting)
@@ -60,7 +57,7 @@
     yield output.count('entry.ends-ignored')
     return
   }
-  yield * releaseSlot(own, running, end)
+  yield * releaseSlot(running, end)
   if (end.outcome === 'unreachable') {
     yield * returnToQueue(own, running, end, nowMs)
     return
--- a/packages/entry/src/grant.ts
+++ b/packages/entry/src/grant.ts
@@ -51,6 +51,7 @@
     slot: usable.slot,
     target: usable.target.name,
     dispatchedMs: nowMs,
+    holders: new Set([usable.slot.authority]),
     cancelCause: undefined
   }
   own.requests.set(running.arrival.request, running)
--- a/packages/entry/src/request.ts
+++ b/packages/entry/src/request.ts
@@ -47,6 +47,8 @@
   readonly slot: Slot
   readonly target: string
   readonly dispatchedMs: number
+  /** Daemons that count the slot: the one that granted it and those that collected it. */
+  readonly holders: ReadonlySet<protocol.Incarnation>
   /** Why its cancellation was asked for. */
   readonly cancelCause: 'preempted' | 'caller-gone' | undefined
 }
--- /dev/null
+++ b/packages/entry/tests/slots.test.ts
@@ -0,0 +1,192 @@
+/**
+ * An entry with authorities that keep their part: every request is served and no slot is lost, whatever
+ * connections break and whichever daemon is the authority in whose view.
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import * as fc from 'fast-check'
+import * as uvu from 'uvu'
+import * as assert from 'uvu/assert'
+import * as fixtures from './fixtures.js'
+import type * as index from '../src/index.js'
+
+const POOL = 'north'
+const DOCUMENT = { ...fixtures.STOCK, targets: fixtures.STOCK.targets.filter((target) => target.pool === POOL) }
+const QUIET_ROUNDS = 60
+
+/** Grants each ask at once and keeps count of the slots that it gave. */
+class Authority {
+  active = false
+  settled = false
+  round = 0
+  readonly waiting = new Set<number>()
+  readonly granted = new Set<number>()
+
+  activate (): readonly index.event.Received[] {
+    this.active = true
+    this.settled = false
+    this.waiting.clear()
+    this.granted.clear()
+    return [{ kind: 'collect', pool: POOL }]
+  }
+
+  receive (message: protocol.PeerMessage): readonly index.event.Received[] {
+    switch (message.kind) {
+      case 'round': this.round = message.round; break
+      case 'ask':
+        if (!this.active) return [{ kind: 'refusal', ask: message.ask, reason: 'no-authority', retryAfterMs: 0, figures: {} }]
+        this.round = message.round
+        this.waiting.add(message.ask)
+        break
+      case 'withdraw': this.waiting.delete(message.ask); break
+      case 'release': this.granted.delete(message.ask); break
+      case 'holdings':
+        this.settled = true
+        this.granted.clear()
+        for (const holding of message.holdings) this.granted.add(holding.ask)
+        break
+      default:
+    }
+    return this.active && this.settled ? this.#grantAll() : []
+  }
+
+  #grantAll (): readonly index.event.Received[] {
+    const grants = [...this.waiting].map((ask) => ({ kind: 'grant', ask, target: 'stock-1', round: this.round, figures: {} }) as const)
+    for (const { ask } of grants) this.granted.add(ask)
+    this.waiting.clear()
+    return grants
+  }
+}
+
+class World {
+  readonly driver = new fixtures.Driver()
+  readonly finished = new Set<number>()
+  sent = 0
+  #assigned = 0
+  readonly #authorities = [new Authority(), new Authority()]
+  readonly #toAuthority: protocol.PeerMessage[][] = [[], []]
+  readonly #toEntry: index.event.Received[][] = [[], []]
+  readonly #running: number[] = []
+
+  constructor () {
+    this.driver.do({ kind: 'beat', beat: 10 })
+    this.driver.do({ kind: 'documents', documents: [DOCUMENT] })
+    this.assign(0)
+    this.tell(false)
+  }
+
+  get held (): readonly number[] {
+    return [...this.#authorities[this.#assigned]?.granted ?? []]
+  }
+
+  send (): void {
+    this.sent += 1
+    this.#perform(this.driver.arrive({ request: this.sent, identity: `${fixtures.OWN}.10.r${this.sent}`, deadlineMs: 1_000_000 }))
+  }
+
+  /** Another daemon becomes the authority in its own view. */
+  assign (authority: number): void {
+    this.#authorities.forEach((each) => { each.active = false })
+    this.#assigned = authority
+    this.#toEntry[authority]?.push(...this.#authorities[authority]?.activate() ?? [])
+  }
+
+  /** The entry learns who is the authority. */
+  tell (reconnected: boolean): void {
+    const name = this.#name(this.#assigned)
+    this.#perform(this.driver.do({ kind: 'authorities', authorities: new Map([[POOL, name]]), reconnected: reconnected ? [name] : [] }))
+  }
+
+  /** The connection to an authority breaks with all that is on its way. */
+  cut (authority: number): void {
+    this.#toAuthority[authority]?.splice(0)
+    this.#toEntry[authority]?.splice(0)
+    const collecting = this.#authorities[authority]
+    if (collecting?.active === true && !collecting.settled) this.#toEntry[authority]?.push({ kind: 'collect', pool: POOL })
+    if (authority === this.#assigned) this.tell(true)
+  }
+
+  deliverToAuthority (authority: number): void {
+    const message = this.#toAuthority[authority]?.shift()
+    if (message !== undefined) this.#toEntry[authority]?.push(...this.#authorities[authority]?.receive(message) ?? [])
+  }
+
+  deliverToEntry (authority: number): void {
+    const message = this.#toEntry[authority]?.shift()
+    if (message !== undefined) this.#perform(this.driver.receive(message, this.#name(authority)))
+  }
+
+  end (): void {
+    const request = this.#running.shift()
+    if (request === undefined) return
+    this.finished.add(request)
+    this.#perform(this.driver.end('finished', request))
+  }
+
+  resume (): void {
+    this.#perform(this.driver.do({ kind: 'resumed' }))
+  }
+
+  wait (durationMs: number): void {
+    this.#perform(this.driver.wait(durationMs))
+  }
+
+  /** Connections hold, everybody agrees, and all that is on its way arrives. */
+  finish (): void {
+    this.tell(false)
+    for (let round = 0; round < QUIET_ROUNDS; round++) {
+      for (const authority of [0, 1]) {
+        while (this.#toAuthority[authority]?.length !== 0) this.deliverToAuthority(authority)
+        while (this.#toEntry[authority]?.length !== 0) this.deliverToEntry(authority)
+      }
+      this.#compareSlots()
+      this.end()
+      this.wait(100)
+    }
+  }
+
+  /** The slots that the authority counts are those on which requests run, once nothing is on its way. */
+  #compareSlots (): void {
+    const isQuiet = [...this.#toAuthority, ...this.#toEntry].every((queue) => queue.length === 0)
+    if (isQuiet) assert.is(this.held.length, this.#running.length, 'slots that the authority counts')
+  }
+
+  #name (authority: number): protocol.Incarnation {
+    return authority === 0 ? fixtures.AUTHORITY : fixtures.OTHER_AUTHORITY
+  }
+
+  #perform (outputs: readonly fixtures.Output[]): void {
+    for (const output of outputs) {
+      if (output.kind === 'send') this.#toAuthority[output.outbound.to === fixtures.AUTHORITY ? 0 : 1]?.push(output.outbound.message)
+      if (output.kind === 'dispatch') this.#running.push(output.request)
+    }
+  }
+}
+
+type Step = (world: World) => void
+
+const authority = fc.nat({ max: 1 })
+
+const steps: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 3, arbitrary: fc.constant<Step>((world) => world.send()) },
+  { weight: 6, arbitrary: authority.map((number): Step => (world) => world.deliverToAuthority(number)) },
+  { weight: 6, arbitrary: authority.map((number): Step => (world) => world.deliverToEntry(number)) },
+  { weight: 2, arbitrary: fc.constant<Step>((world) => world.end()) },
+  { weight: 1, arbitrary: authority.map((number): Step => (world) => world.cut(number)) },
+  { weight: 1, arbitrary: authority.map((number): Step => (world) => world.assign(number)) },
+  { weight: 1, arbitrary: fc.constantFrom<Step>((world) => world.tell(false), (world) => world.resume()) },
+  { weight: 2, arbitrary: fc.constantFrom(100, 500, 2_500).map((durationMs): Step => (world) => world.wait(durationMs)) }
+)
+
+const test = uvu.suite('slots')
+
+test('every request is served and every slot is given back', () => {
+  fc.assert(fc.property(fc.array(steps, { maxLength: 60, size: 'max' }), (all) => {
+    const world = new World()
+    for (const step of all) step(world)
+    world.finish()
+    assert.is(world.finished.size, world.sent)
+    assert.equal(world.held, [])
+  }), { seed: 20261203, numRuns: 2_000, includeErrorInReport: true })
+})
+
+test.run()
