Ignore refusals and revocations of former asks

Cause: after a stale grant the former ask still led to its request, so that a late refusal for it ended the request, which waited under a new ask. Found by reading.

Change: an ask leads to its request only while it is the latest. The new case failed before (refuse 1 shed not-run) and passes now.

--- a/packages/entry/src/grant.ts
+++ b/packages/entry/src/grant.ts
@@ -25,7 +25,7 @@
 /** Checks a grant against the ask, the authority, the entry's own clock and the documents in force. */
 export function checkGrant (own: state.State, from: protocol.Incarnation, grant: protocol.Grant, nowMs: number): neverthrow.Result<Usable, Unusable> {
   const waiting = own.findByAsk(grant.ask)
-  if (waiting === undefined || waiting.state !== 'waiting' || waiting.slot?.ask !== grant.ask) return neverthrow.err('not-waiting')
+  if (waiting === undefined || waiting.state !== 'waiting' || waiting.slot === undefined) return neverthrow.err('not-waiting')
   const slot = waiting.slot
   if (nowMs >= waiting.deadlineAtMs) return neverthrow.err('past-deadline')
   if (slot.authority !== from || own.authorities.get(slot.pool) !== from) return neverthrow.err('other-authority')
@@ -68,8 +68,8 @@
 function * askForAnother (own: state.State, from: protocol.Incarnation, ask: number, cause: Unusable, nowMs: number): output.Outputs {
   const waiting = own.findByAsk(ask)
   if (waiting?.state !== 'waiting' || waiting.slot?.authority !== from) return
+  slotRequest.postpone(own, waiting, nowMs)
   if (cause === 'stale-round') yield * slotRequest.ask(own, { ...waiting, slot: undefined }, nowMs)
-  else slotRequest.postpone(own, waiting, nowMs)
 }
 
 /** Dispatches on a granted slot, or gives it back. */
--- a/packages/entry/src/state.ts
+++ b/packages/entry/src/state.ts
@@ -55,9 +55,10 @@
     return this.#lastAsk
   }
 
+  /** The request whose latest ask this is. */
   findByAsk (ask: number): request.Request | undefined {
-    const found = this.requestOfAsk.get(ask)
-    return found === undefined ? undefined : this.requests.get(found)
+    const found = this.requests.get(this.requestOfAsk.get(ask) ?? NaN)
+    return found?.slot?.ask === ask ? found : undefined
   }
 
   waiting (): readonly request.Waiting[] {
--- a/packages/entry/tests/entry.test.ts
+++ b/packages/entry/tests/entry.test.ts
@@ -106,6 +106,16 @@
   assert.equal(fixtures.effects(driver.grant(fourth, 'stock-2')), ['dispatch 1 stock-2'])
 })
 
+test('a refusal or revocation of a former ask changes nothing', () => {
+  const driver = started()
+  const former = fixtures.askOf(driver.arrive())
+  driver.nowMs = 2_000
+  const present = fixtures.askOf(driver.grant(former))
+  assert.equal(fixtures.effects(driver.refuse(former, 'shed')), [])
+  assert.equal(fixtures.messages(driver.receive({ kind: 'revocation', ask: former.ask, cause: 'withdrawn' }), 'ask'), [])
+  assert.equal(fixtures.effects(driver.grant(present)), ['dispatch 1 stock-1'])
+})
+
 test('a change of authority, a new connection and a suspension each ask anew; former grants are released', () => {
   const driver = started()
   const first = fixtures.askOf(driver.arrive())
