Judge planned stops by ends that a stop can cause

Cause: a resend to a stopping daemon whose answer is no longer held was taken for a request that the stop cut off.

Change: only reasons for the end of a dispatched request count, unless the target broke, which includes an error answer.

--- a/packages/history/src/graceful-stop.ts
+++ b/packages/history/src/graceful-stop.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as protocol from '@persimmonhatch/protocol'
 import * as calls from './calls.js'
 import type * as history from './history.js'
 import * as runs from './runs.js'
@@ -30,10 +31,12 @@
   return call.sent.daemon === stop.daemon && begunBeforeEnd && (final === undefined || final.atMs >= stop.begunMs)
 }
 
-/** A refusal of a request that ran is the stop's doing unless the target broke or a higher tier took its place. */
+/** Reasons for the end of a request that was dispatched. */
+const CUT_REASONS: ReadonlySet<protocol.Reason> = new Set(['target-failed', 'answer-incomplete', 'caller-gone-dispatched'])
+
+/** The end of a dispatched request is the stop's doing unless its target broke. */
 function isCutOff (refused: history.Refused, all: readonly runs.Run[]): boolean {
-  if (refused.execution === 'not-run' || refused.reason === 'preempted') return false
-  return all.some((run) => run.ended?.outcome !== 'broken')
+  return CUT_REASONS.has(refused.reason) && all.some((run) => run.ended?.outcome !== 'broken')
 }
 
 function describe (call: calls.Call, all: readonly runs.Run[]): string | undefined {
--- a/packages/history/src/history.ts
+++ b/packages/history/src/history.ts
@@ -80,7 +80,7 @@
   readonly kind: 'run-ended'
   readonly atMs: number
   readonly run: number
-  /** `cancelled`: its connection was closed from outside. `broken`: the target crashed or closed early. */
+  /** `cancelled`: its connection was closed from outside. `broken`: the target crashed, closed early or answered with an error. */
   readonly outcome: 'finished' | 'cancelled' | 'broken'
   readonly answer: string
 }
--- a/packages/history/tests/promises.test.ts
+++ b/packages/history/tests/promises.test.ts
@@ -91,6 +91,7 @@
   { name: 'served to its end', facts: [sent(0, 1), started(1, 1), { ...stopped, atMs: 2 }, ended(3, 1, 'finished'), answered(4, 1), { ...exited, atMs: 5 }] },
   { name: 'refused as not run', facts: [{ ...stopped, atMs: 2 }, sent(3, 1), refused(4, 1, 'draining', 'not-run'), { ...exited, atMs: 5 }] },
   { name: 'broken by its target', facts: [sent(0, 1), started(1, 1), { ...stopped, atMs: 2 }, ended(3, 1, 'broken'), refused(4, 1, 'target-failed', 'unknown'), { ...exited, atMs: 5 }] },
+  { name: 'a resend whose answer is gone', facts: [sent(0, 1), started(1, 1), ended(2, 1, 'finished'), answered(2, 1), { ...stopped, atMs: 3 }, sent(4, 2), refused(4, 2, 'answer-not-held', 'ran'), { ...exited, atMs: 5 }] },
   { name: 'ended before the stop', facts: [sent(0, 1), disconnected(1, 1, 'daemon'), { ...stopped, atMs: 2 }, { ...exited, atMs: 5 }] },
   { name: 'cut off', facts: [sent(0, 1), { ...stopped, atMs: 2 }, disconnected(3, 1, 'daemon'), { ...exited, atMs: 5 }], violation: 'was cut off by d' },
   { name: 'stopped on its target', facts: [sent(0, 1), started(1, 1), { ...stopped, atMs: 2 }, ended(3, 1, 'cancelled'), refused(4, 1, 'target-failed', 'unknown'), { ...exited, atMs: 5 }], violation: 'was stopped on its target' },
