Say why one request in flight per connection is fixed

Cause: whether undici repeats idempotent requests was to be found out. Found by trial: with pipelining 10 and a cut answer to the first of two GETs on one connection, the second arrived twice; with 1, nothing arrived twice in 41 cases and 100 random mixes. Change: the module's comment says so.

--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -3,7 +3,8 @@
  * redirect, one request in flight per connection.
  *
  * With one request in flight per connection, a lost connection fails that request and undici sends
- * nothing again; `tests/http-client.test.ts` holds that for idempotent methods too.
+ * nothing again. With several, it sends the idempotent ones behind a lost one again, so the number
+ * is not a setting.
  *
  * @module
  */
