Count lower tiers on leaving targets before a refusal

The promise does not exempt a target that is leaving, and one that returns is eligible before every daemon knows. Ruled out: waiting for the news, which the predicate can't see.

--- a/packages/authority/src/clearance.ts
+++ b/packages/authority/src/clearance.ts
@@ -47,8 +47,9 @@
 export function * clearLower (state: context.Context, rank: protocol.Rank, service: poolView.Service, costTokens: number, nowMs: number): Generator<event.Output, boolean> {
   if (state.recovery.phase() !== 'settled' || !state.entries.hasAllAnswered()) return false
   state.floors.hold(rank, OWN_HOLD_MS, nowMs)
-  if (preemption.listLower(state, rank, service).length > 0) {
-    yield * preemption.preempt(state, rank, service, Math.max(costTokens, countBacklogTokens(state, rank, service)), nowMs)
+  const lower = preemption.listLower(state, rank, service)
+  if (lower.length > 0) {
+    yield * preemption.stop(state, lower, Math.max(costTokens, countBacklogTokens(state, rank, service)), nowMs)
     return false
   }
   let isClear = true
--- a/packages/authority/src/preemption.ts
+++ b/packages/authority/src/preemption.ts
@@ -18,9 +18,9 @@
   return (granted.promptTokens - granted.cachedTokens) * share
 }
 
-/** Slots of lower tiers than `rank` on a service's targets, without those on leaving targets. */
+/** Slots of lower tiers than `rank` on a service's targets, also on those that are leaving. */
 export function listLower (state: context.Context, rank: protocol.Rank, service: poolView.Service): readonly slot.Slot[] {
-  return service.targets.filter((target) => !state.targets.isLeaving(target) && state.slots.countLower(target, rank) > 0)
+  return service.targets.filter((target) => state.slots.countLower(target, rank) > 0)
     .flatMap((target) => state.slots.onTarget(target).filter((granted) => granted.tier > rank))
 }
 
@@ -34,23 +34,23 @@
 }
 
 /**
- * Stops requests of tiers lower than `rank` until `wantedTokens` are being freed: the lowest tier
+ * Stops some of the given requests until `wantedTokens` are being freed: the lowest tier
  * first, and within a tier those that lose the least prefill. Non-idempotent requests go on.
  *
  * @example
  * ```ts
- * yield * preempt(context, 0, service, 2_000, nowMs)
+ * yield * stop(context, listLower(context, 0, service), 2_000, nowMs)
  * ```
  */
-export function * preempt (state: context.Context, rank: protocol.Rank, service: poolView.Service, wantedTokens: number, nowMs: number): outputs.Outputs {
-  const lower = listLower(state, rank, service).filter((granted) => !granted.nonIdempotent)
+export function * stop (state: context.Context, lower: readonly slot.Slot[], wantedTokens: number, nowMs: number): outputs.Outputs {
+  const revocable = lower.filter((granted) => !granted.nonIdempotent)
   let missing = wantedTokens
-  for (const granted of lower) {
+  for (const granted of revocable) {
     if (granted.revokedAtMs === undefined) continue
     missing -= granted.costTokens
     yield * revoke(state, granted, nowMs)
   }
-  const candidates = lower.filter((granted) => granted.revokedAtMs === undefined)
+  const candidates = revocable.filter((granted) => granted.revokedAtMs === undefined)
     .sort((left, right) => right.tier - left.tier || lostPrefill(left, nowMs) - lostPrefill(right, nowMs))
   for (const granted of candidates) {
     if (missing <= 0) return
@@ -58,3 +58,9 @@
     yield * revoke(state, granted, nowMs)
   }
 }
+
+/** Makes room for a tier: stops requests of lower tiers on the targets that take new work. */
+export function * preempt (state: context.Context, rank: protocol.Rank, service: poolView.Service, wantedTokens: number, nowMs: number): outputs.Outputs {
+  const lower = listLower(state, rank, service).filter((granted) => !state.targets.isLeaving(granted.target))
+  yield * stop(state, lower, wantedTokens, nowMs)
+}
--- a/packages/authority/tests/world.ts
+++ b/packages/authority/tests/world.ts
@@ -127,7 +127,7 @@
     // Not for want of capacity: an idle target would have been too slow for the whole deadline.
     if (message.reason === 'deadline-unreachable' && expectedWaitMs === 0 && Number(expectedMs) - Number(waitedMs) > Number(deadlineMs)) return
     for (const run of this.runs.values()) {
-      if (run.tier <= request.ask.tier || this.leavingSinceMs.has(run.target)) continue
+      if (run.tier <= request.ask.tier) continue
       this.violations.push(`${message.reason} of ${to}/${message.ask} tier ${request.ask.tier} at ${this.nowMs} while ${run.key} tier ${run.tier} ran on ${run.target}`)
     }
   }
