Number orders by the store's revision

Cause: lease identities of the key-value service are not guaranteed to rise, so an engine that checks numbers could refuse a newer holder. Change: the fencing number is the revision at which the order's key was taken.

--- a/packages/daemon/src/tasks/orders.ts
+++ b/packages/daemon/src/tasks/orders.ts
@@ -22,7 +22,7 @@
 /** What an engine must have loaded. */
 export type Wanted = NonNullable<document.serviceDocument.ServiceDocument['engine']>
 
-/** An order: everything that is wanted, with the number of the lease that it is given under. */
+/** An order: everything that is wanted, with the fencing number of the lease that it is given under. */
 export interface Order extends Wanted {
   readonly fencing: string
 }
@@ -85,12 +85,18 @@
   return loaded.model === wanted.model && loaded.version === wanted.version && loaded.role === wanted.role && sameAdapters
 }
 
+/** A lease to give orders under. The store's revision at which it was taken rises with each taking, whatever the leases' own numbers do. */
+interface OrderLease {
+  readonly lease: string
+  readonly fencing: string
+}
+
 /** Takes the lease of a pool's orders; undefined while another daemon holds it or the platform is out of reach. */
-async function takeLease (options: Options, pool: string): Promise<string | undefined> {
+async function takeLease (options: Options, pool: string): Promise<OrderLease | undefined> {
   const granted = await options.keyValue.grantLease(LEASE_S)
   if (granted.isErr()) return undefined
   const taken = await options.keyValue.compareAndSwap({ key: `${ORDERS_PREFIX}${pool}`, expectedRevision: 0, value: options.incarnation, lease: granted.value })
-  if (taken.isOk() && taken.value.succeeded) return granted.value
+  if (taken.isOk() && taken.value.succeeded) return { lease: granted.value, fencing: String(taken.value.revision) }
   await options.keyValue.revokeLease(granted.value)
   return undefined
 }
@@ -112,8 +118,8 @@
     if (!await differs(options, engine)) continue
     const lease = await takeLease(options, engine.pool)
     if (lease === undefined) return options.count('orders.noLease', 1)
-    await orderOne(options, engine, lease)
-    await options.keyValue.revokeLease(lease)
+    await orderOne(options, engine, lease.fencing)
+    await options.keyValue.revokeLease(lease.lease)
     return
   }
 }
--- a/packages/system/tests/whole-path.test.ts
+++ b/packages/system/tests/whole-path.test.ts
@@ -25,15 +25,17 @@
   ...QUESTION, service: 'stock', kind: 'plain', path: '/reservations', tier: 'reservation', rank: 0, nonIdempotent: true, stream: false
 }
 
-const suite = uvu.suite<Readonly<Record<'context', Context>>>('the whole path')
+let context: Context
 
-suite.before(async (state) => {
+const suite = uvu.suite('the whole path')
+
+suite.before(async () => {
   const started = await systemModule.startSystem({ deployment: await deployment.readDeployment('atlasrenew'), daemons: 3, seed: 11 })
   const recording = recorder.createRecorder()
-  state.context = { system: started, recorder: recording, callers: callers.createCallers({ recorder: recording, daemons: started.daemons }), requests: new Map() }
+  context = { system: started, recorder: recording, callers: callers.createCallers({ recorder: recording, daemons: started.daemons }), requests: new Map() }
 })
 
-suite.after(async ({ context }) => {
+suite.after(async () => {
   await context.callers.close()
   await context.system.close()
 })
@@ -57,24 +59,24 @@
 }
 
 for (const index of [0, 1, 2]) {
-  suite(`a streamed answer through daemon ${index + 1}`, async ({ context }) => {
+  suite(`a streamed answer through daemon ${index + 1}`, async () => {
     const result = await context.callers.send(named(context, QUESTION, `streamed-${index}`), { daemon: daemonAt(context, index), identity: undefined })
     assert.is(result.outcome, 'answered')
   })
 }
 
-suite('a whole answer', async ({ context }) => {
+suite('a whole answer', async () => {
   const result = await context.callers.send(named(context, { ...QUESTION, stream: false }, 'whole'), { daemon: daemonAt(context, 0), identity: undefined })
   assert.is(result.outcome, 'answered')
 })
 
-suite('a plain call that may be repeated', async ({ context }) => {
+suite('a plain call that may be repeated', async () => {
   const request = { ...RESERVATION, method: 'GET', path: '/stock/item-1', tier: 'check', rank: 1, nonIdempotent: false }
   const result = await context.callers.send(named(context, request, 'check'), { daemon: daemonAt(context, 0), identity: undefined })
   assert.is(result.outcome, 'answered')
 })
 
-suite('a reservation sent three times at once runs once and answers all', async ({ context }) => {
+suite('a reservation sent three times at once runs once and answers all', async () => {
   const steer = await steerTo(context, 0, 'stock')
   const request = named(context, RESERVATION, 'reservation')
   const results = await Promise.all([1, 2, 3].map(() => context.callers.send(request, steer)))
@@ -83,7 +85,7 @@
   assert.is(later.outcome, 'answered')
 })
 
-suite('a reservation sent to another daemon is sent on to its owner', async ({ context }) => {
+suite('a reservation sent to another daemon is sent on to its owner', async () => {
   const steer = await steerTo(context, 0, 'stock')
   const other = context.system.daemons().find((daemon) => daemon.address !== steer.daemon.address)
   if (other === undefined) throw new Error('no other daemon')
@@ -94,7 +96,7 @@
   assert.is((await context.callers.send(request, steer)).outcome, 'answered')
 })
 
-suite('explains a request afterwards', async ({ context }) => {
+suite('explains a request afterwards', async () => {
   const steer = await steerTo(context, 1, 'support')
   await context.callers.send(named(context, QUESTION, 'explained'), steer)
   const response = await fetch(`http://${steer.daemon.address}/v1/requests/${steer.identity}`)
@@ -120,7 +122,7 @@
   ['an identity of the caller\'s own making', '/s/stock/reservations', { 'idempotency-key': 'mine' }, '{}', 400, 'identity-malformed'],
   ['an identity of a daemon that nobody knows', '/s/stock/reservations', { 'idempotency-key': 'aaaaaaaaaaaaa.5.x' }, '{}', 409, 'outcome-unknown']
 ] as const) {
-  suite(`refuses ${name} with its remedy`, async ({ context }) => {
+  suite(`refuses ${name} with its remedy`, async () => {
     const response = await post(daemonAt(context, 0), path, headers, body)
     const answer = await response.json() as { readonly error: { readonly reason: string, readonly remedy: string, readonly execution: string } }
     assert.is(response.status, status)
@@ -130,7 +132,7 @@
   })
 }
 
-suite('refuses oversized headers with the remedy', async ({ context }) => {
+suite('refuses oversized headers with the remedy', async () => {
   const [host = '', port = ''] = daemonAt(context, 0).address.split(':')
   const status = await new Promise<number | undefined>((resolve, reject) => {
     const request = http.request({ host, port, path: '/s/support/x', headers: { filler: 'x'.repeat(20_000) } }, (response) => {
@@ -143,7 +145,7 @@
   assert.is(status, 431)
 })
 
-suite('holds nothing for a half-sent request or a caller that went away', async ({ context }) => {
+suite('holds nothing for a half-sent request or a caller that went away', async () => {
   const daemon = daemonAt(context, 0)
   const [host = '', port = ''] = daemon.address.split(':')
   const socket = net.connect(Number(port), host)
@@ -158,7 +160,7 @@
   assert.equal([entry.waiting, entry.running], [0, 0])
 })
 
-suite('keeps every promise in what callers and targets saw', async ({ context }) => {
+suite('keeps every promise in what callers and targets saw', async () => {
   const verdict = await judge.judge(context.system, context.recorder, context.requests)
   assert.equal(verdict.violations, [])
   assert.ok(verdict.runs >= 8)
