--- a/packages/membership/src/composer.ts
+++ b/packages/membership/src/composer.ts
@@ -24,6 +24,8 @@
 export interface Composer {
   /** News for a probe or an ack: own entry, what the receiver must know of itself, rumors, then samples of all that is known. */
   readonly message: (to: protocol.Incarnation, nowMs: number) => readonly protocol.News[]
+  /** News for a probe whose answer matters more than what it carries: own entry, and what the receiver must know of itself. */
+  readonly brief: (to: protocol.Incarnation, nowMs: number) => readonly protocol.News[]
   /** The news with these keys, as far as it fits. */
   readonly list: (keys: readonly string[], limitBytes: number, nowMs: number) => List
   /** Keys of everything known. */
@@ -111,11 +113,14 @@
     }
   }
 
+  function brief (to: protocol.Incarnation, nowMs: number): readonly protocol.News[] {
+    const receiver = table.find(to)?.news
+    return receiver?.state === 'gone' ? [self.news(nowMs), receiver] : [self.news(nowMs)]
+  }
+
   function message (to: protocol.Incarnation, nowMs: number): readonly protocol.News[] {
     const batch = createBatch(settings.MESSAGE_NEWS_BYTES)
-    batch.add(self.news(nowMs))
-    const receiver = table.find(to)?.news
-    if (receiver?.state === 'gone') batch.add(receiver)
+    for (const news of brief(to, nowMs)) batch.add(news)
     addRumors(batch, nowMs)
     addSamples(batch, nowMs)
     return batch.news()
@@ -134,5 +139,5 @@
     return [...table.live().map((entry) => entry.news), ...store.list(0)].map(newsOrder.keyOf)
   }
 
-  return { message, list, keys }
+  return { message, brief, list, keys }
 }
--- a/packages/membership/src/confirmation.ts
+++ b/packages/membership/src/confirmation.ts
@@ -30,13 +30,22 @@
   let answers: ReadonlySet<protocol.Incarnation> = new Set()
   let holdUntilMs = -Infinity
 
-  function isConfirmed (nowMs: number): boolean {
+  function noteTime (nowMs: number): void {
     settledMs ??= nowMs + settings.SETTLE_MS
     hasStarted ||= nowMs >= settledMs
+  }
+
+  function isConfirmed (nowMs: number): boolean {
+    noteTime(nowMs)
     if (!hasStarted) return false
     return answers.size * 2 > round.size || nowMs >= holdUntilMs
   }
 
+  function memberAdded (nowMs: number): void {
+    noteTime(nowMs)
+    if (!hasStarted) settledMs = nowMs + settings.SETTLE_MS
+  }
+
   function resume (probed: readonly protocol.Incarnation[], nowMs: number): void {
     round = new Set(probed)
     answers = new Set()
@@ -45,7 +54,7 @@
 
   return {
     isConfirmed,
-    memberAdded: (nowMs) => { if (!hasStarted) settledMs = nowMs + settings.SETTLE_MS },
+    memberAdded,
     resume,
     answered: (incarnation) => { if (round.has(incarnation)) answers = new Set([...answers, incarnation]) }
   }
--- a/packages/membership/src/learning.ts
+++ b/packages/membership/src/learning.ts
@@ -12,14 +12,16 @@
 /** Daemon that sent the news; undefined for news that this daemon learned itself. */
 export type Source = protocol.Incarnation | undefined
 
-function isUrgent (news: protocol.News): boolean {
-  return news.kind !== 'member' || news.state !== 'alive'
+// Pools and most callers' addresses lie within a region, so members of other regions are not urgent.
+function isUrgent (parts: state.Parts, news: protocol.News, nowMs: number): boolean {
+  if (news.kind !== 'member') return true
+  return news.state !== 'alive' && news.region === parts.self.news(nowMs).region
 }
 
 function passOn (parts: state.Parts, news: protocol.News, nowMs: number): void {
   const key = newsOrder.keyOf(news)
   parts.rumors.add(key)
-  if (isUrgent(news)) parts.urgent.add(key, nowMs)
+  if (isUrgent(parts, news, nowMs)) parts.urgent.add(key, nowMs)
 }
 
 /**
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -58,6 +58,7 @@
 function * resume (parts: state.Parts, nowMs: number): Outputs {
   parts.pending.clear()
   parts.suspicions.clearAll()
+  parts.synchronisation.catchUp(nowMs)
   const round = sampling.sample(parts.table.live(), settings.RESUME_PROBES, parts.random).map((entry) => entry.news.incarnation)
   parts.confirmation.resume(round, nowMs)
   for (const incarnation of round) yield * probing.probe(parts, incarnation, false, nowMs)
@@ -77,7 +78,7 @@
   if (schedules.gone.isDue(nowMs)) yield * probing.probeGone(parts, nowMs)
   yield * probing.sendUrgent(parts, nowMs)
   yield * probing.sendPage(parts, nowMs)
-  probing.synchroniseStart(parts, nowMs)
+  probing.synchroniseNext(parts, nowMs)
   if (!schedules.purge.isDue(nowMs)) return
   parts.table.purge(nowMs)
   parts.store.purge(nowMs)
--- a/packages/membership/src/parts.ts
+++ b/packages/membership/src/parts.ts
@@ -56,7 +56,7 @@
     probeOrder: probeOrder.createProbeOrder(self.region, random),
     seeds: seeds.createSeeds(random),
     suspicions: suspicions.createSuspicions(),
-    synchronisation: synchronisation.createSynchronisation(),
+    synchronisation: synchronisation.createSynchronisation(random()),
     urgent: urgentQueue.createUrgentQueue()
   }
 }
--- a/packages/membership/src/probing.ts
+++ b/packages/membership/src/probing.ts
@@ -20,6 +20,12 @@
   return state === 'alive' || state === 'leaving'
 }
 
+// A member that may not answer gets little to read.
+function * probeBriefly (parts: state.Parts, to: protocol.Incarnation, counts: boolean, nowMs: number): Outputs {
+  const sequence = parts.pending.open(to, { counts }, nowMs)
+  yield receiving.send(to, { kind: 'probe', sequence, news: parts.composer.brief(to, nowMs) })
+}
+
 /**
  * Probes one daemon.
  *
@@ -58,7 +64,7 @@
   const beat = parts.table.estimateBeat(suspicion.incarnation, nowMs)
   yield { kind: 'count', counter: 'membership.gone', value: 1 }
   yield * learning.learn(parts, { ...held.news, beat, state: 'gone' }, undefined, nowMs)
-  yield * probe(parts, suspicion.incarnation, false, nowMs)
+  yield * probeBriefly(parts, suspicion.incarnation, false, nowMs)
 }
 
 /**
@@ -77,7 +83,7 @@
   for (const unanswered of parts.pending.takeUnanswered(settings.PROBE_TIMEOUT_MS * scale, nowMs)) {
     yield * askOthers(parts, unanswered)
   }
-  for (const incarnation of parts.suspicions.takeProbes(nowMs)) yield * probe(parts, incarnation, true, nowMs)
+  for (const incarnation of parts.suspicions.takeProbes(nowMs)) yield * probeBriefly(parts, incarnation, true, nowMs)
   for (const expired of parts.suspicions.takeExpired(nowMs)) yield * declareGone(parts, expired, nowMs)
 }
 
@@ -105,7 +111,7 @@
  */
 export function * probeGone (parts: state.Parts, nowMs: number): Outputs {
   for (const entry of sampling.sample(parts.table.gone(), 1, parts.random)) {
-    yield * probe(parts, entry.news.incarnation, false, nowMs)
+    yield * probeBriefly(parts, entry.news.incarnation, false, nowMs)
   }
 }
 
@@ -130,19 +136,16 @@
 }
 
 /**
- * A daemon whose view is not confirmed sends all that it knows to a random member: daemons that start
- * together learn of each other in a logarithmic number of synchronisations.
+ * Starts a recurring synchronisation with random members. Daemons that start together, or regions that meet
+ * again, converge in a logarithmic number of them.
  *
  * @example
  * ```ts
- * synchroniseStart(parts, nowMs)
+ * synchroniseNext(parts, nowMs)
  * ```
  */
-export function synchroniseStart (parts: state.Parts, nowMs: number): void {
-  if (parts.confirmation.isConfirmed(nowMs)) return
-  for (const entry of sampling.sample(parts.table.live(), 1, parts.random)) {
-    receiving.synchronise(parts, entry.news.incarnation, nowMs)
-  }
+export function synchroniseNext (parts: state.Parts, nowMs: number): void {
+  if (parts.synchronisation.isDue(nowMs)) receiving.synchronise(parts, undefined, nowMs)
 }
 
 /**
@@ -154,7 +157,9 @@
  * ```
  */
 export function * sendPage (parts: state.Parts, nowMs: number): Outputs {
-  const page = parts.synchronisation.next((keys) => parts.composer.list(keys, settings.PAGE_NEWS_BYTES, nowMs))
+  const page = parts.synchronisation.next((keys) => parts.composer.list(keys, settings.PAGE_NEWS_BYTES, nowMs), nowMs)
   if (page === undefined) return
-  yield receiving.send(page.to, { kind: 'probe', sequence: receiving.UNANSWERED_SEQUENCE, news: page.news })
+  const [any] = sampling.sample(parts.table.live(), 1, parts.random)
+  const to = page.to ?? any?.news.incarnation
+  if (to !== undefined) yield receiving.send(to, { kind: 'probe', sequence: receiving.UNANSWERED_SEQUENCE, news: page.news })
 }
--- a/packages/membership/src/receiving.ts
+++ b/packages/membership/src/receiving.ts
@@ -32,22 +32,25 @@
 }
 
 /**
- * Starts to send all that is known to a daemon that may lack it.
+ * Starts to send all that is known to one daemon that may lack it, or to random members.
  *
  * @example
  * ```ts
  * synchronise(parts, 'peer000000001', nowMs)
  * ```
  */
-export function synchronise (parts: state.Parts, from: protocol.Incarnation, nowMs: number): void {
+export function synchronise (parts: state.Parts, to: protocol.Incarnation | undefined, nowMs: number): void {
   const keys = sampling.shuffle(parts.composer.keys(), parts.random)
-  parts.synchronisation.start(from, keys, nowMs)
+  parts.synchronisation.start(to, keys, nowMs)
 }
 
 function * receiveNews (parts: state.Parts, from: protocol.Incarnation, news: readonly protocol.News[], nowMs: number): Outputs {
   const wasApart = isApart(parts, from)
   for (const item of news) yield * learning.learn(parts, item, from, nowMs)
-  if (wasApart && !isApart(parts, from)) synchronise(parts, from, nowMs)
+  if (!wasApart || isApart(parts, from)) return
+  parts.synchronisation.catchUp(nowMs)
+  // One that has just started knows little; many that start together must not all send it to the same seed.
+  if (parts.confirmation.isConfirmed(nowMs)) synchronise(parts, from, nowMs)
 }
 
 function * answer (parts: state.Parts, from: protocol.Incarnation, probe: protocol.Probe, nowMs: number): Outputs {
@@ -67,7 +70,7 @@
   if (asked.incarnation === parts.self.incarnation) return
   const relay = { origin: from, sequence: asked.sequence }
   const sequence = parts.pending.open(asked.incarnation, { counts: false, relay }, nowMs)
-  yield send(asked.incarnation, { kind: 'probe', sequence, news: parts.composer.message(asked.incarnation, nowMs) })
+  yield send(asked.incarnation, { kind: 'probe', sequence, news: parts.composer.brief(asked.incarnation, nowMs) })
 }
 
 /**
--- a/packages/membership/src/settings.ts
+++ b/packages/membership/src/settings.ts
@@ -42,8 +42,17 @@
 /** Bytes of news, as JSON, on one page of a full synchronisation. */
 export const PAGE_NEWS_BYTES = 1_000
 
-/** Least time between the starts of two full synchronisations sent by one daemon, milliseconds. */
-export const SYNCHRONISATION_INTERVAL_MS = 5_000
+/** Interval between two pages of a synchronisation, milliseconds. */
+export const PAGE_INTERVAL_MS = 200
+
+/** Interval at which a daemon sends all that it knows to a random member, milliseconds. */
+export const SYNCHRONISATION_INTERVAL_MS = 60_000
+
+/** The same for a daemon that started or met a daemon again, from the end of one to the start of the next, milliseconds. */
+export const CATCH_UP_INTERVAL_MS = 5_000
+
+/** Time for which synchronisations recur at the short interval, milliseconds. */
+export const CATCH_UP_MS = 30_000
 
 /** Members that urgent news is sent to at once, by each daemon that learns it. */
 export const URGENT_FANOUT = 4
--- a/packages/membership/tests/network.ts
+++ b/packages/membership/tests/network.ts
@@ -16,8 +16,8 @@
   readonly seed: number
   /** Share of messages lost. */
   readonly loss: number
-  /** Members that each daemon is introduced to at the start; all are when undefined. */
-  readonly introductions?: number
+  /** Members that each daemon is introduced to at the start; with `all`, each knows all from the start. */
+  readonly introductions: number | 'all'
 }
 
 interface Delivery {
@@ -86,7 +86,7 @@
     this.random = createRandom(options.seed)
     this.nodes = Array.from({ length: options.size }, (_, index) => this.createNode(index))
     this.byIncarnation = new Map(this.nodes.map((node) => [node.news.incarnation, node]))
-    for (const node of this.nodes) this.introduce(node)
+    for (const node of this.nodes) this.introduce(node, options.introductions)
   }
 
   private createNode (index: number): Node {
@@ -94,10 +94,13 @@
     return new Node(news, createRandom(this.options.seed * 10_007 + index))
   }
 
-  private introduce (node: Node): void {
+  private introduce (node: Node, count: number | 'all'): void {
     const others = this.nodes.map((other) => other.news)
-    const count = this.options.introductions
-    const members = count === undefined ? others : Array.from({ length: count }, () => others[Math.floor(this.random() * others.length)] as protocol.MemberNews)
+    if (count === 'all') {
+      this.give(node, { kind: 'message', from: others[0]?.incarnation ?? '', message: { kind: 'probe', sequence: 0, news: others } })
+      return
+    }
+    const members = Array.from({ length: count }, () => others[Math.floor(this.random() * others.length)] as protocol.MemberNews)
     this.give(node, { kind: 'introduced', members })
   }
 
