--- /dev/null
+++ b/packages/client/src/bodies.ts
@@ -0,0 +1,78 @@
+/**
+ * Reads answers' bodies.
+ *
+ * @module
+ */
+import * as neverthrow from 'neverthrow'
+import * as errors from './errors.js'
+
+const STREAM_END = '[DONE]'
+
+/**
+ * Reads a body to its end; the error says how it broke.
+ *
+ * @example
+ * ```ts
+ * const text = await readText(reply.body)
+ * ```
+ */
+export async function readText (body: AsyncIterable<Uint8Array>): Promise<neverthrow.Result<string, string>> {
+  const decoder = new TextDecoder()
+  let text = ''
+  try {
+    for await (const chunk of body) text += decoder.decode(chunk, { stream: true })
+  } catch (error) {
+    return neverthrow.err(error instanceof Error ? error.message : String(error))
+  }
+  return neverthrow.ok(text + decoder.decode())
+}
+
+/**
+ * The parsed JSON; undefined if it is none.
+ *
+ * @example
+ * ```ts
+ * parseJson('{"a":1}')
+ * ```
+ */
+export function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+async function * readLines (body: AsyncIterable<Uint8Array>): AsyncGenerator<string, void> {
+  const decoder = new TextDecoder()
+  let rest = ''
+  for await (const chunk of body) {
+    const lines = (rest + decoder.decode(chunk, { stream: true })).split(/\r?\n/)
+    rest = lines.pop() ?? ''
+    yield * lines
+  }
+}
+
+/**
+ * The data of a stream of server-sent events. The last item is an error if the stream broke or ended without
+ * `[DONE]`.
+ *
+ * @example
+ * ```ts
+ * for await (const event of readEvents(reply.body, identity)) event.match(print, giveUp)
+ * ```
+ */
+export async function * readEvents (body: AsyncIterable<Uint8Array>, identity: string): AsyncGenerator<neverthrow.Result<string, errors.IncompleteAnswer>, void> {
+  let detail = 'The stream ended without [DONE].'
+  try {
+    for await (const line of readLines(body)) {
+      if (!line.startsWith('data:')) continue
+      const data = line.slice('data:'.length).trimStart()
+      if (data === STREAM_END) return
+      yield neverthrow.ok(data)
+    }
+  } catch (error) {
+    detail = `The stream broke: ${error instanceof Error ? error.message : String(error)}.`
+  }
+  yield neverthrow.err(new errors.IncompleteAnswer(identity, detail))
+}
--- a/packages/client/src/index.ts
+++ b/packages/client/src/index.ts
@@ -3,4 +3,6 @@
  *
  * @module
  */
-export {}
+export * as answer from './answer.js'
+export * as caller from './caller.js'
+export * as errors from './errors.js'
