--- a/packages/authority/src/asks.ts
+++ b/packages/authority/src/asks.ts
@@ -33,6 +33,7 @@
     costTokens,
     share: service?.shares.get(message.organisation) ?? 1,
     arrivedAtMs: nowMs - Math.max(0, message.waitedMs),
+    sequence: state.nextSequence(),
     deadlineAtMs: nowMs + message.deadlineMs,
     queuedAtMs: nowMs,
     expectedWaitMs: service === undefined || state.queue.size() === 0 ? 0 : waitEstimate.estimateWait(state, service, subject).waitMs
--- a/packages/authority/src/context.ts
+++ b/packages/authority/src/context.ts
@@ -38,6 +38,7 @@
   readonly pending: Map<string, protocol.Reason>
   /** Keys of waiting asks that run alone because their content is suspected. */
   readonly isolated: Set<string>
+  readonly nextSequence: () => number
   readonly view: () => poolView.PoolView
   readonly setView: (view: poolView.PoolView) => void
   /** Who is authority of which pool. */
@@ -55,6 +56,7 @@
  */
 export function createContext (options: authority.Options): Context {
   let view = poolView.readPool(options.pool, [])
+  let sequence = 0
   let authorities: ReadonlyMap<string, protocol.Incarnation> = new Map()
   return {
     options,
@@ -72,6 +74,7 @@
     calibration: waitCalibration.createWaitCalibration(),
     pending: new Map(),
     isolated: new Set(),
+    nextSequence: () => sequence++,
     view: () => view,
     setView (next) { view = next },
     authorities: () => authorities,
--- a/packages/authority/src/isolation.ts
+++ b/packages/authority/src/isolation.ts
@@ -27,7 +27,7 @@
 
 function countDraining (state: context.Context): number {
   let count = 0
-  for (const [, key] of state.reservations.all()) if (state.slots.get(key) === undefined) count += 1
+  for (const key of state.reservations.keys()) if (state.slots.get(key) === undefined) count += 1
   return count
 }
 
@@ -36,7 +36,7 @@
   let fewest = Infinity
   for (const target of state.view().services.get(ask.message.service)?.targets ?? []) {
     const tokens = state.targets.model(target)?.knownTokens() ?? Infinity
-    const isUsable = state.targets.readiness(target, nowMs) === 'serving' && state.reservations.get(target) === undefined
+    const isUsable = state.targets.readiness(target, nowMs) === 'serving' && !state.reservations.isReserved(target)
     if (!isUsable || tokens >= fewest) continue
     best = target
     fewest = tokens
@@ -79,7 +79,7 @@
       continue
     }
     const target = reserve(state, ask, nowMs)
-    if (target === undefined || state.slots.onTarget(target).length > 0) continue
+    if (target === undefined || state.reservations.isClosedTo(target, ask.key) || state.slots.onTarget(target).length > 0) continue
     const placement = toPlacement(state, ask, target)
     if (placement === undefined || !state.entries.isFresh(ask.entry, nowMs)) continue
     yield * grant(state, ask, placement, nowMs)
--- a/packages/authority/src/lane.ts
+++ b/packages/authority/src/lane.ts
@@ -7,6 +7,7 @@
 
 /** A first-in-first-out queue with a start tag for fair queueing. */
 export interface Lane {
+  /** Adds an ask in its place; one that is still in the lane stays where it is. */
   readonly add: (ask: waitingAsk.WaitingAsk) => void
   /** The oldest ask for which `isLive` holds; others before it are dropped. */
   readonly head: (isLive: (ask: waitingAsk.WaitingAsk) => boolean) => waitingAsk.WaitingAsk | undefined
@@ -18,7 +19,7 @@
 const COMPACT_LENGTH = 64
 
 function isBefore (left: waitingAsk.WaitingAsk, right: waitingAsk.WaitingAsk): boolean {
-  return left.arrivedAtMs < right.arrivedAtMs
+  return left.arrivedAtMs < right.arrivedAtMs || (left.arrivedAtMs === right.arrivedAtMs && left.sequence < right.sequence)
 }
 
 /**
@@ -33,6 +34,7 @@
  */
 export function createLane (): Lane {
   let items: waitingAsk.WaitingAsk[] = []
+  const present = new Set<waitingAsk.WaitingAsk>()
   let start = 0
 
   function findPosition (ask: waitingAsk.WaitingAsk): number {
@@ -54,6 +56,8 @@
 
   return {
     add (ask) {
+      if (present.has(ask)) return
+      present.add(ask)
       const last = items.at(-1)
       if (last === undefined || !isBefore(ask, last)) items.push(ask)
       else items.splice(findPosition(ask), 0, ask)
@@ -62,6 +66,7 @@
       for (; start < items.length; start++) {
         const ask = items[start] as waitingAsk.WaitingAsk
         if (isLive(ask)) break
+        present.delete(ask)
       }
       compact()
       return items[start]
@@ -70,6 +75,7 @@
       while (items.length > start) {
         const ask = items[items.length - 1] as waitingAsk.WaitingAsk
         if (isLive(ask)) return ask
+        present.delete(ask)
         items.pop()
       }
       return undefined
--- a/packages/authority/src/place.ts
+++ b/packages/authority/src/place.ts
@@ -41,7 +41,7 @@
 function hasRoom (state: context.Context, target: string, model: targetModel.TargetModel, costTokens: number, share: number, nowMs: number): boolean {
   const readiness = state.targets.readiness(target, nowMs)
   if (readiness === 'closed') return false
-  if (readiness === 'probing') return !isProbed(state, target)
+  if (readiness === 'probing' && isProbed(state, target)) return false
   if (model.requests() === 0) return true
   return model.knownTokens() + model.unknownTokens(nowMs) + costTokens <= model.limitTokens() * share
 }
@@ -69,8 +69,7 @@
   let bestScore = Infinity
   for (const target of service.targets) {
     const model = state.targets.model(target)
-    const reservedFor = state.reservations.get(target)
-    if (model === undefined || closed.has(target) || (reservedFor !== undefined && reservedFor !== ask.key)) continue
+    if (model === undefined || closed.has(target) || state.reservations.isClosedTo(target, ask.key)) continue
     if (!hasRoom(state, target, model, ask.costTokens, share, nowMs)) continue
     const cachedTokens = cached.get(target) ?? 0
     const expectation = model.expect(uncachedTokens(state, target, ask, cachedTokens), state.targets.kind(target) === 'plain' ? 0 : answerTokens)
--- a/packages/authority/src/reservations.ts
+++ b/packages/authority/src/reservations.ts
@@ -1,17 +1,19 @@
 /**
- * Targets that are kept free for one suspected request.
+ * Targets that are kept for suspected requests: drained for one that waits, or occupied by those that
+ * run there. Nothing else is placed on them.
  *
  * @module
  */
 
 /** Reservations by target. */
 export interface Reservations {
-  /** Key of the ask that the target is reserved for. */
-  readonly get: (target: string) => string | undefined
+  /** Whether the target is kept for another ask than this one. */
+  readonly isClosedTo: (target: string, key: string) => boolean
+  readonly isReserved: (target: string) => boolean
   readonly targetOf: (key: string) => string | undefined
   readonly reserve: (target: string, key: string) => void
   readonly release: (key: string) => void
-  readonly all: () => Iterable<readonly [target: string, key: string]>
+  readonly keys: () => Iterable<string>
 }
 
 /**
@@ -21,27 +23,36 @@
  * ```ts
  * const reservations = createReservations()
  * reservations.reserve('replica-1', 'a/1')
- * reservations.targetOf('a/1') // 'replica-1'
+ * reservations.isClosedTo('replica-1', 'b/7') // true
  * ```
  */
 export function createReservations (): Reservations {
-  const keys = new Map<string, string>()
+  const holders = new Map<string, Set<string>>()
   const targets = new Map<string, string>()
+
+  function release (key: string): void {
+    const target = targets.get(key)
+    if (target === undefined) return
+    targets.delete(key)
+    const keys = holders.get(target)
+    keys?.delete(key)
+    if (keys?.size === 0) holders.delete(target)
+  }
+
   return {
-    get: (target) => keys.get(target),
+    isClosedTo (target, key) {
+      const keys = holders.get(target)
+      return keys !== undefined && (keys.size > 1 || !keys.has(key))
+    },
+    isReserved: (target) => holders.has(target),
     targetOf: (key) => targets.get(key),
     reserve (target, key) {
-      const previous = keys.get(target)
-      if (previous !== undefined) targets.delete(previous)
-      keys.set(target, key)
+      release(key)
       targets.set(key, target)
+      const keys = holders.get(target) ?? new Set<string>()
+      holders.set(target, keys.add(key))
     },
-    release (key) {
-      const target = targets.get(key)
-      if (target === undefined) return
-      targets.delete(key)
-      keys.delete(target)
-    },
-    all: () => keys.entries()
+    release,
+    keys: () => targets.keys()
   }
 }
--- a/packages/authority/src/waiting-ask.ts
+++ b/packages/authority/src/waiting-ask.ts
@@ -16,6 +16,8 @@
   readonly share: number
   /** When the request began to wait, on this authority's clock. */
   readonly arrivedAtMs: number
+  /** Order of arrival among asks that began to wait at the same time. */
+  readonly sequence: number
   /** When the caller's deadline passes, on this authority's clock. */
   readonly deadlineAtMs: number
   readonly queuedAtMs: number
