Record histories on the targets' clock

Cause: callers' facts were on the time since the process began, targets' on the time since 1970, so predicates over both could not be judged (three false violations, and true ones would have been missed). Change: one scale.

--- a/packages/system/src/recorder.ts
+++ b/packages/system/src/recorder.ts
@@ -30,7 +30,8 @@
 export function createRecorder (): Recorder {
   const facts: history.history.Fact[] = []
   let calls = 0
-  const clock = (): number => performance.now()
+  // The stand-ins' scale: milliseconds since 1970, rising steadily.
+  const clock = (): number => performance.timeOrigin + performance.now()
   return {
     clock,
     record: (event) => { facts.push({ ...event, atMs: clock() } as history.history.Fact) },
