Tell a returning authority of the slots that its substitute granted

Cause: an authority that others took for gone for a while, and that never learned of it, goes on with what it knew and collects nothing. Slots that its substitute granted meanwhile were unknown to it, and it shed a higher tier while such a lower one ran.

Change: when the authority of a pool changes, it gets the entry's holdings unasked if it does not count all of them.

--- a/packages/entry/src/holdings.ts
+++ b/packages/entry/src/holdings.ts
@@ -24,6 +24,11 @@
   }
 }
 
+/** Whether this entry holds a slot in a pool that a daemon does not count. */
+export function isUnknownTo (own: state.State, authority: protocol.Incarnation, pool: string): boolean {
+  return own.running().some((running) => running.slot.pool === pool && !running.holders.has(authority))
+}
+
 /** Tells a daemon every slot that this entry holds in a pool. */
 export function * report (own: state.State, to: protocol.Incarnation, pool: string, nowMs: number): output.Outputs {
   const held = own.running().filter((running) => running.slot.pool === pool)
--- a/packages/entry/src/surroundings.ts
+++ b/packages/entry/src/surroundings.ts
@@ -24,7 +24,10 @@
   for (const waiting of own.waiting()) yield * termsChange.refreshTerms(own, waiting, nowMs)
 }
 
-/** Asks the authorities in force; one that was reconnected may have missed releases and asks. */
+/**
+ * Asks the authorities in force. One that was reconnected may have missed releases and asks. One that
+ * others took for gone for a while, and that never learned of it, does not collect what its substitute granted.
+ */
 export function * handleAuthorities (
   own: state.State,
   authorities: ReadonlyMap<string, protocol.Incarnation>,
@@ -35,7 +38,8 @@
   holdings.forgetCollectors(own)
   for (const authority of reconnected) own.rounds.drop(authority)
   for (const [pool, authority] of authorities) {
-    if (reconnected.includes(authority)) yield * holdings.report(own, authority, pool, nowMs)
+    const isIgnorant = reconnected.includes(authority) || holdings.isUnknownTo(own, authority, pool)
+    if (isIgnorant) yield * holdings.report(own, authority, pool, nowMs)
   }
   const isOutdated = (waiting: request.Waiting): boolean => {
     return waiting.slot === undefined || authorities.get(waiting.slot.pool) !== waiting.slot.authority
--- a/packages/entry/tests/entry.test.ts
+++ b/packages/entry/tests/entry.test.ts
@@ -137,6 +137,17 @@
   assert.equal(fixtures.effects(driver.grant(present, 'stock-1', OTHER_AUTHORITY)), ['dispatch 1 stock-1'])
 })
 
+test('an authority that returns without a collect is told of the slots that its substitute granted, before it is asked', () => {
+  const driver = started()
+  driver.arrive()
+  driver.grant(fixtures.askOf(driver.assign(OTHER_AUTHORITY)), 'stock-1', OTHER_AUTHORITY)
+  driver.arrive({ request: 2, identity: `${OWN}.10.b` })
+  const sent = fixtures.kinds(driver.assign(AUTHORITY))
+  assert.equal(sent, [`holdings ${AUTHORITY}`, `withdraw ${OTHER_AUTHORITY}`, `ask ${AUTHORITY}`])
+  assert.equal(fixtures.releases(driver.end('finished')).length, 2)
+  assert.equal(fixtures.messages(driver.assign(AUTHORITY), 'holdings'), [])
+})
+
 test('rounds are renewed while asks wait, and a grant that echoes a renewed round is used', () => {
   const driver = started()
   const ask = fixtures.askOf(driver.arrive())
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -118,6 +118,11 @@
   return outputs.flatMap((output) => output.kind === 'send' && output.outbound.message.kind === kind ? [output.outbound] : [])
 }
 
+/** Kinds and receivers of the messages among outputs. */
+export function kinds (outputs: readonly Output[]): readonly string[] {
+  return outputs.flatMap((output) => output.kind === 'send' ? [`${output.outbound.message.kind} ${output.outbound.to}`] : [])
+}
+
 /** The one ask among outputs. */
 export function askOf (outputs: readonly Output[]): protocol.Ask {
   const found = messages(outputs, 'ask').map((each) => each.message)
