Judge a shed by its first refusal

Cause: a refusal that is repeated to a resend was judged as a decision of that moment.

Change: the decision lies before the first refusal of a request; its earliest sending counts. A case for it.

--- a/packages/history/src/tier-order.ts
+++ b/packages/history/src/tier-order.ts
@@ -34,6 +34,27 @@
   readonly untilMs: number
 }
 
+interface Shed {
+  readonly sent: history.Sent
+  readonly refused: history.Refused
+}
+
+/** The earliest sending and the earliest refusal of each request. Later ones repeat the decision to other calls. */
+function firstSheds (all: readonly calls.Call[], options: Options): readonly Shed[] {
+  const byRequest = new Map<string, Shed>()
+  const firstSent = new Map<string, history.Sent>()
+  for (const { sent, finals } of all) {
+    const first = firstSent.get(sent.request) ?? sent
+    firstSent.set(sent.request, first)
+    for (const final of finals) {
+      if (final.kind !== 'refused' || !options.reasons.includes(final.reason)) continue
+      const known = byRequest.get(sent.request)
+      if (known === undefined || final.atMs < known.refused.atMs) byRequest.set(sent.request, { sent: first, refused: final })
+    }
+  }
+  return [...byRequest.values()]
+}
+
 function decisionInterval (sent: history.Sent, refused: history.Refused, options: Options): Interval {
   return {
     fromMs: Math.max(sent.atMs, refused.atMs - options.decisionWindowMs),
@@ -68,14 +89,13 @@
 export function createTierOrder (options: Options): history.Predicate {
   return (of) => {
     const overlapping = runIndex.createRunIndex(runs.runs(of))
-    return calls.calls(of).flatMap(({ sent, finals }) => finals.flatMap((final) => {
-      if (final.kind !== 'refused' || !options.reasons.includes(final.reason)) return []
-      const interval = decisionInterval(sent, final, options)
+    return firstSheds(calls.calls(of), options).flatMap(({ sent, refused }) => {
+      const interval = decisionInterval(sent, refused, options)
       const lower = findLower(overlapping(interval.fromMs, interval.untilMs), sent, of.targets.get(sent.service) ?? [])
       if (!covers(lower, interval)) return []
-      const message = `${sent.request} of rank ${sent.rank} was given up (${final.reason}) while less important requests ran throughout`
-      return [{ promise: PROMISE, atMs: final.atMs, message }]
-    }))
+      const message = `${sent.request} of rank ${sent.rank} was given up (${refused.reason}) while less important requests ran throughout`
+      return [{ promise: PROMISE, atMs: refused.atMs, message }]
+    })
   }
 }
 
--- a/packages/history/tests/promises.test.ts
+++ b/packages/history/tests/promises.test.ts
@@ -63,6 +63,7 @@
   { name: 'a lower non-idempotent request ran', facts: [started(0, 1, { ...LOW, nonIdempotent: true }), sent(10, 1), refused(30, 1, 'shed', 'not-run')] },
   { name: 'a lower run on a target of other services', facts: [started(0, 1, { ...LOW, target: 'u' }), sent(10, 1), refused(30, 1, 'shed', 'not-run')] },
   { name: 'not for want of capacity', facts: [started(0, 1, LOW), sent(10, 1), refused(30, 1, 'unknown-tier', 'not-run')] },
+  { name: 'the refusal repeated to a resend', facts: [sent(0, 1), refused(5, 1, 'shed', 'not-run'), started(9, 1, LOW), sent(10, 2), refused(11, 2, 'shed', 'not-run')] },
   { name: 'a lower run all the time', facts: [started(0, 1, LOW), sent(10, 1), refused(30, 1, 'shed', 'not-run'), ended(31, 1, 'finished')], violation: 'rank 0 was given up (shed)' },
   { name: 'a lower run through the decision window', facts: [sent(0, 1), started(900, 1, LOW), refused(2_000, 1, 'shed', 'not-run')], violation: 'given up' },
   { name: 'lower runs in turn', facts: [started(0, 1, LOW), sent(10, 1), started(14, 2, LOW), ended(15, 1, 'finished'), refused(30, 1, 'shed', 'not-run')], violation: 'given up' },
