--- a/packages/membership/tests/detection.test.ts
+++ b/packages/membership/tests/detection.test.ts
@@ -1,3 +1,4 @@
+import * as protocol from '@persimmonhatch/protocol'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as network from './network.js'
@@ -59,6 +60,21 @@
     })
   }
 
+  detection(`gives no verdict before the first acks after a pause, seed ${seed}`, () => {
+    const net = start(24, seed, 0)
+    net.run(5_000)
+    const sleeper = pick(net, 5)
+    net.pause(sleeper)
+    net.run(30_000)
+    sleeper.waiting.length = 0
+    net.isCut = (a, b) => a === sleeper || b === sleeper
+    net.wake(sleeper, false)
+    net.run(9_000)
+    assert.is(sleeper.counts.get('membership.gone') ?? 0, 0)
+    net.isCut = () => false
+    assert.is.not(net.runUntil(() => net.agrees(), MINUTE_MS), undefined)
+  })
+
   detection(`learns of a planned stop at once, seed ${seed}`, () => {
     const net = start(24, seed, 0.02)
     const stopping = pick(net, 3)
@@ -71,6 +87,22 @@
   })
 }
 
+detection('does not revive a gone member by its older beats, and keeps beats fresh, at 160 members', () => {
+  const net = new network.Network({ size: 160, regions: 3, zonesPerRegion: 4, seed: 1, loss: 0.01, introductions: 'all' })
+  net.run(2 * MINUTE_MS)
+  const lags = net.nodes.flatMap((node) => node.core.members().map((member) => Math.floor(net.nowMs / protocol.BEAT_INTERVAL_MS) - member.beat))
+  console.log(`160 members: largest lag ${Math.max(...lags)} beats`)
+  assert.ok(Math.max(...lags) < protocol.IDENTITY_RETENTION_BEATS / 2)
+  const killed = pick(net, 7)
+  killed.state = 'dead'
+  net.run(MINUTE_MS)
+  assert.ok(net.agrees())
+  const revivals = net.running().flatMap((node) => node.learned).filter(({ atMs, news }) => (
+    atMs > 2 * MINUTE_MS && news.kind === 'member' && news.incarnation === killed.news.incarnation && news.state === 'alive'
+  ))
+  assert.is(revivals.length, 0)
+})
+
 detection('takes in a newcomer and gives it all members and news', () => {
   const net = start(24, 9, 0.02)
   const [first] = net.nodes
--- a/packages/membership/tests/partition.test.ts
+++ b/packages/membership/tests/partition.test.ts
@@ -17,7 +17,7 @@
   partition(`lets each side of an hour's partition work on, and merges after it, seed ${seed}`, () => {
     const net = new network.Network({ size: 24, regions: 3, zonesPerRegion: 3, seed, loss: 0.01, introductions: 'all' })
     net.run(10_000)
-    net.isCut = (a, b) => (a === 'region-0') !== (b === 'region-0')
+    net.isCut = (a, b) => (a.news.region === 'region-0') !== (b.news.region === 'region-0')
     const sides = [{ regions: ['region-0'], size: 8 }, { regions: ['region-1', 'region-2'], size: 16 }]
     const isApart = (): boolean => net.nodes.every((node) => {
       const side = sides.find(({ regions }) => regions.includes(node.news.region))
@@ -41,7 +41,7 @@
   const pools = REGIONS.map((region) => ({ pool: `pool-${region}`, region }))
   net.run(10_000)
   const before = rendezvous.assignAuthorities(net.nodes[0]?.core.members() ?? [], pools)
-  net.isCut = (a, b) => a !== b
+  net.isCut = (a, b) => a.news.region !== b.news.region
   net.run(MINUTE_MS)
   for (const node of net.nodes) {
     const pool = `pool-${node.news.region}`
