--- a/packages/client/src/answer.ts
+++ b/packages/client/src/answer.ts
@@ -34,12 +34,13 @@
 }
 
 function readRefusal (reply: exchanges.Reply, reason: string, text: string): errors.Refusal {
-  const parsed = bodies.parseJson(text) as { readonly error?: { readonly message?: string, readonly remedy?: string, readonly retryAfterMs?: number } } | undefined
+  const parsed = bodies.parseJson(text) as { readonly error?: Partial<errors.Refusal> } | undefined
   return {
     reason,
     message: parsed?.error?.message ?? `The request was refused: ${reason}.`,
     remedy: parsed?.error?.remedy ?? 'See the table of reasons for callers.',
     execution: toExecution(reply.headers[protocol.HEADERS.execution]),
+    identity: parsed?.error?.identity,
     retryAfterMs: parsed?.error?.retryAfterMs
   }
 }
--- a/packages/client/src/attempts.ts
+++ b/packages/client/src/attempts.ts
@@ -60,10 +60,10 @@
   return { kind: 'done', result: neverthrow.err(failure) }
 }
 
-// A daemon that is shutting down answers resends of its own requests; one that refuses a resend for that
-// reason is a later process at the same address and knows nothing of the request.
+// A later process may listen at the owner's address. Refusals of a resend that it gives without a look at the
+// identity, or because it is shutting down, say nothing about what the owner ran.
 function endRefused (identity: string, refusal: errors.Refusal, mayHaveRun: boolean): Ending {
-  const isBlind = mayHaveRun && refusal.reason === 'draining'
+  const isBlind = mayHaveRun && (refusal.reason === 'draining' || refusal.identity !== identity)
   if (isBlind || refusal.execution === 'unknown') return fail(new errors.UnknownOutcome(identity, refusal.message))
   if (refusal.reason === 'answer-incomplete') return fail(new errors.IncompleteAnswer(identity, refusal.message))
   const failure = new errors.RefusedRequest(identity, refusal)
--- a/packages/client/src/bodies.ts
+++ b/packages/client/src/bodies.ts
@@ -8,6 +8,9 @@
 
 const STREAM_END = '[DONE]'
 
+/** Type of the event with which a daemon cuts a stream off. */
+const ERROR_TYPE = 'error'
+
 /**
  * Reads a body to its end; the error says how it broke.
  *
@@ -53,6 +56,11 @@
   }
 }
 
+function readMessage (data: string): string | undefined {
+  const parsed = parseJson(data) as { readonly error?: { readonly message?: string } } | undefined
+  return parsed?.error?.message
+}
+
 /**
  * The data of a stream of server-sent events. The last item is an error if the stream broke or ended without
  * `[DONE]`.
@@ -64,15 +72,19 @@
  */
 export async function * readEvents (body: AsyncIterable<Uint8Array>, identity: string): AsyncGenerator<neverthrow.Result<string, errors.IncompleteAnswer>, void> {
   let detail = 'The stream ended without [DONE].'
+  let type = ''
   try {
     for await (const line of readLines(body)) {
+      if (line === '') type = ''
+      if (line.startsWith('event:')) type = line.slice('event:'.length).trim()
       if (!line.startsWith('data:')) continue
       const data = line.slice('data:'.length).trimStart()
       if (data === STREAM_END) return
-      yield neverthrow.ok(data)
+      if (type === ERROR_TYPE) detail = readMessage(data) ?? detail
+      else yield neverthrow.ok(data)
     }
   } catch (error) {
-    detail = `The stream broke: ${error instanceof Error ? error.message : String(error)}.`
+    if (type !== ERROR_TYPE) detail = `The stream broke: ${error instanceof Error ? error.message : String(error)}.`
   }
   yield neverthrow.err(new errors.IncompleteAnswer(identity, detail))
 }
--- a/packages/client/src/caller.ts
+++ b/packages/client/src/caller.ts
@@ -19,7 +19,7 @@
   readonly availabilityZone?: string
   readonly organisation?: string
   readonly clock?: protocol.Clock
-  /** Gives a nonce that is not used again: 1 to 40 letters, digits, `-` and `_`. */
+  /** Gives a nonce that is not used again: 1 to 40 letters, digits, `-` and `_`, not beginning with `_`. */
   readonly nonce?: () => string
 }
 
@@ -45,7 +45,7 @@
 const NONCE_BYTES = 12
 
 function randomNonce (): string {
-  return crypto.randomBytes(NONCE_BYTES).toString('base64url')
+  return crypto.randomBytes(NONCE_BYTES).toString('hex')
 }
 
 function headersOf (request: Request, organisation: string | undefined): Readonly<Record<string, string>> {
--- a/packages/client/src/errors.ts
+++ b/packages/client/src/errors.ts
@@ -11,6 +11,8 @@
   readonly message: string
   readonly remedy: string
   readonly execution: protocol.Execution
+  /** Identity that the daemon looked up before it refused; undefined when it refused without a look. */
+  readonly identity: string | undefined
   /** Undefined when the refusal names no time. */
   readonly retryAfterMs: number | undefined
 }
--- a/packages/client/tests/caller.test.ts
+++ b/packages/client/tests/caller.test.ts
@@ -61,11 +61,12 @@
   response.end('whole answer')
 }
 
-function refuse (reason: protocol.Reason): Handler {
-  return (_request, response) => {
+function refuse (reason: protocol.Reason, looksUp = true): Handler {
+  return (request, response) => {
     const { status, execution, text, remedy } = protocol.EXPLANATIONS[reason]
     response.writeHead(status, { [protocol.HEADERS.reason]: reason, [protocol.HEADERS.execution]: execution })
-    response.end(JSON.stringify({ error: { reason, message: text, remedy, execution, retryAfterMs: 2_000 } }))
+    const identity = looksUp ? { identity: request.headers['idempotency-key'] } : {}
+    response.end(JSON.stringify({ error: { reason, message: text, remedy, execution, retryAfterMs: 2_000, ...identity } }))
   }
 }
 
@@ -112,7 +113,7 @@
   const [first, second] = [await startDaemon(finish), await startDaemon(finish)]
   const { answer } = await ask([first, second])
   assert.ok(answer?.kind === 'whole' && answer.text === 'whole answer')
-  assert.match(first.identities[0] ?? '', new RegExp(`^${first.incarnation}\\.12\\.[A-Za-z0-9_-]{16}$`))
+  assert.match(first.identities[0] ?? '', new RegExp(`^${first.incarnation}\\.12\\.[0-9a-f]{24}$`))
   assert.is(second.identities.length, 0)
 })
 
@@ -167,12 +168,30 @@
   assert.instance(failure, errors.UnknownOutcome)
 })
 
-suite('does not believe a later process at the same address', async () => {
-  const first = await startDaemon(inTurn(breakConnection, refuse('draining')))
-  const second = await startDaemon(finish)
-  const { failure } = await ask([first, second])
-  assert.instance(failure, errors.UnknownOutcome)
-  assert.is(second.identities.length, 0)
+for (const { reason, looksUp } of [{ reason: 'draining' as const, looksUp: true }, { reason: 'no-authority' as const, looksUp: false }]) {
+  suite(`does not believe a later process at the same address that answers ${reason}`, async () => {
+    const first = await startDaemon(inTurn(breakConnection, refuse(reason, looksUp)))
+    const second = await startDaemon(finish)
+    const { failure } = await ask([first, second])
+    assert.instance(failure, errors.UnknownOutcome)
+    assert.is(second.identities.length, 0)
+  })
+}
+
+suite('believes the owner that a resend was not run', async () => {
+  const daemon = await startDaemon(inTurn(breakConnection, refuse('shed')))
+  const { failure } = await ask([daemon])
+  assert.ok(failure instanceof errors.RefusedRequest && failure.execution === 'not-run')
+})
+
+suite('says why a daemon cut a stream off', async () => {
+  const parts = ['data: {"a":1}\n\n', 'event: error\ndata: {"error":{"message":"Stopped for a higher tier."}}\n\n']
+  const { answer } = await ask([await startDaemon(stream(parts))])
+  if (answer?.kind !== 'stream') throw new Error('expected a stream')
+  const events = []
+  for await (const event of answer.events) events.push(event.match((data) => data, (error) => error.message))
+  assert.is(events.length, 2)
+  assert.match(events[1] ?? '', /^Stopped for a higher tier\./)
 })
 
 suite('follows a redirect to the owner once, under the same identity', async () => {
