--- a/packages/membership/src/composer.ts
+++ b/packages/membership/src/composer.ts
@@ -8,12 +8,12 @@
 import * as newsOrder from './news-order.js'
 import type * as newsStore from './news-store.js'
 import * as rumorQueue from './rumor-queue.js'
-import type * as ownEntry from './self.js'
+import type * as ownEntry from './own-entry.js'
 import * as settings from './settings.js'
 
 /** Where the news comes from. */
 export interface Sources {
-  readonly self: ownEntry.Self
+  readonly self: ownEntry.OwnEntry
   readonly table: memberTable.MemberTable
   readonly store: newsStore.NewsStore
   readonly rumors: rumorQueue.RumorQueue
--- a/packages/membership/src/learning.ts
+++ b/packages/membership/src/learning.ts
@@ -7,18 +7,18 @@
 import type * as event from './event.js'
 import * as newsOrder from './news-order.js'
 import type * as newsStore from './news-store.js'
-import type * as state from './parts.js'
+import type * as membershipParts from './parts.js'
 
 /** Daemon that sent the news; undefined for news that this daemon learned itself. */
 export type Source = protocol.Incarnation | undefined
 
 // Pools and most callers' addresses lie within a region, so members of other regions are not urgent.
-function isUrgent (parts: state.Parts, news: protocol.News, nowMs: number): boolean {
+function isUrgent (parts: membershipParts.Parts, news: protocol.News, nowMs: number): boolean {
   if (news.kind !== 'member') return true
   return news.state !== 'alive' && news.region === parts.self.news(nowMs).region
 }
 
-function passOn (parts: state.Parts, news: protocol.News, nowMs: number): void {
+function passOn (parts: membershipParts.Parts, news: protocol.News, nowMs: number): void {
   const key = newsOrder.keyOf(news)
   parts.rumors.add(key)
   if (isUrgent(parts, news, nowMs)) parts.urgent.add(key, nowMs)
@@ -32,13 +32,13 @@
  * announceSelf(parts, nowMs)
  * ```
  */
-export function announceSelf (parts: state.Parts, nowMs: number): void {
+export function announceSelf (parts: membershipParts.Parts, nowMs: number): void {
   const key = newsOrder.keyOf(parts.self.news(nowMs))
   parts.rumors.add(key)
   parts.urgent.add(key, nowMs)
 }
 
-function * learnSelf (parts: state.Parts, news: protocol.MemberNews, nowMs: number): Generator<event.Output, void> {
+function * learnSelf (parts: membershipParts.Parts, news: protocol.MemberNews, nowMs: number): Generator<event.Output, void> {
   const own = parts.self.news(nowMs)
   if (news.state !== 'gone' || own.state === 'gone' || news.beat < own.beat) return
   parts.self.refute(news.beat, nowMs)
@@ -46,7 +46,7 @@
   yield { kind: 'count', counter: 'membership.refutations', value: 1 }
 }
 
-function * learnMember (parts: state.Parts, news: protocol.MemberNews, from: Source, nowMs: number): Generator<event.Output, void> {
+function * learnMember (parts: membershipParts.Parts, news: protocol.MemberNews, from: Source, nowMs: number): Generator<event.Output, void> {
   const isKnown = parts.table.find(news.incarnation) !== undefined
   const change = parts.table.accept(news, nowMs)
   if (change === 'none') return
@@ -60,7 +60,7 @@
   yield { kind: 'learned', news }
 }
 
-function * learnOther (parts: state.Parts, news: newsStore.StoredNews, nowMs: number): Generator<event.Output, void> {
+function * learnOther (parts: membershipParts.Parts, news: newsStore.StoredNews, nowMs: number): Generator<event.Output, void> {
   if (!parts.store.accept(news, nowMs)) return
   passOn(parts, news, nowMs)
   yield { kind: 'learned', news }
@@ -74,7 +74,7 @@
  * yield * learn(parts, { kind: 'revision', service: 'listings', revision: 7 }, undefined, nowMs)
  * ```
  */
-export function * learn (parts: state.Parts, news: protocol.News, from: Source, nowMs: number): Generator<event.Output, void> {
+export function * learn (parts: membershipParts.Parts, news: protocol.News, from: Source, nowMs: number): Generator<event.Output, void> {
   if (news.kind !== 'member') yield * learnOther(parts, news, nowMs)
   else if (news.incarnation === parts.self.incarnation) yield * learnSelf(parts, news, nowMs)
   else yield * learnMember(parts, news, from, nowMs)
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -6,7 +6,7 @@
 import type * as protocol from '@persimmonhatch/protocol'
 import type * as event from './event.js'
 import * as learning from './learning.js'
-import * as state from './parts.js'
+import * as membershipParts from './parts.js'
 import * as probing from './probing.js'
 import * as receiving from './receiving.js'
 import * as sampling from './sampling.js'
@@ -48,14 +48,14 @@
   }
 }
 
-function * introduce (parts: state.Parts, members: readonly protocol.MemberNews[], nowMs: number): Outputs {
+function * introduce (parts: membershipParts.Parts, members: readonly protocol.MemberNews[], nowMs: number): Outputs {
   const unknown = members.filter((news) => news.incarnation !== parts.self.incarnation && parts.table.find(news.incarnation) === undefined)
   for (const news of unknown) parts.seeds.add(news)
   if (unknown.length === 0) return
   for (const seed of parts.seeds.take(settings.SEED_PROBES)) yield * probing.probe(parts, seed, false, nowMs)
 }
 
-function * resume (parts: state.Parts, nowMs: number): Outputs {
+function * resume (parts: membershipParts.Parts, nowMs: number): Outputs {
   parts.pending.clear()
   parts.suspicions.clearAll()
   parts.synchronisation.catchUp(nowMs)
@@ -64,13 +64,13 @@
   for (const incarnation of round) yield * probing.probe(parts, incarnation, false, nowMs)
 }
 
-function * stop (parts: state.Parts, kind: 'leaving' | 'gone', nowMs: number): Outputs {
+function * stop (parts: membershipParts.Parts, kind: 'leaving' | 'gone', nowMs: number): Outputs {
   parts.self.setState(kind)
   learning.announceSelf(parts, nowMs)
   yield * probing.sendUrgent(parts, nowMs)
 }
 
-function * tick (parts: state.Parts, schedules: Schedules, nowMs: number): Outputs {
+function * tick (parts: membershipParts.Parts, schedules: Schedules, nowMs: number): Outputs {
   const beat = parts.self.advance(nowMs)
   if (beat !== undefined) yield { kind: 'beat', beat }
   yield * probing.followUp(parts, nowMs)
@@ -94,7 +94,7 @@
  * ```
  */
 export function createMembership (options: Options): Membership {
-  const parts = state.createParts(options.self, options.random)
+  const parts = membershipParts.createParts(options.self, options.random)
   const schedules = createSchedules(options.random)
   let lastMs: number | undefined
   let lastTickMs: number | undefined
--- a/packages/membership/src/self.ts
+++ b/packages/membership/src/own-entry.ts
@@ -6,7 +6,7 @@
 import * as protocol from '@persimmonhatch/protocol'
 
 /** Own entry: the beat follows the injected clock. */
-export interface Self {
+export interface OwnEntry {
   readonly incarnation: protocol.Incarnation
   readonly news: (nowMs: number) => protocol.MemberNews
   /** The new beat, if it rose since the last call. */
@@ -23,11 +23,11 @@
  *
  * @example
  * ```ts
- * const self = createSelf(options.self)
- * self.news(1_000).beat
+ * const own = createOwnEntry(options.self)
+ * own.news(1_000).beat
  * ```
  */
-export function createSelf (initial: protocol.MemberNews): Self {
+export function createOwnEntry (initial: protocol.MemberNews): OwnEntry {
   let startedMs: number | undefined
   let firstBeat = initial.beat
   let lastBeat = initial.beat
--- a/packages/membership/src/parts.ts
+++ b/packages/membership/src/parts.ts
@@ -13,7 +13,7 @@
 import * as probeOrder from './probe-order.js'
 import * as rumorQueue from './rumor-queue.js'
 import * as seeds from './seeds.js'
-import * as ownEntry from './self.js'
+import * as ownEntry from './own-entry.js'
 import * as suspicions from './suspicions.js'
 import * as synchronisation from './synchronisation.js'
 import * as urgentQueue from './urgent-queue.js'
@@ -41,7 +41,7 @@
  */
 export function createParts (self: protocol.MemberNews, random: protocol.Random): Parts {
   const sources = {
-    self: ownEntry.createSelf(self),
+    self: ownEntry.createOwnEntry(self),
     table: memberTable.createMemberTable(),
     store: newsStore.createNewsStore(),
     rumors: rumorQueue.createRumorQueue(),
--- a/packages/membership/src/probing.ts
+++ b/packages/membership/src/probing.ts
@@ -6,7 +6,7 @@
 import type * as protocol from '@persimmonhatch/protocol'
 import type * as event from './event.js'
 import * as learning from './learning.js'
-import type * as state from './parts.js'
+import type * as membershipParts from './parts.js'
 import type * as pendingProbes from './pending-probes.js'
 import * as receiving from './receiving.js'
 import * as sampling from './sampling.js'
@@ -15,13 +15,13 @@
 
 type Outputs = Generator<event.Output, void>
 
-function isLive (parts: state.Parts, incarnation: protocol.Incarnation): boolean {
+function isLive (parts: membershipParts.Parts, incarnation: protocol.Incarnation): boolean {
   const state = parts.table.find(incarnation)?.news.state
   return state === 'alive' || state === 'leaving'
 }
 
 // A member that may not answer gets little to read.
-function * probeBriefly (parts: state.Parts, to: protocol.Incarnation, counts: boolean, nowMs: number): Outputs {
+function * probeBriefly (parts: membershipParts.Parts, to: protocol.Incarnation, counts: boolean, nowMs: number): Outputs {
   const sequence = parts.pending.open(to, { counts }, nowMs)
   yield receiving.send(to, { kind: 'probe', sequence, news: parts.composer.brief(to, nowMs) })
 }
@@ -34,12 +34,12 @@
  * yield * probe(parts, 'peer000000001', true, nowMs)
  * ```
  */
-export function * probe (parts: state.Parts, to: protocol.Incarnation, counts: boolean, nowMs: number): Outputs {
+export function * probe (parts: membershipParts.Parts, to: protocol.Incarnation, counts: boolean, nowMs: number): Outputs {
   const sequence = parts.pending.open(to, { counts }, nowMs)
   yield receiving.send(to, { kind: 'probe', sequence, news: parts.composer.message(to, nowMs) })
 }
 
-function * askOthers (parts: state.Parts, unanswered: pendingProbes.Pending): Outputs {
+function * askOthers (parts: membershipParts.Parts, unanswered: pendingProbes.Pending): Outputs {
   const others = parts.table.live().filter((entry) => entry.news.incarnation !== unanswered.to)
   for (const helper of sampling.sample(others, settings.INDIRECT_PROBES, parts.random)) {
     yield receiving.send(helper.news.incarnation, {
@@ -48,7 +48,7 @@
   }
 }
 
-function * suspect (parts: state.Parts, failed: pendingProbes.Pending, nowMs: number): Outputs {
+function * suspect (parts: membershipParts.Parts, failed: pendingProbes.Pending, nowMs: number): Outputs {
   parts.health.probeFailed(failed.sentMs)
   if (!parts.confirmation.isConfirmed(nowMs) || !isLive(parts, failed.to)) return
   const timeoutMs = suspicions.suspicionTimeoutMs(parts.table.live().length + 1, parts.health.score())
@@ -58,7 +58,7 @@
 }
 
 // The beat is raised to what the member's would be now, so that its older beats, still on their way, do not revive it.
-function * declareGone (parts: state.Parts, suspicion: suspicions.Suspicion, nowMs: number): Outputs {
+function * declareGone (parts: membershipParts.Parts, suspicion: suspicions.Suspicion, nowMs: number): Outputs {
   const held = parts.table.find(suspicion.incarnation)
   if (held === undefined || held.news.state === 'gone') return
   const beat = parts.table.estimateBeat(suspicion.incarnation, nowMs)
@@ -75,7 +75,7 @@
  * yield * followUp(parts, nowMs)
  * ```
  */
-export function * followUp (parts: state.Parts, nowMs: number): Outputs {
+export function * followUp (parts: membershipParts.Parts, nowMs: number): Outputs {
   const scale = 1 + parts.health.score()
   for (const failed of parts.pending.takeFailed(settings.PROBE_FAILURE_MS * scale, nowMs)) {
     if (failed.counts) yield * suspect(parts, failed, nowMs)
@@ -95,7 +95,7 @@
  * yield * probeNext(parts, nowMs)
  * ```
  */
-export function * probeNext (parts: state.Parts, nowMs: number): Outputs {
+export function * probeNext (parts: membershipParts.Parts, nowMs: number): Outputs {
   const next = parts.probeOrder.next(parts.table)
   if (next !== undefined) yield * probe(parts, next, true, nowMs)
   for (const seed of parts.seeds.take(1)) yield * probe(parts, seed, false, nowMs)
@@ -109,7 +109,7 @@
  * yield * probeGone(parts, nowMs)
  * ```
  */
-export function * probeGone (parts: state.Parts, nowMs: number): Outputs {
+export function * probeGone (parts: membershipParts.Parts, nowMs: number): Outputs {
   for (const entry of sampling.sample(parts.table.gone(), 1, parts.random)) {
     yield * probeBriefly(parts, entry.news.incarnation, false, nowMs)
   }
@@ -123,7 +123,7 @@
  * yield * sendUrgent(parts, nowMs)
  * ```
  */
-export function * sendUrgent (parts: state.Parts, nowMs: number): Outputs {
+export function * sendUrgent (parts: membershipParts.Parts, nowMs: number): Outputs {
   const live = parts.table.live()
   if (live.length === 0) return
   const due = parts.urgent.due(nowMs)
@@ -144,7 +144,7 @@
  * synchroniseNext(parts, nowMs)
  * ```
  */
-export function synchroniseNext (parts: state.Parts, nowMs: number): void {
+export function synchroniseNext (parts: membershipParts.Parts, nowMs: number): void {
   if (parts.synchronisation.isDue(nowMs)) receiving.synchronise(parts, undefined, nowMs)
 }
 
@@ -156,7 +156,7 @@
  * yield * sendPage(parts, nowMs)
  * ```
  */
-export function * sendPage (parts: state.Parts, nowMs: number): Outputs {
+export function * sendPage (parts: membershipParts.Parts, nowMs: number): Outputs {
   const page = parts.synchronisation.next((keys) => parts.composer.list(keys, settings.PAGE_NEWS_BYTES, nowMs), nowMs)
   if (page === undefined) return
   const [any] = sampling.sample(parts.table.live(), 1, parts.random)
--- a/packages/membership/src/receiving.ts
+++ b/packages/membership/src/receiving.ts
@@ -6,7 +6,7 @@
 import type * as protocol from '@persimmonhatch/protocol'
 import type * as event from './event.js'
 import * as learning from './learning.js'
-import type * as state from './parts.js'
+import type * as membershipParts from './parts.js'
 import * as sampling from './sampling.js'
 
 /** Sequence of a probe that is not to be answered: it only carries news. */
@@ -26,7 +26,7 @@
   return { kind: 'send', outbound: { to, message } }
 }
 
-function isApart (parts: state.Parts, incarnation: protocol.Incarnation): boolean {
+function isApart (parts: membershipParts.Parts, incarnation: protocol.Incarnation): boolean {
   const held = parts.table.find(incarnation)
   return held === undefined || held.news.state === 'gone'
 }
@@ -39,12 +39,12 @@
  * synchronise(parts, 'peer000000001', nowMs)
  * ```
  */
-export function synchronise (parts: state.Parts, to: protocol.Incarnation | undefined, nowMs: number): void {
+export function synchronise (parts: membershipParts.Parts, to: protocol.Incarnation | undefined, nowMs: number): void {
   const keys = sampling.shuffle(parts.composer.keys(), parts.random)
   parts.synchronisation.start(to, keys, nowMs)
 }
 
-function * receiveNews (parts: state.Parts, from: protocol.Incarnation, news: readonly protocol.News[], nowMs: number): Outputs {
+function * receiveNews (parts: membershipParts.Parts, from: protocol.Incarnation, news: readonly protocol.News[], nowMs: number): Outputs {
   const wasApart = isApart(parts, from)
   for (const item of news) yield * learning.learn(parts, item, from, nowMs)
   if (!wasApart || isApart(parts, from)) return
@@ -53,12 +53,12 @@
   if (parts.confirmation.isConfirmed(nowMs)) synchronise(parts, from, nowMs)
 }
 
-function * answer (parts: state.Parts, from: protocol.Incarnation, probe: protocol.Probe, nowMs: number): Outputs {
+function * answer (parts: membershipParts.Parts, from: protocol.Incarnation, probe: protocol.Probe, nowMs: number): Outputs {
   if (probe.sequence === UNANSWERED_SEQUENCE) return
   yield send(from, { kind: 'ack', sequence: probe.sequence, news: parts.composer.message(from, nowMs) })
 }
 
-function * relayAck (parts: state.Parts, from: protocol.Incarnation, sequence: number): Outputs {
+function * relayAck (parts: membershipParts.Parts, from: protocol.Incarnation, sequence: number): Outputs {
   const probe = parts.pending.close(sequence, from)
   if (probe === undefined) return
   parts.health.probeAnswered()
@@ -66,7 +66,7 @@
   if (relay !== undefined) yield send(relay.origin, { kind: 'indirect-ack', sequence: relay.sequence, incarnation: from })
 }
 
-function * relayProbe (parts: state.Parts, from: protocol.Incarnation, asked: protocol.IndirectProbe, nowMs: number): Outputs {
+function * relayProbe (parts: membershipParts.Parts, from: protocol.Incarnation, asked: protocol.IndirectProbe, nowMs: number): Outputs {
   if (asked.incarnation === parts.self.incarnation) return
   const relay = { origin: from, sequence: asked.sequence }
   const sequence = parts.pending.open(asked.incarnation, { counts: false, relay }, nowMs)
@@ -81,7 +81,7 @@
  * yield * receive(parts, 'peer000000001', { kind: 'probe', sequence: 7, news: [] }, nowMs)
  * ```
  */
-export function * receive (parts: state.Parts, from: protocol.Incarnation, message: event.Received, nowMs: number): Outputs {
+export function * receive (parts: membershipParts.Parts, from: protocol.Incarnation, message: event.Received, nowMs: number): Outputs {
   parts.health.received(nowMs)
   parts.suspicions.clear(from)
   switch (message.kind) {
