--- a/packages/authority/src/asks.ts
+++ b/packages/authority/src/asks.ts
@@ -6,6 +6,7 @@
 import * as grants from './grants.js'
 import * as outputs from './outputs.js'
 import * as overload from './overload.js'
+import * as place from './place.js'
 import * as refusals from './refusals.js'
 import * as waitEstimate from './wait-estimate.js'
 import * as waitingAsk from './waiting-ask.js'
@@ -23,21 +24,23 @@
 
 function toWaiting (state: context.Context, from: protocol.Incarnation, message: protocol.Ask, nowMs: number): waitingAsk.WaitingAsk {
   const service = state.view().services.get(message.service)
-  const costTokens = costOf(state, message)
-  const { organisation, tier } = message
-  const subject = { service: message.service, organisation, tier, costTokens, isQueued: false }
-  return {
+  const ask: waitingAsk.WaitingAsk = {
     key: waitingAsk.keyOf(from, message.ask),
     entry: from,
     message,
-    costTokens,
+    costTokens: costOf(state, message),
     share: service?.shares.get(message.organisation) ?? 1,
     arrivedAtMs: nowMs - Math.max(0, message.waitedMs),
     sequence: state.nextSequence(),
     deadlineAtMs: nowMs + message.deadlineMs,
     queuedAtMs: nowMs,
-    expectedWaitMs: service === undefined || state.queue.size() === 0 ? 0 : waitEstimate.estimateWait(state, service, subject).waitMs
+    serviceMs: 0,
+    expectedWaitMs: 0
   }
+  if (service === undefined) return ask
+  const serviceMs = waitEstimate.rateOf(state, service, nowMs).isMeasured ? place.expectIdle(state, ask, service) : 0
+  const expectedWaitMs = state.queue.size() === 0 ? 0 : refusals.estimateFor(state, ask, nowMs)?.waitMs ?? 0
+  return { ...ask, serviceMs, expectedWaitMs }
 }
 
 /** Takes the round that a message carried; the entry's asks may be granted again. */
@@ -69,7 +72,7 @@
     yield * refusals.refuseSuspect(state, ask, suspicion.news.crashes, suspicion.expiresAtMs - nowMs)
     return
   }
-  if (overload.isUnreachable(state, ask)) {
+  if (overload.isUnreachable(ask)) {
     yield * refusals.refuseUnreachable(state, ask, nowMs)
     return
   }
@@ -78,7 +81,7 @@
     state.queue.hold(ask.key)
     state.isolated.add(ask.key)
   }
-  yield * grants.grantWaiting(state, nowMs)
+  if (!grants.isBlocked(state, ask)) yield * grants.grantWaiting(state, nowMs)
   if (state.queue.get(ask.key) !== undefined) yield * overload.handleQueued(state, ask, nowMs)
 }
 
@@ -103,7 +106,7 @@
 }
 
 /** The entry no longer wants a slot. */
-export function * handleWithdraw (state: context.Context, from: protocol.Incarnation, message: protocol.Withdraw): outputs.Outputs {
+export function * handleWithdraw (state: context.Context, from: protocol.Incarnation, message: protocol.Withdraw, nowMs: number): outputs.Outputs {
   const ask = state.queue.get(waitingAsk.keyOf(from, message.ask))
   if (ask === undefined) {
     yield outputs.count('unknown.withdraw')
@@ -111,4 +114,5 @@
   }
   refusals.drop(state, ask)
   yield outputs.count('withdrawn')
+  yield * grants.grantWaiting(state, nowMs)
 }
--- a/packages/authority/src/authority.ts
+++ b/packages/authority/src/authority.ts
@@ -54,7 +54,7 @@
     case 'ask':
       return yield * asks.handleAsk(state, from, message, nowMs)
     case 'withdraw':
-      return yield * asks.handleWithdraw(state, from, message)
+      return yield * asks.handleWithdraw(state, from, message, nowMs)
     case 'round':
       yield * asks.handleRound(state, from, message.round, nowMs)
       return yield * grants.grantWaiting(state, nowMs)
--- a/packages/authority/src/context.ts
+++ b/packages/authority/src/context.ts
@@ -14,6 +14,7 @@
 import * as prefixIndex from './prefix-index.js'
 import * as recovery from './recovery.js'
 import * as reservations from './reservations.js'
+import * as serviceRates from './service-rates.js'
 import * as slotTable from './slot-table.js'
 import * as suspects from './suspects.js'
 import * as waitCalibration from './wait-calibration.js'
@@ -32,6 +33,9 @@
   readonly floors: floors.Floors
   readonly recovery: recovery.Recovery
   readonly deadlines: deadlineHeap.DeadlineHeap
+  readonly rates: serviceRates.ServiceRates
+  /** Per service, the most important tier that found no room at the last attempt. */
+  readonly blocked: Map<string, protocol.Rank>
   readonly answers: answerLength.AnswerLength
   readonly calibration: waitCalibration.WaitCalibration
   /** Asks that would be refused but for lower tiers that still run. */
@@ -70,6 +74,8 @@
     floors: floors.createFloors(),
     recovery: recovery.createRecovery(),
     deadlines: deadlineHeap.createDeadlineHeap(),
+    rates: serviceRates.createServiceRates(),
+    blocked: new Map(),
     answers: answerLength.createAnswerLength(),
     calibration: waitCalibration.createWaitCalibration(),
     pending: new Map(),
--- a/packages/authority/src/fair-tier.ts
+++ b/packages/authority/src/fair-tier.ts
@@ -31,6 +31,8 @@
 class Group {
   readonly flows = new Map<string, Flow>()
   readonly backlogged = new Set<Flow>()
+  /** Sum of the shares of the flows that wait. */
+  shares = 0
   asks = 0
   tokens = 0
 
@@ -77,12 +79,6 @@
   return best
 }
 
-function sumShares (group: Group | undefined, own: Flow | undefined): number {
-  let sum = own === undefined || own.asks === 0 ? own?.share ?? 1 : 0
-  for (const flow of group?.backlogged ?? []) sum += flow.share
-  return sum
-}
-
 function change (group: Group, flow: Flow, asks: number, tokens: number): void {
   for (const part of [group, flow]) {
     part.asks += asks
@@ -124,8 +120,11 @@
       const group = groupOf(ask.message.service)
       const flow = group.flow(ask.message.organisation)
       if (flow.asks === 0) flow.startTag = Math.max(flow.startTag, virtualTime)
-      flow.share = ask.share
-      group.backlogged.add(flow)
+      if (!group.backlogged.has(flow)) {
+        flow.share = ask.share
+        group.shares += ask.share
+        group.backlogged.add(flow)
+      }
       change(group, flow, 1, ask.costTokens)
       asks += 1
       flow.lane.add(ask)
@@ -138,6 +137,7 @@
       if (asks === 0) virtualTime = lastFinishTag
       if (flow.asks > 0) return
       group.backlogged.delete(flow)
+      group.shares = group.backlogged.size === 0 ? 0 : group.shares - flow.share
       if (flow.startTag <= virtualTime) group.flows.delete(ask.message.organisation)
     },
     charge (ask) {
@@ -163,7 +163,9 @@
     laneBacklog: (service, organisation) => find(service, organisation) ?? EMPTY,
     shareOf (service, organisation) {
       const own = find(service, organisation)
-      return (own?.share ?? 1) / sumShares(groups.get(service), own)
+      const share = own?.share ?? 1
+      const others = groups.get(service)?.shares ?? 0
+      return share / (own === undefined || own.asks === 0 ? others + share : others)
     }
   }
 }
--- a/packages/authority/src/grants.ts
+++ b/packages/authority/src/grants.ts
@@ -75,6 +75,7 @@
     const placement = service === undefined ? undefined : place.place(state, ask, service, closed, nowMs)
     if (placement === undefined) {
       blocked.add(ask.message.service)
+      state.blocked.set(ask.message.service, rank)
       for (const target of service?.targets ?? []) closed.add(target)
     } else {
       yield * grant(state, ask, placement, nowMs)
@@ -82,6 +83,20 @@
   }
 }
 
+/**
+ * Whether an ask that just arrived can't be granted because one before it found no room, and nothing
+ * has changed since.
+ *
+ * @example
+ * ```ts
+ * if (!isBlocked(context, ask)) yield * grantWaiting(context, nowMs)
+ * ```
+ */
+export function isBlocked (state: context.Context, ask: waitingAsk.WaitingAsk): boolean {
+  const rank = state.blocked.get(ask.message.service)
+  return rank !== undefined && rank <= ask.message.tier && !state.isolated.has(ask.key)
+}
+
 /**
  * Grants as many waiting asks as there is room for. A target that a more important ask waits for is
  * closed to all less important ones, also if they are small enough to fit.
@@ -94,6 +109,7 @@
 export function * grantWaiting (state: context.Context, nowMs: number): outputs.Outputs {
   if (state.recovery.phase() !== 'settled') return
   const floor = state.floors.tier(nowMs)
+  state.blocked.clear()
   const blocked = new Set<string>()
   const closed = new Set<string>()
   let blockedRank = Infinity
--- a/packages/authority/src/isolation.ts
+++ b/packages/authority/src/isolation.ts
@@ -36,7 +36,7 @@
   let fewest = Infinity
   for (const target of state.view().services.get(ask.message.service)?.targets ?? []) {
     const tokens = state.targets.model(target)?.knownTokens() ?? Infinity
-    const isUsable = state.targets.readiness(target, nowMs) === 'serving' && !state.reservations.isReserved(target)
+    const isUsable = state.targets.readiness(target, nowMs) !== 'closed' && !state.reservations.isReserved(target)
     if (!isUsable || tokens >= fewest) continue
     best = target
     fewest = tokens
@@ -52,14 +52,21 @@
   return { target, cachedTokens: 0, expectation, tokensInFlight: 0, slowdown: state.targets.slowdown(target) }
 }
 
+function isEmpty (state: context.Context, target: string): boolean {
+  return (state.targets.model(target)?.requests() ?? 0) === 0
+}
+
+/** The target that an ask is to run on: the one that is drained for it, unless another is empty already. */
 function reserve (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): string | undefined {
   const reserved = state.reservations.targetOf(ask.key)
-  if (reserved !== undefined && state.targets.readiness(reserved, nowMs) === 'serving') return reserved
+  const isKept = reserved !== undefined && state.targets.readiness(reserved, nowMs) !== 'closed'
+  if (isKept && isEmpty(state, reserved)) return reserved
+  const found = findTarget(state, ask, nowMs)
+  if (isKept && (found === undefined || !isEmpty(state, found))) return reserved
   state.reservations.release(ask.key)
-  if (countDraining(state) >= MAX_DRAINING) return undefined
-  const target = findTarget(state, ask, nowMs)
-  if (target !== undefined) state.reservations.reserve(target, ask.key)
-  return target
+  if (found === undefined || countDraining(state) >= MAX_DRAINING) return undefined
+  state.reservations.reserve(found, ask.key)
+  return found
 }
 
 /**
--- a/packages/authority/src/overload.ts
+++ b/packages/authority/src/overload.ts
@@ -5,7 +5,6 @@
  */
 import * as clearance from './clearance.js'
 import type * as outputs from './outputs.js'
-import * as place from './place.js'
 import * as preemption from './preemption.js'
 import * as refusals from './refusals.js'
 import type * as context from './context.js'
@@ -28,8 +27,6 @@
 const COMPLETION_WAIT_SHARE = 0.25
 /** Share of the longest wait that is allowed where no objective is stated. */
 const MAX_WAIT_SHARE = 0.5
-/** Finished requests from which on a target's rates are trusted. */
-const MIN_SAMPLES = 8
 
 function serviceOf (state: context.Context, ask: waitingAsk.WaitingAsk): poolView.Service | undefined {
   return state.view().services.get(ask.message.service)
@@ -39,17 +36,6 @@
   return service !== undefined && service.targets.some((target) => state.targets.state(target) === 'serving')
 }
 
-function isMeasured (state: context.Context, service: poolView.Service): boolean {
-  const open = service.targets.filter((target) => !state.targets.isLeaving(target))
-  return open.length > 0 && open.every((target) => (state.targets.model(target)?.rates().samples ?? 0) >= MIN_SAMPLES)
-}
-
-/** Time that the request needs on an idle target; 0 while this has not been measured. */
-function serviceTime (state: context.Context, ask: waitingAsk.WaitingAsk): number {
-  const service = serviceOf(state, ask)
-  return service === undefined || !isMeasured(state, service) ? 0 : place.expectIdle(state, ask, service)
-}
-
 /** Wait that a tier may be left with while lower tiers run. */
 function allowedWait (service: poolView.Service, tier: protocol.Rank): number {
   const content = service.tiers.get(tier)
@@ -86,35 +72,35 @@
  *
  * @example
  * ```ts
- * if (isUnreachable(context, ask)) yield * refuseUnreachable(context, ask, nowMs)
+ * if (isUnreachable(ask)) yield * refuseUnreachable(context, ask, nowMs)
  * ```
  */
-export function isUnreachable (state: context.Context, ask: waitingAsk.WaitingAsk): boolean {
-  return serviceTime(state, ask) > ask.deadlineAtMs - ask.arrivedAtMs
+export function isUnreachable (ask: waitingAsk.WaitingAsk): boolean {
+  return ask.serviceMs > ask.deadlineAtMs - ask.arrivedAtMs
 }
 
 /** Whether an idle target could no longer finish the request in time. */
-function isTooLate (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): boolean {
-  return nowMs + serviceTime(state, ask) > ask.deadlineAtMs
+function isTooLate (ask: waitingAsk.WaitingAsk, nowMs: number): boolean {
+  return nowMs + ask.serviceMs > ask.deadlineAtMs
 }
 
 function findReason (state: context.Context, ask: waitingAsk.WaitingAsk, estimate: waitEstimate.WaitEstimate, tolerance: number, nowMs: number): protocol.Reason | undefined {
   if (!estimate.isMeasured) return undefined
   if (estimate.waitMs > refusals.maxWaitOf(state, ask.message.service, ask.message.tier) * tolerance) return 'shed'
-  return nowMs + estimate.waitMs / tolerance + serviceTime(state, ask) > ask.deadlineAtMs ? 'deadline-unreachable' : undefined
+  return nowMs + estimate.waitMs / tolerance + ask.serviceMs > ask.deadlineAtMs ? 'deadline-unreachable' : undefined
 }
 
 /** Schedules the next look at an ask that waits. */
 export function schedule (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): void {
   if (!hasTarget(state, serviceOf(state, ask))) state.deadlines.push({ atMs: nowMs + NO_TARGET_HOLD_MS, key: ask.key })
-  state.deadlines.push({ atMs: ask.deadlineAtMs - serviceTime(state, ask) - PREEMPT_LEAD_MS, key: ask.key })
+  state.deadlines.push({ atMs: ask.deadlineAtMs - ask.serviceMs - PREEMPT_LEAD_MS, key: ask.key })
 }
 
 /** Decides about an ask that was queued just now and found no room. */
 export function * handleQueued (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): outputs.Outputs {
   schedule(state, ask, nowMs)
   const service = serviceOf(state, ask)
-  const estimate = refusals.estimateFor(state, ask)
+  const estimate = refusals.estimateFor(state, ask, nowMs)
   if (service === undefined || estimate === undefined || !hasTarget(state, service)) return
   const reason = findReason(state, ask, estimate, 1, nowMs)
   if (reason !== undefined) {
@@ -131,7 +117,7 @@
     yield * considerRefusal(state, ask, 'no-target', nowMs)
     return
   }
-  const latestStartMs = ask.deadlineAtMs - serviceTime(state, ask)
+  const latestStartMs = ask.deadlineAtMs - ask.serviceMs
   if (nowMs <= latestStartMs) {
     const isNear = nowMs >= latestStartMs - PREEMPT_LEAD_MS
     if (service !== undefined && isNear) yield * preemption.preempt(state, ask.message.tier, service, ask.costTokens, nowMs)
@@ -154,8 +140,8 @@
 
 function isStillDue (state: context.Context, ask: waitingAsk.WaitingAsk, reason: protocol.Reason, nowMs: number): boolean {
   if (reason === 'no-target') return !hasTarget(state, serviceOf(state, ask))
-  if (isTooLate(state, ask, nowMs)) return true
-  const estimate = refusals.estimateFor(state, ask)
+  if (isTooLate(ask, nowMs)) return true
+  const estimate = refusals.estimateFor(state, ask, nowMs)
   return estimate === undefined || findReason(state, ask, estimate, 1, nowMs) !== undefined
 }
 
@@ -167,7 +153,7 @@
     const ask = state.queue.get(key)
     state.pending.delete(key)
     if (ask === undefined) continue
-    if (isStillDue(state, ask, reason, nowMs)) yield * considerRefusal(state, ask, isTooLate(state, ask, nowMs) ? 'deadline-unreachable' : reason, nowMs)
+    if (isStillDue(state, ask, reason, nowMs)) yield * considerRefusal(state, ask, isTooLate(ask, nowMs) ? 'deadline-unreachable' : reason, nowMs)
     else schedule(state, ask, nowMs)
   }
 }
@@ -176,7 +162,7 @@
 export function * handleTails (state: context.Context, nowMs: number): outputs.Outputs {
   let refused = 0
   for (const ask of state.queue.tails()) {
-    const estimate = refusals.estimateFor(state, ask)
+    const estimate = refusals.estimateFor(state, ask, nowMs)
     if (estimate === undefined || state.pending.has(ask.key)) continue
     const reason = findReason(state, ask, estimate, QUEUED_TOLERANCE, nowMs)
     if (reason === undefined) continue
--- a/packages/authority/src/place.ts
+++ b/packages/authority/src/place.ts
@@ -38,18 +38,26 @@
   return state.slots.onTarget(target).some((granted) => granted.grantedAtMs > sinceMs)
 }
 
-function hasRoom (state: context.Context, target: string, model: targetModel.TargetModel, costTokens: number, share: number, nowMs: number): boolean {
+/** Whether the target takes this ask now. The cheapest checks come first. */
+function isOpen (state: context.Context, target: string, ask: waitingAsk.WaitingAsk, share: number, nowMs: number): boolean {
+  const model = state.targets.model(target)
+  if (model === undefined || !hasRoom(model, ask.costTokens, share, nowMs)) return false
+  if (state.reservations.isClosedTo(target, ask.key)) return false
   const readiness = state.targets.readiness(target, nowMs)
-  if (readiness === 'closed') return false
-  if (readiness === 'probing' && isProbed(state, target)) return false
+  return readiness === 'serving' || (readiness === 'probing' && !isProbed(state, target))
+}
+
+function hasRoom (model: targetModel.TargetModel, costTokens: number, share: number, nowMs: number): boolean {
   if (model.requests() === 0) return true
   return model.knownTokens() + model.unknownTokens(nowMs) + costTokens <= model.limitTokens() * share
 }
 
-/** The prompt tokens that a target has to read, and those that it is expected to hold. */
-function uncachedTokens (state: context.Context, target: string, ask: waitingAsk.WaitingAsk, cachedTokens: number): number {
-  if (state.targets.kind(target) === 'plain') return ask.costTokens
-  return Math.max(0, ask.message.promptTokens - cachedTokens)
+function expectOn (state: context.Context, target: string, ask: waitingAsk.WaitingAsk, cachedTokens: number): targetModel.Expectation {
+  const model = state.targets.model(target)
+  if (model === undefined) return { firstTokenMs: Infinity, totalMs: Infinity }
+  if (state.targets.kind(target) === 'plain') return model.expect(ask.costTokens, 0)
+  const answerTokens = state.answers.expect(ask.message.service, ask.message.answerTokens)
+  return model.expect(Math.max(0, ask.message.promptTokens - cachedTokens), answerTokens)
 }
 
 /**
@@ -62,17 +70,17 @@
  * ```
  */
 export function place (state: context.Context, ask: waitingAsk.WaitingAsk, service: poolView.Service, closed: ReadonlySet<string>, nowMs: number): Placement | undefined {
-  const cached = state.prefixes.lookUp(ask.message.prefixes, ask.message.promptTokens)
-  const answerTokens = state.answers.expect(ask.message.service, ask.message.answerTokens)
   const share = limitShare(service, ask.message.tier)
+  const open = service.targets.filter((target) => !closed.has(target) && isOpen(state, target, ask, share, nowMs))
+  if (open.length === 0) return undefined
+  const cached = state.prefixes.lookUp(ask.message.prefixes, ask.message.promptTokens)
   let best: Placement | undefined
   let bestScore = Infinity
-  for (const target of service.targets) {
+  for (const target of open) {
     const model = state.targets.model(target)
-    if (model === undefined || closed.has(target) || state.reservations.isClosedTo(target, ask.key)) continue
-    if (!hasRoom(state, target, model, ask.costTokens, share, nowMs)) continue
+    if (model === undefined) continue
     const cachedTokens = cached.get(target) ?? 0
-    const expectation = model.expect(uncachedTokens(state, target, ask, cachedTokens), state.targets.kind(target) === 'plain' ? 0 : answerTokens)
+    const expectation = expectOn(state, target, ask, cachedTokens)
     const slowdown = state.targets.slowdown(target)
     const tokensInFlight = model.knownTokens() + model.unknownTokens(nowMs)
     const score = slowdown * (tokensInFlight / model.serviceTokensPerMs() + expectation.totalMs) * (1 + RANDOM_SHARE * state.options.random())
@@ -93,14 +101,10 @@
  */
 export function expectIdle (state: context.Context, ask: waitingAsk.WaitingAsk, service: poolView.Service): number {
   const cached = state.prefixes.lookUp(ask.message.prefixes, ask.message.promptTokens)
-  const answerTokens = state.answers.expect(ask.message.service, ask.message.answerTokens)
   let bestMs = Infinity
   for (const target of service.targets) {
-    const model = state.targets.model(target)
-    if (model === undefined || state.targets.isLeaving(target)) continue
-    const isPlain = state.targets.kind(target) === 'plain'
-    const { totalMs } = model.expect(uncachedTokens(state, target, ask, cached.get(target) ?? 0), isPlain ? 0 : answerTokens)
-    bestMs = Math.min(bestMs, totalMs)
+    if (state.targets.isLeaving(target)) continue
+    bestMs = Math.min(bestMs, expectOn(state, target, ask, cached.get(target) ?? 0).totalMs)
   }
   return bestMs
 }
--- a/packages/authority/src/refusals.ts
+++ b/packages/authority/src/refusals.ts
@@ -23,12 +23,12 @@
 }
 
 /** Estimates the wait of an ask that is queued or about to be. */
-export function estimateFor (state: context.Context, ask: waitingAsk.WaitingAsk): waitEstimate.WaitEstimate | undefined {
+export function estimateFor (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): waitEstimate.WaitEstimate | undefined {
   const service = state.view().services.get(ask.message.service)
   if (service === undefined) return undefined
   const { tier, organisation } = ask.message
   const isQueued = state.queue.get(ask.key) !== undefined && !state.isolated.has(ask.key)
-  return waitEstimate.estimateWait(state, service, { service: ask.message.service, organisation, tier, costTokens: ask.costTokens, isQueued })
+  return waitEstimate.estimateWait(state, service, { service: ask.message.service, organisation, tier, costTokens: ask.costTokens, isQueued }, nowMs)
 }
 
 function listFigures (state: context.Context, ask: waitingAsk.WaitingAsk, estimate: waitEstimate.WaitEstimate | undefined, nowMs: number): protocol.Figures {
@@ -64,7 +64,7 @@
 
 /** Refuses an ask for want of capacity or time. */
 export function * refuse (state: context.Context, ask: waitingAsk.WaitingAsk, reason: protocol.Reason, nowMs: number): outputs.Outputs {
-  const figures = listFigures(state, ask, estimateFor(state, ask), nowMs)
+  const figures = listFigures(state, ask, estimateFor(state, ask, nowMs), nowMs)
   drop(state, ask)
   const retryAfterMs = retryAfter(state, reason, figures)
   yield outputs.send(ask.entry, { kind: 'refusal', ask: ask.message.ask, reason, retryAfterMs, figures })
--- a/packages/authority/src/surroundings.ts
+++ b/packages/authority/src/surroundings.ts
@@ -29,6 +29,7 @@
   state.setView(poolView.readPool(state.options.pool, documents))
   if (isFirst && state.recovery.phase() !== 'idle') holdings.holdUnknownFloors(state, nowMs)
   state.targets.update(state.view())
+  state.rates.clear()
   for (const target of before) if (state.targets.isLeaving(target)) yield * withdrawGrants(state, target, nowMs)
   yield * grants.grantWaiting(state, nowMs)
 }
--- a/packages/authority/src/wait-estimate.ts
+++ b/packages/authority/src/wait-estimate.ts
@@ -11,6 +11,7 @@
 import type * as protocol from '@persimmonhatch/protocol'
 import type * as context from './context.js'
 import type * as poolView from './pool-view.js'
+import type * as serviceRates from './service-rates.js'
 
 /** What a wait consists of. */
 export interface WaitEstimate {
@@ -31,21 +32,30 @@
   readonly isQueued: boolean
 }
 
-/** Finished requests in a pool from which on its rate is trusted. */
+/** Finished requests from which on a target's rates, or those of a pool, are trusted. */
 const MIN_SAMPLES = 8
 /** Longest wait that is stated, milliseconds. */
 const MAX_WAIT_MS = 3_600_000
 
-function serviceRate (state: context.Context, service: poolView.Service): { readonly tokensPerMs: number, readonly samples: number } {
+function measure (state: context.Context, service: poolView.Service): serviceRates.ServiceRate {
+  const open = service.targets.filter((target) => !state.targets.isLeaving(target))
   let tokensPerMs = 0
   let samples = 0
-  for (const target of service.targets) {
+  let isMeasured = open.length > 0
+  for (const target of open) {
     const model = state.targets.model(target)
-    if (model === undefined || state.targets.state(target) !== 'serving') continue
-    tokensPerMs += model.serviceTokensPerMs() / state.targets.slowdown(target)
-    samples += model.rates().samples
+    if (model === undefined) continue
+    const finished = model.rates().samples
+    samples += finished
+    isMeasured &&= finished >= MIN_SAMPLES
+    if (state.targets.state(target) === 'serving') tokensPerMs += model.serviceTokensPerMs() / state.targets.slowdown(target)
   }
-  return { tokensPerMs, samples }
+  return { tokensPerMs, samples, isMeasured }
+}
+
+/** The joint rate of a service's targets. */
+export function rateOf (state: context.Context, service: poolView.Service, nowMs: number): serviceRates.ServiceRate {
+  return state.rates.get(service.document.service, nowMs, () => measure(state, service))
 }
 
 function sumBacklog (state: context.Context, service: poolView.Service, isWanted: (rank: protocol.Rank) => boolean): { readonly requests: number, readonly tokens: number } {
@@ -67,10 +77,10 @@
  *
  * @example
  * ```ts
- * estimateWait(context, service, { service: 'listings', organisation: 'north', tier: 1, costTokens: 900, isQueued: false }).waitMs
+ * estimateWait(context, service, { service: 'listings', organisation: 'north', tier: 1, costTokens: 900, isQueued: false }, nowMs).waitMs
  * ```
  */
-export function estimateWait (state: context.Context, service: poolView.Service, subject: Subject): WaitEstimate {
+export function estimateWait (state: context.Context, service: poolView.Service, subject: Subject, nowMs: number): WaitEstimate {
   const above = sumBacklog(state, service, (rank) => rank < subject.tier)
   const own = sumBacklog(state, service, (rank) => rank === subject.tier)
   const lane = state.queue.tier(subject.tier).laneBacklog(subject.service, subject.organisation)
@@ -79,7 +89,7 @@
   const ownTokens = subject.isQueued ? subject.costTokens : 0
   const aheadRequests = above.requests + Math.min(own.requests, Math.round(lane.asks / share)) - ownRequests
   const aheadTokens = above.tokens + Math.max(0, Math.min(own.tokens, lane.tokens / share) - ownTokens)
-  const rate = serviceRate(state, service)
+  const rate = rateOf(state, service, nowMs)
   const waitMs = rate.tokensPerMs > 0 ? (aheadTokens + subject.costTokens) / rate.tokensPerMs * state.calibration.factor() : MAX_WAIT_MS
   return {
     aheadRequests: Math.max(0, aheadRequests),
--- a/packages/authority/src/waiting-ask.ts
+++ b/packages/authority/src/waiting-ask.ts
@@ -21,6 +21,8 @@
   /** When the caller's deadline passes, on this authority's clock. */
   readonly deadlineAtMs: number
   readonly queuedAtMs: number
+  /** Time that the request needs on an idle target; 0 when that was not measured. */
+  readonly serviceMs: number
   /** Wait that was expected when the ask was queued. */
   readonly expectedWaitMs: number
 }
--- /dev/null
+++ b/packages/authority/tests/overload.test.ts
@@ -0,0 +1,116 @@
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as fixture from './fixture.js'
+
+const overload = uvu.suite('overload')
+
+const OPTIONS = { targets: ['t1'], maxWaitMs: 2_000 }
+
+/** An authority whose only target is measured at 2 s a request, with `count` requests of a tier asked for. */
+function loaded (tier: number, count: number, part: Partial<protocol.Ask> = {}, options: fixture.DocumentOptions = {}, others: readonly (readonly [string, string])[] = []): fixture.Driver {
+  const driver = new fixture.Driver([fixture.documentOf('listings', { ...OPTIONS, ...options })], undefined, others).settle()
+  driver.pass(5_000)
+  for (let ask = 1; ask <= 10; ask++) {
+    driver.deliver('e1', fixture.askOf(ask, { tier: 0, round: driver.nowMs }))
+    driver.deliver('e1', fixture.releaseOf(ask))
+  }
+  driver.pass(200)
+  for (let ask = 100; ask < 100 + count; ask++) driver.deliver('e1', fixture.askOf(ask, { tier, round: driver.nowMs, ...part }))
+  return driver
+}
+
+function burst (driver: fixture.Driver, count: number, part: Partial<protocol.Ask>): readonly protocol.Outbound[] {
+  return Array.from({ length: count }, (_, index) => driver.deliver('e2', fixture.askOf(5_000 + index, { round: driver.nowMs, ...part }))).flat()
+}
+
+function releaseRevoked (driver: fixture.Driver, sent: readonly protocol.Outbound[]): readonly protocol.Outbound[] {
+  return fixture.only(sent, 'revocation').flatMap(({ ask }) => driver.deliver('e1', fixture.releaseOf(ask, { outcome: 'cancelled' })))
+}
+
+overload('refuses what would wait too long, with figures and a time to come back', () => {
+  const driver = loaded(1, 100)
+  const [refusal] = fixture.only(driver.sent, 'refusal')
+  assert.is(refusal?.reason, 'shed')
+  assert.ok(Number(refusal?.figures.expectedWaitMs) > Number(refusal?.figures.maxWaitMs))
+  assert.ok(Number(refusal?.figures.ahead) > 0)
+  assert.ok((refusal?.retryAfterMs ?? 0) >= 1_000)
+})
+
+overload('stops lower tiers before it refuses a higher one, those with the least prefill first', () => {
+  const driver = loaded(2, 40)
+  const sent = [...burst(driver, 100, { tier: 0 }), ...driver.pass(500)]
+  assert.ok(fixture.only(sent, 'revocation').length > 0)
+  assert.equal(fixture.only(sent, 'refusal').filter((refusal) => refusal.ask >= 5_000), [])
+  const after = releaseRevoked(driver, sent)
+  assert.ok(fixture.only(after, 'grant').every((grant) => grant.ask >= 5_000))
+  const refused = fixture.only(driver.pass(1_000), 'refusal').map((refusal) => refusal.ask)
+  assert.ok(refused.some((ask) => ask >= 5_000), 'nothing lower runs any more, so the rest is refused')
+})
+
+overload('waits for non-idempotent requests of a lower tier and never stops them', () => {
+  const driver = loaded(2, 8, { nonIdempotent: true })
+  const sent = [...burst(driver, 100, { tier: 0 }), ...driver.pass(3_000)]
+  assert.equal(fixture.only(sent, 'revocation'), [])
+  assert.equal(fixture.only(sent, 'refusal').filter((refusal) => refusal.ask >= 5_000), [])
+  for (let ask = 100; ask < 108; ask++) driver.deliver('e1', fixture.releaseOf(ask))
+  assert.ok(fixture.only(driver.pass(500), 'refusal').length > 0)
+})
+
+overload('refuses nothing while the authority of another pool is missing', () => {
+  const driver = loaded(0, 200, {}, { otherPool: 'west' })
+  driver.pass(10_000)
+  assert.equal(fixture.only(driver.sent, 'refusal'), [])
+})
+
+overload('raises the floor in another pool and waits for it', () => {
+  const driver = loaded(1, 200, {}, { otherPool: 'west' }, [['west', 'other']])
+  const floor = fixture.only(driver.sent, 'floor')[0]
+  assert.equal([floor?.pool, floor?.tier], ['west', 1])
+  assert.equal(fixture.only(driver.sent, 'refusal'), [])
+  driver.deliver('other', { kind: 'floor-reached', pool: 'west', tier: 1, running: 1 })
+  assert.equal(fixture.only(driver.pass(200), 'refusal'), [])
+  driver.deliver('other', { kind: 'floor-reached', pool: 'west', tier: 1, running: 0 })
+  assert.ok(fixture.only(driver.pass(200), 'refusal').length > 0)
+})
+
+overload('keeps another pool\'s floor: stops, starts nothing lower, and reports', () => {
+  const driver = loaded(2, 4, {}, { otherPool: 'west' }, [['west', 'other']])
+  const sent = driver.deliver('other', { kind: 'floor', pool: 'east', tier: 0, holdMs: 4_000 })
+  assert.is(fixture.only(sent, 'revocation').length, 4)
+  assert.equal(fixture.only(sent, 'floor-reached'), [])
+  const reached = fixture.only(releaseRevoked(driver, sent), 'floor-reached')
+  assert.equal(reached.map(({ tier, running }) => [tier, running]), [[0, 0]])
+  assert.equal(fixture.only(driver.deliver('e1', fixture.askOf(900, { tier: 1, round: driver.nowMs })), 'grant'), [])
+  assert.is(fixture.only(driver.deliver('e1', fixture.askOf(901, { tier: 0, round: driver.nowMs })), 'grant').length, 1)
+  assert.is(fixture.only(driver.pass(4_200), 'grant').length, 1)
+})
+
+overload('stops lower tiers beyond the objective only where the document prefers goodput', () => {
+  for (const [prefer, isStopped] of [['goodput-by-tier', true], ['wasted-prefill', false]] as const) {
+    const driver = loaded(2, 40, {}, { prefer, maxWaitMs: 10_000 })
+    const sent = [...burst(driver, 15, { tier: 0 }), ...driver.pass(5_200)]
+    assert.is(fixture.only(sent, 'revocation').length > 0, isStopped, prefer)
+  }
+})
+
+overload('refuses at once a deadline that no idle target could meet', () => {
+  const driver = loaded(1, 1)
+  const [refusal] = fixture.only(driver.deliver('e1', fixture.askOf(900, { deadlineMs: 500, round: driver.nowMs })), 'refusal')
+  assert.is(refusal?.reason, 'deadline-unreachable')
+  assert.ok(Number(refusal?.figures.expectedMs) > 500)
+})
+
+overload('gives up at once on a deadline that the queue makes unreachable', () => {
+  const driver = loaded(1, 20, {}, { maxWaitMs: 60_000 })
+  const [refusal] = fixture.only(driver.deliver('e1', fixture.askOf(900, { deadlineMs: 2_500, round: driver.nowMs })), 'refusal')
+  assert.is(refusal?.reason, 'deadline-unreachable')
+})
+
+overload('a small organisation is not refused for the backlog of a large one', () => {
+  const driver = loaded(1, 100)
+  assert.ok(fixture.only(driver.sent, 'refusal').length > 0)
+  assert.equal(fixture.only(driver.deliver('e2', fixture.askOf(900, { tier: 1, organisation: 'west', round: driver.nowMs })), 'refusal'), [])
+})
+
+overload.run()
