--- a/packages/authority/src/limit.ts
+++ b/packages/authority/src/limit.ts
@@ -42,16 +42,16 @@
 
 /**
  * How far a finished request was within what its target's best would give: 1 when it was, less when it
- * was late. A late first token counts only while the target may have a queue of its own.
+ * was late. Late first tokens count only for a target that does not report its queue.
  *
  * @example
  * ```ts
  * gradientOf(sample, 120, rates, true) // 0.8
  * ```
  */
-export function gradientOf (sample: rateEstimator.Sample, expectedFirstTokenMs: number, rates: rateEstimator.Rates, mayHaveQueue: boolean): number {
+export function gradientOf (sample: rateEstimator.Sample, expectedFirstTokenMs: number, rates: rateEstimator.Rates, isUnreported: boolean): number {
   const allowedMs = FIRST_TOKEN_TOLERANCE * expectedFirstTokenMs + FIRST_TOKEN_ALLOWANCE_MS
-  const first = mayHaveQueue ? allowedMs / Math.max(1, sample.firstTokenMs) : 1
+  const first = isUnreported ? allowedMs / Math.max(1, sample.firstTokenMs) : 1
   const decodeMs = rateEstimator.decodeTime(sample) ?? 0
   const allowedDecodeMs = sample.betweenTokensMs ?? Math.max(1, DECODE_TOLERANCE * rates.bestDecodeMs)
   return Math.max(MIN_GRADIENT, Math.min(1, first, allowedDecodeMs / Math.max(MIN_DECODE_MS, decodeMs)))
--- a/packages/authority/src/target-model.ts
+++ b/packages/authority/src/target-model.ts
@@ -45,13 +45,15 @@
 
 /** First-token times below this are not compared, milliseconds. */
 const MIN_COMPARED_MS = 30
+/** Longest time for known prompts ahead that a first token is allowed, milliseconds. */
+const MAX_PROMPT_BACKLOG_MS = 1_000
+/** Share of the limit in flight above which a target counts as busy. */
+const BUSY_SHARE = 0.25
 const RESIDENCE_GAIN = 0.1
-const QUEUED_REPORT_GRADIENT = 0.7
+const QUEUED_REPORT_GRADIENT = 0.5
 const REPORT_HALF_LIFE_MS = 2_000
-/** Age up to which a load report says whether the target has a queue, milliseconds. */
+/** Age up to which load reports, and not late first tokens, say whether the target has a queue, milliseconds. */
 const REPORT_VALIDITY_MS = 10_000
-/** Time for which a reported queue explains late first tokens, milliseconds. */
-const QUEUE_MEMORY_MS = 10_000
 
 /** Expected times at measured rates, behind prompts that take `backlogMs` to read. */
 function expectAt (rates: rateEstimator.Rates, uncachedTokens: number, answerTokens: number, backlogMs: number): Expectation {
@@ -82,12 +84,6 @@
   let unknown = 0
   let unknownAtMs = 0
   let reportedAtMs = -Infinity
-  let queuedAtMs = -Infinity
-
-  /** Whether the target may have a queue: its reports show one, or there are none. */
-  function mayHaveQueue (nowMs: number): boolean {
-    return nowMs - reportedAtMs > REPORT_VALIDITY_MS || nowMs - queuedAtMs < QUEUE_MEMORY_MS
-  }
 
   return {
     rates: () => rates,
@@ -119,9 +115,9 @@
     learn (sample, expectedFirstTokenMs, nowMs) {
       const isFirst = rates.samples === 0
       const idleMs = expectAt(rates, sample.uncachedTokens, 0, 0).firstTokenMs
-      const expectedMs = Math.max(idleMs, expectedFirstTokenMs)
-      const gradient = limit.gradientOf(sample, expectedMs, rates, mayHaveQueue(nowMs))
-      rates = rateEstimator.learnRates(kind, rates, sample)
+      const expectedMs = Math.min(Math.max(idleMs, expectedFirstTokenMs), idleMs + MAX_PROMPT_BACKLOG_MS)
+      const gradient = limit.gradientOf(sample, expectedMs, rates, nowMs - reportedAtMs > REPORT_VALIDITY_MS)
+      rates = rateEstimator.learnRates(kind, rates, sample, known > bound.tokens() * BUSY_SHARE)
       residenceMs += (residenceMs === 0 ? 1 : RESIDENCE_GAIN) * (sample.totalMs - residenceMs)
       if (isFirst) return
       lateness.learn(sample.firstTokenMs / Math.max(MIN_COMPARED_MS, expectedMs), nowMs)
@@ -137,7 +133,6 @@
       unknownAtMs = sampledAtMs
       const sinceMs = Math.max(0, sampledAtMs - reportedAtMs)
       reportedAtMs = Math.max(reportedAtMs, sampledAtMs)
-      if (report.queuedRequests > 0) queuedAtMs = Math.max(queuedAtMs, sampledAtMs)
       if (report.queuedRequests === 0 || !bound.isInUse(knownThen)) return
       const shareOfResidence = Math.min(1, sinceMs / Math.max(1, residenceMs))
       bound.learn(QUEUED_REPORT_GRADIENT, bound.tokens() * shareOfResidence, knownThen)
