--- a/packages/authority/tests/authority.test.ts
+++ b/packages/authority/tests/authority.test.ts
@@ -82,4 +82,60 @@
   assert.equal(fixture.only(driver.pass(6_000), 'refusal').map((refusal) => refusal.reason), ['no-target'])
 })
 
+const recovery = uvu.suite('recovery')
+
+const HOLDING = { ask: 7, target: 't1', service: 'listings', organisation: 'north', tier: 1, promptTokens: 1_000, answerTokens: 200, nonIdempotent: false, fingerprint: 'f7', runningMs: 500 }
+
+function countTokens (driver: fixture.Driver): number {
+  return driver.core.status().targets.reduce((sum, target) => sum + target.tokensInFlight, 0)
+}
+
+recovery('counts what entries hold once, however often they say it', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')]).settle({ e1: [HOLDING] })
+  const once = countTokens(driver)
+  assert.ok(once > 0)
+  driver.settle({ e1: [HOLDING] })
+  assert.equal(fixture.only(driver.deliver('e1', fixture.askOf(7)), 'refusal'), [])
+  assert.is(countTokens(driver), once)
+  driver.deliver('e1', fixture.releaseOf(7))
+  driver.settle({ e1: [HOLDING] })
+  assert.is(countTokens(driver), 0)
+})
+
+recovery('starts again after a pause of the process, and keeps what is still held', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')]).settle({ e1: [HOLDING] })
+  driver.nowMs += 5_000
+  assert.is(fixture.only(driver.handle({ kind: 'resumed' }), 'collect').length, 2)
+  assert.equal(fixture.only(driver.deliver('e1', fixture.askOf(8, { round: driver.nowMs })), 'grant'), [])
+  const held = countTokens(driver)
+  driver.settle({ e1: [HOLDING] })
+  assert.is(fixture.only(driver.sent, 'grant').length, 1)
+  assert.ok(countTokens(driver) > held)
+})
+
+recovery('keeps the slots of a vanished entry until its longest run is over', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')]).settle()
+  driver.deliver('e2', fixture.askOf(1, { deadlineMs: 10_000 }))
+  driver.handle({ kind: 'members', entries: ['e1'], authorities: new Map([['east', fixture.SELF]]) })
+  const held = countTokens(driver)
+  assert.ok(held > 0)
+  driver.pass(60_000)
+  assert.is(countTokens(driver), held)
+  driver.pass(11_000)
+  assert.is(countTokens(driver), 0)
+})
+
+recovery('counts messages that do not belong and changes nothing', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings')]).settle()
+  const before = JSON.stringify(driver.core.status())
+  assert.equal(driver.deliver('e1', fixture.askOf(1, { pool: 'west' })), [])
+  assert.equal(driver.deliver('stranger', { kind: 'holdings', pool: 'east', holdings: [HOLDING] }), [])
+  assert.equal(driver.deliver('stranger', { kind: 'floor', pool: 'east', tier: 0, holdMs: 4_000 }), [])
+  assert.equal(driver.deliver('stranger', { kind: 'floor-reached', pool: 'west', tier: 0, running: 0 }), [])
+  assert.equal(driver.deliver('e1', fixture.releaseOf(99)), [])
+  assert.equal(driver.deliver('e1', { kind: 'withdraw', ask: 99 }), [])
+  assert.is(JSON.stringify(driver.core.status()), before)
+})
+
 grants.run()
+recovery.run()
