--- /dev/null
+++ b/packages/bench/src/roles/counting-proxy.ts
@@ -0,0 +1,51 @@
+/**
+ * A TCP proxy on loopback that counts the bytes in both directions.
+ *
+ * @module
+ */
+import * as net from 'node:net'
+
+/** A running proxy. */
+export interface CountingProxy {
+  readonly address: string
+  /** Bytes from the client so far. */
+  readonly requestBytes: () => number
+  /** Bytes to the client so far. */
+  readonly answerBytes: () => number
+  readonly close: () => Promise<void>
+}
+
+/**
+ * Starts a proxy in front of an address.
+ *
+ * @example
+ * ```ts
+ * const proxy = await startCountingProxy('127.0.0.1:8000')
+ * ```
+ */
+export async function startCountingProxy (target: string): Promise<CountingProxy> {
+  let requestBytes = 0
+  let answerBytes = 0
+  const sockets = new Set<net.Socket>()
+  const [host = '', port = ''] = target.split(':')
+  const server = net.createServer((client) => {
+    const upstream = net.connect(Number(port), host)
+    for (const socket of [client, upstream]) {
+      sockets.add(socket)
+      socket.on('error', () => socket.destroy())
+    }
+    client.on('data', (bytes) => { requestBytes += bytes.length; upstream.write(bytes) })
+    upstream.on('data', (bytes) => { answerBytes += bytes.length; client.write(bytes) })
+    client.on('close', () => upstream.destroy())
+    upstream.on('close', () => client.destroy())
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+
+  async function close (): Promise<void> {
+    for (const socket of sockets) socket.destroy()
+    await new Promise<void>((resolve) => server.close(() => resolve()))
+  }
+
+  const { port: listening } = server.address() as net.AddressInfo
+  return { address: `127.0.0.1:${listening}`, requestBytes: () => requestBytes, answerBytes: () => answerBytes, close }
+}
--- /dev/null
+++ b/packages/bench/src/roles/entry.ts
@@ -0,0 +1,123 @@
+/**
+ * What the owner of callers' requests costs.
+ *
+ * @module
+ */
+import * as entry from '@persimmonhatch/entry'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as resources from '../resources.js'
+import type * as series from '../series.js'
+import * as wire from '../wire.js'
+import * as workload from '../workload.js'
+
+const ROLE = 'entry'
+const AUTHORITY = workload.incarnationOf(999)
+const CYCLES = 3_000
+const WARM_UP_CYCLES = 3_000
+const TICKS = 300
+const STEP_MS = 0.0517
+const FIGURES = { service: workload.SERVICE, target: 'replica-007', waitedMs: 0, expectedMs: 15_217, queueTokens: 0, tokensInFlight: 4_800, cachedTokens: 256, slowdown: 1.02 }
+
+/** Bytes on the network of the messages of some requests, by kind. */
+type BytesByKind = Map<protocol.PeerMessage['kind'], number>
+
+/** Drives one entry. */
+class EntryDriver {
+  readonly core: entry.entry.Entry
+  readonly bytes: BytesByKind = new Map()
+  nowMs = 10_000.737
+  private readonly beat = 1
+  private last = 0
+
+  constructor (private readonly prefixes: number, private readonly measuresBytes = false) {
+    this.core = entry.entry.createEntry({ incarnation: workload.incarnationOf(0), random: workload.createRandom(3), findMember: () => undefined, requestLimit: 100_000 })
+    this.handle({ kind: 'beat', beat: this.beat })
+    this.handle({ kind: 'documents', documents: [workload.documentOf({ targets: 10, organisations: 300 })] })
+    this.handle({ kind: 'authorities', authorities: new Map([[workload.POOL, AUTHORITY]]), reconnected: [] })
+  }
+
+  private note (message: protocol.PeerMessage): void {
+    if (this.measuresBytes) this.bytes.set(message.kind, (this.bytes.get(message.kind) ?? 0) + wire.messageBytes(message))
+  }
+
+  handle (input: entry.event.Event): protocol.Ask | undefined {
+    let asked: protocol.Ask | undefined
+    for (const output of this.core.handle(input, this.nowMs)) {
+      if (output.kind !== 'send') continue
+      if (output.outbound.message.kind === 'ask') asked = output.outbound.message
+      this.note(output.outbound.message)
+    }
+    return asked
+  }
+
+  arrive (): protocol.Ask | undefined {
+    this.nowMs += STEP_MS
+    this.last += 1
+    return this.handle({ kind: 'arrival', arrival: workload.arrivalOf(this.last, this.prefixes, this.beat) })
+  }
+
+  /** A request from its arrival to its end. */
+  serve (): void {
+    const asked = this.arrive()
+    if (asked === undefined) throw new Error('the entry did not ask')
+    this.nowMs += STEP_MS
+    const grant: protocol.Grant = { kind: 'grant', ask: asked.ask, target: 'replica-007', round: asked.round, figures: FIGURES }
+    this.note(grant)
+    this.handle({ kind: 'message', from: AUTHORITY, message: grant })
+    this.handle({ kind: 'ended', request: this.last, end: workload.FINISHED })
+    this.handle({ kind: 'caller-gone', request: this.last })
+  }
+
+  tick (): void {
+    this.nowMs += 100
+    this.handle({ kind: 'tick' })
+  }
+}
+
+function driverWith (waiting: number): EntryDriver {
+  const driver = new EntryDriver(4)
+  for (let index = 0; index < waiting; index++) driver.arrive()
+  return driver
+}
+
+function cpuPerRequest (waiting: number): number {
+  const driver = driverWith(waiting)
+  for (let index = 0; index < WARM_UP_CYCLES; index++) driver.serve()
+  return resources.cpuMicrosPer(CYCLES, () => { for (let index = 0; index < CYCLES; index++) driver.serve() })
+}
+
+function cpuPerTick (waiting: number): number {
+  const driver = driverWith(waiting)
+  return resources.cpuMicrosPer(TICKS, () => { for (let index = 0; index < TICKS; index++) driver.tick() })
+}
+
+function heapOfRemembered (remembered: number): number {
+  return resources.heapBytesOf(() => {
+    const driver = new EntryDriver(4)
+    for (let index = 0; index < remembered; index++) driver.serve()
+    return driver
+  })
+}
+
+function bytesPer (kind: protocol.PeerMessage['kind'], prefixes: number): number {
+  const driver = new EntryDriver(prefixes, true)
+  const requests = 1_000
+  for (let index = 0; index < requests; index++) driver.serve()
+  return (driver.bytes.get(kind) ?? 0) / requests
+}
+
+function bytesPlan (kind: protocol.PeerMessage['kind']): series.Plan {
+  return { role: 'messages', quantity: `network bytes of one ${kind}`, unit: 'bytes', sizeOf: 'prefix hashes', sizes: [0, 2, 4, 6, 8], sample: (prefixes) => bytesPer(kind, prefixes) }
+}
+
+/** What is measured of the entry. */
+export const PLANS: readonly series.Plan[] = [
+  { role: ROLE, quantity: 'CPU per request, core only', unit: 'us', sizeOf: 'waiting asks', sizes: [0, 100, 400, 1_600], sample: cpuPerRequest },
+  { role: ROLE, quantity: 'CPU per tick', unit: 'us', sizeOf: 'waiting asks', sizes: [0, 100, 400, 1_600], sample: cpuPerTick },
+  { role: ROLE, quantity: 'heap of waiting requests, core only', unit: 'bytes', sizeOf: 'waiting asks', sizes: [1_000, 2_000, 4_000, 8_000], sample: (waiting) => resources.heapBytesOf(() => driverWith(waiting)) },
+  { role: ROLE, quantity: 'heap of remembered identities, core only', unit: 'bytes', sizeOf: 'identities', sizes: [5_000, 10_000, 20_000, 40_000], sample: heapOfRemembered },
+  bytesPlan('ask'),
+  bytesPlan('grant'),
+  bytesPlan('release'),
+  { role: 'messages', quantity: 'network bytes of one round', unit: 'bytes', sizeOf: 'digits', sizes: [1, 2, 4, 6], sample: (digits) => wire.messageBytes({ kind: 'round', round: 10 ** (digits - 1) }) }
+]
--- /dev/null
+++ b/packages/bench/src/roles/member.ts
@@ -0,0 +1,91 @@
+/**
+ * What membership costs, and which address to use.
+ *
+ * @module
+ */
+import * as membership from '@persimmonhatch/membership'
+import * as resources from '../resources.js'
+import type * as series from '../series.js'
+import * as memberNetwork from './member-network.js'
+import * as workload from '../workload.js'
+
+const ROLE = 'member'
+const SIZES = [8, 40, 160, 320]
+const SETTLE_MS = 40_000
+const SPAN_S = 10
+const ANSWERS = 500
+
+const networks = new Map<number, memberNetwork.MemberNetwork>()
+
+function settledNetwork (members: number): memberNetwork.MemberNetwork {
+  const known = networks.get(members)
+  if (known !== undefined) return known
+  const network = new memberNetwork.MemberNetwork(members)
+  network.run(SETTLE_MS)
+  if (network.view() !== members) throw new Error(`the first of ${members} members sees ${network.view()}: let the network settle for longer`)
+  networks.set(members, network)
+  return network
+}
+
+function bytesPerSecond (members: number): number {
+  const network = settledNetwork(members)
+  const before = network.sentBytes
+  network.run(SPAN_S * 1_000)
+  return (network.sentBytes - before) / SPAN_S / members
+}
+
+function messagesPerSecond (members: number): number {
+  const network = settledNetwork(members)
+  const before = network.sentMessages
+  network.run(SPAN_S * 1_000)
+  return (network.sentMessages - before) / SPAN_S / members
+}
+
+function cpuPerSecond (members: number): number {
+  const network = settledNetwork(members)
+  return resources.cpuMicrosPer(SPAN_S * members, () => network.run(SPAN_S * 1_000))
+}
+
+function heapPerDaemon (members: number): number {
+  const bytes = resources.heapBytesOf(() => {
+    const network = new memberNetwork.MemberNetwork(members)
+    network.run(SETTLE_MS / 2)
+    return network
+  })
+  return bytes / members
+}
+
+/** Bytes that `news` pieces, learned by one daemon each, add to what each daemon sends; spread over ten seconds. */
+function bytesOfNews (news: number): number {
+  const members = 160
+  const network = settledNetwork(members)
+  const before = network.sentBytes
+  for (let index = 0; index < news; index++) network.tell(index % members, { kind: 'revision', service: `service-${index % 20}`, revision: Math.floor(network.nowMs) + index })
+  network.run(SPAN_S * 1_000)
+  return (network.sentBytes - before) / SPAN_S / members
+}
+
+function cpuPerAddressAnswer (members: number): number {
+  const random = workload.createRandom(5)
+  const all = Array.from({ length: members }, (_, index) => workload.memberOf(index))
+  const answer = (): unknown => membership.addresses.answerAddresses({ members: all, availabilityZone: 'region-1-1', region: 'region-1', random })
+  for (let index = 0; index < ANSWERS; index++) answer()
+  return resources.cpuMicrosPer(ANSWERS, () => { for (let index = 0; index < ANSWERS; index++) JSON.stringify(answer()) })
+}
+
+function cpuPerAssignment (members: number): number {
+  const all = Array.from({ length: members }, (_, index) => workload.memberOf(index))
+  const pools = Array.from({ length: 320 }, (_, index) => ({ pool: `pool-${index}`, region: `region-${index % 3}` }))
+  return resources.cpuMicrosPer(3, () => { for (let index = 0; index < 3; index++) membership.rendezvous.assignAuthorities(all, pools) })
+}
+
+/** What is measured of membership. */
+export const PLANS: readonly series.Plan[] = [
+  { role: ROLE, quantity: 'network bytes sent per second and daemon (as many are received)', unit: 'bytes', sizeOf: 'members', sizes: SIZES, sample: bytesPerSecond },
+  { role: ROLE, quantity: 'messages sent per second and daemon', unit: 'messages', sizeOf: 'members', sizes: SIZES, sample: messagesPerSecond },
+  { role: ROLE, quantity: 'CPU per second and daemon: core, text and checks, no sockets', unit: 'us', sizeOf: 'members', sizes: SIZES, sample: cpuPerSecond },
+  { role: ROLE, quantity: 'heap per daemon', unit: 'bytes', sizeOf: 'members', sizes: SIZES, repeats: 1, sample: heapPerDaemon },
+  { role: ROLE, quantity: 'network bytes sent per second and daemon of 160, with fresh news in ten seconds', unit: 'bytes', sizeOf: 'pieces of news', sizes: [0, 1, 10, 40], sample: bytesOfNews },
+  { role: 'caller steering', quantity: 'CPU per answer', unit: 'us', sizeOf: 'members', sizes: SIZES, sample: cpuPerAddressAnswer },
+  { role: 'member', quantity: 'CPU to assign 320 pools to authorities', unit: 'us', sizeOf: 'members', sizes: SIZES, sample: cpuPerAssignment }
+]
--- /dev/null
+++ b/packages/bench/src/workload.ts
@@ -0,0 +1,177 @@
+/**
+ * Documents, members, arrivals and asks at the sizes that are measured.
+ *
+ * @module
+ */
+import * as document from '@persimmonhatch/document'
+import type * as entry from '@persimmonhatch/entry'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as float from 'pure-rand/distribution/uniformFloat64'
+import * as generator from 'pure-rand/generator/xoroshiro128plus'
+
+/** The pool of every target. */
+export const POOL = 'region-1-pool-01'
+
+/** A service of the target size. */
+export const SERVICE = 'inspection-listings'
+
+const INCARNATION_DIGITS = 12
+const LONG_MS = 1_000_000_000
+
+/** Size of a document. */
+export interface DocumentSize {
+  readonly service?: string
+  readonly targets: number
+  readonly organisations: number
+}
+
+/**
+ * Seeded random numbers in [0, 1).
+ *
+ * @example
+ * ```ts
+ * const random = createRandom(7)
+ * ```
+ */
+export function createRandom (seed: number): protocol.Random {
+  const source = generator.xoroshiro128plus(seed)
+  return () => float.uniformFloat64(source)
+}
+
+/**
+ * The incarnation of a daemon.
+ *
+ * @example
+ * ```ts
+ * incarnationOf(7) // 'd000000000007'
+ * ```
+ */
+export function incarnationOf (index: number): protocol.Incarnation {
+  return `d${String(index).padStart(INCARNATION_DIGITS, '0')}`
+}
+
+/**
+ * The name of an organisation.
+ *
+ * @example
+ * ```ts
+ * organisationOf(7) // 'organisation-007'
+ * ```
+ */
+export function organisationOf (index: number): string {
+  return `organisation-${String(index).padStart(3, '0')}`
+}
+
+/**
+ * The text of a service document with four tiers.
+ *
+ * @example
+ * ```ts
+ * documentText({ targets: 30, organisations: 300 })
+ * ```
+ */
+export function documentText (size: DocumentSize): string {
+  const tiers = ['counter', 'question', 'listing', 'batch'].map((name, rank) => ({
+    name,
+    rank,
+    maxWaitMs: LONG_MS,
+    deadlineMs: LONG_MS,
+    objectives: { firstTokenMs: 1_700, betweenTokensMs: 67 }
+  }))
+  const targets = Array.from({ length: size.targets }, (_, index) => ({
+    name: `replica-${String(index).padStart(3, '0')}`,
+    address: `10.1.${Math.floor(index / 250)}.${index % 250}:8000`,
+    pool: POOL,
+    availabilityZone: `region-1-${index % 4}`,
+    hardware: `generation-${index % 3}`
+  }))
+  const organisations = Array.from({ length: size.organisations }, (_, index) => ({ name: organisationOf(index), share: 1 + index % 5 }))
+  return JSON.stringify({ service: size.service ?? SERVICE, kind: 'model', tiers, defaultTier: 'listing', organisations, targets })
+}
+
+/**
+ * A parsed service document.
+ *
+ * @example
+ * ```ts
+ * documentOf({ targets: 30, organisations: 300 }).targets.length // 30
+ * ```
+ */
+export function documentOf (size: DocumentSize): document.serviceDocument.ServiceDocument {
+  return document.parseServiceDocument.parseServiceDocument(documentText(size))._unsafeUnwrap()
+}
+
+/**
+ * A daemon of three regions with eleven availability zones.
+ *
+ * @example
+ * ```ts
+ * memberOf(7).region // 'region-1'
+ * ```
+ */
+export function memberOf (index: number): protocol.MemberNews {
+  const zone = index % 11
+  const region = `region-${zone % 3}`
+  return {
+    kind: 'member',
+    incarnation: incarnationOf(index),
+    address: `10.${zone}.${Math.floor(index / 250)}.${index % 250}:7400`,
+    peerAddress: `10.${zone}.${Math.floor(index / 250)}.${index % 250}:7401`,
+    availabilityZone: `${region}-${zone}`,
+    region,
+    beat: 90_000 + index,
+    state: 'alive',
+    load: 0.25
+  }
+}
+
+/**
+ * Prefix hashes of a prompt that shares its beginning with others of its organisation.
+ *
+ * @example
+ * ```ts
+ * prefixesOf(7, 4).length // 4
+ * ```
+ */
+export function prefixesOf (request: number, count: number): readonly string[] {
+  return Array.from({ length: count }, (_, level) => {
+    const distinct = level < 2 ? request % 64 : request
+    return (distinct * 2_654_435_761 + level).toString(16).slice(-8).padStart(8, '0')
+  })
+}
+
+/**
+ * A request as it arrives at its entry.
+ *
+ * @example
+ * ```ts
+ * arrivalOf(7, 4).prefixes.length // 4
+ * ```
+ */
+export function arrivalOf (request: number, prefixes: number, epoch: number): entry.event.Arrival {
+  return {
+    request,
+    identity: `${incarnationOf(0)}.${epoch}.${String(request).padStart(16, 'n')}`,
+    service: SERVICE,
+    organisation: organisationOf(request % 300),
+    tier: undefined,
+    method: 'POST',
+    path: '/v1/chat/completions',
+    fingerprint: request.toString(16).padStart(16, '0'),
+    promptTokens: 900,
+    answerTokens: 300,
+    prefixes: prefixesOf(request, prefixes),
+    deadlineMs: undefined
+  }
+}
+
+/** How a request of 900 prompt and 300 answer tokens ends, with times as the clock gives them. */
+export const FINISHED: entry.event.DispatchEnd = {
+  outcome: 'finished',
+  detail: 'status 200',
+  promptTokens: 900,
+  cachedTokens: 256,
+  answerTokens: 300,
+  firstTokenMs: 412.8346419999998,
+  totalMs: 15_217.45873599999
+}
