Send whole milliseconds from entries

Cause: times of the monotonic clock went into releases, holdings and repeated asks with up to fifteen decimal places, which no receiver uses. Ruled out: rounding in the schema, since the text is sent before it is checked.

--- a/packages/entry/src/authority-message.ts
+++ b/packages/entry/src/authority-message.ts
@@ -76,7 +76,7 @@
     answerTokens: running.terms.answerTokens,
     nonIdempotent: running.terms.nonIdempotent,
     fingerprint: running.arrival.fingerprint,
-    runningMs: nowMs - running.dispatchedMs
+    runningMs: Math.round(nowMs - running.dispatchedMs)
   }
 }
 
--- a/packages/entry/src/dispatch-end.ts
+++ b/packages/entry/src/dispatch-end.ts
@@ -17,7 +17,7 @@
 export const UNREACHABLE_LIMIT = 3
 
 function release (running: request.Running, end: event.DispatchEnd): protocol.Release {
-  const { promptTokens, cachedTokens, answerTokens, firstTokenMs, totalMs } = end
+  const { promptTokens, cachedTokens, answerTokens } = end
   return {
     kind: 'release',
     ask: running.slot.ask,
@@ -25,8 +25,8 @@
     promptTokens,
     cachedTokens,
     answerTokens,
-    firstTokenMs,
-    totalMs
+    firstTokenMs: end.firstTokenMs > 0 ? Math.max(1, Math.round(end.firstTokenMs)) : 0,
+    totalMs: Math.round(end.totalMs)
   }
 }
 
--- a/packages/entry/src/slot-request.ts
+++ b/packages/entry/src/slot-request.ts
@@ -32,10 +32,10 @@
     promptTokens: waiting.arrival.promptTokens,
     answerTokens: waiting.terms.answerTokens,
     prefixes: waiting.arrival.prefixes.slice(0, protocol.MAX_PREFIXES),
-    deadlineMs: Math.max(0, waiting.deadlineAtMs - nowMs),
+    deadlineMs: Math.max(0, Math.floor(waiting.deadlineAtMs - nowMs)),
     nonIdempotent: waiting.terms.nonIdempotent,
     fingerprint: waiting.arrival.fingerprint,
-    waitedMs: nowMs - waiting.acceptedMs,
+    waitedMs: Math.round(nowMs - waiting.acceptedMs),
     round: own.rounds.current(slot.authority, nowMs)
   }
 }
