--- a/packages/bench/src/bin/bench-capacity.ts
+++ b/packages/bench/src/bin/bench-capacity.ts
@@ -8,17 +8,19 @@
 import * as fs from 'node:fs/promises'
 import * as os from 'node:os'
 import * as authority from '../roles/authority.js'
+import * as daemons from '../roles/daemons.js'
 import * as documents from '../roles/documents.js'
 import * as entry from '../roles/entry.js'
 import * as links from '../roles/links.js'
 import * as member from '../roles/member.js'
+import * as platformCalls from '../roles/platform-calls.js'
 import * as reports from '../roles/reports.js'
 import * as series from '../series.js'
 import * as table from '../table.js'
 
 const OUTPUT = 'out/capacity.json'
 
-const PLANS = [...entry.PLANS, ...authority.PLANS, ...reports.PLANS, ...documents.PLANS, ...links.PLANS, ...member.PLANS]
+const PLANS = [...entry.PLANS, ...authority.PLANS, ...reports.PLANS, ...documents.PLANS, ...platformCalls.PLANS, ...links.PLANS, ...member.PLANS, ...daemons.PLANS]
 
 function isWanted (plan: series.Plan, words: readonly string[]): boolean {
   return words.length === 0 || words.some((word) => `${plan.role} ${plan.quantity}`.includes(word))
--- /dev/null
+++ b/packages/bench/src/processes/bench-system.ts
@@ -0,0 +1,155 @@
+/**
+ * Daemons as processes before one bare target, with the platform's key-value stand-in.
+ *
+ * @module
+ */
+import * as fs from 'node:fs/promises'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as document from '@persimmonhatch/document'
+import * as platform from '@persimmonhatch/platform'
+import * as standins from '@persimmonhatch/standins'
+import * as system from '@persimmonhatch/system'
+import * as undici from 'undici'
+import * as bareTarget from './bare-target.js'
+
+const SETTLE_LIMIT_MS = 20_000
+const PORTS_PER_DAEMON = 2
+
+/** The service of model engines. */
+export const MODEL_SERVICE = 'engines'
+
+/** The plain service. */
+export const PLAIN_SERVICE = 'stock'
+
+/** The organisation of every caller. */
+export const ORGANISATION = 'casablanca'
+
+const SERVICES = [{ service: MODEL_SERVICE, kind: 'model' }, { service: PLAIN_SERVICE, kind: 'plain' }] as const
+
+/** What to start. */
+export interface Options {
+  readonly daemons: number
+  /** Targets of each service. */
+  readonly targets: number
+}
+
+/** A running system. */
+export interface BenchSystem {
+  readonly target: bareTarget.BareTarget
+  readonly daemons: readonly system.daemonProcess.DaemonProcess[]
+  /** Writes the document of the model service again, as a new revision. */
+  readonly change: (revision: number) => Promise<void>
+  readonly close: () => Promise<void>
+}
+
+/** What is read of a daemon's status. */
+export interface Status {
+  readonly members: readonly unknown[]
+  readonly services: readonly { readonly service: string, readonly revision: number }[]
+  readonly pools: readonly { readonly pool: string, readonly settled: boolean }[]
+}
+
+/**
+ * Reads a daemon's status.
+ *
+ * @example
+ * ```ts
+ * const status = await readStatus(daemon.address)
+ * ```
+ */
+export async function readStatus (address: string): Promise<Status> {
+  const answer = await undici.request(`http://${address}/v1/status`)
+  return await answer.body.json() as Status
+}
+
+function documentText (service: string, kind: 'model' | 'plain', addresses: readonly string[]): string {
+  return JSON.stringify({
+    service,
+    kind,
+    tiers: [{ name: 'counter', rank: 0 }, { name: 'batch', rank: 1 }],
+    defaultTier: 'counter',
+    organisations: [{ name: ORGANISATION }],
+    targets: addresses.map((address, index) => ({ name: `${service}-${index}`, address, pool: service, availabilityZone: 'zone-1' }))
+  })
+}
+
+function storedText (service: string, revision: number, content: string): string {
+  const stored = document.storedDocument.addChange(undefined, {
+    service,
+    revision,
+    content,
+    change: { id: `change-${service}-${revision}`, operator: 'bench', atMs: Date.now(), comment: '' },
+    hash: (text) => String(text.length)
+  })
+  return document.storedDocument.writeStoredDocument(stored)._unsafeUnwrap()
+}
+
+async function store (keyValue: platform.keyValue.KeyValue, service: string, value: string): Promise<void> {
+  const key = document.storedDocument.documentKey(service)
+  const before = await keyValue.get(key)
+  const expectedRevision = before.isOk() ? before.value?.modRevision ?? 0 : 0
+  const swap = await keyValue.compareAndSwap({ key, expectedRevision, value })
+  if (swap.isErr()) throw swap.error
+}
+
+async function startDaemons (count: number, directory: string, keyValueAddress: string): Promise<readonly system.daemonProcess.DaemonProcess[]> {
+  const ports = await system.freePorts.findFreePorts(count * PORTS_PER_DAEMON)
+  const addresses = ports.map((port) => `127.0.0.1:${port}`)
+  const [, seed = ''] = addresses
+  const daemons = await Promise.all(Array.from({ length: count }, (_, index) => system.daemonProcess.startDaemonProcess({
+    name: `entry-${index + 1}`,
+    availabilityZone: 'zone-1',
+    region: 'region-1',
+    callers: addresses[index * PORTS_PER_DAEMON] ?? '',
+    peers: addresses[index * PORTS_PER_DAEMON + 1] ?? '',
+    keyValue: [keyValueAddress],
+    vmList: undefined,
+    seeds: [seed],
+    drainMs: 100,
+    directory
+  })))
+  await Promise.all(daemons.map(system.daemonProcess.awaitReady))
+  return daemons
+}
+
+async function isSettled (daemons: readonly system.daemonProcess.DaemonProcess[]): Promise<true | undefined> {
+  const statuses = await Promise.all(daemons.map((daemon) => readStatus(daemon.address)))
+  const settled = statuses.flatMap((status) => status.pools).filter((pool) => pool.settled)
+  return statuses.every((status) => status.members.length === daemons.length) && settled.length === SERVICES.length ? true : undefined
+}
+
+/**
+ * Starts a system and waits until its daemons know each other and both pools have an authority.
+ *
+ * @example
+ * ```ts
+ * const running = await startBenchSystem({ daemons: 2, targets: 8 })
+ * await running.close()
+ * ```
+ */
+export async function startBenchSystem (options: Options): Promise<BenchSystem> {
+  const directory = await fs.mkdtemp(path.join(os.tmpdir(), 'persimmonhatch-bench-'))
+  const target = await bareTarget.startBareTarget(options.targets * SERVICES.length)
+  const service = await standins.keyValueService.startKeyValueService({})
+  const client = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const keyValue = platform.etcdKeyValue.etcdKeyValue({ client, endpoints: [`http://${service.address}`], timeoutMs: 2_000 })
+
+  async function write (name: string, kind: 'model' | 'plain', revision: number): Promise<void> {
+    const addresses = kind === 'model' ? target.addresses.slice(0, options.targets) : target.addresses.slice(options.targets)
+    await store(keyValue, name, storedText(name, revision, documentText(name, kind, addresses)))
+  }
+
+  for (const one of SERVICES) await write(one.service, one.kind, 1)
+  const daemons = await startDaemons(options.daemons, directory, service.address)
+  await system.waitUntil.waitUntil('the daemons know each other', SETTLE_LIMIT_MS, () => isSettled(daemons))
+
+  async function close (): Promise<void> {
+    for (const daemon of daemons) daemon.child.signal('SIGKILL')
+    await Promise.all(daemons.map((daemon) => daemon.child.ended))
+    await Promise.all([target.close(), service.close(), client.destroy()])
+    await fs.rm(directory, { recursive: true, force: true })
+  }
+
+  return { target, daemons, change: (revision) => write(MODEL_SERVICE, 'model', revision), close }
+}
--- /dev/null
+++ b/packages/bench/src/processes/process-usage.ts
@@ -0,0 +1,40 @@
+/**
+ * Processor time and memory of another process, from the process file system (proc(5)).
+ *
+ * @module
+ */
+import * as fs from 'node:fs/promises'
+
+/** Clock ticks in a second on Linux, `sysconf(_SC_CLK_TCK)`. */
+const TICKS_PER_S = 100
+const USER_TIME_FIELD = 11
+const SYSTEM_TIME_FIELD = 12
+const BYTES_PER_KIB = 1_024
+
+/**
+ * Processor time that a process has used, seconds.
+ *
+ * @example
+ * ```ts
+ * const usedS = await cpuSeconds(child.pid)
+ * ```
+ */
+export async function cpuSeconds (pid: number): Promise<number> {
+  const text = await fs.readFile(`/proc/${pid}/stat`, 'utf8')
+  // The name in parentheses may hold spaces; the fields after it do not.
+  const fields = text.slice(text.lastIndexOf(')') + 2).split(' ')
+  return (Number(fields[USER_TIME_FIELD]) + Number(fields[SYSTEM_TIME_FIELD])) / TICKS_PER_S
+}
+
+/**
+ * Resident memory of a process, bytes.
+ *
+ * @example
+ * ```ts
+ * const bytes = await residentBytes(child.pid)
+ * ```
+ */
+export async function residentBytes (pid: number): Promise<number> {
+  const text = await fs.readFile(`/proc/${pid}/status`, 'utf8')
+  return Number(/VmRSS:\s+(\d+) kB/.exec(text)?.[1]) * BYTES_PER_KIB
+}
--- a/packages/bench/src/roles/authority-pool.ts
+++ b/packages/bench/src/roles/authority-pool.ts
@@ -59,7 +59,7 @@
       promptTokens: 900,
       answerTokens: 300,
       nonIdempotent: false,
-      fingerprint: index.toString(16).padStart(16, '0'),
+      fingerprint: workload.fingerprintOf(index),
       runningMs: 4_217
     }
   }
--- a/packages/bench/src/roles/counting-proxy.ts
+++ b/packages/bench/src/roles/counting-proxy.ts
@@ -32,6 +32,7 @@
     const upstream = net.connect(Number(port), host)
     for (const socket of [client, upstream]) {
       sockets.add(socket)
+      socket.setNoDelay(true)
       socket.on('error', () => socket.destroy())
     }
     client.on('data', (bytes) => { requestBytes += bytes.length; upstream.write(bytes) })
--- a/packages/bench/src/roles/documents.ts
+++ b/packages/bench/src/roles/documents.ts
@@ -12,6 +12,9 @@
 const ADOPTIONS = 20
 const TARGETS = 30
 const TYPICAL_ORGANISATIONS = 300
+const ORGANISATIONS = 310
+const SERVICES = 20
+const TIERS = 4
 
 function storedText (service: string, revision: number, organisations: number): string {
   const content = workload.documentText({ service, targets: TARGETS, organisations })
@@ -70,6 +73,20 @@
   return Math.max(...records.map((record) => document.burnRecord.writeRecord(record).length))
 }
 
+/** A record after `requests` requests of one window, with organisations as often as Zipf's law says and evenly spread services and tiers. */
+function recordBytesOfRequests (requests: number): number {
+  const random = workload.createRandom(17)
+  const counter = document.burnCounter.createBurnCounter({ availabilityZone: 'region-1-1', incarnation: workload.incarnationOf(1) })
+  const lastMs = document.burnRecord.WINDOW_MINUTES * 60_000 - 1
+  for (let index = 0; index < requests; index++) {
+    // The inverse of the continuous Zipf distribution with exponent 1 over 1 to 310.
+    const organisation = Math.floor(ORGANISATIONS ** random())
+    const observation = { service: `service-${Math.floor(random() * SERVICES)}`, tier: `tier-${Math.floor(random() * TIERS)}`, organisation: workload.organisationOf(organisation), counts: ['total' as const] }
+    counter.count(observation, Math.floor(index / requests * lastMs))
+  }
+  return Math.max(...counter.records(lastMs).map((record) => document.burnRecord.writeRecord(record).length))
+}
+
 function cpuPerCount (count: number): number {
   const counter = counterWith(count)
   return resources.cpuMicrosPer(count, () => {
@@ -86,5 +103,6 @@
   { role: ROLE, quantity: 'CPU to resolve all documents', unit: 'us', sizeOf: 'services', sizes: [5, 10, 20, 40], sample: cpuPerResolution },
   { role: ROLE, quantity: 'heap of the documents, 300 organisations and 30 targets each', unit: 'bytes', sizeOf: 'services', sizes: [5, 10, 20, 40], sample: heapOfDocuments },
   { role: 'burn roll-up', quantity: 'bytes of a record of ten minutes', unit: 'bytes', sizeOf: 'series', sizes: [100, 400, 1_600, 3_200], repeats: 1, sample: recordBytes },
+  { role: 'burn roll-up', quantity: 'bytes of a record of ten minutes, Zipf mix of 310 organisations, 20 services, 4 tiers', unit: 'bytes', sizeOf: 'requests in the window', sizes: [1_250, 2_500, 5_000, 10_000], repeats: 1, sample: recordBytesOfRequests },
   { role: 'burn roll-up', quantity: 'CPU per counted request', unit: 'us', sizeOf: 'series', sizes: [100, 400, 1_600, 3_200], sample: cpuPerCount }
 ]
--- a/packages/bench/src/roles/member-network.ts
+++ b/packages/bench/src/roles/member-network.ts
@@ -10,6 +10,7 @@
 
 const STEP_MS = 20
 const DELAY_MS = 20
+const KEPT_MESSAGES = 400
 
 interface Delivery {
   readonly from: protocol.Incarnation
@@ -22,6 +23,8 @@
   nowMs = 0
   sentBytes = 0
   sentMessages = 0
+  /** The latest messages, a few hundred. */
+  readonly latest: string[] = []
   private readonly cores = new Map<protocol.Incarnation, membership.membership.Membership>()
   private readonly deliveries = new Map<number, Delivery[]>()
 
@@ -48,6 +51,7 @@
     const text = wire.notificationText(outbound.message)
     this.sentBytes += wire.networkBytes(text.length)
     this.sentMessages += 1
+    this.latest[this.sentMessages % KEPT_MESSAGES] = text
     const dueMs = this.nowMs + DELAY_MS
     const due = this.deliveries.get(dueMs) ?? []
     due.push({ from, to: outbound.to, text })
--- a/packages/bench/src/workload.ts
+++ b/packages/bench/src/workload.ts
@@ -140,6 +140,18 @@
   })
 }
 
+/**
+ * A fingerprint that looks like a hash: 16 hexadecimal digits.
+ *
+ * @example
+ * ```ts
+ * fingerprintOf(7).length // 16
+ * ```
+ */
+export function fingerprintOf (request: number): string {
+  return prefixesOf(request + 1_000_003, 4).slice(2).map((hash) => hash.slice(-8)).join('')
+}
+
 /**
  * A request as it arrives at its entry.
  *
@@ -157,7 +169,7 @@
     tier: undefined,
     method: 'POST',
     path: '/v1/chat/completions',
-    fingerprint: request.toString(16).padStart(16, '0'),
+    fingerprint: fingerprintOf(request),
     promptTokens: 900,
     answerTokens: 300,
     prefixes: prefixesOf(request, prefixes),
