--- a/packages/authority/src/authority.ts
+++ b/packages/authority/src/authority.ts
@@ -10,6 +10,7 @@
 import * as floorMessages from './floor-messages.js'
 import * as grants from './grants.js'
 import * as holdings from './holdings.js'
+import * as loadReports from './load-reports.js'
 import type * as outputs from './outputs.js'
 import * as releases from './releases.js'
 import * as surroundings from './surroundings.js'
@@ -84,8 +85,7 @@
     case 'suspect':
       return yield * crashes.handleSuspectNews(state, input.news, nowMs)
     case 'load':
-      state.targets.model(input.report.target)?.report(input.report, nowMs)
-      return
+      return yield * loadReports.handleLoad(state, input.report, nowMs)
     case 'cache':
       if (state.targets.model(input.report.target) !== undefined) state.prefixes.report(input.report)
       return
--- a/packages/authority/tests/overload.test.ts
+++ b/packages/authority/tests/overload.test.ts
@@ -74,6 +74,24 @@
   assert.ok(fixture.only(driver.pass(200), 'refusal').length > 0)
 })
 
+overload('refuses nothing before every entry has said what it holds', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings', OPTIONS)])
+  driver.deliver('e1', { kind: 'holdings', pool: 'east', holdings: [] })
+  driver.handle({ kind: 'target', news: { kind: 'target', target: 't1', version: 1, state: 'leaving' } })
+  driver.deliver('e1', fixture.askOf(1, { deadlineMs: 1_000, round: driver.nowMs }))
+  assert.equal(fixture.only(driver.pass(20_000), 'refusal'), [])
+  driver.settle()
+  assert.is(fixture.only(driver.pass(500), 'refusal').length, 1)
+})
+
+overload('starts the top tier alone while a predecessor\'s floors may hold', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings', { otherPool: 'west' })]).settle()
+  assert.is(fixture.only(driver.deliver('e1', fixture.askOf(1, { tier: 0 })), 'grant').length, 1)
+  assert.equal(fixture.only(driver.deliver('e1', fixture.askOf(2, { tier: 1 })), 'grant'), [])
+  assert.equal(fixture.only(driver.pass(3_900), 'grant'), [])
+  assert.is(fixture.only(driver.pass(200), 'grant').length, 1)
+})
+
 overload('keeps another pool\'s floor: stops, starts nothing lower, and reports', () => {
   const driver = loaded(2, 4, {}, { otherPool: 'west' }, [['west', 'other']])
   const sent = driver.deliver('other', { kind: 'floor', pool: 'east', tier: 0, holdMs: 4_000 })
