--- a/packages/authority/src/grants.ts
+++ b/packages/authority/src/grants.ts
@@ -56,7 +56,7 @@
     revokedAtMs: undefined,
     figures
   })
-  state.targets.model(placement.target)?.add(ask.costTokens, Math.max(0, message.promptTokens - placement.cachedTokens), nowMs)
+  state.targets.model(placement.target)?.add(ask.costTokens, nowMs)
   state.prefixes.place(placement.target, message.prefixes)
   const round = state.entries.get(ask.entry)?.round ?? message.round
   yield outputs.send(ask.entry, { kind: 'grant', ask: message.ask, target: placement.target, round, figures })
--- a/packages/authority/src/holdings.ts
+++ b/packages/authority/src/holdings.ts
@@ -63,7 +63,7 @@
   const isPlain = state.targets.kind(holding.target) === 'plain'
   const answerTokens = state.answers.expect(holding.service, holding.answerTokens)
   const costTokens = Math.max(1, isPlain ? holding.answerTokens : holding.promptTokens + answerTokens)
-  const expectation = state.targets.model(holding.target)?.expectIdle(holding.promptTokens, answerTokens)
+  const expectation = state.targets.model(holding.target)?.expect(holding.promptTokens, answerTokens)
   const { service, organisation, tier, promptTokens, nonIdempotent, fingerprint, target } = holding
   state.slots.add({
     key,
@@ -86,7 +86,7 @@
     revokedAtMs: undefined,
     figures: { service, target }
   })
-  state.targets.model(target)?.add(costTokens, 0, nowMs)
+  state.targets.model(target)?.add(costTokens, nowMs)
   if (state.suspects.get(fingerprint, nowMs)?.news.state === 'suspect') state.reservations.reserve(target, key)
 }
 
--- a/packages/authority/src/isolation.ts
+++ b/packages/authority/src/isolation.ts
@@ -48,7 +48,7 @@
   const model = state.targets.model(target)
   if (model === undefined) return undefined
   const answerTokens = state.answers.expect(ask.message.service, ask.message.answerTokens)
-  const expectation = model.expectIdle(ask.message.promptTokens, answerTokens)
+  const expectation = model.expect(ask.message.promptTokens, answerTokens)
   return { target, cachedTokens: 0, expectation, tokensInFlight: 0, slowdown: state.targets.slowdown(target) }
 }
 
--- a/packages/authority/src/limit.ts
+++ b/packages/authority/src/limit.ts
@@ -3,8 +3,7 @@
  *
  * Per finished request of cost c: with gradient g = min(1, allowed / measured first-token time) the
  * limit falls by (1 - g) x c when g < 1, and otherwise, while it is in use, grows by c in slow start
- * (RFC 5681) and by c x max(GROWTH_SHARE, mean cost / limit) afterwards: by at least one mean request for
- * each limit's worth finished.
+ * (RFC 5681) and by c x (mean cost / limit) afterwards, one mean request for each limit's worth finished.
  * Source of the gradient: the Gradient limit of Netflix's concurrency-limits library.
  *
  * @module
@@ -28,33 +27,27 @@
 const INITIAL_REQUESTS = 8
 const MAX_TOKENS = 4_000_000
 const COST_GAIN = 0.1
-const FIRST_TOKEN_ALLOWANCE_MS = 400
+const FIRST_TOKEN_NOISE_MS = 30
 const FIRST_TOKEN_TOLERANCE = 2
-const DECODE_TOLERANCE = 6
+const DECODE_TOLERANCE = 4
 const MIN_GRADIENT = 0.5
-const MIN_DECODE_MS = 1e-3
-/** Share by which the limit grows for each limit's worth of requests finished in time. */
-const GROWTH_SHARE = 0.2
-/** The limit is never smaller than this number of mean requests. */
-const MIN_REQUESTS = 2
 /** Share of the limit that must be in use before the limit grows. */
 const IN_USE_SHARE = 0.5
 
 /**
- * How far a finished request was within what its target's best would give: 1 when it was, less when it
- * was late. Late first tokens count only for a target that does not report its queue.
+ * How far a finished request was within what its target's best would give: 1 when it was, less when it was late.
  *
  * @example
  * ```ts
- * gradientOf(sample, 120, rates, true) // 0.8
+ * gradientOf(sample, 120, rates) // 0.8
  * ```
  */
-export function gradientOf (sample: rateEstimator.Sample, expectedFirstTokenMs: number, rates: rateEstimator.Rates, isUnreported: boolean): number {
-  const allowedMs = FIRST_TOKEN_TOLERANCE * expectedFirstTokenMs + FIRST_TOKEN_ALLOWANCE_MS
-  const first = isUnreported ? allowedMs / Math.max(1, sample.firstTokenMs) : 1
+export function gradientOf (sample: rateEstimator.Sample, expectedFirstTokenMs: number, rates: rateEstimator.Rates): number {
+  const allowedMs = FIRST_TOKEN_TOLERANCE * expectedFirstTokenMs + FIRST_TOKEN_NOISE_MS
   const decodeMs = rateEstimator.decodeTime(sample) ?? 0
-  const allowedDecodeMs = sample.betweenTokensMs ?? Math.max(1, DECODE_TOLERANCE * rates.bestDecodeMs)
-  return Math.max(MIN_GRADIENT, Math.min(1, first, allowedDecodeMs / Math.max(MIN_DECODE_MS, decodeMs)))
+  const allowedDecodeMs = Math.min(sample.betweenTokensMs ?? Infinity, Math.max(1, DECODE_TOLERANCE * rates.bestDecodeMs))
+  const gradient = Math.min(1, allowedMs / Math.max(1, sample.firstTokenMs), allowedDecodeMs / Math.max(1e-3, decodeMs))
+  return Math.max(MIN_GRADIENT, gradient)
 }
 
 /**
@@ -91,9 +84,9 @@
         isSlowStart = false
         tokens -= (1 - gradient) * costTokens
       } else if (isInUse(usedTokens)) {
-        tokens += costTokens * (isSlowStart ? 1 : Math.max(GROWTH_SHARE, mean / tokens))
+        tokens += isSlowStart ? costTokens : mean * costTokens / tokens
       }
-      tokens = Math.min(MAX_TOKENS, Math.max(1, MIN_REQUESTS * mean, tokens))
+      tokens = Math.min(MAX_TOKENS, Math.max(1, mean, tokens))
     },
     isInUse,
     restart () {
--- a/packages/authority/src/rate-estimator.ts
+++ b/packages/authority/src/rate-estimator.ts
@@ -33,11 +33,7 @@
 const MIN_PREFILL_SAMPLE_TOKENS = 128
 const MIN_PREFILL_TOKENS_PER_MS = 1e-6
 const GAIN_BETTER = 0.3
-/** Gain for worse figures from a target with little to do, and from a busy one, whose queue they may show. */
-const GAIN_WORSE_IDLE = 0.05
-const GAIN_WORSE_BUSY = 0.005
-/** First requests that are averaged whether better or worse. */
-const AVERAGED_SAMPLES = 10
+const GAIN_WORSE = 0.01
 const DECODE_GAIN = 0.1
 
 /** Time between the tokens of a finished request, milliseconds; undefined for answers of a single token. */
@@ -65,25 +61,24 @@
 }
 
 /**
- * Rates after one more finished request. Better figures are taken over fast and worse ones slowly,
- * from a busy target hardly at all, so
+ * Rates after one more finished request. Better figures are taken over fast and worse ones slowly, so
  * that the rates show the target without a queue of its own.
  *
  * @example
  * ```ts
- * const rates = learnRates('model', startRates('model', undefined), sample, false)
+ * const rates = learnRates('model', startRates('model', undefined), sample)
  * ```
  */
-export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample, isBusy: boolean): Rates {
+export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample): Rates {
   const samples = rates.samples + 1
-  const gainWorse = samples <= AVERAGED_SAMPLES ? 1 / samples : isBusy ? GAIN_WORSE_BUSY : GAIN_WORSE_IDLE
+  const gainWorse = Math.max(GAIN_WORSE, 1 / samples)
   const prefillTokensPerMs = learnPrefill(kind, rates, sample, gainWorse)
   const baseMs = kind === 'plain' ? 0 : learnBase(rates, sample, prefillTokensPerMs, gainWorse)
   const measured = decodeTime(sample)
   if (measured === undefined) return { ...rates, prefillTokensPerMs, baseMs, samples }
   const isFirst = rates.samples === 0
   const decodeMs = isFirst ? measured : rates.decodeMs + DECODE_GAIN * (measured - rates.decodeMs)
-  const bestDecodeMs = isFirst ? measured : Math.min(measured, rates.bestDecodeMs + gainWorse * (measured - rates.bestDecodeMs))
+  const bestDecodeMs = isFirst ? measured : Math.min(measured, rates.bestDecodeMs + GAIN_WORSE * (measured - rates.bestDecodeMs))
   return { prefillTokensPerMs, baseMs, decodeMs, bestDecodeMs, samples }
 }
 
--- a/packages/authority/src/releases.ts
+++ b/packages/authority/src/releases.ts
@@ -29,7 +29,7 @@
   const isPlain = state.targets.kind(granted.target) === 'plain'
   const betweenTokensMs = state.view().services.get(granted.service)?.tiers.get(granted.tier)?.objectives.betweenTokensMs
   if (isPlain) {
-    model?.learn({ uncachedTokens: granted.costTokens, answerTokens: 0, costTokens: granted.costTokens, firstTokenMs: message.totalMs, totalMs: message.totalMs, betweenTokensMs: undefined }, granted.expectedFirstTokenMs, nowMs)
+    model?.learn({ uncachedTokens: granted.costTokens, answerTokens: 0, costTokens: granted.costTokens, firstTokenMs: message.totalMs, totalMs: message.totalMs, betweenTokensMs: undefined }, nowMs)
     return
   }
   state.answers.learn(granted.service, granted.answerTokens, message.answerTokens)
@@ -38,7 +38,7 @@
   if (message.firstTokenMs <= 0) return
   const { answerTokens, firstTokenMs, totalMs } = message
   const uncachedTokens = Math.max(0, message.promptTokens - message.cachedTokens)
-  model?.learn({ uncachedTokens, answerTokens, costTokens: granted.costTokens, firstTokenMs, totalMs, betweenTokensMs }, granted.expectedFirstTokenMs, nowMs)
+  model?.learn({ uncachedTokens, answerTokens, costTokens: granted.costTokens, firstTokenMs, totalMs, betweenTokensMs }, nowMs)
 }
 
 function * handleUnknown (state: context.Context, key: string, message: protocol.Release, nowMs: number): outputs.Outputs {
