--- /dev/null
+++ b/packages/load/src/load-documents.ts
@@ -0,0 +1,25 @@
+/**
+ * Reads the service documents of a deployment.
+ *
+ * @module
+ */
+import * as fs from 'node:fs'
+import * as path from 'node:path'
+import * as document from '@persimmonhatch/document'
+
+/**
+ * Reads and checks every document of a folder.
+ *
+ * @example
+ * ```ts
+ * loadDocuments('examples/atlasrenew/documents')
+ * ```
+ */
+export function loadDocuments (folder: string): readonly document.serviceDocument.ServiceDocument[] {
+  const files = fs.readdirSync(folder).filter((file) => file.endsWith('.jsonc')).sort()
+  return files.map((file) => {
+    const parsed = document.parseServiceDocument.parseServiceDocument(fs.readFileSync(path.join(folder, file), 'utf8'))
+    if (parsed.isErr()) throw parsed.error
+    return parsed.value
+  })
+}
--- /dev/null
+++ b/packages/load/src/replay/measure.ts
@@ -0,0 +1,155 @@
+/**
+ * What a replay achieved: goodput, waste and latency.
+ *
+ * @module
+ */
+import type * as protocol from '@persimmonhatch/protocol'
+import * as hdr from 'hdr-histogram-js'
+import * as capacity from '../trace/capacity.js'
+import type * as trace from '../trace/trace.js'
+import * as prefixes from './prefixes.js'
+import type * as recorder from './recorder.js'
+import * as replay from './replay.js'
+
+/** Figures of one kind of target and rank. Tokens are answer tokens. */
+export interface TierFigures {
+  readonly target: 'model' | 'plain'
+  readonly rank: protocol.Rank
+  readonly offeredRequests: number
+  readonly offeredTokens: number
+  /** Tokens of whole answers within their deadline. */
+  readonly goodTokens: number
+  readonly finishedRequests: number
+  readonly refusedRequests: number
+  readonly lateRequests: number
+  readonly firstTokenP50Ms: number
+  readonly firstTokenP95Ms: number
+  readonly betweenTokensP95Ms: number
+  /** Share of all requests that were answered within both latency objectives. */
+  readonly withinShare: number
+}
+
+/** Figures of one replay. Shares are 0 to 1. */
+export interface Measures {
+  readonly tiers: readonly TierFigures[]
+  /** Goodput of the most important tier of each kind of target, as a share of what it offered; the lowest of them. */
+  readonly topTierShare: number
+  /** Answer tokens that finished during the trace in whole answers, as a share of what the targets can write. */
+  readonly capacityShare: number
+  /** Prefill of runs that did not finish, as a share of all prefill. */
+  readonly thrownAwayShare: number
+  /** Prefill of shared beginnings that some target had read before, as a share of all prefill. */
+  readonly repeatedShare: number
+  /** Good tokens, each multiplied by its tier's weight. */
+  readonly weightedTokens: number
+}
+
+const LEAST_IMPORTANT_WEIGHTED_RANK = 3
+const MAX_TRACKED_MS = 3_600_000
+const PERCENTILE_MIDDLE = 50
+const PERCENTILE_HIGH = 95
+
+/** Weight of a rank: each tier counts twice as much as the next. */
+function weightOf (rank: protocol.Rank): number {
+  return 2 ** (LEAST_IMPORTANT_WEIGHTED_RANK - rank)
+}
+
+function firstTokenMs (outcome: recorder.Outcome): number | undefined {
+  return outcome.firstTokenAtMs === undefined ? undefined : outcome.firstTokenAtMs - outcome.sentAtMs
+}
+
+function betweenTokensMs (outcome: recorder.Outcome): number | undefined {
+  const { answer } = outcome.request.arrival
+  if (outcome.firstTokenAtMs === undefined || outcome.endedAtMs === undefined || answer < 2) return undefined
+  return (outcome.endedAtMs - outcome.firstTokenAtMs) / (answer - 1)
+}
+
+function createHistogram (): hdr.Histogram {
+  return hdr.build({ highestTrackableValue: MAX_TRACKED_MS, numberOfSignificantValueDigits: 3, useWebAssembly: false })
+}
+
+function sumTokens (outcomes: readonly recorder.Outcome[]): number {
+  return outcomes.reduce((sum, { request }) => sum + request.arrival.answer, 0)
+}
+
+function isWithin (outcome: recorder.Outcome, bounds: trace.Outcomes): boolean {
+  const first = firstTokenMs(outcome)
+  return first !== undefined && first <= bounds.firstTokenMs && (betweenTokensMs(outcome) ?? 0) <= bounds.betweenTokensMs
+}
+
+function measureTier (target: 'model' | 'plain', rank: protocol.Rank, outcomes: readonly recorder.Outcome[], bounds: trace.Outcomes): TierFigures {
+  const finished = outcomes.filter(({ state }) => state === 'finished')
+  const first = createHistogram()
+  const between = createHistogram()
+  for (const outcome of finished) {
+    first.recordValue(Math.round(firstTokenMs(outcome) ?? 0))
+    between.recordValue(Math.round(betweenTokensMs(outcome) ?? 0))
+  }
+  return {
+    target,
+    rank,
+    offeredRequests: outcomes.length,
+    offeredTokens: sumTokens(outcomes),
+    goodTokens: sumTokens(finished),
+    finishedRequests: finished.length,
+    refusedRequests: outcomes.filter(({ state }) => state === 'refused').length,
+    lateRequests: outcomes.filter(({ state }) => state === 'late' || state === 'unfinished').length,
+    firstTokenP50Ms: first.getValueAtPercentile(PERCENTILE_MIDDLE),
+    firstTokenP95Ms: first.getValueAtPercentile(PERCENTILE_HIGH),
+    betweenTokensP95Ms: between.getValueAtPercentile(PERCENTILE_HIGH),
+    withinShare: finished.filter((outcome) => isWithin(outcome, bounds)).length / Math.max(1, outcomes.length)
+  }
+}
+
+function measureTiers (result: replay.Result): readonly TierFigures[] {
+  const figures = (['model', 'plain'] as const).flatMap((target) => {
+    const own = result.outcomes.filter(({ request }) => request.kind.target === target)
+    const ranks = [...new Set(own.map(({ request }) => request.kind.rank))].sort((left, right) => left - right)
+    return ranks.map((rank) => measureTier(target, rank, own.filter(({ request }) => request.kind.rank === rank), result.trace.header.outcomes))
+  })
+  return figures
+}
+
+function measureTop (tiers: readonly TierFigures[]): number {
+  const tops = (['model', 'plain'] as const).flatMap((target) => tiers.filter((tier) => tier.target === target).slice(0, 1))
+  return Math.min(...tops.map(({ goodTokens, offeredTokens }) => goodTokens / Math.max(1, offeredTokens)))
+}
+
+function measureCapacity (result: replay.Result): number {
+  const untilMs = replay.LEAD_MS + result.trace.header.durationMs
+  const inTime = result.outcomes.filter(({ state, request, endedAtMs }) => state === 'finished' && request.kind.target === 'model' && (endedAtMs ?? Infinity) <= untilMs)
+  return sumTokens(inTime) / capacity.writableTokens(result.trace)
+}
+
+function measureRepeated (result: replay.Result): number {
+  const seen = new Set<string>()
+  let tokens = 0
+  for (const { request, job } of result.jobs) {
+    const shared = request.prefixes.findLastIndex((_, index) => prefixes.prefixTokens(index) <= request.kind.sharedTokens)
+    const hash = request.prefixes[shared]
+    if (job === undefined || hash === undefined || job.prefilled === 0) continue
+    if (seen.has(hash)) tokens += Math.min(job.prefilled, Math.max(0, prefixes.prefixTokens(shared) - job.cachedTokens))
+    seen.add(hash)
+  }
+  return tokens / Math.max(1, result.prefilledTokens)
+}
+
+/**
+ * Measures a replay.
+ *
+ * @example
+ * ```ts
+ * measure(result).topTierShare // 0.994
+ * ```
+ */
+export function measure (result: replay.Result): Measures {
+  const tiers = measureTiers(result)
+  return {
+    tiers,
+    topTierShare: measureTop(tiers),
+    capacityShare: measureCapacity(result),
+    thrownAwayShare: result.wastedPrefillTokens / Math.max(1, result.prefilledTokens),
+    repeatedShare: measureRepeated(result),
+    weightedTokens: tiers.reduce((sum, { goodTokens, rank }) => sum + goodTokens * weightOf(rank), 0)
+  }
+}
