--- a/packages/load/src/replay/check-outcomes.ts
+++ b/packages/load/src/replay/check-outcomes.ts
@@ -37,9 +37,9 @@
   ]
 }
 
-/** Share of requests that finish must not grow from a more important tier to a less important one. */
+/** The share that finishes must not grow from a more important tier to a less important one; what crashes cut off was no decision and is left out. */
 function checkOrder (measures: measure.Measures): Check {
-  const shares = measures.tiers.filter(({ target }) => target === 'model').map(({ goodTokens, offeredTokens }) => goodTokens / Math.max(1, offeredTokens))
+  const shares = measures.tiers.filter(({ target }) => target === 'model').map(({ goodTokens, offeredTokens, cutTokens }) => goodTokens / Math.max(1, offeredTokens - cutTokens))
   const isOrdered = shares.every((share, index) => index === 0 || share <= (shares[index - 1] as number) + 0.005)
   return { name: "tiers' order in finishing", bound: 'shares do not grow', reached: shares.map(percent).join(', '), isMet: isOrdered }
 }
--- a/packages/load/src/replay/measure.ts
+++ b/packages/load/src/replay/measure.ts
@@ -22,6 +22,9 @@
   readonly finishedRequests: number
   readonly refusedRequests: number
   readonly lateRequests: number
+  /** Requests that the crash of their target cut off, and their tokens. */
+  readonly cutRequests: number
+  readonly cutTokens: number
   readonly firstTokenP50Ms: number
   readonly firstTokenP95Ms: number
   readonly betweenTokensP95Ms: number
@@ -79,6 +82,7 @@
 
 function measureTier (target: 'model' | 'plain', rank: protocol.Rank, outcomes: readonly recorder.Outcome[], bounds: trace.Outcomes): TierFigures {
   const finished = outcomes.filter(({ state }) => state === 'finished')
+  const cut = outcomes.filter(({ state }) => state === 'failed')
   const first = createHistogram()
   const between = createHistogram()
   for (const outcome of finished) {
@@ -94,6 +98,8 @@
     finishedRequests: finished.length,
     refusedRequests: outcomes.filter(({ state }) => state === 'refused').length,
     lateRequests: outcomes.filter(({ state }) => state === 'late' || state === 'unfinished').length,
+    cutRequests: cut.length,
+    cutTokens: sumTokens(cut),
     firstTokenP50Ms: first.getValueAtPercentile(PERCENTILE_MIDDLE),
     firstTokenP95Ms: first.getValueAtPercentile(PERCENTILE_HIGH),
     betweenTokensP95Ms: between.getValueAtPercentile(PERCENTILE_HIGH),
