--- a/packages/authority/src/grants.ts
+++ b/packages/authority/src/grants.ts
@@ -51,12 +51,13 @@
     grantedAtMs: nowMs,
     expiresAtMs: Math.max(nowMs, ask.deadlineAtMs) + DEADLINE_GRACE_MS,
     cachedTokens: placement.cachedTokens,
+    backlogMs: placement.backlogMs,
     expectedFirstTokenMs: placement.expectation.firstTokenMs,
     expectedTotalMs: placement.expectation.totalMs,
     revokedAtMs: undefined,
     figures
   })
-  state.targets.model(placement.target)?.add(ask.costTokens, nowMs)
+  state.targets.model(placement.target)?.add(ask.costTokens, Math.max(0, message.promptTokens - placement.cachedTokens), nowMs)
   state.prefixes.place(placement.target, message.prefixes)
   const round = state.entries.get(ask.entry)?.round ?? message.round
   yield outputs.send(ask.entry, { kind: 'grant', ask: message.ask, target: placement.target, round, figures })
--- a/packages/authority/src/holdings.ts
+++ b/packages/authority/src/holdings.ts
@@ -81,12 +81,13 @@
     grantedAtMs: nowMs - holding.runningMs,
     expiresAtMs: nowMs + LONGEST_RUN_MS,
     cachedTokens: 0,
+    backlogMs: 0,
     expectedFirstTokenMs: expectation?.firstTokenMs ?? 0,
     expectedTotalMs: expectation?.totalMs ?? 0,
     revokedAtMs: undefined,
     figures: { service, target }
   })
-  state.targets.model(target)?.add(costTokens, nowMs)
+  state.targets.model(target)?.add(costTokens, 0, nowMs)
   if (state.suspects.get(fingerprint, nowMs)?.news.state === 'suspect') state.reservations.reserve(target, key)
 }
 
--- a/packages/authority/src/isolation.ts
+++ b/packages/authority/src/isolation.ts
@@ -49,7 +49,7 @@
   if (model === undefined) return undefined
   const answerTokens = state.answers.expect(ask.message.service, ask.message.answerTokens)
   const expectation = model.expect(ask.message.promptTokens, answerTokens)
-  return { target, cachedTokens: 0, expectation, tokensInFlight: 0, slowdown: state.targets.slowdown(target) }
+  return { target, cachedTokens: 0, backlogMs: 0, expectation, tokensInFlight: 0, slowdown: state.targets.slowdown(target) }
 }
 
 function reserve (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): string | undefined {
--- a/packages/authority/src/limit.ts
+++ b/packages/authority/src/limit.ts
@@ -1,10 +1,9 @@
 /**
- * The limit in flight of one target, in tokens, learned so that the target's own queue stays short.
+ * The limit in flight of one target, in requests, learned so that the target's own queue stays short.
  *
- * Per finished request of cost c: with gradient g = min(1, allowed / measured first-token time) the
- * limit falls by (1 - g) x c when g < 1, and otherwise, while it is in use, grows by c in slow start
- * (RFC 5681) and by c x (mean cost / limit) afterwards, one mean request for each limit's worth finished.
- * Source of the gradient: the Gradient limit of Netflix's concurrency-limits library.
+ * Per finished request with gradient g = min(1, allowed / measured time), the limit falls by 1 - g when
+ * g < 1, and otherwise, while it is in use, grows by 1 in slow start (RFC 5681) and by 1 / limit
+ * afterwards. Source of the gradient: the Gradient limit of Netflix's concurrency-limits library.
  *
  * @module
  */
@@ -12,27 +11,25 @@
 
 /** A limit that moves. */
 export interface Limit {
-  readonly tokens: () => number
-  /** A request of this cost is about to be added. */
-  readonly observeCost: (costTokens: number) => void
-  readonly meanCost: () => number
-  /** A request finished; `usedTokens` were in flight with it. */
-  readonly learn: (gradient: number, costTokens: number, usedTokens: number) => void
-  readonly isInUse: (usedTokens: number) => boolean
+  readonly requests: () => number
+  /** A request finished; `inFlight` requests were in flight with it. */
+  readonly learn: (gradient: number, inFlight: number) => void
+  /** The target's batch was full with `running` requests. */
+  readonly cap: (running: number) => void
   /** Starts again from a small limit. */
   readonly restart: () => void
 }
 
-const INITIAL_TOKENS = 16_384
-const INITIAL_REQUESTS = 8
-const MAX_TOKENS = 4_000_000
-const COST_GAIN = 0.1
-const FIRST_TOKEN_NOISE_MS = 30
+const INITIAL_REQUESTS = 16
+const MIN_REQUESTS = 1
+const MAX_REQUESTS = 4_096
+const FIRST_TOKEN_NOISE_MS = 100
 const FIRST_TOKEN_TOLERANCE = 2
-const DECODE_TOLERANCE = 4
+/** Time between tokens that is allowed, as a multiple of the shortest; above 1 so that the batch stays full. */
+const DECODE_TOLERANCE = 1.25
 const MIN_GRADIENT = 0.5
 /** Share of the limit that must be in use before the limit grows. */
-const IN_USE_SHARE = 0.5
+const IN_USE_SHARE = 0.8
 
 /**
  * How far a finished request was within what its target's best would give: 1 when it was, less when it was late.
@@ -51,46 +48,36 @@
 }
 
 /**
- * Creates a limit. For plain services, whose costs have no common scale, it starts at a number of requests.
+ * Creates a limit.
  *
  * @example
  * ```ts
- * const limit = createLimit('model')
- * limit.tokens() // 16384
+ * const limit = createLimit()
+ * limit.requests() // 16
  * ```
  */
-export function createLimit (kind: 'model' | 'plain'): Limit {
-  let mean = 0
-  let tokens = kind === 'model' ? INITIAL_TOKENS : 0
+export function createLimit (): Limit {
+  let requests = INITIAL_REQUESTS
   let isSlowStart = true
 
-  function initial (): number {
-    return kind === 'model' ? INITIAL_TOKENS : INITIAL_REQUESTS * mean
-  }
-
-  function isInUse (usedTokens: number): boolean {
-    return usedTokens > tokens * IN_USE_SHARE
-  }
-
   return {
-    tokens: () => tokens,
-    meanCost: () => mean,
-    observeCost (costTokens) {
-      mean = mean === 0 ? costTokens : mean + COST_GAIN * (costTokens - mean)
-      if (tokens === 0) tokens = initial()
-    },
-    learn (gradient, costTokens, usedTokens) {
+    requests: () => requests,
+    learn (gradient, inFlight) {
       if (gradient < 1) {
         isSlowStart = false
-        tokens -= (1 - gradient) * costTokens
-      } else if (isInUse(usedTokens)) {
-        tokens += isSlowStart ? costTokens : mean * costTokens / tokens
+        requests -= 1 - gradient
+      } else if (inFlight > requests * IN_USE_SHARE) {
+        requests += isSlowStart ? 1 : 1 / requests
       }
-      tokens = Math.min(MAX_TOKENS, Math.max(1, mean, tokens))
+      requests = Math.min(MAX_REQUESTS, Math.max(MIN_REQUESTS, requests))
+    },
+    cap (running) {
+      if (running >= requests) return
+      isSlowStart = false
+      requests = Math.max(MIN_REQUESTS, running)
     },
-    isInUse,
     restart () {
-      tokens = initial()
+      requests = INITIAL_REQUESTS
       isSlowStart = true
     }
   }
--- a/packages/authority/src/place.ts
+++ b/packages/authority/src/place.ts
@@ -1,8 +1,9 @@
 /**
  * Chooses the target on which a request is expected to finish first.
  *
- * Score, in milliseconds: slowdown x (known tokens in flight / service rate + base time
- * + prompt tokens not cached / prefill rate + expected answer tokens x time between tokens).
+ * Score, in milliseconds: slowdown x (time until earlier prompts are read + base time
+ * + prompt tokens not cached / prefill rate + expected answer tokens x time between tokens, which
+ * grows with the requests in flight).
  *
  * @module
  */
@@ -16,6 +17,8 @@
 export interface Placement {
   readonly target: string
   readonly cachedTokens: number
+  /** Time until the prompts in flight are read, milliseconds. */
+  readonly backlogMs: number
   readonly expectation: targetModel.Expectation
   readonly tokensInFlight: number
   readonly slowdown: number
@@ -38,12 +41,11 @@
   return state.slots.onTarget(target).some((granted) => granted.grantedAtMs > sinceMs)
 }
 
-function hasRoom (state: context.Context, target: string, model: targetModel.TargetModel, costTokens: number, share: number, nowMs: number): boolean {
+function hasRoom (state: context.Context, target: string, model: targetModel.TargetModel, promptTokens: number, share: number, nowMs: number): boolean {
   const readiness = state.targets.readiness(target, nowMs)
   if (readiness === 'closed') return false
   if (readiness === 'probing') return !isProbed(state, target)
-  if (model.requests() === 0) return true
-  return model.knownTokens() + model.unknownTokens(nowMs) + costTokens <= model.limitTokens() * share
+  return model.hasRoom(share, promptTokens, nowMs)
 }
 
 /** The prompt tokens that a target has to read, and those that it is expected to hold. */
@@ -71,15 +73,15 @@
     const model = state.targets.model(target)
     const reservedFor = state.reservations.get(target)
     if (model === undefined || closed.has(target) || (reservedFor !== undefined && reservedFor !== ask.key)) continue
-    if (!hasRoom(state, target, model, ask.costTokens, share, nowMs)) continue
+    if (!hasRoom(state, target, model, ask.message.promptTokens, share, nowMs)) continue
     const cachedTokens = cached.get(target) ?? 0
-    const expectation = model.expect(uncachedTokens(state, target, ask, cachedTokens), state.targets.kind(target) === 'plain' ? 0 : answerTokens)
+    const expectation = model.expectBeside(uncachedTokens(state, target, ask, cachedTokens), state.targets.kind(target) === 'plain' ? 0 : answerTokens, nowMs)
     const slowdown = state.targets.slowdown(target)
-    const tokensInFlight = model.knownTokens() + model.unknownTokens(nowMs)
-    const score = slowdown * (tokensInFlight / model.serviceTokensPerMs() + expectation.totalMs) * (1 + RANDOM_SHARE * state.options.random())
+    const tokensInFlight = model.knownTokens()
+    const score = slowdown * expectation.totalMs * (1 + RANDOM_SHARE * state.options.random())
     if (score >= bestScore) continue
     bestScore = score
-    best = { target, cachedTokens, expectation, tokensInFlight, slowdown }
+    best = { target, cachedTokens, backlogMs: model.backlogMs(nowMs), expectation, tokensInFlight, slowdown }
   }
   return best
 }
--- a/packages/authority/src/rate-estimator.ts
+++ b/packages/authority/src/rate-estimator.ts
@@ -23,6 +23,8 @@
   readonly uncachedTokens: number
   readonly answerTokens: number
   readonly costTokens: number
+  /** Wait for earlier prompts that was expected at the grant. */
+  readonly backlogMs: number
   readonly firstTokenMs: number
   readonly totalMs: number
   /** Objective for the time between tokens, if the service states one. */
@@ -30,11 +32,15 @@
 }
 
 const DEFAULT_RATES: Rates = { prefillTokensPerMs: 4, baseMs: 20, decodeMs: 20, bestDecodeMs: 20, samples: 0 }
-const MIN_PREFILL_SAMPLE_TOKENS = 128
+const MIN_PREFILL_SAMPLE_TOKENS = 512
 const MIN_PREFILL_TOKENS_PER_MS = 1e-6
 const GAIN_BETTER = 0.3
 const GAIN_WORSE = 0.01
 const DECODE_GAIN = 0.1
+/** Gain by which the shortest time between tokens grows, small so that a full target is not taken for a slow one. */
+const BEST_DECODE_GAIN = 0.001
+/** Wait for earlier prompts above which a first token shows no prefill rate, milliseconds. */
+const MAX_PREFILL_BACKLOG_MS = 20
 
 /** Time between the tokens of a finished request, milliseconds; undefined for answers of a single token. */
 export function decodeTime (sample: Sample): number | undefined {
@@ -42,15 +48,19 @@
   return Math.max(0, sample.totalMs - sample.firstTokenMs) / (sample.answerTokens - 1)
 }
 
+/** The first token of a long prompt bounds the prefill rate from below, whatever the base time is. */
 function learnPrefill (kind: 'model' | 'plain', rates: Rates, sample: Sample, gainWorse: number): number {
-  if (kind === 'model' && sample.uncachedTokens < MIN_PREFILL_SAMPLE_TOKENS) return rates.prefillTokensPerMs
-  const measured = sample.uncachedTokens / Math.max(1, sample.firstTokenMs - rates.baseMs)
-  const gain = rates.samples === 0 ? 1 : measured > rates.prefillTokensPerMs ? GAIN_BETTER : gainWorse
+  const isShort = kind === 'model' && sample.uncachedTokens < MIN_PREFILL_SAMPLE_TOKENS
+  const isDelayed = sample.backlogMs > MAX_PREFILL_BACKLOG_MS
+  const measured = sample.uncachedTokens / Math.max(1, sample.firstTokenMs)
+  const isBetter = measured > rates.prefillTokensPerMs
+  if (!isBetter && (isShort || isDelayed)) return rates.prefillTokensPerMs
+  const gain = rates.samples === 0 ? 1 : isBetter ? GAIN_BETTER : gainWorse
   return Math.max(MIN_PREFILL_TOKENS_PER_MS, rates.prefillTokensPerMs + gain * (measured - rates.prefillTokensPerMs))
 }
 
 function learnBase (rates: Rates, sample: Sample, prefillTokensPerMs: number, gainWorse: number): number {
-  const rest = Math.max(0, sample.firstTokenMs - sample.uncachedTokens / prefillTokensPerMs)
+  const rest = Math.max(0, sample.firstTokenMs - sample.backlogMs - sample.uncachedTokens / prefillTokensPerMs)
   return rates.baseMs + (rest < rates.baseMs ? GAIN_BETTER : gainWorse) * (rest - rates.baseMs)
 }
 
@@ -72,13 +82,13 @@
 export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample): Rates {
   const samples = rates.samples + 1
   const gainWorse = Math.max(GAIN_WORSE, 1 / samples)
-  const prefillTokensPerMs = learnPrefill(kind, rates, sample, gainWorse)
+  const prefillTokensPerMs = learnPrefill(kind, rates, sample, kind === 'model' ? GAIN_WORSE : gainWorse)
   const baseMs = kind === 'plain' ? 0 : learnBase(rates, sample, prefillTokensPerMs, gainWorse)
   const measured = decodeTime(sample)
   if (measured === undefined) return { ...rates, prefillTokensPerMs, baseMs, samples }
   const isFirst = rates.samples === 0
   const decodeMs = isFirst ? measured : rates.decodeMs + DECODE_GAIN * (measured - rates.decodeMs)
-  const bestDecodeMs = isFirst ? measured : Math.min(measured, rates.bestDecodeMs + GAIN_WORSE * (measured - rates.bestDecodeMs))
+  const bestDecodeMs = isFirst ? measured : Math.min(measured, rates.bestDecodeMs + BEST_DECODE_GAIN * (measured - rates.bestDecodeMs))
   return { prefillTokensPerMs, baseMs, decodeMs, bestDecodeMs, samples }
 }
 
--- a/packages/authority/src/releases.ts
+++ b/packages/authority/src/releases.ts
@@ -15,7 +15,7 @@
 export function freeSlot (state: context.Context, key: string, nowMs: number): slot.Slot | undefined {
   const granted = state.slots.remove(key)
   if (granted === undefined) return undefined
-  state.targets.model(granted.target)?.remove(granted.costTokens, nowMs)
+  state.targets.model(granted.target)?.remove(granted.costTokens, granted.grantedAtMs + granted.expectedFirstTokenMs, nowMs)
   state.reservations.release(key)
   return granted
 }
@@ -29,16 +29,19 @@
   const isPlain = state.targets.kind(granted.target) === 'plain'
   const betweenTokensMs = state.view().services.get(granted.service)?.tiers.get(granted.tier)?.objectives.betweenTokensMs
   if (isPlain) {
-    model?.learn({ uncachedTokens: granted.costTokens, answerTokens: 0, costTokens: granted.costTokens, firstTokenMs: message.totalMs, totalMs: message.totalMs, betweenTokensMs: undefined }, nowMs)
+    model?.learn({ uncachedTokens: granted.costTokens, answerTokens: 0, costTokens: granted.costTokens, backlogMs: 0, firstTokenMs: message.totalMs, totalMs: message.totalMs, betweenTokensMs: undefined }, nowMs)
     return
   }
   state.answers.learn(granted.service, granted.answerTokens, message.answerTokens)
   state.prefixes.learn(granted.target, granted.cachedTokens, message.cachedTokens)
   correctShare(state, granted, message.promptTokens + message.answerTokens)
-  if (message.firstTokenMs <= 0) return
+  if (message.firstTokenMs <= 0) {
+    model?.learnTotal(message.totalMs)
+    return
+  }
   const { answerTokens, firstTokenMs, totalMs } = message
   const uncachedTokens = Math.max(0, message.promptTokens - message.cachedTokens)
-  model?.learn({ uncachedTokens, answerTokens, costTokens: granted.costTokens, firstTokenMs, totalMs, betweenTokensMs }, nowMs)
+  model?.learn({ uncachedTokens, answerTokens, costTokens: granted.costTokens, backlogMs: granted.backlogMs, firstTokenMs, totalMs, betweenTokensMs }, nowMs)
 }
 
 function * handleUnknown (state: context.Context, key: string, message: protocol.Release, nowMs: number): outputs.Outputs {
--- a/packages/authority/src/slot.ts
+++ b/packages/authority/src/slot.ts
@@ -25,6 +25,8 @@
   readonly expiresAtMs: number
   /** Prompt tokens that the target was expected to hold. */
   readonly cachedTokens: number
+  /** Wait for earlier prompts that was expected at the grant. */
+  readonly backlogMs: number
   readonly expectedFirstTokenMs: number
   readonly expectedTotalMs: number
   /** When a preemption was last sent. */
--- a/packages/authority/src/target-model.ts
+++ b/packages/authority/src/target-model.ts
@@ -7,6 +7,7 @@
 import * as inFlightHistory from './in-flight-history.js'
 import * as limit from './limit.js'
 import * as pace from './pace.js'
+import * as prefillBacklog from './prefill-backlog.js'
 import * as rateEstimator from './rate-estimator.js'
 import type * as event from './event.js'
 
@@ -19,31 +20,44 @@
 /** State of a target as the authority sees it. */
 export interface TargetModel {
   readonly rates: () => rateEstimator.Rates
+  /** The limit in flight, as tokens of that many requests of mean cost. */
   readonly limitTokens: () => number
   readonly knownTokens: () => number
-  /** Tokens that the target reported beyond the known ones, fading with the report's age. */
-  readonly unknownTokens: (nowMs: number) => number
   readonly requests: () => number
+  /** Whether one more request fits under a share of the limit, with a short wait for its prompt to be read. */
+  readonly hasRoom: (share: number, promptTokens: number, nowMs: number) => boolean
+  /** Time until the prompts in flight are read, milliseconds. */
+  readonly backlogMs: (nowMs: number) => number
   /** Recent first-token times against the target's own best; 1 is normal. */
   readonly pace: (nowMs: number) => number
   /** Tokens that the target finishes in a millisecond when it is filled to its limit. */
   readonly serviceTokensPerMs: () => number
+  /** Times on the idle target. */
   readonly expect: (uncachedTokens: number, answerTokens: number) => Expectation
-  readonly add: (costTokens: number, nowMs: number) => void
-  readonly remove: (costTokens: number, nowMs: number) => void
+  /** Times beside what is in flight. */
+  readonly expectBeside: (uncachedTokens: number, answerTokens: number, nowMs: number) => Expectation
+  readonly add: (costTokens: number, uncachedTokens: number, nowMs: number) => void
+  /** Removes a request whose prompt was expected to be read at `prefilledMs`. */
+  readonly remove: (costTokens: number, prefilledMs: number, nowMs: number) => void
   readonly learn: (sample: rateEstimator.Sample, nowMs: number) => void
+  /** A request finished that showed no first token. */
+  readonly learnTotal: (totalMs: number) => void
   /** A running request is late by this factor. */
   readonly learnOverdue: (factor: number, nowMs: number) => void
   readonly report: (report: event.LoadReport, nowMs: number) => void
-  /** Starts again from a small limit, as for a target that returns. */
+  /** Starts again carefully, as after an outage. */
   readonly restart: () => void
 }
 
 /** First-token times below this are not compared, milliseconds. */
-const MIN_COMPARED_MS = 30
+const MIN_COMPARED_MS = 100
 const RESIDENCE_GAIN = 0.1
-const QUEUED_REPORT_GRADIENT = 0.9
+const COST_GAIN = 0.1
 const REPORT_HALF_LIFE_MS = 2_000
+/** Longest wait for earlier prompts with which a target still takes a request, milliseconds. */
+const MAX_BACKLOG_MS = 400
+/** Share by which the time between tokens grows until the limit is reached. */
+const CROWDING_SHARE = 0.25
 
 /** Expected times at measured rates, without a queue. */
 function expectAt (rates: rateEstimator.Rates, uncachedTokens: number, answerTokens: number): Expectation {
@@ -57,68 +71,91 @@
  * @example
  * ```ts
  * const model = createTargetModel('model', undefined)
- * model.add(1200, nowMs)
+ * model.add(1_200, 1_000, nowMs)
  * model.knownTokens() // 1200
  * ```
  */
 export function createTargetModel (kind: 'model' | 'plain', prior: rateEstimator.Rates | undefined): TargetModel {
   const history = inFlightHistory.createInFlightHistory()
-  const bound = limit.createLimit(kind)
+  const bound = limit.createLimit()
   const lateness = pace.createPace()
+  const backlog = prefillBacklog.createPrefillBacklog()
   let rates = rateEstimator.startRates(kind, prior)
   let known = 0
   let requests = 0
+  let meanCost = 0
   let residenceMs = 0
   let unknown = 0
   let unknownAtMs = 0
 
+  function unknownRequests (nowMs: number): number {
+    return unknown === 0 ? 0 : unknown * 2 ** (-Math.max(0, nowMs - unknownAtMs) / REPORT_HALF_LIFE_MS)
+  }
+
+  function learnTotal (totalMs: number): void {
+    residenceMs += (residenceMs === 0 ? 1 : RESIDENCE_GAIN) * (totalMs - residenceMs)
+  }
+
   return {
     rates: () => rates,
-    limitTokens: bound.tokens,
+    limitTokens: () => bound.requests() * meanCost,
     knownTokens: () => known,
-    unknownTokens: (nowMs) => unknown === 0 ? 0 : unknown * 2 ** (-Math.max(0, nowMs - unknownAtMs) / REPORT_HALF_LIFE_MS),
     requests: () => requests,
+    hasRoom (share, promptTokens, nowMs) {
+      if (requests === 0) return true
+      // Tiers that leave headroom also leave it behind their own prompt.
+      const waitMs = backlog.waitMs(nowMs)
+      const ownMs = share < 1 && waitMs > 0 ? promptTokens / rates.prefillTokensPerMs : 0
+      return requests + unknownRequests(nowMs) + 1 <= bound.requests() * share && waitMs + ownMs <= MAX_BACKLOG_MS * share
+    },
+    backlogMs: backlog.waitMs,
     pace: lateness.at,
     serviceTokensPerMs () {
-      const halfCost = bound.meanCost() / 2
-      const meanMs = residenceMs > 0 ? residenceMs : expectAt(rates, halfCost, halfCost).totalMs
-      return Math.max(bound.tokens(), 1) / Math.max(1, meanMs)
+      const meanMs = residenceMs || expectAt(rates, meanCost / 2, meanCost / 2).totalMs
+      return Math.max(bound.requests() * meanCost, 1) / Math.max(1, meanMs)
     },
     expect: (uncachedTokens, answerTokens) => expectAt(rates, uncachedTokens, answerTokens),
-    add (costTokens, nowMs) {
-      bound.observeCost(costTokens)
+    expectBeside (uncachedTokens, answerTokens, nowMs) {
+      const idle = expectAt(rates, uncachedTokens, answerTokens)
+      const waitMs = backlog.waitMs(nowMs)
+      const decodeMs = (idle.totalMs - idle.firstTokenMs) * (1 + CROWDING_SHARE * requests / bound.requests())
+      return { firstTokenMs: waitMs + idle.firstTokenMs, totalMs: waitMs + idle.firstTokenMs + decodeMs }
+    },
+    add (costTokens, uncachedTokens, nowMs) {
+      meanCost = meanCost === 0 ? costTokens : meanCost + COST_GAIN * (costTokens - meanCost)
       known += costTokens
       requests += 1
-      history.record(nowMs, known)
+      if (kind === 'model') backlog.add(uncachedTokens / rates.prefillTokensPerMs, nowMs)
+      history.record(nowMs, requests)
     },
-    remove (costTokens, nowMs) {
+    remove (costTokens, prefilledMs, nowMs) {
+      backlog.correct(prefilledMs, nowMs)
       requests = Math.max(0, requests - 1)
       known = requests === 0 ? 0 : Math.max(0, known - costTokens)
-      history.record(nowMs, known)
+      history.record(nowMs, requests)
     },
     learn (sample, nowMs) {
       const isFirst = rates.samples === 0
-      const expectedMs = expectAt(rates, sample.uncachedTokens, 0).firstTokenMs
+      const expectedMs = sample.backlogMs + expectAt(rates, sample.uncachedTokens, 0).firstTokenMs
       const gradient = limit.gradientOf(sample, expectedMs, rates)
       rates = rateEstimator.learnRates(kind, rates, sample)
-      residenceMs += (residenceMs === 0 ? 1 : RESIDENCE_GAIN) * (sample.totalMs - residenceMs)
+      learnTotal(sample.totalMs)
       if (isFirst) return
       lateness.learn(sample.firstTokenMs / Math.max(MIN_COMPARED_MS, expectedMs), nowMs)
-      bound.learn(gradient, sample.costTokens, known + sample.costTokens)
-    },
-    learnOverdue (factor, nowMs) {
-      if (factor > lateness.at(nowMs)) lateness.learn(factor, nowMs)
+      bound.learn(gradient, requests + 1)
     },
+    learnTotal,
+    learnOverdue (factor, nowMs) { if (factor > lateness.at(nowMs)) lateness.learn(factor, nowMs) },
     report (report, nowMs) {
       const sampledAtMs = nowMs - report.ageMs
-      const knownThen = history.at(sampledAtMs)
-      unknown = Math.max(0, report.tokensInProgress - knownThen)
+      unknown = Math.max(0, report.runningRequests + report.queuedRequests - history.at(sampledAtMs))
       unknownAtMs = sampledAtMs
-      if (report.queuedRequests > 0 && bound.isInUse(knownThen)) bound.learn(QUEUED_REPORT_GRADIENT, bound.tokens(), knownThen)
+      if (report.queuedRequests > 0) bound.cap(report.runningRequests)
     },
     restart () {
       bound.restart()
       lateness.reset()
+      backlog.clear()
     }
   }
 }
