Check that no lower tier starts while a higher one waits

The check of the order compared shares to the end of the drain, where what callers allow decides: a tag that may wait 10 minutes rightly finishes after the overload. It now compares what was written during the overload, and a new check looks at every start.

--- a/packages/load/src/replay/check-outcomes.ts
+++ b/packages/load/src/replay/check-outcomes.ts
@@ -6,6 +6,7 @@
 import * as history from '@persimmonhatch/history'
 import type * as measure from './measure.js'
 import type * as replay from './replay.js'
+import * as startOrder from './start-order.js'
 
 /** One stated outcome and what was reached. */
 export interface Check {
@@ -18,6 +19,7 @@
 const PERCENT = 100
 /** Load up to which the latency objectives hold. */
 const STATED_LOAD = 1
+const ORDER_TOLERANCE = 0.005
 
 function percent (share: number): string {
   return `${(share * PERCENT).toFixed(1)}%`
@@ -37,11 +39,17 @@
   ]
 }
 
-/** The share that finishes must not grow from a more important tier to a less important one; what crashes cut off was no decision and is left out. */
-function checkOrder (measures: measure.Measures): Check {
-  const shares = measures.tiers.filter(({ target }) => target === 'model').map(({ goodTokens, offeredTokens, cutTokens }) => goodTokens / Math.max(1, offeredTokens - cutTokens))
-  const isOrdered = shares.every((share, index) => index === 0 || share <= (shares[index - 1] as number) + 0.005)
-  return { name: "tiers' order in finishing", bound: 'shares do not grow', reached: shares.map(percent).join(', '), isMet: isOrdered }
+/** The share that finishes, under overload before the last arrival, must not grow from a more important tier to a less important one; what crashes cut off was no decision and is left out. */
+function checkOrder (result: replay.Result, measures: measure.Measures): readonly Check[] {
+  const isOverload = result.trace.header.load > STATED_LOAD
+  const shares = measures.tiers.filter(({ target }) => target === 'model')
+    .map(({ goodTokens, goodTokensDuring, offeredTokens, cutTokens }) => (isOverload ? goodTokensDuring : goodTokens) / Math.max(1, offeredTokens - cutTokens))
+  const isOrdered = shares.every((share, index) => index === 0 || share <= (shares[index - 1] as number) + ORDER_TOLERANCE)
+  const early = startOrder.countOutOfOrder(result)
+  return [
+    { name: 'no start of a lower tier while a higher waits', bound: '0 starts', reached: String(early), isMet: early === 0 },
+    { name: "tiers' order in finishing", bound: 'shares do not grow', reached: shares.map(percent).join(', '), isMet: isOrdered }
+  ]
 }
 
 function checkLatency (result: replay.Result, measures: measure.Measures): readonly Check[] {
@@ -82,7 +90,7 @@
   const { outcomes, load } = result.trace.header
   const always = [
     ...checkPromises(result),
-    checkOrder(measures),
+    ...checkOrder(result, measures),
     atLeast('goodput of the top tiers', outcomes.topTierShare, measures.topTierShare),
     checkWaste(result, measures),
     ...checkLatency(result, measures)
