Let lower tiers wait on when a higher one is shed

Cause: a shed of one report refused every waiting tag of the service, though tags may wait 10 minutes and nothing of theirs ran. Ruled out: the promise needs it; it speaks of what runs, and starts are held for 1 s.

--- a/packages/authority/src/overload.ts
+++ b/packages/authority/src/overload.ts
@@ -60,15 +60,6 @@
   return content.maxWaitMs * MAX_WAIT_SHARE
 }
 
-function * dropLower (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): outputs.Outputs {
-  const { service, tier } = ask.message
-  const hasLower = state.queue.ranks().some((rank) => rank > tier && state.queue.tier(rank).backlog(service).asks > 0)
-  if (!hasLower) return
-  const lower = [...state.queue.all()].filter((other) => other.message.service === service && other.message.tier > tier)
-    .sort((left, right) => right.message.tier - left.message.tier)
-  for (const other of lower) yield * refusals.refuse(state, other, 'shed', nowMs)
-}
-
 /** Refuses an ask as soon as nothing of a lower tier runs on its targets; until then it stays pending. */
 export function * considerRefusal (state: context.Context, ask: waitingAsk.WaitingAsk, reason: protocol.Reason, nowMs: number): outputs.Outputs {
   const service = serviceOf(state, ask)
@@ -77,7 +68,6 @@
     state.pending.set(ask.key, reason)
     return
   }
-  if (reason === 'shed') yield * dropLower(state, ask, nowMs)
   yield * refusals.refuse(state, ask, reason, nowMs)
 }
 
