--- a/packages/load/src/replay/cores.ts
+++ b/packages/load/src/replay/cores.ts
@@ -16,6 +16,8 @@
   readonly prefixes: boolean
   /** Whether load and cache reports are read. */
   readonly reports: boolean
+  /** When the list of VMs came back empty, and for how long, if missing targets count as leaving. */
+  readonly believedEmptyList?: { readonly atMs: number, readonly forMs: number } | undefined
   /** Called at every reading of reports with the authorities' status. */
   readonly observe?: ((status: authority.authority.Status, nowMs: number) => void) | undefined
 }
@@ -91,6 +93,7 @@
     this.#daemons = incarnations.map((incarnation) => daemon.createDaemon({ incarnation, pools: this.#pools, random, ports: this.#portsOf(incarnation) }))
     this.#introduce(incarnations)
     this.#tick()
+    this.#scheduleEmptyList()
   }
 
   arrive (request: scheduler.Request): void {
@@ -143,6 +146,23 @@
     this.surroundings.timeline.after(TICK_MS, () => this.#tick())
   }
 
+  #scheduleEmptyList (): void {
+    const empty = this.options.believedEmptyList
+    if (empty === undefined) return
+    this.surroundings.timeline.at(empty.atMs, () => this.#changeTargets('leaving', 1))
+    this.surroundings.timeline.at(empty.atMs + empty.forMs, () => this.#changeTargets('serving', 2))
+  }
+
+  #changeTargets (state: 'leaving' | 'serving', version: number): void {
+    for (const { name } of this.surroundings.header.targets) {
+      const event = { kind: 'target', news: { kind: 'target', target: name, version, state } } as const
+      for (const each of this.#daemons) {
+        each.toEntry(event, this.#now())
+        each.toAuthorities(event, this.#now())
+      }
+    }
+  }
+
   #observe (nowMs: number): void {
     this.#pools.forEach((pool, index) => {
       const status = this.#daemons[index % this.#daemons.length]?.status(pool)
