Let limits grow back after a slow period

Cause: with a limit of 3.9, 3 requests in flight did not count as using it, so a target that had been slow stayed at 10 to 20% of its rate for the rest of the trace. Growth by one for each limit's worth is slow as well. Ruled out: prefill rate, base time and pace had recovered within seconds.

--- a/packages/authority/src/authority.ts
+++ b/packages/authority/src/authority.ts
@@ -30,6 +30,7 @@
   readonly tokensInFlight: number
   readonly limitTokens: number
   readonly requestsInFlight: number
+  readonly limitRequests: number
   /** Slow-down against its peers; 1 is normal. */
   readonly slowdown: number
 }
@@ -105,6 +106,7 @@
       state: state.targets.state(target),
       tokensInFlight: model?.knownTokens() ?? 0,
       limitTokens: Math.round(model?.limitTokens() ?? 0),
+      limitRequests: Math.round(model?.limitRequests() ?? 0),
       requestsInFlight: model?.requests() ?? 0,
       slowdown: state.targets.slowdown(target)
     }
--- a/packages/authority/src/limit.ts
+++ b/packages/authority/src/limit.ts
@@ -2,8 +2,8 @@
  * The limit in flight of one target, in requests, learned so that the target's own queue stays short.
  *
  * Per finished request with gradient g = min(1, allowed / measured time), the limit falls by 1 - g when
- * g < 1, and otherwise, while it is in use, grows by 1 in slow start (RFC 5681) and by 1 / limit
- * afterwards. Source of the gradient: the Gradient limit of Netflix's concurrency-limits library.
+ * g < 1, and otherwise, while it is in use, grows by 1 in slow start (RFC 5681), by 1 / limit
+ * afterwards, and by a quarter while the batch has no effect on the time between tokens. Source of the gradient: the Gradient limit of Netflix's concurrency-limits library.
  *
  * @module
  */
@@ -13,7 +13,7 @@
 export interface Limit {
   readonly requests: () => number
   /** A request finished; `inFlight` requests were in flight with it. */
-  readonly learn: (gradient: number, inFlight: number) => void
+  readonly learn: (gradient: number, isUncrowded: boolean, inFlight: number) => void
   /** The target's batch was full with `running` requests. */
   readonly cap: (running: number) => void
   /** Starts again from a small limit. */
@@ -28,7 +28,10 @@
 /** Time between tokens that is allowed, as a multiple of the shortest; above 1 so that the batch stays full. */
 const DECODE_TOLERANCE = 1.25
 const MIN_GRADIENT = 0.5
-/** Share of the limit that must be in use before the limit grows. */
+/** Time between tokens up to which the batch counts as uncrowded, as a multiple of the shortest. */
+const UNCROWDED_TOLERANCE = 1.05
+const UNCROWDED_GROWTH = 0.25
+/** Share of the limit that must be in use, with one request more, before the limit grows. */
 const IN_USE_SHARE = 0.8
 
 /**
@@ -47,6 +50,11 @@
   return Math.max(MIN_GRADIENT, gradient)
 }
 
+/** Whether a finished request was as fast between tokens as on an almost empty target. */
+export function isUncrowded (sample: rateEstimator.Sample, rates: rateEstimator.Rates): boolean {
+  return (rateEstimator.decodeTime(sample) ?? Infinity) <= UNCROWDED_TOLERANCE * rates.bestDecodeMs
+}
+
 /**
  * Creates a limit.
  *
@@ -62,12 +70,12 @@
 
   return {
     requests: () => requests,
-    learn (gradient, inFlight) {
+    learn (gradient, isUncrowded, inFlight) {
       if (gradient < 1) {
         isSlowStart = false
         requests -= 1 - gradient
-      } else if (inFlight > requests * IN_USE_SHARE) {
-        requests += isSlowStart ? 1 : 1 / requests
+      } else if (inFlight + 1 > requests * IN_USE_SHARE) {
+        requests += isSlowStart ? 1 : Math.max(1 / requests, isUncrowded ? UNCROWDED_GROWTH : 0)
       }
       requests = Math.min(MAX_REQUESTS, Math.max(MIN_REQUESTS, requests))
     },
--- a/packages/authority/src/target-model.ts
+++ b/packages/authority/src/target-model.ts
@@ -22,6 +22,7 @@
   readonly rates: () => rateEstimator.Rates
   /** The limit in flight, as tokens of that many requests of mean cost. */
   readonly limitTokens: () => number
+  readonly limitRequests: () => number
   readonly knownTokens: () => number
   readonly requests: () => number
   /** Whether one more request fits under a share of the limit, with a short wait for its prompt to be read. */
@@ -99,6 +100,7 @@
   return {
     rates: () => rates,
     limitTokens: () => bound.requests() * meanCost,
+    limitRequests: bound.requests,
     knownTokens: () => known,
     requests: () => requests,
     hasRoom (share, promptTokens, nowMs) {
@@ -117,9 +119,8 @@
     expect: (uncachedTokens, answerTokens) => expectAt(rates, uncachedTokens, answerTokens),
     expectBeside (uncachedTokens, answerTokens, nowMs) {
       const idle = expectAt(rates, uncachedTokens, answerTokens)
-      const waitMs = backlog.waitMs(nowMs)
-      const decodeMs = (idle.totalMs - idle.firstTokenMs) * (1 + CROWDING_SHARE * requests / bound.requests())
-      return { firstTokenMs: waitMs + idle.firstTokenMs, totalMs: waitMs + idle.firstTokenMs + decodeMs }
+      const firstTokenMs = backlog.waitMs(nowMs) + idle.firstTokenMs
+      return { firstTokenMs, totalMs: firstTokenMs + (idle.totalMs - idle.firstTokenMs) * (1 + CROWDING_SHARE * requests / bound.requests()) }
     },
     add (costTokens, uncachedTokens, nowMs) {
       meanCost = meanCost === 0 ? costTokens : meanCost + COST_GAIN * (costTokens - meanCost)
@@ -142,7 +143,7 @@
       learnTotal(sample.totalMs)
       if (isFirst) return
       lateness.learn(sample.firstTokenMs / Math.max(MIN_COMPARED_MS, expectedMs), nowMs)
-      bound.learn(gradient, requests + 1)
+      bound.learn(gradient, limit.isUncrowded(sample, rates), requests + 1)
     },
     learnTotal,
     learnOverdue (factor, nowMs) { if (factor > lateness.at(nowMs)) lateness.learn(factor, nowMs) },
