--- a/packages/authority/tests/overload.test.ts
+++ b/packages/authority/tests/overload.test.ts
@@ -94,6 +94,7 @@
 
 overload('keeps another pool\'s floor: stops, starts nothing lower, and reports', () => {
   const driver = loaded(2, 4, {}, { otherPool: 'west' }, [['west', 'other']])
+  driver.pass(2_000)
   const sent = driver.deliver('other', { kind: 'floor', pool: 'east', tier: 0, holdMs: 4_000 })
   assert.is(fixture.only(sent, 'revocation').length, 4)
   assert.equal(fixture.only(sent, 'floor-reached'), [])
