Preempt for asks that have waited, not for those that are expected to

Cause: every ask that was queued with an expected wait above half of its first-token objective stopped running requests for all that was ahead of it; slots come free every 40 ms anyway. Ruled out: preemption at the head of a tier and before a deadline stay as they are, but for 70% of the objective.

--- a/packages/authority/src/overload.ts
+++ b/packages/authority/src/overload.ts
@@ -23,7 +23,7 @@
 /** Factor by which a queued ask's expected wait may grow beyond its limit. */
 const QUEUED_TOLERANCE = 1.5
 /** Share of the first-token objective that may be spent waiting. */
-const FIRST_TOKEN_WAIT_SHARE = 0.5
+const FIRST_TOKEN_WAIT_SHARE = 0.7
 /** Share of the completion objective that may be spent waiting. */
 const COMPLETION_WAIT_SHARE = 0.25
 /** Share of the longest wait that is allowed where no objective is stated. */
@@ -111,8 +111,6 @@
     yield * considerRefusal(state, ask, reason, nowMs)
     return
   }
-  if (service.document.weighing.prefer !== 'goodput-by-tier' || estimate.waitMs <= allowedWait(service, ask.message.tier)) return
-  yield * preemption.preempt(state, ask.message.tier, service, estimate.aheadTokens + ask.costTokens, nowMs)
 }
 
 function * handleDue (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): outputs.Outputs {
