Send nothing when the process was suspended before the first byte

Cause: a grant is checked when the dispatch is decided, but the first byte leaves when the connection is ready; a suspension in between sent a request on a grant that may be stale. Change: the notice before the first byte fails the dispatch as unreachable when more than 1 s has passed since the decision. Documents from peers make a daemon ready only when every announced one has arrived. Conclusion: no request leaves later than 1 s after its grant was checked.

--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -16,6 +16,19 @@
 /** Headers of an answer that belong to one connection. */
 const OWN_ANSWER_HEADERS = new Set(['connection', 'keep-alive', 'proxy-authenticate', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'])
 
+/** Time from a grant's use to the first byte above which nothing is sent any more, milliseconds. */
+export const DISPATCH_VALIDITY_MS = 1_000
+
+/** The connection was ready so late that the grant may be stale. */
+export class StaleDispatch extends Error {
+  readonly code = 'STALE_DISPATCH'
+
+  constructor (silentMs: number) {
+    super(`The connection was ready ${Math.round(silentMs)} ms after the dispatch was decided: ask for a slot again.`)
+    this.name = 'StaleDispatch'
+  }
+}
+
 /** A request as it goes to a target. */
 export interface Job {
   readonly method: string
@@ -71,7 +84,12 @@
   const startMs = options.clock()
   const meter = answerStream.createMeter(options.clock, startMs, options.job.promptTokens)
   let sent = false
-  const client = platform.httpClient.withDispatchNotice(options.httpClient, () => { sent = true })
+  // The process may have been suspended, or the connection slow, since the grant was checked.
+  const client = platform.httpClient.withDispatchNotice(options.httpClient, () => {
+    const elapsedMs = options.clock() - startMs
+    if (elapsedMs > DISPATCH_VALIDITY_MS) throw new StaleDispatch(elapsedMs)
+    sent = true
+  })
   try {
     const response = await undici.request(`http://${options.placement.address}${options.job.path}`, {
       dispatcher: client,
--- a/packages/daemon/src/tasks/documents.ts
+++ b/packages/daemon/src/tasks/documents.ts
@@ -38,7 +38,7 @@
   readonly heard: (news: protocol.RevisionNews) => void
   readonly received: (from: protocol.Incarnation, message: protocol.DocumentRequest | protocol.DocumentCopy) => void
   readonly tick: () => void
-  /** Whether any document was seen or the platform said that there is none. */
+  /** Whether the platform listed the documents, or peers gave every document that they announced. */
   readonly ready: () => boolean
   readonly inForce: () => readonly document.serviceDocument.ServiceDocument[]
   readonly status: () => readonly document.adoption.Status[]
@@ -128,8 +128,9 @@
 
   function received (from: protocol.Incarnation, message: protocol.DocumentRequest | protocol.DocumentCopy): void {
     if (message.kind === 'document-copy') {
-      ready = true
-      return take([{ service: message.service, text: message.content, source: 'peer' }])
+      take([{ service: message.service, text: message.content, source: 'peer' }])
+      ready ||= wanted.size === 0
+      return
     }
     const found = adoption.find(message.service)
     if (found === undefined || found.revision < message.revision) return
--- /dev/null
+++ b/packages/daemon/tests/dispatcher.test.ts
@@ -0,0 +1,44 @@
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import * as platform from '@persimmonhatch/platform'
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as answerRecord from '../src/dispatch/answer-record.js'
+import * as dispatcher from '../src/dispatch/dispatcher.js'
+
+const suite = uvu.suite('dispatch')
+
+/** Dispatches to a service that counts its requests; the clock jumps before the first byte. */
+async function dispatchAfter (silentMs: number): Promise<{ readonly outcome: string, readonly received: number }> {
+  let received = 0
+  const server = http.createServer((_, response) => {
+    received += 1
+    response.end('ok')
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`
+  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const times = [0]
+  const end = await dispatcher.dispatch({
+    httpClient,
+    clock: () => times.shift() ?? silentMs,
+    placement: { target: 'stock-1', address, targetKind: 'plain' },
+    receipt: {} as dispatcher.Options['receipt'],
+    job: { method: 'POST', path: '/reservations', headers: {}, body: Buffer.from('{}'), promptTokens: 1 },
+    record: answerRecord.createAnswerRecord(true),
+    signal: new AbortController().signal
+  })
+  await httpClient.close()
+  await new Promise((resolve) => server.close(resolve))
+  return { outcome: end.outcome, received }
+}
+
+suite('sends at once', async () => {
+  assert.equal(await dispatchAfter(10), { outcome: 'finished', received: 1 })
+})
+
+suite('sends nothing when the process was suspended before the first byte', async () => {
+  assert.equal(await dispatchAfter(dispatcher.DISPATCH_VALIDITY_MS + 1), { outcome: 'unreachable', received: 0 })
+})
+
+suite.run()
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -48,7 +48,8 @@
 
 /**
  * Wraps a client so that `onDispatch` runs just before the first byte of each request may be
- * written. A request that fails without it has certainly not been sent.
+ * written. A request that fails without it has certainly not been sent. When `onDispatch` throws,
+ * nothing is sent and the request fails with that error.
  *
  * @example
  * ```ts
