Reject foreign incarnations and unexpected replies on the daemons' port

Cause: a link never said whom it wanted, so a daemon that took over an address was given the queue of messages kept for its predecessor until the link closed, which it never did; a greeting in another name than the link's, or in this daemon's own, was answered as if in order; replies to nothing and unknown methods were not counted. Ruled out: malformed JSON, binary frames, wrong fields, messages before the greeting and wrong versions: rejected and counted before. Change: the greeting names the wanted incarnation; a successor is made known and its link closed; one reply to one greeting; own and changed names are refused.

--- a/packages/daemon/src/peer/link.ts
+++ b/packages/daemon/src/peer/link.ts
@@ -19,6 +19,9 @@
 const HELLO = 'hello'
 const REFUSED_GREETING_CODE = -32_001
 
+/** Identity of the only request that a link makes, its greeting. */
+const GREETING_ID = 1
+
 /** What a link needs of its surroundings. */
 export interface Options {
   readonly socket: ws.WebSocket
@@ -51,6 +54,14 @@
   }
 }
 
+/** The greeting is not from, or not for, the daemon that the link belongs to. */
+export class ForeignIncarnation extends Error {
+  constructor (incarnation: protocol.Incarnation) {
+    super(`The greeting names incarnation ${incarnation}, which this connection does not belong to: connect again.`)
+    this.name = 'ForeignIncarnation'
+  }
+}
+
 function readGreeting (parameters: unknown): protocol.Greeting {
   const greeting = protocol.greeting.parse(parameters)
   if (greeting.version !== protocol.PROTOCOL_VERSION) throw new VersionMismatch(greeting.version)
@@ -72,9 +83,10 @@
   const openedMs = options.clock()
   let heardMs = openedMs
   let sentMs: number | undefined
+  let isGreetingOpen = false
 
   const server = new jsonRpc.JSONRPCServer({ errorListener: () => count('peers.rejected', 1) })
-  const client = new jsonRpc.JSONRPCClient((payload) => transmit(JSON.stringify(payload)))
+  const client = new jsonRpc.JSONRPCClient((payload) => transmit(JSON.stringify(payload)), () => GREETING_ID)
   server.addMethod(HELLO, acceptGreeting)
   server.mapErrorToJSONRPCErrorResponse = (id, error: Error) => jsonRpc.createJSONRPCErrorResponse(id, REFUSED_GREETING_CODE, error.message)
 
@@ -94,6 +106,9 @@
   }
 
   function identify (member: protocol.MemberNews): void {
+    const { incarnation } = member
+    if (incarnation === options.greet().member.incarnation) throw new ForeignIncarnation(incarnation)
+    if (peer !== undefined && peer !== incarnation) throw new ForeignIncarnation(incarnation)
     if (peer !== undefined) return
     peer = member.incarnation
     options.onOpen(link, member)
@@ -106,6 +121,7 @@
   }
 
   function greet (): void {
+    isGreetingOpen = true
     client.request(HELLO, options.greet()).then(
       (answer: unknown) => identify(readGreeting(answer).member)
     ).then(undefined, () => {
@@ -120,15 +136,23 @@
     options.onMessage(link, message.data)
   }
 
+  /** Takes the reply to the greeting, once. */
+  function receiveReply (reply: jsonRpc.JSONRPCResponse): void {
+    if (!isGreetingOpen || reply.id !== GREETING_ID) return count('peers.rejected', 1)
+    isGreetingOpen = false
+    client.receive(reply)
+  }
+
   function receive (text: string): void {
     heardMs = options.clock()
     sentMs = undefined
     count('peers.receivedBytes', text.length)
     const payload = parsePayload(text)
     if (payload === undefined) return count('peers.rejected', 1)
-    if (jsonRpc.isJSONRPCResponse(payload)) return client.receive(payload)
+    if (jsonRpc.isJSONRPCResponse(payload)) return receiveReply(payload)
     if (!jsonRpc.isJSONRPCRequest(payload)) return count('peers.rejected', 1)
     if (payload.id === undefined) return receiveNotification(payload.method, payload.params)
+    if (!server.hasMethod(payload.method)) count('peers.rejected', 1)
     server.receive(payload).then(
       (answer) => { if (answer !== null) transmit(JSON.stringify(answer)) }
     ).then(undefined, () => count('peers.rejected', 1))
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -55,12 +55,12 @@
   const all = new Set<linkModule.Link>()
   const dialing = new Map<protocol.Incarnation, protocol.PeerMessage[]>()
 
-  function startLink (socket: ws.WebSocket): linkModule.Link {
+  function startLink (socket: ws.WebSocket, wanted: string): linkModule.Link {
     const link = linkModule.openLink({
       socket,
       clock: options.clock,
-      greet: () => options.greet(''),
-      onOpen: opened,
+      greet: () => options.greet(wanted),
+      onOpen: (from, member) => opened(from, member, wanted),
       onMessage: (from, message) => {
         const peer = from.peer()
         if (peer !== undefined) options.onMessage(peer, message)
@@ -72,7 +72,8 @@
     return link
   }
 
-  function opened (link: linkModule.Link, member: protocol.MemberNews): void {
+  function opened (link: linkModule.Link, member: protocol.MemberNews, wanted: string): void {
+    if (wanted !== '' && wanted !== member.incarnation) return meetSuccessor(link, member)
     links.set(member.incarnation, link)
     options.onConnected(member)
     const queued = dialing.get(member.incarnation) ?? []
@@ -80,22 +81,29 @@
     for (const message of queued) link.send(message)
   }
 
+  /** The wanted daemon's address belongs to another incarnation now: learn of it, and close. */
+  function meetSuccessor (link: linkModule.Link, member: protocol.MemberNews): void {
+    options.count('peers.foreign', 1)
+    options.onConnected(member)
+    link.close()
+  }
+
   function closed (link: linkModule.Link): void {
     all.delete(link)
     const peer = link.peer()
     if (peer !== undefined && links.get(peer) === link) links.delete(peer)
   }
 
-  function connect (address: protocol.Address): ws.WebSocket {
+  function connect (address: protocol.Address, wanted: string): ws.WebSocket {
     const socket = new ws.WebSocket(`ws://${address}/`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
-    const link = startLink(socket)
+    const link = startLink(socket, wanted)
     socket.once('open', () => link.greet())
     return socket
   }
 
   function dial (member: protocol.MemberNews, message: protocol.PeerMessage): void {
     dialing.set(member.incarnation, [message])
-    connect(member.peerAddress).once('close', () => {
+    connect(member.peerAddress, member.incarnation).once('close', () => {
       const lost = dialing.get(member.incarnation)?.length ?? 0
       dialing.delete(member.incarnation)
       options.count('peers.undelivered', lost)
@@ -125,7 +133,7 @@
     response.end('This port is for other daemons; callers and operators use the callers address.\n')
   })
   const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
-  server.on('connection', (socket) => { startLink(socket) })
+  server.on('connection', (socket) => { startLink(socket, '') })
   server.on('error', () => {})
   await new Promise<void>((resolve, reject) => {
     httpServer.once('error', reject)
@@ -138,5 +146,5 @@
     await new Promise<void>((resolve) => httpServer.close(() => resolve()))
   }
 
-  return { send, drop, introduce: (address) => { connect(address) }, tick: () => { for (const link of all) link.tick() }, close }
+  return { send, drop, introduce: (address) => { connect(address, '') }, tick: () => { for (const link of all) link.tick() }, close }
 }
--- /dev/null
+++ b/packages/daemon/tests/peer-port.test.ts
@@ -0,0 +1,208 @@
+import * as net from 'node:net'
+import * as protocol from '@persimmonhatch/protocol'
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as ws from 'ws'
+import * as peersModule from '../src/peer/peers.js'
+
+const OWN = 'aaaaaaaaaaaaa'
+const PEER = 'bbbbbbbbbbbbb'
+const OTHER = 'ccccccccccccc'
+const ROUND = { jsonrpc: '2.0', method: 'round', params: { round: 7 } }
+const LIMIT_MS = 5_000
+
+interface Daemon {
+  readonly address: string
+  readonly peers: peersModule.Peers
+  readonly counts: Map<string, number>
+  readonly received: (readonly [string, protocol.PeerMessage])[]
+  readonly connected: string[]
+  readonly members: Map<string, protocol.MemberNews>
+}
+
+function member (incarnation: string, address: string): protocol.MemberNews {
+  return { kind: 'member', incarnation, address, peerAddress: address, availabilityZone: 'z', region: 'r', beat: 1, state: 'alive', load: 0 }
+}
+
+function hello (incarnation: string, version: number = protocol.PROTOCOL_VERSION): object {
+  return { jsonrpc: '2.0', id: 1, method: 'hello', params: { version, member: member(incarnation, '127.0.0.1:1'), wanted: '' } }
+}
+
+async function freeAddress (): Promise<string> {
+  const server = net.createServer()
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as net.AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return `127.0.0.1:${port}`
+}
+
+async function startDaemon (incarnation: string): Promise<Daemon> {
+  const address = await freeAddress()
+  const counts = new Map<string, number>()
+  const received: (readonly [string, protocol.PeerMessage])[] = []
+  const connected: string[] = []
+  const members = new Map<string, protocol.MemberNews>()
+  const peers = await peersModule.openPeers({
+    listen: address,
+    clock: () => performance.now(),
+    greet: (wanted) => ({ version: protocol.PROTOCOL_VERSION, member: member(incarnation, address), wanted }),
+    findMember: (wanted) => members.get(wanted),
+    onMessage: (from, message) => received.push([from, message]),
+    onConnected: (one) => connected.push(one.incarnation),
+    count: (counter, value) => counts.set(counter, (counts.get(counter) ?? 0) + value)
+  })
+  return { address, peers, counts, received, connected, members }
+}
+
+interface Socket {
+  readonly send: (payload: unknown) => void
+  readonly raw: ws.WebSocket
+  readonly replies: string[]
+}
+
+async function connect (daemon: Daemon): Promise<Socket> {
+  const raw = new ws.WebSocket(`ws://${daemon.address}/`)
+  const replies: string[] = []
+  raw.on('message', (data) => replies.push(String(data)))
+  raw.on('error', () => {})
+  await new Promise((resolve) => raw.once('open', resolve))
+  return { raw, replies, send: (payload) => raw.send(typeof payload === 'string' ? payload : JSON.stringify(payload)) }
+}
+
+async function until (isTrue: () => boolean): Promise<void> {
+  const startMs = performance.now()
+  while (!isTrue()) {
+    if (performance.now() - startMs > LIMIT_MS) throw new Error('It did not happen.')
+    await new Promise((resolve) => setTimeout(resolve, 5))
+  }
+}
+
+async function greeted (daemon: Daemon): Promise<Socket> {
+  const socket = await connect(daemon)
+  socket.send(hello(PEER))
+  await until(() => socket.replies.length === 1)
+  return socket
+}
+
+let daemon: Daemon
+const suite = uvu.suite('the port for other daemons')
+
+suite.before.each(async () => { daemon = await startDaemon(OWN) })
+suite.after.each(async () => { await daemon.peers.close() })
+
+for (const [name, bad] of [
+  ['malformed JSON', '{"jsonrpc":'],
+  ['JSON that is no object', '[1,2]'],
+  ['an object of another protocol', { hello: 'there' }],
+  ['an unknown notification', { jsonrpc: '2.0', method: 'shutdown', params: {} }],
+  ['an unknown method', { jsonrpc: '2.0', id: 4, method: 'shutdown', params: {} }],
+  ['a message with a wrong field', { jsonrpc: '2.0', method: 'round', params: { round: 'seven' } }],
+  ['a message without parameters', { jsonrpc: '2.0', method: 'grant' }],
+  ['a reply to nothing', { jsonrpc: '2.0', id: 9, result: {} }],
+  ['a greeting sent as a notification', { jsonrpc: '2.0', method: 'hello', params: {} }],
+  ['a greeting from another incarnation', hello(OTHER)],
+  ['a greeting in this daemon\'s own name', hello(OWN)],
+  ['a binary frame', Buffer.from([0, 1, 2])]
+] as const) {
+  suite(`rejects and counts ${name}, and serves the connection on`, async () => {
+    const socket = await greeted(daemon)
+    if (Buffer.isBuffer(bad)) socket.raw.send(bad)
+    else socket.send(bad)
+    socket.send(ROUND)
+    await until(() => daemon.received.length === 1)
+    assert.equal(daemon.received, [[PEER, { kind: 'round', round: 7 }]])
+    assert.is(daemon.counts.get('peers.rejected'), 1)
+    assert.equal(daemon.connected, [PEER])
+    socket.raw.terminate()
+  })
+}
+
+suite('rejects another version and names the remedy', async () => {
+  const socket = await connect(daemon)
+  socket.send(hello(PEER, protocol.PROTOCOL_VERSION + 1))
+  await until(() => socket.replies.length === 1)
+  assert.match(socket.replies[0] ?? '', /run the same release on both/)
+  assert.equal(daemon.connected, [])
+  assert.is(daemon.counts.get('peers.rejected'), 1)
+  socket.raw.terminate()
+})
+
+suite('rejects messages before the greeting, and takes them after it', async () => {
+  const socket = await connect(daemon)
+  socket.send(ROUND)
+  socket.send(hello(PEER))
+  socket.send(ROUND)
+  await until(() => daemon.received.length === 1)
+  assert.is(daemon.counts.get('peers.rejected'), 1)
+  socket.raw.terminate()
+})
+
+suite('answers a repeated greeting and opens nothing twice', async () => {
+  const socket = await greeted(daemon)
+  socket.send(hello(PEER))
+  await until(() => socket.replies.length === 2)
+  assert.equal(daemon.connected, [PEER])
+  socket.raw.terminate()
+})
+
+suite('closes an oversized frame\'s connection and no other', async () => {
+  const harmed = await greeted(daemon)
+  const unharmed = await connect(daemon)
+  unharmed.send(hello(OTHER))
+  await until(() => unharmed.replies.length === 1)
+  harmed.send('x'.repeat(5_000_000))
+  await until(() => harmed.raw.readyState === ws.WebSocket.CLOSED)
+  unharmed.send(ROUND)
+  await until(() => daemon.received.length === 1)
+  assert.equal(daemon.received[0]?.[0], OTHER)
+  assert.is(daemon.counts.get('peers.errors'), 1)
+  unharmed.raw.terminate()
+})
+
+suite('answers plain HTTP with where to go', async () => {
+  const response = await fetch(`http://${daemon.address}/`)
+  assert.is(response.status, 426)
+  assert.match(await response.text(), /callers address/)
+})
+
+/** A listener that greets as OTHER, repeats its reply, and sends replies to nothing. */
+async function startNoisyPeer (): Promise<{ readonly address: string, readonly close: () => Promise<void> }> {
+  const address = await freeAddress()
+  const server = new ws.WebSocketServer({ host: '127.0.0.1', port: Number(address.split(':')[1]) })
+  server.on('connection', (socket) => {
+    socket.on('error', () => {})
+    socket.on('message', (data) => {
+      const { id } = JSON.parse(String(data)) as { readonly id?: number }
+      if (id === undefined) return
+      const result = { version: protocol.PROTOCOL_VERSION, member: member(OTHER, address), wanted: '' }
+      for (const one of [id + 5, id, id]) socket.send(JSON.stringify({ jsonrpc: '2.0', id: one, result }))
+    })
+  })
+  await new Promise((resolve) => server.once('listening', resolve))
+  return { address, close: async () => { for (const socket of server.clients) socket.terminate(); await new Promise((resolve) => server.close(resolve)) } }
+}
+
+suite('takes the reply to its greeting once, whatever other replies come', async () => {
+  const peer = await startNoisyPeer()
+  daemon.members.set(OTHER, member(OTHER, peer.address))
+  daemon.peers.send({ to: OTHER, message: { kind: 'round', round: 1 } })
+  await until(() => daemon.counts.get('peers.rejected') === 2)
+  assert.equal(daemon.connected, [OTHER])
+  await peer.close()
+})
+
+suite('learns of a successor at a gone daemon\'s address, and delivers it nothing', async () => {
+  const successor = await startDaemon(OTHER)
+  daemon.members.set(PEER, member(PEER, successor.address))
+  daemon.peers.send({ to: PEER, message: { kind: 'round', round: 1 } })
+  await until(() => daemon.counts.get('peers.undelivered') === 1)
+  assert.equal(daemon.connected, [OTHER])
+  assert.is(daemon.counts.get('peers.foreign'), 1)
+  daemon.members.set(OTHER, member(OTHER, successor.address))
+  daemon.peers.send({ to: OTHER, message: { kind: 'round', round: 2 } })
+  await until(() => successor.received.length === 1)
+  assert.equal(successor.received, [[OWN, { kind: 'round', round: 2 }]])
+  await successor.peers.close()
+})
+
+suite.run()
