--- a/packages/authority/src/overload.ts
+++ b/packages/authority/src/overload.ts
@@ -95,7 +95,6 @@
   const reason = findReason(state, ask, estimate, 1, nowMs)
   if (reason !== undefined) {
     yield * considerRefusal(state, ask, reason, nowMs)
-    return
   }
 }
 
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -3,11 +3,10 @@
  *
  * @module
  */
-import * as http from 'node:http'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as ws from 'ws'
-import * as splitAddress from '../util/split-address.js'
 import * as linkModule from './link.js'
+import * as listenerModule from './listener.js'
 
 /** Largest message, bytes: a service document and its envelope. */
 const MAX_MESSAGE_BYTES = 4_194_304
@@ -57,12 +56,12 @@
   const all = new Set<linkModule.Link>()
   const dialing = new Map<protocol.Incarnation, protocol.PeerMessage[]>()
 
-  function startLink (socket: ws.WebSocket): linkModule.Link {
+  function startLink (socket: ws.WebSocket, wanted: string): linkModule.Link {
     const link = linkModule.openLink({
       socket,
       clock: options.clock,
-      greet: () => options.greet(''),
-      onOpen: opened,
+      greet: () => options.greet(wanted),
+      onOpen: (from, member) => opened(from, member, wanted),
       onMessage: (from, message) => {
         const peer = from.peer()
         if (peer !== undefined) options.onMessage(peer, message)
@@ -74,7 +73,8 @@
     return link
   }
 
-  function opened (link: linkModule.Link, member: protocol.MemberNews): void {
+  function opened (link: linkModule.Link, member: protocol.MemberNews, wanted: string): void {
+    if (wanted !== '' && wanted !== member.incarnation) return meetSuccessor(link, member)
     links.set(member.incarnation, link)
     options.onConnected(member)
     const queued = dialing.get(member.incarnation) ?? []
@@ -82,22 +82,29 @@
     for (const message of queued) link.send(message)
   }
 
+  /** The wanted daemon's address belongs to another incarnation now: learn of it, and close. */
+  function meetSuccessor (link: linkModule.Link, member: protocol.MemberNews): void {
+    options.count('peers.foreign', 1)
+    options.onConnected(member)
+    link.close()
+  }
+
   function closed (link: linkModule.Link): void {
     all.delete(link)
     const peer = link.peer()
     if (peer !== undefined && links.get(peer) === link) links.delete(peer)
   }
 
-  function connect (address: protocol.Address): ws.WebSocket {
+  function connect (address: protocol.Address, wanted: string): ws.WebSocket {
     const socket = new ws.WebSocket(`ws://${address}/`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: options.compression, maxPayload: MAX_MESSAGE_BYTES })
-    const link = startLink(socket)
+    const link = startLink(socket, wanted)
     socket.once('open', () => link.greet())
     return socket
   }
 
   function dial (member: protocol.MemberNews, message: protocol.PeerMessage): void {
     dialing.set(member.incarnation, [message])
-    connect(member.peerAddress).once('close', () => {
+    connect(member.peerAddress, member.incarnation).once('close', () => {
       const lost = dialing.get(member.incarnation)?.length ?? 0
       dialing.delete(member.incarnation)
       options.count('peers.undelivered', lost)
@@ -121,24 +128,17 @@
     links.get(incarnation)?.close()
   }
 
-  const endpoint = splitAddress.splitAddress(options.listen)
-  const httpServer = http.createServer((_, response) => {
-    response.writeHead(426, { 'content-type': 'text/plain' })
-    response.end('This port is for other daemons; callers and operators use the callers address.\n')
-  })
-  const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: options.compression, maxPayload: MAX_MESSAGE_BYTES })
-  server.on('connection', (socket) => { startLink(socket) })
-  server.on('error', () => {})
-  await new Promise<void>((resolve, reject) => {
-    httpServer.once('error', reject)
-    httpServer.listen(endpoint.port, endpoint.host, resolve)
+  const listener = await listenerModule.openListener({
+    listen: options.listen,
+    compression: options.compression,
+    maxMessageBytes: MAX_MESSAGE_BYTES,
+    onSocket: (socket) => { startLink(socket, '') }
   })
 
   async function close (): Promise<void> {
     for (const link of all) link.close()
-    server.close()
-    await new Promise<void>((resolve) => httpServer.close(() => resolve()))
+    await listener.close()
   }
 
-  return { send, drop, introduce: (address) => { connect(address) }, tick: () => { for (const link of all) link.tick() }, close }
+  return { send, drop, introduce: (address) => { connect(address, '') }, tick: () => { for (const link of all) link.tick() }, close }
 }
--- a/packages/daemon/src/tasks/burn.ts
+++ b/packages/daemon/src/tasks/burn.ts
@@ -43,7 +43,7 @@
 
 function outcomeOf (reason: protocol.Reason): document.judgeRequest.Ended['outcome'] {
   if (reason === 'finished') return 'whole'
-  if (reason === 'shed') return 'shed'
+  if (reason === 'shed' || reason === 'daemon-full') return 'shed'
   return CUT.has(reason) ? 'cut' : 'refused'
 }
 
--- a/packages/history/src/tier-order.ts
+++ b/packages/history/src/tier-order.ts
@@ -27,7 +27,7 @@
 }
 
 /** For histories whose clock is exact. */
-export const DEFAULT_OPTIONS: Options = { decisionWindowMs: 1_000, toleranceMs: 0, reasons: ['shed', 'preempted'] }
+export const DEFAULT_OPTIONS: Options = { decisionWindowMs: 1_000, toleranceMs: 0, reasons: ['shed', 'daemon-full', 'preempted'] }
 
 interface Interval {
   readonly fromMs: number
