Claim nothing about requests that were not read under an identity; start systems with authorities in place

Cause: 'not run' was said to resends after a restart without a look at their identity. Change: such answers say unknown when the request names an identity.

--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -7,7 +7,7 @@
 import type * as net from 'node:net'
 import * as nodeServer from '@hono/node-server'
 import * as sentResponse from '@hono/node-server/utils/response'
-import type * as protocol from '@persimmonhatch/protocol'
+import * as protocol from '@persimmonhatch/protocol'
 import * as hono from 'hono'
 import type * as settings from '../settings/settings.js'
 import * as splitAddress from '../util/split-address.js'
@@ -57,11 +57,16 @@
   response.end(reply.body)
 }
 
+/** A request that names an identity may be a resend of one that ran, so what is said without looking at it claims nothing. */
+function executionUnread (incoming: http.IncomingMessage): protocol.Execution {
+  return incoming.headers[protocol.HEADERS.identity] === undefined ? 'not-run' : 'unknown'
+}
+
 async function takeRequest (options: Options, context: Context): Promise<Response> {
   const { incoming, outgoing } = context.env
   const url = incoming.url ?? '/'
   if (!options.ready()) {
-    sendReply(outgoing, refusalBody.plainReply('no-authority', {}))
+    sendReply(outgoing, refusalBody.plainReply('no-authority', {}, executionUnread(incoming)))
     return sentResponse.RESPONSE_ALREADY_SENT
   }
   const match = SERVICE_PATH.exec(url)
@@ -70,8 +75,8 @@
     options.count('requests.unreadable', 1)
     outgoing.setHeader('connection', 'close')
     const reply = body.error instanceof readBody.OversizedBody
-      ? refusalBody.plainReply('body-too-large', { limitBytes: body.error.limitBytes })
-      : refusalBody.plainReply('unsupported-transfer', {})
+      ? refusalBody.plainReply('body-too-large', { limitBytes: body.error.limitBytes }, executionUnread(incoming))
+      : refusalBody.plainReply('unsupported-transfer', {}, executionUnread(incoming))
     sendReply(outgoing, reply)
     return sentResponse.RESPONSE_ALREADY_SENT
   }
--- a/packages/daemon/src/http/refusal-body.ts
+++ b/packages/daemon/src/http/refusal-body.ts
@@ -29,9 +29,9 @@
   return Buffer.from(JSON.stringify(receipt)).toString('base64url')
 }
 
-function errorOf (reason: protocol.Reason, figures: protocol.Figures): Readonly<Record<string, unknown>> {
+function errorOf (reason: protocol.Reason, figures: protocol.Figures, execution?: protocol.Execution): Readonly<Record<string, unknown>> {
   const explanation = protocol.EXPLANATIONS[reason]
-  return { reason, message: protocol.explain(reason, figures), remedy: explanation.remedy, execution: explanation.execution, figures }
+  return { reason, message: protocol.explain(reason, figures), remedy: explanation.remedy, execution: execution ?? explanation.execution, figures }
 }
 
 /**
@@ -42,19 +42,19 @@
  * plainBody('body-too-large', { limitBytes: 4_194_304 })
  * ```
  */
-export function plainBody (reason: protocol.Reason, figures: protocol.Figures): string {
-  return JSON.stringify({ error: errorOf(reason, figures) })
+export function plainBody (reason: protocol.Reason, figures: protocol.Figures, execution?: protocol.Execution): string {
+  return JSON.stringify({ error: errorOf(reason, figures, execution) })
 }
 
 /**
- * The whole reply for a reason that needs no receipt.
+ * The whole reply for a reason that needs no receipt. `execution` replaces that of the reason.
  *
  * @example
  * ```ts
  * plainReply('malformed-request', { detail: 'the JSON ends early' }).status // 400
  * ```
  */
-export function plainReply (reason: protocol.Reason, figures: protocol.Figures): Reply {
+export function plainReply (reason: protocol.Reason, figures: protocol.Figures, execution?: protocol.Execution): Reply {
   const explanation = protocol.EXPLANATIONS[reason]
   return {
     status: explanation.status,
@@ -62,9 +62,9 @@
       'content-type': JSON_TYPE,
       ...(reason === 'no-authority' ? { 'retry-after': '1' } : {}),
       [protocol.HEADERS.reason]: reason,
-      [protocol.HEADERS.execution]: explanation.execution
+      [protocol.HEADERS.execution]: execution ?? explanation.execution
     },
-    body: plainBody(reason, figures)
+    body: plainBody(reason, figures, execution)
   }
 }
 
--- a/packages/daemon/src/tasks/requests.ts
+++ b/packages/daemon/src/tasks/requests.ts
@@ -5,7 +5,7 @@
  */
 import type * as http from 'node:http'
 import type * as entry from '@persimmonhatch/entry'
-import type * as protocol from '@persimmonhatch/protocol'
+import * as protocol from '@persimmonhatch/protocol'
 import type * as undici from 'undici'
 import * as answerRecord from '../dispatch/answer-record.js'
 import * as dispatcher from '../dispatch/dispatcher.js'
@@ -89,9 +89,9 @@
     })
   }
 
-  function refuseUnread (response: http.ServerResponse, error: readArrival.MalformedRequest): void {
+  function refuseUnread (response: http.ServerResponse, error: readArrival.MalformedRequest, isNamed: boolean): void {
     options.count('requests.malformed', 1)
-    const reply = refusalBody.plainReply('malformed-request', { detail: error.detail })
+    const reply = refusalBody.plainReply('malformed-request', { detail: error.detail }, isNamed ? 'unknown' : 'not-run')
     response.writeHead(reply.status, reply.headers)
     response.end(reply.body)
   }
@@ -109,7 +109,7 @@
     const request = nextRequest
     nextRequest += 1
     const arrival = readArrival.readArrival({ ...unnumbered, request }, options.hashes)
-    if (arrival.isErr()) return refuseUnread(response, arrival.error)
+    if (arrival.isErr()) return refuseUnread(response, arrival.error, unnumbered.headers[protocol.HEADERS.identity] !== undefined)
     const retained = arrival.value.identity !== undefined
     const own: heldRequests.HeldRequest = {
       record: answerRecord.createAnswerRecord(retained),
--- a/packages/system/src/system.ts
+++ b/packages/system/src/system.ts
@@ -11,6 +11,7 @@
 import * as platform from '@persimmonhatch/platform'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as standins from '@persimmonhatch/standins'
+import * as awaitAuthorities from './await-authorities.js'
 import type * as collectRuns from './collect-runs.js'
 import * as daemonProcess from './daemon-process.js'
 import * as deploymentModule from './deployment.js'
@@ -109,7 +110,7 @@
 }
 
 /**
- * Starts a system and waits until every daemon serves.
+ * Starts a system and waits until every daemon serves and every pool has an authority.
  *
  * @example
  * ```ts
@@ -137,6 +138,7 @@
   const planned = await daemonOptions(options, directory, standin(KEY_VALUE).address, standin(VM_LIST).address)
   for (const one of planned) daemons.set(one.name, await daemonProcess.startDaemonProcess(one))
   await Promise.all([...daemons.values()].map(daemonProcess.awaitReady))
+  await awaitAuthorities.awaitAuthorities([...daemons.values()], documents)
 
   async function restart (name: string): Promise<daemonProcess.DaemonProcess> {
     const plan = planned.find((one) => one.name === name)
--- a/packages/system/tests/whole-path.test.ts
+++ b/packages/system/tests/whole-path.test.ts
@@ -132,6 +132,15 @@
   })
 }
 
+suite('claims nothing about a request under an identity that it did not read', async () => {
+  const steer = await steerTo(context, 0, 'stock')
+  for (const body of ['x'.repeat(5_000_000), '{"messages":']) {
+    const response = await post(steer.daemon, '/s/stock/v1/completions', { 'idempotency-key': steer.identity }, body)
+    assert.is(response.headers.get(protocol.HEADERS.execution), 'unknown')
+    assert.match(await response.text(), /"execution":"unknown"/)
+  }
+})
+
 suite('refuses oversized headers with the remedy', async () => {
   const [host = '', port = ''] = daemonAt(context, 0).address.split(':')
   const status = await new Promise<number | undefined>((resolve, reject) => {
