--- a/packages/authority/src/limit.ts
+++ b/packages/authority/src/limit.ts
@@ -28,7 +28,8 @@
 const INITIAL_REQUESTS = 8
 const MAX_TOKENS = 4_000_000
 const COST_GAIN = 0.1
-const FIRST_TOKEN_ALLOWANCE_MS = 400
+/** Delay of a first token, or of a plain call, that is not counted as late, milliseconds. */
+const ALLOWANCE_MS = { model: 400, plain: 50 } as const
 const FIRST_TOKEN_TOLERANCE = 2
 const DECODE_TOLERANCE = 6
 const MIN_GRADIENT = 0.5
@@ -46,11 +47,11 @@
  *
  * @example
  * ```ts
- * gradientOf(sample, 120, rates, true) // 0.8
+ * gradientOf('model', sample, 120, rates, true) // 0.8
  * ```
  */
-export function gradientOf (sample: rateEstimator.Sample, expectedFirstTokenMs: number, rates: rateEstimator.Rates, isUnreported: boolean): number {
-  const allowedMs = FIRST_TOKEN_TOLERANCE * expectedFirstTokenMs + FIRST_TOKEN_ALLOWANCE_MS
+export function gradientOf (kind: 'model' | 'plain', sample: rateEstimator.Sample, expectedFirstTokenMs: number, rates: rateEstimator.Rates, isUnreported: boolean): number {
+  const allowedMs = FIRST_TOKEN_TOLERANCE * expectedFirstTokenMs + ALLOWANCE_MS[kind]
   const first = isUnreported ? allowedMs / Math.max(1, sample.firstTokenMs) : 1
   const decodeMs = rateEstimator.decodeTime(sample) ?? 0
   const allowedDecodeMs = sample.betweenTokensMs ?? Math.max(1, DECODE_TOLERANCE * rates.bestDecodeMs)
--- a/packages/authority/src/prefix-index.ts
+++ b/packages/authority/src/prefix-index.ts
@@ -21,7 +21,7 @@
 }
 
 /** Prefixes kept for each target; the least recently placed are dropped first. */
-const MAX_PREFIXES_PER_TARGET = 4_096
+const MAX_PREFIXES_PER_TARGET = 2_048
 /** Factor by which a gap in the cache events lowers the trust in a target's entries. */
 const GAP_TRUST_FACTOR = 0.5
 const TRUST_GAIN = 0.1
--- a/packages/authority/src/rate-estimator.ts
+++ b/packages/authority/src/rate-estimator.ts
@@ -33,9 +33,9 @@
 const MIN_PREFILL_SAMPLE_TOKENS = 128
 const MIN_PREFILL_TOKENS_PER_MS = 1e-6
 const GAIN_BETTER = 0.3
-/** Gain for worse figures from a target with little to do, and from a busy one, whose queue they may show. */
-const GAIN_WORSE_IDLE = 0.05
-const GAIN_WORSE_BUSY = 0.005
+/** Half-life of a figure that got worse on a target with little to do, and on a busy one, whose queue may be the cause. */
+const IDLE_HALF_LIFE_MS = 5_000
+const BUSY_HALF_LIFE_MS = 60_000
 /** First requests that are averaged whether better or worse. */
 const AVERAGED_SAMPLES = 10
 const DECODE_GAIN = 0.1
@@ -65,18 +65,18 @@
 }
 
 /**
- * Rates after one more finished request. Better figures are taken over fast and worse ones slowly,
+ * Rates after one more finished request, `elapsedMs` after the last one. Better figures are taken over fast and worse ones slowly,
  * from a busy target hardly at all, so
  * that the rates show the target without a queue of its own.
  *
  * @example
  * ```ts
- * const rates = learnRates('model', startRates('model', undefined), sample, false)
+ * const rates = learnRates('model', startRates('model', undefined), sample, false, 200)
  * ```
  */
-export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample, isBusy: boolean): Rates {
+export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample, isBusy: boolean, elapsedMs: number): Rates {
   const samples = rates.samples + 1
-  const gainWorse = samples <= AVERAGED_SAMPLES ? 1 / samples : isBusy ? GAIN_WORSE_BUSY : GAIN_WORSE_IDLE
+  const gainWorse = samples <= AVERAGED_SAMPLES ? 1 / samples : 1 - 2 ** (-elapsedMs / (isBusy ? BUSY_HALF_LIFE_MS : IDLE_HALF_LIFE_MS))
   const prefillTokensPerMs = learnPrefill(kind, rates, sample, gainWorse)
   const baseMs = kind === 'plain' ? 0 : learnBase(rates, sample, prefillTokensPerMs, gainWorse)
   const measured = decodeTime(sample)
--- a/packages/authority/src/target-model.ts
+++ b/packages/authority/src/target-model.ts
@@ -84,6 +84,7 @@
   let unknown = 0
   let unknownAtMs = 0
   let reportedAtMs = -Infinity
+  let learnedAtMs = 0
 
   return {
     rates: () => rates,
@@ -116,8 +117,9 @@
       const isFirst = rates.samples === 0
       const idleMs = expectAt(rates, sample.uncachedTokens, 0, 0).firstTokenMs
       const expectedMs = Math.min(Math.max(idleMs, expectedFirstTokenMs), idleMs + MAX_PROMPT_BACKLOG_MS)
-      const gradient = limit.gradientOf(sample, expectedMs, rates, nowMs - reportedAtMs > REPORT_VALIDITY_MS)
-      rates = rateEstimator.learnRates(kind, rates, sample, known > bound.tokens() * BUSY_SHARE)
+      const gradient = limit.gradientOf(kind, sample, expectedMs, rates, nowMs - reportedAtMs > REPORT_VALIDITY_MS)
+      rates = rateEstimator.learnRates(kind, rates, sample, known > bound.tokens() * BUSY_SHARE, Math.max(0, nowMs - learnedAtMs))
+      learnedAtMs = nowMs
       residenceMs += (residenceMs === 0 ? 1 : RESIDENCE_GAIN) * (sample.totalMs - residenceMs)
       if (isFirst) return
       lateness.learn(sample.firstTokenMs / Math.max(MIN_COMPARED_MS, expectedMs), nowMs)
