Do not call a deadline unreachable when no target is open

For 100 ms after the last target began to leave, the remembered rate said measured and the expected time was infinite, so that requests were refused as unreachable while lower tiers ran.

--- a/packages/authority/src/asks.ts
+++ b/packages/authority/src/asks.ts
@@ -38,7 +38,8 @@
     expectedWaitMs: 0
   }
   if (service === undefined) return ask
-  const serviceMs = waitEstimate.rateOf(state, service, nowMs).isMeasured ? place.expectIdle(state, ask, service) : 0
+  const idleMs = waitEstimate.rateOf(state, service, nowMs).isMeasured ? place.expectIdle(state, ask, service) : 0
+  const serviceMs = Number.isFinite(idleMs) ? idleMs : 0
   const expectedWaitMs = state.queue.size() === 0 ? 0 : refusals.estimateFor(state, ask, nowMs)?.waitMs ?? 0
   return { ...ask, serviceMs, expectedWaitMs }
 }
--- a/packages/authority/src/surroundings.ts
+++ b/packages/authority/src/surroundings.ts
@@ -37,6 +37,7 @@
 /** Takes news of a target that is leaving or has returned. */
 export function * handleTargetNews (state: context.Context, news: protocol.TargetNews, nowMs: number): outputs.Outputs {
   if (!state.targets.takeNews(news)) return
+  state.rates.clear()
   yield outputs.count(`targets.${news.state}`)
   if (news.state === 'leaving') yield * withdrawGrants(state, news.target, nowMs)
   yield * grants.grantWaiting(state, nowMs)
--- a/packages/authority/tests/overload.test.ts
+++ b/packages/authority/tests/overload.test.ts
@@ -119,6 +119,15 @@
   assert.ok(Number(refusal?.figures.expectedMs) > 500)
 })
 
+overload('does not call a deadline unreachable because the only target is leaving', () => {
+  const driver = loaded(1, 1)
+  driver.deliver('e1', fixture.askOf(900, { round: driver.nowMs }))
+  driver.handle({ kind: 'target', news: { kind: 'target', target: 't1', version: 1, state: 'leaving' } })
+  assert.equal(fixture.only(driver.deliver('e1', fixture.askOf(901, { round: driver.nowMs })), 'refusal'), [])
+  for (const ask of [100, 900]) driver.deliver('e1', fixture.releaseOf(ask))
+  assert.is(fixture.only(driver.pass(6_000), 'refusal').find((refusal) => refusal.ask === 901)?.reason, 'no-target')
+})
+
 overload('gives up at once on a deadline that the queue makes unreachable', () => {
   const driver = loaded(1, 20, {}, { maxWaitMs: 60_000 })
   const [refusal] = fixture.only(driver.deliver('e1', fixture.askOf(900, { deadlineMs: 2_500, round: driver.nowMs })), 'refusal')
