--- a/packages/authority/src/place.ts
+++ b/packages/authority/src/place.ts
@@ -1,8 +1,9 @@
 /**
  * Chooses the target on which a request is expected to finish first.
  *
- * Score, in milliseconds: slowdown x (known tokens in flight / service rate + base time
- * + prompt tokens not cached / prefill rate + expected answer tokens x time between tokens).
+ * Score, in milliseconds: slowdown x (time until earlier prompts are read + base time
+ * + prompt tokens not cached / prefill rate + expected answer tokens x time between tokens, which
+ * grows with the requests in flight).
  *
  * @module
  */
@@ -16,6 +17,8 @@
 export interface Placement {
   readonly target: string
   readonly cachedTokens: number
+  /** Time until the prompts in flight are read, milliseconds. */
+  readonly backlogMs: number
   readonly expectation: targetModel.Expectation
   readonly tokensInFlight: number
   readonly slowdown: number
@@ -41,22 +44,22 @@
 /** Whether the target takes this ask now. The cheapest checks come first. */
 function isOpen (state: context.Context, target: string, ask: waitingAsk.WaitingAsk, share: number, nowMs: number): boolean {
   const model = state.targets.model(target)
-  if (model === undefined || !hasRoom(model, ask.costTokens, share, nowMs)) return false
+  if (model === undefined || !model.hasRoom(share, ask.message.promptTokens, nowMs)) return false
   if (state.reservations.isClosedTo(target, ask.key)) return false
   const readiness = state.targets.readiness(target, nowMs)
   return readiness === 'serving' || (readiness === 'probing' && !isProbed(state, target))
 }
 
-function hasRoom (model: targetModel.TargetModel, costTokens: number, share: number, nowMs: number): boolean {
-  if (model.requests() === 0) return true
-  return model.knownTokens() + model.unknownTokens(nowMs) + costTokens <= model.limitTokens() * share
-}
+type Expect = (model: targetModel.TargetModel, uncachedTokens: number, answerTokens: number) => targetModel.Expectation
+
+const expectAlone: Expect = (model, uncachedTokens, answerTokens) => model.expect(uncachedTokens, answerTokens)
 
-/** Prompt and answer tokens that a request means for a target. */
-function workOn (state: context.Context, target: string, ask: waitingAsk.WaitingAsk, cachedTokens: number): readonly [uncachedTokens: number, answerTokens: number] {
-  if (state.targets.kind(target) === 'plain') return [ask.costTokens, 0]
+function expectOn (state: context.Context, target: string, ask: waitingAsk.WaitingAsk, cachedTokens: number, expect: Expect): targetModel.Expectation {
+  const model = state.targets.model(target)
+  if (model === undefined) return { firstTokenMs: Infinity, totalMs: Infinity }
+  if (state.targets.kind(target) === 'plain') return expect(model, ask.costTokens, 0)
   const answerTokens = state.answers.expect(ask.message.service, ask.message.answerTokens)
-  return [Math.max(0, ask.message.promptTokens - cachedTokens), answerTokens]
+  return expect(model, Math.max(0, ask.message.promptTokens - cachedTokens), answerTokens)
 }
 
 /**
@@ -73,20 +76,20 @@
   const open = service.targets.filter((target) => !closed.has(target) && isOpen(state, target, ask, share, nowMs))
   if (open.length === 0) return undefined
   const cached = state.prefixes.lookUp(ask.message.prefixes, ask.message.promptTokens)
+  const expectBeside: Expect = (model, uncachedTokens, answerTokens) => model.expectBeside(uncachedTokens, answerTokens, nowMs)
   let best: Placement | undefined
   let bestScore = Infinity
   for (const target of open) {
     const model = state.targets.model(target)
     if (model === undefined) continue
     const cachedTokens = cached.get(target) ?? 0
-    const [uncachedTokens, answerTokens] = workOn(state, target, ask, cachedTokens)
-    const expectation = model.expect(uncachedTokens, answerTokens, nowMs)
+    const expectation = expectOn(state, target, ask, cachedTokens, expectBeside)
     const slowdown = state.targets.slowdown(target)
-    const tokensInFlight = model.knownTokens() + model.unknownTokens(nowMs)
-    const score = slowdown * (tokensInFlight / model.serviceTokensPerMs() + expectation.totalMs) * (1 + RANDOM_SHARE * state.options.random())
+    const tokensInFlight = model.knownTokens()
+    const score = slowdown * expectation.totalMs * (1 + RANDOM_SHARE * state.options.random())
     if (score >= bestScore) continue
     bestScore = score
-    best = { target, cachedTokens, expectation, tokensInFlight, slowdown }
+    best = { target, cachedTokens, backlogMs: model.backlogMs(nowMs), expectation, tokensInFlight, slowdown }
   }
   return best
 }
@@ -103,10 +106,8 @@
   const cached = state.prefixes.lookUp(ask.message.prefixes, ask.message.promptTokens)
   let bestMs = Infinity
   for (const target of service.targets) {
-    const model = state.targets.model(target)
-    if (model === undefined || state.targets.isLeaving(target)) continue
-    const [uncachedTokens, answerTokens] = workOn(state, target, ask, cached.get(target) ?? 0)
-    bestMs = Math.min(bestMs, model.expectIdle(uncachedTokens, answerTokens).totalMs)
+    if (state.targets.isLeaving(target)) continue
+    bestMs = Math.min(bestMs, expectOn(state, target, ask, cached.get(target) ?? 0, expectAlone).totalMs)
   }
   return bestMs
 }
--- /dev/null
+++ b/packages/cli/src/daemons.ts
@@ -0,0 +1,164 @@
+/**
+ * Which daemons are live, and what they say of themselves.
+ *
+ * @module
+ */
+import * as document from '@persimmonhatch/document'
+import type * as protocol from '@persimmonhatch/protocol'
+import * as neverthrow from 'neverthrow'
+import * as z from 'zod'
+import * as failure from './failure.js'
+import type * as ports from './ports.js'
+import type * as session from './session.js'
+import * as store from './store.js'
+
+/** Prefix of the keys that daemons introduce themselves under. */
+export const MEMBER_PREFIX = '/persimmonhatch/members/'
+
+/** Daemons that are asked for what all of them know. */
+const SAMPLE_SIZE = 3
+
+const member = z.object({
+  incarnation: z.string(),
+  address: z.string(),
+  availabilityZone: z.string(),
+  state: z.enum(['alive', 'leaving', 'gone'])
+}).readonly()
+
+const service = z.object({
+  service: z.string(),
+  revision: z.number(),
+  changeId: z.string(),
+  problem: z.string().optional()
+}).readonly()
+
+const target = z.object({
+  target: z.string(),
+  state: z.string(),
+  requestsInFlight: z.number(),
+  tokensInFlight: z.number(),
+  limitTokens: z.number(),
+  slowdown: z.number()
+}).readonly()
+
+const pool = z.object({
+  pool: z.string(),
+  settled: z.boolean(),
+  waiting: z.number(),
+  targets: z.array(target).readonly()
+}).readonly()
+
+const status = z.object({
+  incarnation: z.string(),
+  address: z.string(),
+  availabilityZone: z.string(),
+  state: z.string(),
+  members: z.array(member).readonly(),
+  services: z.array(service).readonly(),
+  pools: z.array(pool).readonly(),
+  entry: z.object({ waiting: z.number(), running: z.number() }).readonly(),
+  platform: z.object({ state: z.string(), callsPerMinute: z.number() }).readonly(),
+  leavingTargets: z.array(z.string()).readonly()
+}).readonly()
+
+/** What the tool reads of a member. */
+export type Member = z.infer<typeof member>
+
+/** What the tool reads of a daemon's status. */
+export type Status = z.infer<typeof status>
+
+/** A daemon's status, or why there is none. */
+export interface Reply {
+  readonly address: protocol.Address
+  readonly status: neverthrow.Result<Status, failure.Failure>
+}
+
+function parseMember (text: string): Member | undefined {
+  const value = document.parseJsonc.parseJsonc(text).unwrapOr(undefined)
+  const parsed = member.safeParse(value)
+  return parsed.success ? parsed.data : undefined
+}
+
+/**
+ * Members that the platform knows; those that can't be read are left out.
+ *
+ * @example
+ * ```ts
+ * const members = await listMembers(ports)
+ * ```
+ */
+export function listMembers (access: ports.Ports): neverthrow.ResultAsync<readonly Member[], failure.Failure> {
+  return access.keyValue.list(MEMBER_PREFIX).mapErr(store.readFailure).map((listing) => {
+    const members = listing.entries.map((entry) => parseMember(entry.value))
+    return members.filter((each) => each !== undefined && each.state !== 'gone') as readonly Member[]
+  })
+}
+
+/**
+ * One daemon's status.
+ *
+ * @example
+ * ```ts
+ * const asked = await askStatus(ports, '10.0.0.7:7400')
+ * ```
+ */
+export async function askStatus (access: ports.Ports, address: protocol.Address): Promise<Reply> {
+  const answer = await access.askDaemon(address, '/v1/status')
+  const parsed = answer.andThen(({ body }) => {
+    const checked = status.safeParse(body)
+    return checked.success ? neverthrow.ok(checked.data) : neverthrow.err(new failure.Failure('daemonUnreachable', 'daemon-malformed', { address }))
+  })
+  return { address, status: parsed }
+}
+
+function liveAddresses (asked: readonly Reply[]): readonly protocol.Address[] {
+  const members = asked.flatMap((each) => each.status.isOk() ? each.status.value.members : [])
+  return members.filter((each) => each.state !== 'gone').map((each) => each.address)
+}
+
+/** Daemons to ask beside those that are found, and daemons not to ask. */
+export interface Choice {
+  readonly also: readonly protocol.Address[]
+  readonly except: ReadonlySet<protocol.Address>
+}
+
+/** Asks those that are found. */
+export const NO_CHOICE: Choice = { also: [], except: new Set() }
+
+async function findFirst (run: session.Session): Promise<readonly protocol.Address[]> {
+  const members = (await listMembers(run.ports)).unwrapOr([])
+  return [...new Set([...run.settings.daemons, ...members.map((each) => each.address)])]
+}
+
+/**
+ * Asks every daemon that the platform, the settings or another daemon knows as live. The platform
+ * may be unreachable; then the named daemons and their peers are asked.
+ *
+ * @example
+ * ```ts
+ * const everyone = await askEveryone(session, NO_CHOICE)
+ * ```
+ */
+export async function askEveryone (run: session.Session, { also, except }: Choice): Promise<readonly Reply[]> {
+  const found = new Set([...await findFirst(run), ...also])
+  const first = [...found].filter((address) => !except.has(address))
+  const asked = await Promise.all(first.map((address) => askStatus(run.ports, address)))
+  const further = [...new Set(liveAddresses(asked))].filter((address) => !first.includes(address) && !except.has(address))
+  return [...asked, ...await Promise.all(further.map((address) => askStatus(run.ports, address)))]
+}
+
+/**
+ * Asks some daemons, chosen at random beside those of the settings. Enough for what all daemons
+ * tell each other.
+ *
+ * @example
+ * ```ts
+ * const some = await askSome(session)
+ * ```
+ */
+export async function askSome (run: session.Session): Promise<readonly Reply[]> {
+  const first = await findFirst(run)
+  const keyed = first.map((address) => ({ address, key: run.settings.daemons.includes(address) ? -1 : run.ports.random() }))
+  const chosen = keyed.sort((left, right) => left.key - right.key).slice(0, run.settings.daemons.length + SAMPLE_SIZE)
+  return await Promise.all(chosen.map(({ address }) => askStatus(run.ports, address)))
+}
--- /dev/null
+++ b/packages/history/src/single-effect.ts
@@ -0,0 +1,46 @@
+/**
+ * A non-idempotent request runs at most once, and nothing but the death of its daemon stops it once it runs.
+ *
+ * @module
+ */
+import type * as history from './history.js'
+import * as runs from './runs.js'
+
+const PROMISE = 'single-effect'
+
+function findRepeated (request: string, all: readonly runs.Run[]): readonly history.Violation[] {
+  return all.slice(1).map(({ started }) => ({
+    promise: PROMISE,
+    atMs: started.atMs,
+    message: `non-idempotent ${request} ran again on ${started.target}`
+  }))
+}
+
+function findCancelled (request: string, all: readonly runs.Run[]): readonly history.Violation[] {
+  return all.flatMap(({ started, ended }) => ended?.outcome !== 'cancelled'
+    ? []
+    : [{ promise: PROMISE, atMs: ended.atMs, message: `non-idempotent ${request} was cancelled on ${started.target}` }])
+}
+
+/** Requests that were sent to a daemon that was killed at some time, which closes its connections to targets. */
+function findOrphaned (of: history.History): ReadonlySet<string> {
+  const killed = new Set(of.facts.flatMap((fact) => fact.kind === 'process-ended' && fact.code !== 0 ? [fact.daemon] : []))
+  return new Set(of.facts.flatMap((fact) => fact.kind === 'sent' && killed.has(fact.daemon) ? [fact.request] : []))
+}
+
+/**
+ * Finds non-idempotent requests that ran more than once or were cancelled while they ran.
+ *
+ * @example
+ * ```ts
+ * singleEffect(history) // [] when the promise was kept
+ * ```
+ */
+export function singleEffect (of: history.History): readonly history.Violation[] {
+  const orphaned = findOrphaned(of)
+  const nonIdempotent = [...runs.runsByRequest(of)].filter(([, all]) => all.some((run) => run.started.nonIdempotent))
+  return nonIdempotent.flatMap(([request, all]) => [
+    ...findRepeated(request, all),
+    ...orphaned.has(request) ? [] : findCancelled(request, all)
+  ])
+}
--- a/packages/protocol/tests/reason.test.ts
+++ b/packages/protocol/tests/reason.test.ts
@@ -12,6 +12,10 @@
   assert.match(reason.explain('unknown-service', {}), /named unknown/)
 })
 
+explain('rounds figures', () => {
+  assert.match(reason.explain('finished', { target: 'engine-1', waitedMs: 3050.932 }), /waiting 3051 ms/)
+})
+
 for (const [id, entry] of Object.entries(reason.EXPLANATIONS)) {
   explain(`${id} names its remedy`, () => {
     assert.ok(entry.remedy.length > 0)
