Clear requests that were not dispatched of a crash's suspicion

Cause: a request whose connection a crashed target refused was in flight by the authority's count, so it ran alone afterwards and waited for a target to drain. Ruled out: fairness and freshness of rounds (the request was isolated). Also takes out a return without use.

--- a/packages/authority/src/crashes.ts
+++ b/packages/authority/src/crashes.ts
@@ -50,6 +50,13 @@
   yield * apply(state, news)
 }
 
+/** A slot that was granted before its target crashed turned out not to have been dispatched: that crash says nothing of its content. */
+export function * handleUndispatched (state: context.Context, granted: slot.Slot, nowMs: number): outputs.Outputs {
+  const outage = state.targets.outage(granted.target)
+  const isOfCrash = outage?.cause === 'crashed' && granted.grantedAtMs <= outage.sinceMs
+  if (isOfCrash && state.suspects.get(granted.fingerprint, nowMs)?.news.crashes === 1) yield * handleSurvival(state, granted, nowMs)
+}
+
 /** News of a suspect from another daemon. */
 export function * handleSuspectNews (state: context.Context, news: protocol.SuspectNews, nowMs: number): outputs.Outputs {
   if (state.suspects.takeNews(news, nowMs)) yield * apply(state, news)
--- a/packages/authority/src/overload.ts
+++ b/packages/authority/src/overload.ts
@@ -107,10 +107,7 @@
   const estimate = refusals.estimateFor(state, ask)
   if (service === undefined || estimate === undefined || !hasTarget(state, service)) return
   const reason = findReason(state, ask, estimate, 1, nowMs)
-  if (reason !== undefined) {
-    yield * considerRefusal(state, ask, reason, nowMs)
-    return
-  }
+  if (reason !== undefined) yield * considerRefusal(state, ask, reason, nowMs)
 }
 
 function * handleDue (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): outputs.Outputs {
--- a/packages/authority/src/releases.ts
+++ b/packages/authority/src/releases.ts
@@ -68,6 +68,7 @@
     return
   }
   if (message.outcome === 'unreachable') {
+    yield * crashes.handleUndispatched(state, granted, nowMs)
     correctShare(state, granted, 0)
     if (state.targets.fail(granted.target, 'unreachable', granted.grantedAtMs, nowMs)) yield outputs.count('targets.unreachable')
     return
--- /dev/null
+++ b/packages/authority/tests/suspicion.test.ts
@@ -0,0 +1,38 @@
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as fixture from './fixture.js'
+
+const suspicion = uvu.suite('suspicion')
+
+function crashWithTwo (): fixture.Driver {
+  const driver = new fixture.Driver([fixture.documentOf('listings', { targets: ['t1'] })]).settle()
+  driver.deliver('e1', fixture.askOf(1, { fingerprint: 'a', promptTokens: 100 }))
+  driver.deliver('e1', fixture.askOf(2, { fingerprint: 'b', promptTokens: 100 }))
+  assert.is(fixture.only(driver.sent, 'grant').length, 2)
+  driver.deliver('e1', fixture.releaseOf(1, { outcome: 'crashed' }))
+  return driver
+}
+
+function statesOf (driver: fixture.Driver, fingerprint: string): readonly string[] {
+  return driver.news.flatMap((news) => news.kind === 'suspect' && news.fingerprint === fingerprint ? [news.state] : [])
+}
+
+suspicion('falls on what was in flight at a crash', () => {
+  const driver = crashWithTwo()
+  assert.equal([statesOf(driver, 'a'), statesOf(driver, 'b')], [['suspect'], ['suspect']])
+})
+
+suspicion('ends for a request that turns out not to have been dispatched', () => {
+  const driver = crashWithTwo()
+  driver.deliver('e1', fixture.releaseOf(2, { outcome: 'unreachable' }))
+  assert.equal([statesOf(driver, 'a'), statesOf(driver, 'b')], [['suspect'], ['suspect', 'cleared']])
+})
+
+suspicion('stays with a content that an earlier crash accused too', () => {
+  const driver = crashWithTwo()
+  driver.handle({ kind: 'suspect', news: { kind: 'suspect', fingerprint: 'b', version: 9, state: 'suspect', crashes: 2, remainingMs: 60_000 } })
+  driver.deliver('e1', fixture.releaseOf(2, { outcome: 'unreachable' }))
+  assert.equal(statesOf(driver, 'b'), ['suspect'])
+})
+
+suspicion.run()
