--- a/packages/load/src/mix.ts
+++ b/packages/load/src/mix.ts
@@ -46,6 +46,11 @@
   readonly answerTokens: number
 }
 
+/** What decides a prompt's text. */
+export interface Prompt extends Pick<Draw, 'organisation' | 'promptTokens'> {
+  readonly kind: Pick<Kind, 'name' | 'sharedTokens'>
+}
+
 const MODEL = { target: 'model', method: 'POST', nonIdempotent: false, stream: true } as const
 const PLAIN = { target: 'plain', sharedTokens: 0, leastTokens: 4, mostTokens: 16, leastAnswerTokens: 1, mostAnswerTokens: 4, stream: false } as const
 
@@ -126,7 +131,7 @@
  * promptText(drawn, 'r17').length // about 4 characters a token
  * ```
  */
-export function promptText (drawn: Draw, name: string, charactersPerToken: number): string {
+export function promptText (drawn: Prompt, name: string, charactersPerToken: number): string {
   const shared = repeat(`${drawn.kind.name} for ${drawn.organisation}. `, drawn.kind.sharedTokens * charactersPerToken)
   return shared + repeat(`${name} says `, (drawn.promptTokens - drawn.kind.sharedTokens) * charactersPerToken)
 }
--- a/packages/load/src/replay/report-table.ts
+++ b/packages/load/src/replay/report-table.ts
@@ -18,7 +18,15 @@
   return `${(share * PERCENT).toFixed(1)}%`
 }
 
-function formatTable (lines: ReadonlyArray<readonly string[]>): string {
+/**
+ * A table in Markdown; the first line is the head.
+ *
+ * @example
+ * ```ts
+ * formatTable([["name", "share"], ["random", "55.6%"]])
+ * ```
+ */
+export function formatTable (lines: ReadonlyArray<readonly string[]>): string {
   const widths = (lines[0] ?? []).map((_, column) => Math.max(...lines.map((line) => line[column]?.length ?? 0)))
   const format = (line: readonly string[]): string => `| ${line.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join(' | ')} |`
   const rule = `|${widths.map((width) => '-'.repeat(width + 2)).join('|')}|`
