--- a/packages/daemon/src/peer/link.ts
+++ b/packages/daemon/src/peer/link.ts
@@ -68,6 +68,18 @@
   return greeting
 }
 
+/** A peer greets under one name, which is not this daemon's own. */
+function checkIncarnation (incarnation: protocol.Incarnation, own: protocol.Incarnation, former: protocol.Incarnation | undefined): void {
+  if (incarnation === own || (former ?? incarnation) !== incarnation) throw new ForeignIncarnation(incarnation)
+}
+
+function createServer (count: Options['count'], acceptGreeting: (parameters: unknown) => protocol.Greeting): jsonRpc.JSONRPCServer {
+  const server = new jsonRpc.JSONRPCServer({ errorListener: () => count('peers.rejected', 1) })
+  server.addMethod(HELLO, acceptGreeting)
+  server.mapErrorToJSONRPCErrorResponse = (id, error: Error) => jsonRpc.createJSONRPCErrorResponse(id, REFUSED_GREETING_CODE, error.message)
+  return server
+}
+
 /**
  * Runs one connection until it closes.
  *
@@ -79,16 +91,14 @@
  */
 export function openLink (options: Options): Link {
   const { socket, count } = options
-  let peer: protocol.Incarnation | undefined
   const openedMs = options.clock()
+  let peer: protocol.Incarnation | undefined
   let heardMs = openedMs
   let sentMs: number | undefined
   let isGreetingOpen = false
 
-  const server = new jsonRpc.JSONRPCServer({ errorListener: () => count('peers.rejected', 1) })
+  const server = createServer(count, acceptGreeting)
   const client = new jsonRpc.JSONRPCClient((payload) => transmit(JSON.stringify(payload)), () => GREETING_ID)
-  server.addMethod(HELLO, acceptGreeting)
-  server.mapErrorToJSONRPCErrorResponse = (id, error: Error) => jsonRpc.createJSONRPCErrorResponse(id, REFUSED_GREETING_CODE, error.message)
 
   const link: Link = { peer: () => peer, send, greet, tick, close: () => socket.terminate() }
 
@@ -106,9 +116,7 @@
   }
 
   function identify (member: protocol.MemberNews): void {
-    const { incarnation } = member
-    if (incarnation === options.greet().member.incarnation) throw new ForeignIncarnation(incarnation)
-    if (peer !== undefined && peer !== incarnation) throw new ForeignIncarnation(incarnation)
+    checkIncarnation(member.incarnation, options.greet().member.incarnation, peer)
     if (peer !== undefined) return
     peer = member.incarnation
     options.onOpen(link, member)
@@ -153,9 +161,7 @@
     if (!jsonRpc.isJSONRPCRequest(payload)) return count('peers.rejected', 1)
     if (payload.id === undefined) return receiveNotification(payload.method, payload.params)
     if (!server.hasMethod(payload.method)) count('peers.rejected', 1)
-    server.receive(payload).then(
-      (answer) => { if (answer !== null) transmit(JSON.stringify(answer)) }
-    ).then(undefined, () => count('peers.rejected', 1))
+    server.receive(payload).then((answer) => { if (answer !== null) transmit(JSON.stringify(answer)) }).then(undefined, () => count('peers.rejected', 1))
   }
 
   function tick (): void {
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -41,6 +41,31 @@
   readonly close: () => Promise<void>
 }
 
+interface Listener {
+  readonly close: () => Promise<void>
+}
+
+async function listen (address: protocol.Address, onSocket: (socket: ws.WebSocket) => void): Promise<Listener> {
+  const endpoint = splitAddress.splitAddress(address)
+  const httpServer = http.createServer((_, response) => {
+    response.writeHead(426, { 'content-type': 'text/plain' })
+    response.end('This port is for other daemons; callers and operators use the callers address.\n')
+  })
+  const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
+  server.on('connection', onSocket)
+  server.on('error', () => {})
+  await new Promise<void>((resolve, reject) => {
+    httpServer.once('error', reject)
+    httpServer.listen(endpoint.port, endpoint.host, resolve)
+  })
+  return {
+    close: () => {
+      server.close()
+      return new Promise<void>((resolve) => httpServer.close(() => resolve()))
+    }
+  }
+}
+
 /**
  * Listens for other daemons.
  *
@@ -127,23 +152,11 @@
     links.get(incarnation)?.close()
   }
 
-  const endpoint = splitAddress.splitAddress(options.listen)
-  const httpServer = http.createServer((_, response) => {
-    response.writeHead(426, { 'content-type': 'text/plain' })
-    response.end('This port is for other daemons; callers and operators use the callers address.\n')
-  })
-  const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
-  server.on('connection', (socket) => { startLink(socket, '') })
-  server.on('error', () => {})
-  await new Promise<void>((resolve, reject) => {
-    httpServer.once('error', reject)
-    httpServer.listen(endpoint.port, endpoint.host, resolve)
-  })
+  const listener = await listen(options.listen, (socket) => { startLink(socket, '') })
 
   async function close (): Promise<void> {
     for (const link of all) link.close()
-    server.close()
-    await new Promise<void>((resolve) => httpServer.close(() => resolve()))
+    await listener.close()
   }
 
   return { send, drop, introduce: (address) => { connect(address, '') }, tick: () => { for (const link of all) link.tick() }, close }
--- a/packages/daemon/tests/peer-port.test.ts
+++ b/packages/daemon/tests/peer-port.test.ts
@@ -15,8 +15,8 @@
   readonly address: string
   readonly peers: peersModule.Peers
   readonly counts: Map<string, number>
-  readonly received: (readonly [string, protocol.PeerMessage])[]
-  readonly connected: string[]
+  readonly received: readonly (readonly [string, protocol.PeerMessage])[]
+  readonly connected: readonly string[]
   readonly members: Map<string, protocol.MemberNews>
 }
 
@@ -57,7 +57,7 @@
 interface Socket {
   readonly send: (payload: unknown) => void
   readonly raw: ws.WebSocket
-  readonly replies: string[]
+  readonly replies: readonly string[]
 }
 
 async function connect (daemon: Daemon): Promise<Socket> {
