Elect no daemon that has just joined

Ruled out: slots kept for vanished entries (requests in flight equalled the targets' running requests after each fault), limits unlearned, lost asks. Change: a member is elected from its fifth beat on, unless the fleet itself started no more than five beats before. Conclusion: a joiner takes a pool over from a host that still acts.

--- a/packages/daemon/src/tasks/pools.ts
+++ b/packages/daemon/src/tasks/pools.ts
@@ -8,6 +8,7 @@
 import * as membership from '@persimmonhatch/membership'
 import type * as protocol from '@persimmonhatch/protocol'
 import type * as log from '../adapters/log.js'
+import * as election from './election.js'
 import * as targetReports from './target-reports.js'
 import * as task from './task.js'
 
@@ -58,12 +59,6 @@
   readonly reports: targetReports.TargetReports
 }
 
-// When every member is leaving, the leaving ones go on placing what still waits.
-function electable (members: readonly protocol.MemberNews[]): readonly protocol.MemberNews[] {
-  if (members.some((member) => member.state === 'alive')) return members
-  return members.map((member) => ({ ...member, state: 'alive' }))
-}
-
 /** Region of each pool: that of the members in its targets' availability zones; the own region when none is known. */
 function listPools (view: View, ownRegion: string): readonly membership.rendezvous.Pool[] {
   const regions = new Map(view.members.map((member) => [member.availabilityZone, member.region]))
@@ -127,7 +122,7 @@
   function update (view: View): void {
     const pools = listPools(view, options.region)
     local = new Set(pools.filter((pool) => pool.region === options.region).map((pool) => pool.pool))
-    const next = membership.rendezvous.assignAuthorities(electable(view.members), pools)
+    const next = membership.rendezvous.assignAuthorities(election.electable(view.members), pools)
     const changed = !sameAssignment(authorities, next)
     authorities = next
     const own = new Set(view.confirmed ? [...next].filter(([, incarnation]) => incarnation === options.incarnation).map(([pool]) => pool) : [])
--- a/packages/daemon/src/tasks/tasks.ts
+++ b/packages/daemon/src/tasks/tasks.ts
@@ -14,6 +14,7 @@
 import type * as settingsModule from '../settings/settings.js'
 import * as burnTask from './burn.js'
 import * as documentsTask from './documents.js'
+import * as election from './election.js'
 import * as membersTask from './members.js'
 import type * as platformCalls from './platform-calls.js'
 import * as poolsTask from './pools.js'
@@ -180,6 +181,7 @@
 export function startTasks (options: Options): Tasks {
   let documents: readonly document.serviceDocument.ServiceDocument[] = []
   let confirmed = false
+  let candidates = 0
   const tasks = (): Tasks => started
   const route = createRoute(tasks)
   const watch = watchSuspension(options, tasks)
@@ -192,6 +194,7 @@
   function updateView (): void {
     const { core } = started.members
     confirmed = core.isConfirmed()
+    candidates = election.electable(core.members()).length
     started.pools.update({ members: core.members(), documents, confirmed })
   }
 
@@ -202,12 +205,18 @@
     updateView()
   }
 
+  /** Beats and the own confirmation change without news of members. */
+  function isViewOutdated (): boolean {
+    const { core } = started.members
+    return core.isConfirmed() !== confirmed || election.electable(core.members()).length !== candidates
+  }
+
   function tick (): void {
     watch.tick()
     const { waiting, running } = started.entry.status()
     started.members.post({ kind: 'load', load: (waiting + running) / options.settings.limits.requests })
     started.members.post({ kind: 'tick' })
-    if (started.members.core.isConfirmed() !== confirmed) updateView()
+    if (isViewOutdated()) updateView()
     started.pools.tick()
     started.requests.post({ kind: 'tick' })
     started.documents.tick()
--- /dev/null
+++ b/packages/daemon/tests/election.test.ts
@@ -0,0 +1,34 @@
+import type * as protocol from '@persimmonhatch/protocol'
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as election from '../src/tasks/election.js'
+
+function member (incarnation: string, beat: number, state: protocol.MemberNews['state'] = 'alive'): protocol.MemberNews {
+  return { kind: 'member', incarnation, address: '', peerAddress: '', availabilityZone: 'z', region: 'r', beat, state, load: 0 }
+}
+
+function elected (members: readonly protocol.MemberNews[]): string {
+  return election.electable(members).map((one) => one.incarnation).join('')
+}
+
+const suite = uvu.suite('electable')
+
+suite('leaves out a daemon that joins a running fleet until it is established', () => {
+  assert.is(elected([member('a', 100), member('b', 90), member('c', election.ESTABLISHED_BEATS - 1)]), 'ab')
+  assert.is(elected([member('a', 100), member('b', 90), member('c', election.ESTABLISHED_BEATS)]), 'abc')
+})
+
+suite('takes all daemons of a fleet that starts as a whole', () => {
+  assert.is(elected([member('a', 0), member('b', 1), member('c', 0)]), 'abc')
+  assert.is(elected([member('a', 6), member('b', 4), member('c', 3)]), 'abc')
+})
+
+suite('takes a joining daemon when all others are leaving', () => {
+  assert.is(elected([member('a', 100, 'leaving'), member('b', 1)]), 'b')
+})
+
+suite('takes leaving daemons when there is no other', () => {
+  assert.equal(election.electable([member('a', 100, 'leaving')]).map((one) => one.state), ['alive'])
+})
+
+suite.run()
