--- a/packages/authority/tests/models.test.ts
+++ b/packages/authority/tests/models.test.ts
@@ -85,6 +85,15 @@
   assert.is(model.limitRequests(), 9)
 })
 
+models('the limit of a plain service stops growing when its calls take longer, however many end at once', () => {
+  const model = targetModel.createTargetModel('plain', undefined)
+  const call = (totalMs: number): rateEstimator.Sample => ({ ...SAMPLE, uncachedTokens: 4, answerTokens: 0, costTokens: 4, firstTokenMs: totalMs, totalMs })
+  for (let sample = 0; sample < 20; sample++) model.learn(call(8), sample)
+  add(model, 64, 20)
+  for (let sample = 0; sample < 2_000; sample++) model.learn(call(8 * (64 + sample) / 64), 20 + sample)
+  assert.ok(model.limitRequests() < 256)
+})
+
 models('a target that was late is tried again after a while', () => {
   const model = measured()
   for (let sample = 0; sample < 10; sample++) model.learn({ ...SAMPLE, firstTokenMs: 2_000 }, 200)
