Learn a plain service's times by the clock, not by the number of its calls

Ruled out: growth without use (the limit grows only when 80% of it is in flight). Change: worse times are taken over with a half-life of 2 minutes; the unknown load has a module of its own.

--- a/packages/authority/src/rate-estimator.ts
+++ b/packages/authority/src/rate-estimator.ts
@@ -36,6 +36,8 @@
 const MIN_PREFILL_TOKENS_PER_MS = 1e-6
 const GAIN_BETTER = 0.3
 const GAIN_WORSE = 0.01
+/** Half-life with which worse times of a plain service are taken over, milliseconds: a queue soon passes, a slower service does not. */
+const PLAIN_WORSE_HALF_LIFE_MS = 120_000
 const DECODE_GAIN = 0.1
 /** Gain by which the shortest time between tokens grows, small so that a full target is not taken for a slow one. */
 const BEST_DECODE_GAIN = 0.001
@@ -70,18 +72,25 @@
   return kind === 'plain' ? { ...start, baseMs: 0, decodeMs: 0 } : start
 }
 
+/** Gain for worse figures. Calls of a plain service come by the thousand, so it goes by time there and not by their number. */
+function gainForWorse (kind: 'model' | 'plain', samples: number, elapsedMs: number): number {
+  if (samples === 1) return 1
+  if (kind === 'plain') return 1 - 2 ** (-elapsedMs / PLAIN_WORSE_HALF_LIFE_MS)
+  return Math.max(GAIN_WORSE, 1 / samples)
+}
+
 /**
  * Rates after one more finished request. Better figures are taken over fast and worse ones slowly, so
- * that the rates show the target without a queue of its own.
+ * that the rates show the target without a queue of its own. `elapsedMs` is the time since the sample before.
  *
  * @example
  * ```ts
- * const rates = learnRates('model', startRates('model', undefined), sample)
+ * const rates = learnRates('model', startRates('model', undefined), sample, 40)
  * ```
  */
-export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample): Rates {
+export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample, elapsedMs: number): Rates {
   const samples = rates.samples + 1
-  const gainWorse = Math.max(GAIN_WORSE, 1 / samples)
+  const gainWorse = gainForWorse(kind, samples, elapsedMs)
   const prefillTokensPerMs = learnPrefill(kind, rates, sample, kind === 'model' ? GAIN_WORSE : gainWorse)
   const baseMs = kind === 'plain' ? 0 : learnBase(rates, sample, prefillTokensPerMs, gainWorse)
   const measured = decodeTime(sample)
--- a/packages/authority/src/target-model.ts
+++ b/packages/authority/src/target-model.ts
@@ -4,11 +4,11 @@
  *
  * @module
  */
-import * as inFlightHistory from './in-flight-history.js'
 import * as limit from './limit.js'
 import * as pace from './pace.js'
 import * as prefillBacklog from './prefill-backlog.js'
 import * as rateEstimator from './rate-estimator.js'
+import * as unknownLoad from './unknown-load.js'
 import type * as event from './event.js'
 
 /** Expected times of one request on one target, milliseconds. */
@@ -54,7 +54,6 @@
 const MIN_COMPARED_MS = 100
 const RESIDENCE_GAIN = 0.1
 const COST_GAIN = 0.1
-const REPORT_HALF_LIFE_MS = 2_000
 /** Longest wait for earlier prompts with which a target still takes a request, milliseconds. */
 const MAX_BACKLOG_MS = 400
 /** Share by which the time between tokens grows until the limit is reached. */
@@ -77,21 +76,16 @@
  * ```
  */
 export function createTargetModel (kind: 'model' | 'plain', prior: rateEstimator.Rates | undefined): TargetModel {
-  const history = inFlightHistory.createInFlightHistory()
+  const unknown = unknownLoad.createUnknownLoad()
   const bound = limit.createLimit()
   const lateness = pace.createPace()
   const backlog = prefillBacklog.createPrefillBacklog()
   let rates = rateEstimator.startRates(kind, prior)
+  let learnedAtMs = 0
   let known = 0
   let requests = 0
   let meanCost = 0
   let residenceMs = 0
-  let unknown = 0
-  let unknownAtMs = 0
-
-  function unknownRequests (nowMs: number): number {
-    return unknown === 0 ? 0 : unknown * 2 ** (-Math.max(0, nowMs - unknownAtMs) / REPORT_HALF_LIFE_MS)
-  }
 
   function learnTotal (totalMs: number): void {
     residenceMs += (residenceMs === 0 ? 1 : RESIDENCE_GAIN) * (totalMs - residenceMs)
@@ -108,7 +102,7 @@
       // Tiers that leave headroom also leave it behind their own prompt.
       const waitMs = backlog.waitMs(nowMs)
       const ownMs = share < 1 && waitMs > 0 ? promptTokens / rates.prefillTokensPerMs : 0
-      return requests + unknownRequests(nowMs) + 1 <= bound.requests() * share && waitMs + ownMs <= MAX_BACKLOG_MS * share
+      return requests + unknown.requests(nowMs) + 1 <= bound.requests() * share && waitMs + ownMs <= MAX_BACKLOG_MS * share
     },
     backlogMs: backlog.waitMs,
     pace: lateness.at,
@@ -127,19 +121,20 @@
       known += costTokens
       requests += 1
       if (kind === 'model') backlog.add(uncachedTokens / rates.prefillTokensPerMs, nowMs)
-      history.record(nowMs, requests)
+      unknown.record(nowMs, requests)
     },
     remove (costTokens, prefilledMs, nowMs) {
       backlog.correct(prefilledMs, nowMs)
       requests = Math.max(0, requests - 1)
       known = requests === 0 ? 0 : Math.max(0, known - costTokens)
-      history.record(nowMs, requests)
+      unknown.record(nowMs, requests)
     },
     learn (sample, nowMs) {
       const isFirst = rates.samples === 0
       const expectedMs = sample.backlogMs + expectAt(rates, sample.uncachedTokens, 0).firstTokenMs
       const gradient = limit.gradientOf(sample, expectedMs, rates)
-      rates = rateEstimator.learnRates(kind, rates, sample)
+      rates = rateEstimator.learnRates(kind, rates, sample, nowMs - learnedAtMs)
+      learnedAtMs = nowMs
       learnTotal(sample.totalMs)
       if (isFirst) return
       lateness.learn(sample.firstTokenMs / Math.max(MIN_COMPARED_MS, expectedMs), nowMs)
@@ -148,9 +143,7 @@
     learnTotal,
     learnOverdue (factor, nowMs) { if (factor > lateness.at(nowMs)) lateness.learn(factor, nowMs) },
     report (report, nowMs) {
-      const sampledAtMs = nowMs - report.ageMs
-      unknown = Math.max(0, report.runningRequests + report.queuedRequests - history.at(sampledAtMs))
-      unknownAtMs = sampledAtMs
+      unknown.report(report, nowMs)
       if (report.queuedRequests > 0) bound.cap(report.runningRequests)
     },
     restart () {
--- a/packages/authority/tests/models.test.ts
+++ b/packages/authority/tests/models.test.ts
@@ -85,13 +85,20 @@
   assert.is(model.limitRequests(), 9)
 })
 
-models('the limit of a plain service stops growing when its calls take longer, however many end at once', () => {
+models('the limit of a plain service that carries 100 calls a second stays near what it runs without a queue', () => {
   const model = targetModel.createTargetModel('plain', undefined)
-  const call = (totalMs: number): rateEstimator.Sample => ({ ...SAMPLE, uncachedTokens: 4, answerTokens: 0, costTokens: 4, firstTokenMs: totalMs, totalMs })
-  for (let sample = 0; sample < 20; sample++) model.learn(call(8), sample)
-  add(model, 64, 20)
-  for (let sample = 0; sample < 2_000; sample++) model.learn(call(8 * (64 + sample) / 64), 20 + sample)
-  assert.ok(model.limitRequests() < 256)
+  const startedAtMs: number[] = []
+  for (let nowMs = 0; nowMs < 60_000; nowMs += 10) {
+    while (model.hasRoom(1, NO_PROMPT, nowMs)) {
+      model.add(4, 4, nowMs)
+      startedAtMs.push(nowMs)
+    }
+    const startMs = startedAtMs.shift() ?? nowMs
+    const totalMs = nowMs + 10 - startMs
+    model.remove(4, nowMs, nowMs)
+    model.learn({ ...SAMPLE, uncachedTokens: 4, answerTokens: 0, costTokens: 4, firstTokenMs: totalMs, totalMs }, nowMs)
+  }
+  assert.ok(model.limitRequests() < 64)
 })
 
 models('a target that was late is tried again after a while', () => {
