--- a/packages/authority/src/authority.ts
+++ b/packages/authority/src/authority.ts
@@ -10,6 +10,7 @@
 import * as floorMessages from './floor-messages.js'
 import * as grants from './grants.js'
 import * as holdings from './holdings.js'
+import * as loadReports from './load-reports.js'
 import type * as outputs from './outputs.js'
 import * as releases from './releases.js'
 import * as surroundings from './surroundings.js'
@@ -30,6 +31,7 @@
   readonly tokensInFlight: number
   readonly limitTokens: number
   readonly requestsInFlight: number
+  readonly limitRequests: number
   /** Slow-down against its peers; 1 is normal. */
   readonly slowdown: number
 }
@@ -54,7 +56,7 @@
     case 'ask':
       return yield * asks.handleAsk(state, from, message, nowMs)
     case 'withdraw':
-      return yield * asks.handleWithdraw(state, from, message)
+      return yield * asks.handleWithdraw(state, from, message, nowMs)
     case 'round':
       yield * asks.handleRound(state, from, message.round, nowMs)
       return yield * grants.grantWaiting(state, nowMs)
@@ -84,8 +86,7 @@
     case 'suspect':
       return yield * crashes.handleSuspectNews(state, input.news, nowMs)
     case 'load':
-      state.targets.model(input.report.target)?.report(input.report, nowMs)
-      return
+      return yield * loadReports.handleLoad(state, input.report, nowMs)
     case 'cache':
       if (state.targets.model(input.report.target) !== undefined) state.prefixes.report(input.report)
       return
@@ -105,6 +106,7 @@
       state: state.targets.state(target),
       tokensInFlight: model?.knownTokens() ?? 0,
       limitTokens: Math.round(model?.limitTokens() ?? 0),
+      limitRequests: Math.round(model?.limitRequests() ?? 0),
       requestsInFlight: model?.requests() ?? 0,
       slowdown: state.targets.slowdown(target)
     }
--- a/packages/authority/src/context.ts
+++ b/packages/authority/src/context.ts
@@ -14,6 +14,7 @@
 import * as prefixIndex from './prefix-index.js'
 import * as recovery from './recovery.js'
 import * as reservations from './reservations.js'
+import * as serviceRates from './service-rates.js'
 import * as slotTable from './slot-table.js'
 import * as suspects from './suspects.js'
 import * as waitCalibration from './wait-calibration.js'
@@ -32,12 +33,16 @@
   readonly floors: floors.Floors
   readonly recovery: recovery.Recovery
   readonly deadlines: deadlineHeap.DeadlineHeap
+  readonly rates: serviceRates.ServiceRates
+  /** Per service, the most important tier that found no room at the last attempt. */
+  readonly blocked: Map<string, protocol.Rank>
   readonly answers: answerLength.AnswerLength
   readonly calibration: waitCalibration.WaitCalibration
   /** Asks that would be refused but for lower tiers that still run. */
   readonly pending: Map<string, protocol.Reason>
   /** Keys of waiting asks that run alone because their content is suspected. */
   readonly isolated: Set<string>
+  readonly nextSequence: () => number
   readonly view: () => poolView.PoolView
   readonly setView: (view: poolView.PoolView) => void
   /** Who is authority of which pool. */
@@ -55,6 +60,7 @@
  */
 export function createContext (options: authority.Options): Context {
   let view = poolView.readPool(options.pool, [])
+  let sequence = 0
   let authorities: ReadonlyMap<string, protocol.Incarnation> = new Map()
   return {
     options,
@@ -68,10 +74,13 @@
     floors: floors.createFloors(),
     recovery: recovery.createRecovery(),
     deadlines: deadlineHeap.createDeadlineHeap(),
+    rates: serviceRates.createServiceRates(),
+    blocked: new Map(),
     answers: answerLength.createAnswerLength(),
     calibration: waitCalibration.createWaitCalibration(),
     pending: new Map(),
     isolated: new Set(),
+    nextSequence: () => sequence++,
     view: () => view,
     setView (next) { view = next },
     authorities: () => authorities,
--- a/packages/authority/src/isolation.ts
+++ b/packages/authority/src/isolation.ts
@@ -27,7 +27,7 @@
 
 function countDraining (state: context.Context): number {
   let count = 0
-  for (const [, key] of state.reservations.all()) if (state.slots.get(key) === undefined) count += 1
+  for (const key of state.reservations.keys()) if (state.slots.get(key) === undefined) count += 1
   return count
 }
 
@@ -36,7 +36,7 @@
   let fewest = Infinity
   for (const target of state.view().services.get(ask.message.service)?.targets ?? []) {
     const tokens = state.targets.model(target)?.knownTokens() ?? Infinity
-    const isUsable = state.targets.readiness(target, nowMs) === 'serving' && state.reservations.get(target) === undefined
+    const isUsable = state.targets.readiness(target, nowMs) !== 'closed' && !state.reservations.isReserved(target)
     if (!isUsable || tokens >= fewest) continue
     best = target
     fewest = tokens
@@ -49,17 +49,24 @@
   if (model === undefined) return undefined
   const answerTokens = state.answers.expect(ask.message.service, ask.message.answerTokens)
   const expectation = model.expect(ask.message.promptTokens, answerTokens)
-  return { target, cachedTokens: 0, expectation, tokensInFlight: 0, slowdown: state.targets.slowdown(target) }
+  return { target, cachedTokens: 0, backlogMs: 0, expectation, tokensInFlight: 0, slowdown: state.targets.slowdown(target) }
 }
 
+function isEmpty (state: context.Context, target: string): boolean {
+  return (state.targets.model(target)?.requests() ?? 0) === 0
+}
+
+/** The target that an ask is to run on: the one that is drained for it, unless another is empty already. */
 function reserve (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): string | undefined {
   const reserved = state.reservations.targetOf(ask.key)
-  if (reserved !== undefined && state.targets.readiness(reserved, nowMs) === 'serving') return reserved
+  const isKept = reserved !== undefined && state.targets.readiness(reserved, nowMs) !== 'closed'
+  if (isKept && isEmpty(state, reserved)) return reserved
+  const found = findTarget(state, ask, nowMs)
+  if (isKept && (found === undefined || !isEmpty(state, found))) return reserved
   state.reservations.release(ask.key)
-  if (countDraining(state) >= MAX_DRAINING) return undefined
-  const target = findTarget(state, ask, nowMs)
-  if (target !== undefined) state.reservations.reserve(target, ask.key)
-  return target
+  if (found === undefined || countDraining(state) >= MAX_DRAINING) return undefined
+  state.reservations.reserve(found, ask.key)
+  return found
 }
 
 /**
@@ -79,7 +86,7 @@
       continue
     }
     const target = reserve(state, ask, nowMs)
-    if (target === undefined || state.slots.onTarget(target).length > 0) continue
+    if (target === undefined || state.reservations.isClosedTo(target, ask.key) || state.slots.onTarget(target).length > 0) continue
     const placement = toPlacement(state, ask, target)
     if (placement === undefined || !state.entries.isFresh(ask.entry, nowMs)) continue
     yield * grant(state, ask, placement, nowMs)
--- a/packages/authority/src/surroundings.ts
+++ b/packages/authority/src/surroundings.ts
@@ -29,6 +29,7 @@
   state.setView(poolView.readPool(state.options.pool, documents))
   if (isFirst && state.recovery.phase() !== 'idle') holdings.holdUnknownFloors(state, nowMs)
   state.targets.update(state.view())
+  state.rates.clear()
   for (const target of before) if (state.targets.isLeaving(target)) yield * withdrawGrants(state, target, nowMs)
   yield * grants.grantWaiting(state, nowMs)
 }
@@ -36,6 +37,7 @@
 /** Takes news of a target that is leaving or has returned. */
 export function * handleTargetNews (state: context.Context, news: protocol.TargetNews, nowMs: number): outputs.Outputs {
   if (!state.targets.takeNews(news)) return
+  state.rates.clear()
   yield outputs.count(`targets.${news.state}`)
   if (news.state === 'leaving') yield * withdrawGrants(state, news.target, nowMs)
   yield * grants.grantWaiting(state, nowMs)
--- a/packages/authority/src/waiting-ask.ts
+++ b/packages/authority/src/waiting-ask.ts
@@ -16,9 +16,13 @@
   readonly share: number
   /** When the request began to wait, on this authority's clock. */
   readonly arrivedAtMs: number
+  /** Order of arrival among asks that began to wait at the same time. */
+  readonly sequence: number
   /** When the caller's deadline passes, on this authority's clock. */
   readonly deadlineAtMs: number
   readonly queuedAtMs: number
+  /** Time that the request needs on an idle target; 0 when that was not measured. */
+  readonly serviceMs: number
   /** Wait that was expected when the ask was queued. */
   readonly expectedWaitMs: number
 }
--- a/packages/daemon/src/peer/link.ts
+++ b/packages/daemon/src/peer/link.ts
@@ -7,6 +7,7 @@
 import * as jsonRpc from 'json-rpc-2.0'
 import type * as ws from 'ws'
 import * as compression from './compression.js'
+import * as silenceModule from './silence.js'
 
 /** Bytes waiting to be sent above which a link is given up: the peer does not read. */
 const MAX_BUFFERED_BYTES = 8_388_608
@@ -20,6 +21,9 @@
 const HELLO = 'hello'
 const REFUSED_GREETING_CODE = -32_001
 
+/** Identity of the only request that a link makes, its greeting. */
+const GREETING_ID = 1
+
 /** Gives the frame that carries a message: text as it is, or compressed bytes. */
 export type Encode = (text: string) => string | Uint8Array
 
@@ -56,12 +60,32 @@
   }
 }
 
+/** The greeting is not from, or not for, the daemon that the link belongs to. */
+export class ForeignIncarnation extends Error {
+  constructor (incarnation: protocol.Incarnation) {
+    super(`The greeting names incarnation ${incarnation}, which this connection does not belong to: connect again.`)
+    this.name = 'ForeignIncarnation'
+  }
+}
+
 function readGreeting (parameters: unknown): protocol.Greeting {
   const greeting = protocol.greeting.parse(parameters)
   if (greeting.version !== protocol.PROTOCOL_VERSION) throw new VersionMismatch(greeting.version)
   return greeting
 }
 
+/** A peer greets under one name, which is not this daemon's own. */
+function checkIncarnation (incarnation: protocol.Incarnation, own: protocol.Incarnation, former: protocol.Incarnation | undefined): void {
+  if (incarnation === own || (former ?? incarnation) !== incarnation) throw new ForeignIncarnation(incarnation)
+}
+
+function createServer (count: Options['count'], acceptGreeting: (parameters: unknown) => protocol.Greeting): jsonRpc.JSONRPCServer {
+  const server = new jsonRpc.JSONRPCServer({ errorListener: () => count('peers.rejected', 1) })
+  server.addMethod(HELLO, acceptGreeting)
+  server.mapErrorToJSONRPCErrorResponse = (id, error: Error) => jsonRpc.createJSONRPCErrorResponse(id, REFUSED_GREETING_CODE, error.message)
+  return server
+}
+
 /**
  * Runs one connection until it closes.
  *
@@ -74,14 +98,11 @@
 export function openLink (options: Options): Link {
   const { socket, count } = options
   let peer: protocol.Incarnation | undefined
-  const openedMs = options.clock()
-  let heardMs = openedMs
-  let sentMs: number | undefined
+  const silence = silenceModule.createSilence(options.clock)
+  let isGreetingOpen = false
 
-  const server = new jsonRpc.JSONRPCServer({ errorListener: () => count('peers.rejected', 1) })
-  const client = new jsonRpc.JSONRPCClient((payload) => sendPayload(payload))
-  server.addMethod(HELLO, acceptGreeting)
-  server.mapErrorToJSONRPCErrorResponse = (id, error: Error) => jsonRpc.createJSONRPCErrorResponse(id, REFUSED_GREETING_CODE, error.message)
+  const server = createServer(count, acceptGreeting)
+  const client = new jsonRpc.JSONRPCClient(sendPayload, () => GREETING_ID)
 
   const link: Link = { peer: () => peer, send, greet, tick, close: () => socket.terminate() }
 
@@ -94,7 +115,7 @@
   function transmit (frame: string | Uint8Array): void {
     if (socket.readyState !== socket.OPEN) return
     if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return socket.terminate()
-    sentMs ??= options.clock()
+    silence.sent()
     count('peers.sentBytes', frame.length)
     socket.send(frame)
   }
@@ -105,6 +126,7 @@
   }
 
   function identify (member: protocol.MemberNews): void {
+    checkIncarnation(member.incarnation, options.greet().member.incarnation, peer)
     if (peer !== undefined) return
     peer = member.incarnation
     options.onOpen(link, member)
@@ -117,6 +139,7 @@
   }
 
   function greet (): void {
+    isGreetingOpen = true
     client.request(HELLO, options.greet()).then(
       (answer: unknown) => identify(readGreeting(answer).member)
     ).then(undefined, () => {
@@ -131,31 +154,34 @@
     options.onMessage(link, message.data)
   }
 
+  /** Takes the reply to the greeting, once. */
+  function receiveReply (reply: jsonRpc.JSONRPCResponse): void {
+    if (!isGreetingOpen || reply.id !== GREETING_ID) return count('peers.rejected', 1)
+    isGreetingOpen = false
+    client.receive(reply)
+  }
+
   function receive (frame: Buffer, isBinary: boolean): void {
-    heardMs = options.clock()
-    sentMs = undefined
+    silence.heard()
     count('peers.receivedBytes', frame.length)
     const text = isBinary ? compression.decompress(frame) : frame.toString('utf8')
     const payload = text === undefined ? undefined : parsePayload(text)
     if (payload === undefined) return count('peers.rejected', 1)
-    if (jsonRpc.isJSONRPCResponse(payload)) return client.receive(payload)
+    if (jsonRpc.isJSONRPCResponse(payload)) return receiveReply(payload)
     if (!jsonRpc.isJSONRPCRequest(payload)) return count('peers.rejected', 1)
     if (payload.id === undefined) return receiveNotification(payload.method, payload.params)
-    server.receive(payload).then(
-      (answer) => { if (answer !== null) transmit(JSON.stringify(answer)) }
-    ).then(undefined, () => count('peers.rejected', 1))
+    if (!server.hasMethod(payload.method)) count('peers.rejected', 1)
+    server.receive(payload).then((answer) => { if (answer !== null) transmit(JSON.stringify(answer)) }).then(undefined, () => count('peers.rejected', 1))
   }
 
   function tick (): void {
-    if (peer === undefined && options.clock() - openedMs > DEAD_MS) return socket.terminate()
-    if (sentMs === undefined) return
-    const silentMs = options.clock() - Math.max(heardMs, sentMs)
-    if (silentMs > DEAD_MS) return socket.terminate()
-    if (silentMs > QUIET_MS && socket.readyState === socket.OPEN) socket.ping()
+    const isNameless = peer === undefined && silence.ageMs() > DEAD_MS
+    if (isNameless || silence.lengthMs() > DEAD_MS) return socket.terminate()
+    if (silence.lengthMs() > QUIET_MS && socket.readyState === socket.OPEN) socket.ping()
   }
 
   socket.on('message', (data, isBinary) => receive(data as Buffer, isBinary))
-  socket.on('pong', () => { heardMs = options.clock(); sentMs = undefined })
+  socket.on('pong', silence.heard)
   socket.on('error', () => count('peers.errors', 1))
   socket.on('close', () => {
     client.rejectAllPendingRequests('closed')
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -3,12 +3,11 @@
  *
  * @module
  */
-import * as http from 'node:http'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as ws from 'ws'
-import * as splitAddress from '../util/split-address.js'
 import * as compression from './compression.js'
 import * as linkModule from './link.js'
+import * as listenerModule from './listener.js'
 
 /** Messages kept for a peer while its connection is being opened. */
 const MAX_QUEUED_MESSAGES = 2_000
@@ -55,23 +54,26 @@
   const all = new Set<linkModule.Link>()
   const dialing = new Map<protocol.Incarnation, protocol.PeerMessage[]>()
 
-  function startLink (socket: ws.WebSocket): linkModule.Link {
+  function startLink (socket: ws.WebSocket, wanted: string): linkModule.Link {
     const link = linkModule.openLink({
       socket,
-      ...options,
-      greet: () => options.greet(''),
-      onOpen: opened,
+      clock: options.clock,
+      encode: options.encode,
+      greet: () => options.greet(wanted),
+      onOpen: (from, member) => opened(from, member, wanted),
       onMessage: (from, message) => {
         const peer = from.peer()
         if (peer !== undefined) options.onMessage(peer, message)
       },
-      onClose: closed
+      onClose: closed,
+      count: options.count
     })
     all.add(link)
     return link
   }
 
-  function opened (link: linkModule.Link, member: protocol.MemberNews): void {
+  function opened (link: linkModule.Link, member: protocol.MemberNews, wanted: string): void {
+    if (wanted !== '' && wanted !== member.incarnation) return meetSuccessor(link, member)
     links.set(member.incarnation, link)
     options.onConnected(member)
     const queued = dialing.get(member.incarnation) ?? []
@@ -79,22 +81,29 @@
     for (const message of queued) link.send(message)
   }
 
+  /** The wanted daemon's address belongs to another incarnation now: learn of it, and close. */
+  function meetSuccessor (link: linkModule.Link, member: protocol.MemberNews): void {
+    options.count('peers.foreign', 1)
+    options.onConnected(member)
+    link.close()
+  }
+
   function closed (link: linkModule.Link): void {
     all.delete(link)
     const peer = link.peer()
     if (peer !== undefined && links.get(peer) === link) links.delete(peer)
   }
 
-  function connect (address: protocol.Address): ws.WebSocket {
+  function connect (address: protocol.Address, wanted: string): ws.WebSocket {
     const socket = new ws.WebSocket(`ws://${address}/`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: compression.MAX_MESSAGE_BYTES })
-    const link = startLink(socket)
+    const link = startLink(socket, wanted)
     socket.once('open', () => link.greet())
     return socket
   }
 
   function dial (member: protocol.MemberNews, message: protocol.PeerMessage): void {
     dialing.set(member.incarnation, [message])
-    connect(member.peerAddress).once('close', () => {
+    connect(member.peerAddress, member.incarnation).once('close', () => {
       const lost = dialing.get(member.incarnation)?.length ?? 0
       dialing.delete(member.incarnation)
       options.count('peers.undelivered', lost)
@@ -118,24 +127,16 @@
     links.get(incarnation)?.close()
   }
 
-  const endpoint = splitAddress.splitAddress(options.listen)
-  const httpServer = http.createServer((_, response) => {
-    response.writeHead(426, { 'content-type': 'text/plain' })
-    response.end('This port is for other daemons; callers and operators use the callers address.\n')
-  })
-  const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: false, maxPayload: compression.MAX_MESSAGE_BYTES })
-  server.on('connection', (socket) => { startLink(socket) })
-  server.on('error', () => {})
-  await new Promise<void>((resolve, reject) => {
-    httpServer.once('error', reject)
-    httpServer.listen(endpoint.port, endpoint.host, resolve)
+  const listener = await listenerModule.openListener({
+    listen: options.listen,
+    maxMessageBytes: compression.MAX_MESSAGE_BYTES,
+    onSocket: (socket) => { startLink(socket, '') }
   })
 
   async function close (): Promise<void> {
     for (const link of all) link.close()
-    server.close()
-    await new Promise<void>((resolve) => httpServer.close(() => resolve()))
+    await listener.close()
   }
 
-  return { send, drop, introduce: (address) => { connect(address) }, tick: () => { for (const link of all) link.tick() }, close }
+  return { send, drop, introduce: (address) => { connect(address, '') }, tick: () => { for (const link of all) link.tick() }, close }
 }
--- a/packages/entry/src/admission.ts
+++ b/packages/entry/src/admission.ts
@@ -58,6 +58,6 @@
   if (yield * requestLimit.makeRoom(own, read.value.rank, nowMs)) {
     yield * accept(own, arrival, known, read.value, nowMs)
   } else {
-    yield * refusal.refuse(own, arrival, known, receipt.notRun('shed', requestLimit.limitFigures(own, read.value.rank)), settle.RETRY_AFTER_MS)
+    yield * refusal.refuse(own, arrival, known, receipt.notRun('daemon-full', requestLimit.limitFigures(own, read.value.rank)), settle.RETRY_AFTER_MS)
   }
 }
--- a/packages/entry/src/request-limit.ts
+++ b/packages/entry/src/request-limit.ts
@@ -25,7 +25,7 @@
 export function limitFigures (own: state.State, rank: protocol.Rank): protocol.Figures {
   const { requestLimit } = own.settings
   const ahead = [...own.requests.values()].filter((each) => each.terms.rank <= rank).length
-  return { ahead, expectedWaitMs: 'unknown', maxWaitMs: 'unknown', requestLimit }
+  return { ahead, requestLimit }
 }
 
 /** Makes room for a request of a rank, by displacing a less important one if need be; false when there is none. */
@@ -33,6 +33,6 @@
   if (own.requests.size < own.settings.requestLimit) return true
   const displaced = findDisplaceable(own, rank)
   if (displaced === undefined) return false
-  yield * settle.giveUp(own, displaced, receipt.notRun('shed', limitFigures(own, displaced.terms.rank)), settle.RETRY_AFTER_MS, nowMs)
+  yield * settle.giveUp(own, displaced, receipt.notRun('daemon-full', limitFigures(own, displaced.terms.rank)), settle.RETRY_AFTER_MS, nowMs)
   return true
 }
--- a/packages/entry/src/surroundings.ts
+++ b/packages/entry/src/surroundings.ts
@@ -5,7 +5,7 @@
  */
 import type * as document from '@persimmonhatch/document'
 import type * as protocol from '@persimmonhatch/protocol'
-import * as authorityMessage from './authority-message.js'
+import * as holdings from './holdings.js'
 import type * as output from './output.js'
 import * as receipt from './receipt.js'
 import type * as request from './request.js'
@@ -24,7 +24,10 @@
   for (const waiting of own.waiting()) yield * termsChange.refreshTerms(own, waiting, nowMs)
 }
 
-/** Asks the authorities in force; one that was reconnected may have missed releases and asks. */
+/**
+ * Asks the authorities in force. One that was reconnected may have missed releases and asks. One that
+ * others took for gone for a while, and that never learned of it, does not collect what its substitute granted.
+ */
 export function * handleAuthorities (
   own: state.State,
   authorities: ReadonlyMap<string, protocol.Incarnation>,
@@ -32,14 +35,16 @@
   nowMs: number
 ): output.Outputs {
   own.authorities = new Map(authorities)
+  holdings.forgetCollectors(own)
   for (const authority of reconnected) own.rounds.drop(authority)
   for (const [pool, authority] of authorities) {
-    if (reconnected.includes(authority)) yield * authorityMessage.reportHoldings(own, authority, pool, nowMs)
+    const isIgnorant = reconnected.includes(authority) || holdings.isUnknownTo(own, authority, pool)
+    if (isIgnorant) yield * holdings.report(own, authority, pool, nowMs)
   }
   const isOutdated = (waiting: request.Waiting): boolean => {
-    if (waiting.slot === undefined) return true
-    return reconnected.includes(waiting.slot.authority) || authorities.get(waiting.slot.pool) !== waiting.slot.authority
+    return waiting.slot === undefined || authorities.get(waiting.slot.pool) !== waiting.slot.authority
   }
+  yield * slotRequest.repeatAsks(own, (slot) => reconnected.includes(slot.authority) && authorities.get(slot.pool) === slot.authority, nowMs)
   yield * slotRequest.askAgain(own, isOutdated, nowMs)
 }
 
--- a/packages/entry/tests/entry.test.ts
+++ b/packages/entry/tests/entry.test.ts
@@ -137,6 +137,17 @@
   assert.equal(fixtures.effects(driver.grant(present, 'stock-1', OTHER_AUTHORITY)), ['dispatch 1 stock-1'])
 })
 
+test('an authority that returns without a collect is told of the slots that its substitute granted, before it is asked', () => {
+  const driver = started()
+  driver.arrive()
+  driver.grant(fixtures.askOf(driver.assign(OTHER_AUTHORITY)), 'stock-1', OTHER_AUTHORITY)
+  driver.arrive({ request: 2, identity: `${OWN}.10.b` })
+  const sent = fixtures.kinds(driver.assign(AUTHORITY))
+  assert.equal(sent, [`holdings ${AUTHORITY}`, `withdraw ${OTHER_AUTHORITY}`, `ask ${AUTHORITY}`])
+  assert.equal(fixtures.releases(driver.end('finished')).length, 2)
+  assert.equal(fixtures.messages(driver.assign(AUTHORITY), 'holdings'), [])
+})
+
 test('rounds are renewed while asks wait, and a grant that echoes a renewed round is used', () => {
   const driver = started()
   const ask = fixtures.askOf(driver.arrive())
@@ -148,6 +159,25 @@
   assert.is(fixtures.messages(driver.wait(1_000), 'round').length, 0)
 })
 
+test('rounds are sent by themselves although asks for one pool of the authority carry newer ones', () => {
+  const driver = started({ orderPools: (pools: readonly string[], key: string) => key.endsWith('south') ? ['south'] : [...pools].sort() })
+  driver.arrive({ prefixes: ['south'] })
+  const sentMs: number[] = []
+  for (let step = 1; step <= 30; step++) {
+    driver.arrive({ request: step + 1, identity: `${OWN}.10.n${step}` })
+    if (fixtures.messages(driver.wait(100), 'round').length > 0) sentMs.push(driver.nowMs)
+  }
+  assert.equal(sentMs, [500, 1_000, 1_500, 2_000, 2_500, 3_000])
+})
+
+test('an ask without an answer is repeated under its number', () => {
+  const driver = started()
+  const ask = fixtures.askOf(driver.arrive())
+  assert.equal(fixtures.messages(driver.wait(14_999), 'ask'), [])
+  assert.is(fixtures.askOf(driver.wait(1)).ask, ask.ask)
+  assert.equal(fixtures.messages(driver.wait(14_999), 'ask'), [])
+})
+
 test('without an authority a request waits until its deadline, and asks when one is known', () => {
   const driver = started()
   driver.do({ kind: 'authorities', authorities: new Map(), reconnected: [] })
@@ -254,12 +284,12 @@
   assert.equal(fixtures.effects(driver.do({ kind: 'beat', beat: 611 })), ['forget 4'])
 })
 
-test('at the limit a waiting request of a lower tier is displaced, otherwise the arrival is shed', () => {
+test('at the limit a waiting request of a lower tier is displaced, otherwise the arrival is refused', () => {
   const driver = started({ requestLimit: 1 })
   driver.arrive()
   const displacing = driver.arrive({ request: 2, identity: `${OWN}.10.b`, tier: 'counter' })
-  assert.equal(fixtures.effects(displacing), ['refuse 1 shed not-run', 'settled shed not-run'])
-  assert.equal(fixtures.effects(driver.arrive({ request: 3, identity: `${OWN}.10.c`, tier: 'counter' }))[0], 'refuse 3 shed not-run')
+  assert.equal(fixtures.effects(displacing), ['refuse 1 daemon-full not-run', 'settled daemon-full not-run'])
+  assert.equal(fixtures.effects(driver.arrive({ request: 3, identity: `${OWN}.10.c`, tier: 'counter' }))[0], 'refuse 3 daemon-full not-run')
 })
 
 test('documents that change while a request waits', () => {
@@ -294,7 +324,7 @@
   assert.equal(fixtures.effects(driver.wait(100)), [])
 })
 
-test('holdings list every slot in the pool, then waiting asks follow anew', () => {
+test('holdings list every slot in the pool, then waiting asks are repeated', () => {
   const driver = started()
   driver.grant(fixtures.askOf(driver.arrive()))
   const waiting = fixtures.askOf(driver.arrive({ request: 2, identity: `${OWN}.10.b` }))
@@ -302,7 +332,7 @@
   const collected = driver.receive({ kind: 'collect', pool: 'north' })
   const [sent] = fixtures.messages(collected, 'holdings')
   assert.equal(sent?.message.kind === 'holdings' && sent.message.holdings.map((each) => [each.target, each.runningMs]), [['stock-1', 40]])
-  assert.is.not(fixtures.askOf(collected).ask, waiting.ask)
+  assert.equal(fixtures.askOf(collected), { ...waiting, waitedMs: 40, deadlineMs: waiting.deadlineMs - 40 })
 })
 
 test.run()
--- a/packages/membership/tests/network.ts
+++ b/packages/membership/tests/network.ts
@@ -16,8 +16,8 @@
   readonly seed: number
   /** Share of messages lost. */
   readonly loss: number
-  /** Members that each daemon is introduced to at the start; all are when undefined. */
-  readonly introductions?: number
+  /** Members that each daemon is introduced to at the start; with `all`, each knows all from the start. */
+  readonly introductions: number | 'all'
 }
 
 interface Delivery {
@@ -76,8 +76,8 @@
   nowMs = 0
   /** Counts bytes while true. */
   isMeasuring = false
-  /** True for pairs of regions that are cut off from each other. */
-  isCut: (a: string, b: string) => boolean = () => false
+  /** True for messages that do not arrive. */
+  isCut: (from: Node, to: Node, message: event.Received) => boolean = () => false
   private readonly random: protocol.Random
   private readonly deliveries = new Map<number, Delivery[]>()
   private readonly byIncarnation: Map<string, Node>
@@ -86,7 +86,7 @@
     this.random = createRandom(options.seed)
     this.nodes = Array.from({ length: options.size }, (_, index) => this.createNode(index))
     this.byIncarnation = new Map(this.nodes.map((node) => [node.news.incarnation, node]))
-    for (const node of this.nodes) this.introduce(node)
+    for (const node of this.nodes) this.introduce(node, options.introductions)
   }
 
   private createNode (index: number): Node {
@@ -94,10 +94,13 @@
     return new Node(news, createRandom(this.options.seed * 10_007 + index))
   }
 
-  private introduce (node: Node): void {
+  private introduce (node: Node, count: number | 'all'): void {
     const others = this.nodes.map((other) => other.news)
-    const count = this.options.introductions
-    const members = count === undefined ? others : Array.from({ length: count }, () => others[Math.floor(this.random() * others.length)] as protocol.MemberNews)
+    if (count === 'all') {
+      this.give(node, { kind: 'message', from: others[0]?.incarnation ?? '', message: { kind: 'probe', sequence: 0, news: others } })
+      return
+    }
+    const members = Array.from({ length: count }, () => others[Math.floor(this.random() * others.length)] as protocol.MemberNews)
     this.give(node, { kind: 'introduced', members })
   }
 
@@ -158,7 +161,7 @@
     const due = this.deliveries.get(this.nowMs) ?? []
     this.deliveries.delete(this.nowMs)
     for (const { from, to, message } of due) {
-      if (this.isCut(from.news.region, to.news.region)) continue
+      if (this.isCut(from, to, message)) continue
       this.give(to, { kind: 'message', from: from.news.incarnation, message })
     }
     const phase = (this.nowMs / STEP_MS) % (event.TICK_INTERVAL_MS / STEP_MS)
