--- a/packages/bench/src/roles/member.ts
+++ b/packages/bench/src/roles/member.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import * as zlib from 'node:zlib'
+import * as daemon from '@persimmonhatch/daemon'
 import * as membership from '@persimmonhatch/membership'
 import * as resources from '../resources.js'
 import type * as series from '../series.js'
@@ -16,6 +16,7 @@
 const SETTLE_MS = 40_000
 const SPAN_S = 10
 const ANSWERS = 500
+const ASSIGNMENTS = 5
 
 const networks = new Map<number, memberNetwork.MemberNetwork>()
 
@@ -36,12 +37,11 @@
   return (network.sentBytes - before) / SPAN_S / members
 }
 
-/** Two members seldom speak, so each message is compressed as if it were the first on its connection. */
 function compressedBytesPerSecond (members: number): number {
   const network = settledNetwork(members)
   const before = network.sentMessages
   network.run(SPAN_S * 1_000)
-  const bytes = network.latest.map((text) => wire.networkBytes(zlib.deflateRawSync(text, { level: 1, windowBits: 12, memLevel: 4 }).length))
+  const bytes = network.latest.map((text) => wire.networkBytes(daemon.compression.compress(text).length))
   const mean = bytes.reduce((sum, value) => sum + value, 0) / bytes.length
   return mean * (network.sentMessages - before) / SPAN_S / members
 }
@@ -85,20 +85,22 @@
   return resources.cpuMicrosPer(ANSWERS, () => { for (let index = 0; index < ANSWERS; index++) JSON.stringify(answer()) })
 }
 
-function cpuPerAssignment (members: number): number {
+function cpuPerAssignment (members: number, assign: daemon.assignment.Assign): number {
   const all = Array.from({ length: members }, (_, index) => workload.memberOf(index))
   const pools = Array.from({ length: 320 }, (_, index) => ({ pool: `pool-${index}`, region: `region-${index % 3}` }))
-  return resources.cpuMicrosPer(3, () => { for (let index = 0; index < 3; index++) membership.rendezvous.assignAuthorities(all, pools) })
+  assign(all, pools)
+  return resources.cpuMicrosPer(ASSIGNMENTS, () => { for (let index = 0; index < ASSIGNMENTS; index++) assign(all, pools) })
 }
 
 /** What is measured of membership. */
 export const PLANS: readonly series.Plan[] = [
   { role: ROLE, quantity: 'network bytes sent per second and daemon (as many are received)', unit: 'bytes', sizeOf: 'members', sizes: SIZES, sample: bytesPerSecond },
-  { role: ROLE, quantity: 'the same, each message compressed alone', unit: 'bytes', sizeOf: 'members', sizes: SIZES, sample: compressedBytesPerSecond },
+  { role: ROLE, quantity: 'the same, compressed', unit: 'bytes', sizeOf: 'members', sizes: SIZES, sample: compressedBytesPerSecond },
   { role: ROLE, quantity: 'messages sent per second and daemon', unit: 'messages', sizeOf: 'members', sizes: SIZES, sample: messagesPerSecond },
   { role: ROLE, quantity: 'CPU per second and daemon: core, text and checks, no sockets', unit: 'us', sizeOf: 'members', sizes: SIZES, sample: cpuPerSecond },
   { role: ROLE, quantity: 'heap per daemon', unit: 'bytes', sizeOf: 'members', sizes: SIZES, repeats: 1, sample: heapPerDaemon },
   { role: ROLE, quantity: 'network bytes sent per second and daemon of 160, with fresh news in ten seconds', unit: 'bytes', sizeOf: 'pieces of news', sizes: [0, 1, 10, 40], sample: bytesOfNews },
   { role: 'caller steering', quantity: 'CPU per answer', unit: 'us', sizeOf: 'members', sizes: SIZES, sample: cpuPerAddressAnswer },
-  { role: 'member', quantity: 'CPU to assign 320 pools to authorities', unit: 'us', sizeOf: 'members', sizes: SIZES, sample: cpuPerAssignment }
+  { role: 'member', quantity: 'CPU to assign 320 pools to authorities', unit: 'us', sizeOf: 'members', sizes: SIZES, sample: (members) => cpuPerAssignment(members, membership.rendezvous.assignAuthorities) },
+  { role: 'member', quantity: 'CPU to assign 320 pools to authorities again when neither changed', unit: 'us', sizeOf: 'members', sizes: SIZES, sample: (members) => cpuPerAssignment(members, daemon.assignment.createAssign()) }
 ]
--- a/packages/daemon/src/peer/link.ts
+++ b/packages/daemon/src/peer/link.ts
@@ -6,6 +6,7 @@
 import * as protocol from '@persimmonhatch/protocol'
 import * as jsonRpc from 'json-rpc-2.0'
 import type * as ws from 'ws'
+import * as compression from './compression.js'
 import * as silenceModule from './silence.js'
 
 /** Bytes waiting to be sent above which a link is given up: the peer does not read. */
@@ -23,10 +24,14 @@
 /** Identity of the only request that a link makes, its greeting. */
 const GREETING_ID = 1
 
+/** Gives the frame that carries a message: text as it is, or compressed bytes. */
+export type Encode = (text: string) => string | Uint8Array
+
 /** What a link needs of its surroundings. */
 export interface Options {
   readonly socket: ws.WebSocket
   readonly clock: protocol.Clock
+  readonly encode: Encode
   /** This daemon's own greeting. */
   readonly greet: () => protocol.Greeting
   /** Called once the peer has said who it is. */
@@ -97,16 +102,22 @@
   let isGreetingOpen = false
 
   const server = createServer(count, acceptGreeting)
-  const client = new jsonRpc.JSONRPCClient((payload) => transmit(JSON.stringify(payload)), () => GREETING_ID)
+  const client = new jsonRpc.JSONRPCClient(sendPayload, () => GREETING_ID)
 
   const link: Link = { peer: () => peer, send, greet, tick, close: () => socket.terminate() }
 
-  function transmit (text: string): void {
+  // The greeting goes as text, so that daemons of other versions can read it.
+  function sendPayload (payload: jsonRpc.JSONRPCRequest): void {
+    const text = JSON.stringify(payload)
+    transmit(payload.id === undefined ? options.encode(text) : text)
+  }
+
+  function transmit (frame: string | Uint8Array): void {
     if (socket.readyState !== socket.OPEN) return
     if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return socket.terminate()
     silence.sent()
-    count('peers.sentBytes', text.length)
-    socket.send(text)
+    count('peers.sentBytes', frame.length)
+    socket.send(frame)
   }
 
   function send (message: protocol.PeerMessage): void {
@@ -150,10 +161,11 @@
     client.receive(reply)
   }
 
-  function receive (text: string): void {
+  function receive (frame: Buffer, isBinary: boolean): void {
     silence.heard()
-    count('peers.receivedBytes', text.length)
-    const payload = parsePayload(text)
+    count('peers.receivedBytes', frame.length)
+    const text = isBinary ? compression.decompress(frame) : frame.toString('utf8')
+    const payload = text === undefined ? undefined : parsePayload(text)
     if (payload === undefined) return count('peers.rejected', 1)
     if (jsonRpc.isJSONRPCResponse(payload)) return receiveReply(payload)
     if (!jsonRpc.isJSONRPCRequest(payload)) return count('peers.rejected', 1)
@@ -168,7 +180,7 @@
     if (silence.lengthMs() > QUIET_MS && socket.readyState === socket.OPEN) socket.ping()
   }
 
-  socket.on('message', (data, isBinary) => { if (isBinary) count('peers.rejected', 1); else receive(String(data)) })
+  socket.on('message', (data, isBinary) => receive(data as Buffer, isBinary))
   socket.on('pong', silence.heard)
   socket.on('error', () => count('peers.errors', 1))
   socket.on('close', () => {
--- a/packages/daemon/src/peer/listener.ts
+++ b/packages/daemon/src/peer/listener.ts
@@ -11,7 +11,6 @@
 /** What a listener needs of its surroundings. */
 export interface Options {
   readonly listen: protocol.Address
-  readonly compression: ws.PerMessageDeflateOptions | false
   readonly maxMessageBytes: number
   readonly onSocket: (socket: ws.WebSocket) => void
 }
@@ -26,7 +25,7 @@
  *
  * @example
  * ```ts
- * const listener = await openListener({ listen, compression: false, maxMessageBytes: 4_194_304, onSocket })
+ * const listener = await openListener({ listen, maxMessageBytes: 4_194_304, onSocket })
  * ```
  */
 export async function openListener (options: Options): Promise<Listener> {
@@ -35,7 +34,7 @@
     response.writeHead(426, { 'content-type': 'text/plain' })
     response.end('This port is for other daemons; callers and operators use the callers address.\n')
   })
-  const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: options.compression, maxPayload: options.maxMessageBytes })
+  const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: false, maxPayload: options.maxMessageBytes })
   server.on('connection', options.onSocket)
   server.on('error', () => {})
   await new Promise<void>((resolve, reject) => {
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -5,12 +5,10 @@
  */
 import type * as protocol from '@persimmonhatch/protocol'
 import * as ws from 'ws'
+import * as compression from './compression.js'
 import * as linkModule from './link.js'
 import * as listenerModule from './listener.js'
 
-/** Largest message, bytes: a service document and its envelope. */
-const MAX_MESSAGE_BYTES = 4_194_304
-
 /** Messages kept for a peer while its connection is being opened. */
 const MAX_QUEUED_MESSAGES = 2_000
 
@@ -20,8 +18,8 @@
 /** What the connections need of their surroundings. */
 export interface Options {
   readonly listen: protocol.Address
-  /** Compression of messages; `false` for none. */
-  readonly compression: ws.PerMessageDeflateOptions | false
+  /** Gives the frame that carries a message; a text frame goes as it is, a binary one compressed. */
+  readonly encode: linkModule.Encode
   readonly clock: protocol.Clock
   readonly greet: (wanted: string) => protocol.Greeting
   readonly findMember: (incarnation: protocol.Incarnation) => protocol.MemberNews | undefined
@@ -60,6 +58,7 @@
     const link = linkModule.openLink({
       socket,
       clock: options.clock,
+      encode: options.encode,
       greet: () => options.greet(wanted),
       onOpen: (from, member) => opened(from, member, wanted),
       onMessage: (from, message) => {
@@ -96,7 +95,7 @@
   }
 
   function connect (address: protocol.Address, wanted: string): ws.WebSocket {
-    const socket = new ws.WebSocket(`ws://${address}/`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: options.compression, maxPayload: MAX_MESSAGE_BYTES })
+    const socket = new ws.WebSocket(`ws://${address}/`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: compression.MAX_MESSAGE_BYTES })
     const link = startLink(socket, wanted)
     socket.once('open', () => link.greet())
     return socket
@@ -130,8 +129,7 @@
 
   const listener = await listenerModule.openListener({
     listen: options.listen,
-    compression: options.compression,
-    maxMessageBytes: MAX_MESSAGE_BYTES,
+    maxMessageBytes: compression.MAX_MESSAGE_BYTES,
     onSocket: (socket) => { startLink(socket, '') }
   })
 
--- a/packages/daemon/tests/peer-port.test.ts
+++ b/packages/daemon/tests/peer-port.test.ts
@@ -46,7 +46,7 @@
   const peers = await peersModule.openPeers({
     listen: address,
     clock: () => performance.now(),
-    compression: compression.COMPRESSION,
+    encode: compression.compress,
     greet: (wanted) => ({ version: protocol.PROTOCOL_VERSION, member: member(incarnation, address), wanted }),
     findMember: (wanted) => members.get(wanted),
     onMessage: (from, message) => received.push([from, message]),
@@ -173,8 +173,9 @@
   const server = new ws.WebSocketServer({ host: '127.0.0.1', port: Number(address.split(':')[1]) })
   server.on('connection', (socket) => {
     socket.on('error', () => {})
-    socket.on('message', (data) => {
-      const { id } = JSON.parse(String(data)) as { readonly id?: number }
+    socket.on('message', (data, isBinary) => {
+      const text = isBinary ? compression.decompress(data as Buffer) ?? '' : String(data)
+      const { id } = JSON.parse(text) as { readonly id?: number }
       if (id === undefined) return
       const result = { version: protocol.PROTOCOL_VERSION, member: member(OTHER, address), wanted: '' }
       for (const one of [id + 5, id, id]) socket.send(JSON.stringify({ jsonrpc: '2.0', id: one, result }))
