--- a/packages/load/src/live/drive.ts
+++ b/packages/load/src/live/drive.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import * as events from 'node:events'
 import type * as plan from './plan.js'
 
 /** How a call ended. Times are milliseconds on the driver's clock; undefined when there was none. */
@@ -43,6 +44,7 @@
   const beginMs = ports.now()
   const drain = new AbortController()
   const over = new AbortController()
+  events.EventEmitter.setMaxListeners(0, drain.signal)
   const calls: Promise<Call>[] = []
   for (const { atMs, request } of planned) {
     const intendedAtMs = beginMs + atMs
--- a/packages/load/src/live/http-send.ts
+++ b/packages/load/src/live/http-send.ts
@@ -91,7 +91,7 @@
       return await call(request, signal)
     } catch (error) {
       const outcome = signal.aborted ? 'unanswered' : 'broken'
-      return { outcome, reason: signal.aborted ? outcome : String(error), firstByteAtMs: undefined, endedAtMs: now() }
+      return { outcome, reason: signal.aborted ? outcome : error instanceof Error ? error.name : 'error', firstByteAtMs: undefined, endedAtMs: now() }
     }
   }
 }
