Learn the time between tokens without being misled by delivery

Cause: on real processes every limit fell to 1 request within 15 s at a third of capacity: the shortest time between tokens was taken as a minimum, and an answer of 10 tokens whose first event is seen 20 ms late looks much faster than the engine is. The replay was blind to it, as it saw every event at once; it now sees them up to 60 ms late. Ruled out: a cold start (replay at 0.33 without lead is clean), late reports.

--- a/packages/authority/src/limit.ts
+++ b/packages/authority/src/limit.ts
@@ -28,6 +28,8 @@
 /** Time between tokens that is allowed, as a multiple of the shortest; above 1 so that the batch stays full. */
 const DECODE_TOLERANCE = 1.25
 const MIN_GRADIENT = 0.5
+/** Time by which a stream's end may be seen later than its begin without any effect, milliseconds. */
+const DELIVERY_NOISE_MS = 100
 /** Time between tokens up to which the batch counts as uncrowded, as a multiple of the shortest. */
 const UNCROWDED_TOLERANCE = 1.05
 const UNCROWDED_GROWTH = 0.25
@@ -45,7 +47,8 @@
 export function gradientOf (sample: rateEstimator.Sample, expectedFirstTokenMs: number, rates: rateEstimator.Rates): number {
   const allowedMs = FIRST_TOKEN_TOLERANCE * expectedFirstTokenMs + FIRST_TOKEN_NOISE_MS
   const decodeMs = rateEstimator.decodeTime(sample) ?? 0
-  const allowedDecodeMs = Math.min(sample.betweenTokensMs ?? Infinity, Math.max(1, DECODE_TOLERANCE * rates.bestDecodeMs))
+  const noiseMs = DELIVERY_NOISE_MS / Math.max(1, sample.answerTokens - 1)
+  const allowedDecodeMs = Math.min(sample.betweenTokensMs ?? Infinity, Math.max(1, DECODE_TOLERANCE * rates.bestDecodeMs)) + noiseMs
   const gradient = Math.min(1, allowedMs / Math.max(1, sample.firstTokenMs), allowedDecodeMs / Math.max(1e-3, decodeMs))
   return Math.max(MIN_GRADIENT, gradient)
 }
--- a/packages/authority/src/rate-estimator.ts
+++ b/packages/authority/src/rate-estimator.ts
@@ -37,8 +37,10 @@
 const GAIN_BETTER = 0.3
 const GAIN_WORSE = 0.01
 const DECODE_GAIN = 0.1
-/** Gain by which the shortest time between tokens grows, small so that a full target is not taken for a slow one. */
-const BEST_DECODE_GAIN = 0.001
+/** Gains by which the shortest time between tokens changes; it rises slowly, so that a full target is not taken for a slow one. */
+const BEST_DECODE_FALL = 0.3
+const BEST_DECODE_RISE = 0.002
+const FULL_WEIGHT_ANSWER_TOKENS = 128
 /** Wait for earlier prompts above which a first token shows no prefill rate, milliseconds. */
 const MAX_PREFILL_BACKLOG_MS = 20
 
@@ -64,6 +66,13 @@
   return rates.baseMs + (rest < rates.baseMs ? GAIN_BETTER : gainWorse) * (rest - rates.baseMs)
 }
 
+/** Short answers say little of the time between tokens, as their events are seen early or late. */
+function learnBestDecode (bestMs: number, measuredMs: number, answerTokens: number): number {
+  const weight = Math.min(1, answerTokens / FULL_WEIGHT_ANSWER_TOKENS) ** 2
+  const gain = measuredMs < bestMs ? BEST_DECODE_FALL : BEST_DECODE_RISE
+  return bestMs + weight * gain * (measuredMs - bestMs)
+}
+
 /** Rates before the first request; `prior` is what targets on the same hardware measured. */
 export function startRates (kind: 'model' | 'plain', prior: Rates | undefined): Rates {
   const start = { ...prior ?? DEFAULT_RATES, samples: 0 }
@@ -88,7 +97,7 @@
   if (measured === undefined) return { ...rates, prefillTokensPerMs, baseMs, samples }
   const isFirst = rates.samples === 0
   const decodeMs = isFirst ? measured : rates.decodeMs + DECODE_GAIN * (measured - rates.decodeMs)
-  const bestDecodeMs = isFirst ? measured : Math.min(measured, rates.bestDecodeMs + BEST_DECODE_GAIN * (measured - rates.bestDecodeMs))
+  const bestDecodeMs = isFirst ? measured : learnBestDecode(rates.bestDecodeMs, measured, sample.answerTokens)
   return { prefillTokensPerMs, baseMs, decodeMs, bestDecodeMs, samples }
 }
 
--- a/packages/load/src/replay/cores.ts
+++ b/packages/load/src/replay/cores.ts
@@ -28,6 +28,8 @@
 const TICK_MS = 100
 const REPORT_INTERVAL_MS = 1_000
 const EPOCH = 1
+/** Longest delay by which a daemon sees an event of a stream late, as processes on shared processors do. */
+const MAX_DELIVERY_DELAY_MS = 60
 
 interface Run {
   readonly job: engine.Job
@@ -38,20 +40,21 @@
   return `entry${String(index).padStart(8, '0')}`
 }
 
-function firstTokenMs (request: scheduler.Request, job: engine.Job): number {
+function firstTokenMs (request: scheduler.Request, job: engine.Job, random: protocol.Random): number {
   if (!request.kind.stream || job.firstTokenAtMs === undefined) return 0
-  return job.firstTokenAtMs - job.submittedAtMs
+  return job.firstTokenAtMs - job.submittedAtMs + random() * MAX_DELIVERY_DELAY_MS
 }
 
-function endOf (request: scheduler.Request, job: engine.Job): entry.event.DispatchEnd {
+function endOf (request: scheduler.Request, job: engine.Job, random: protocol.Random): entry.event.DispatchEnd {
+  const first = firstTokenMs(request, job, random)
   return {
     outcome: job.outcome === 'running' ? 'incomplete' : job.outcome,
     detail: job.outcome,
     promptTokens: job.work.prompt,
     cachedTokens: job.cachedTokens,
     answerTokens: job.writtenTokens,
-    firstTokenMs: firstTokenMs(request, job),
-    totalMs: (job.endedAtMs ?? 0) - job.submittedAtMs
+    firstTokenMs: first,
+    totalMs: Math.max(first, (job.endedAtMs ?? 0) - job.submittedAtMs + random() * MAX_DELIVERY_DELAY_MS)
   }
 }
 
@@ -212,7 +215,7 @@
   #ended (request: scheduler.Request, job: engine.Job): void {
     this.#runs.delete(request.index)
     const owner = this.#owners.get(request.index)
-    this.surroundings.timeline.after(0, () => owner?.toEntry({ kind: 'ended', request: request.index, end: endOf(request, job) }, this.#now()))
+    this.surroundings.timeline.after(0, () => owner?.toEntry({ kind: 'ended', request: request.index, end: endOf(request, job, this.surroundings.random) }, this.#now()))
   }
 }
 
