Send the whole request again after an unreachable target

Cause: the body, headers, method and path of a request were let go after every end of a dispatch, also after an unreachable target, which leads to another dispatch: that one sent an empty request without method, path and marker, and its answer went to the caller as whole. Ruled out: the stand-in (its log shows the request without headers), the HTTP client, joins of resends (each identity was used once). Change: the request is kept until a dispatch ended that is final.

--- a/packages/daemon/src/tasks/requests.ts
+++ b/packages/daemon/src/tasks/requests.ts
@@ -81,7 +81,8 @@
     const { job, record, abort } = state
     dispatcher.dispatch({ httpClient: options.httpClient, clock: options.clock, placement, receipt, job, record, signal: abort.signal }).then((end) => {
       if (end.outcome === 'finished' || end.outcome === 'failed') record.end()
-      held.keep(request)
+      // An unreachable target leads to another dispatch, which needs the body.
+      if (end.outcome !== 'unreachable') held.keep(request)
       entryTask.post({ kind: 'ended', request, end })
     }, (error: Error) => {
       options.count('requests.faults', 1)
--- /dev/null
+++ b/packages/daemon/tests/requests.test.ts
@@ -0,0 +1,70 @@
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import type * as entry from '@persimmonhatch/entry'
+import * as platform from '@persimmonhatch/platform'
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as hashes from '../src/adapters/hashes.js'
+import * as requests from '../src/tasks/requests.js'
+
+/** A port on which nothing listens. */
+const NOBODY = '127.0.0.1:1'
+
+const suite = uvu.suite('startRequests')
+
+async function listen (handler: http.RequestListener): Promise<{ readonly address: string, readonly close: () => Promise<void> }> {
+  const server = http.createServer(handler)
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`
+  return { address, close: async () => { server.closeAllConnections(); await new Promise((resolve) => server.close(resolve)) } }
+}
+
+function dispatchTo (address: string, request: number): entry.event.Output {
+  const receipt = { identity: 'aaaaaaaaaaaaa.1.n' } as entry.event.Receipt
+  return { kind: 'dispatch', request, placement: { target: 'stock-1', address, targetKind: 'plain' }, receipt }
+}
+
+suite('sends the whole request again after a target that could not be reached', async () => {
+  const received: string[] = []
+  const target = await listen((incoming, response) => {
+    incoming.on('data', (bytes) => received.push(`${incoming.method} ${incoming.url} ${incoming.headers['x-marker']} ${String(bytes)}`))
+    incoming.on('end', () => response.end('done'))
+  })
+  /** Places each request on an address where nobody listens, then on the target. */
+  const core = {
+    handle: function * (event: entry.event.Event): Generator<entry.event.Output, void> {
+      if (event.kind === 'arrival') yield dispatchTo(NOBODY, event.arrival.request)
+      if (event.kind === 'ended' && event.end.outcome === 'unreachable') yield dispatchTo(target.address, event.request)
+    }
+  } as unknown as entry.entry.Entry
+  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const task = requests.startRequests({
+    core,
+    httpClient,
+    clock: () => performance.now(),
+    beforeEvent: () => {},
+    hashes: await hashes.loadHashes(),
+    heldAnswerBytes: 1_000_000,
+    send: () => {},
+    addresses: () => [],
+    count: () => {},
+    onSettled: () => {},
+    onDrained: () => {}
+  })
+  const front = await listen((_, response) => {
+    task.submit({
+      service: 'stock',
+      method: 'POST',
+      path: '/reservations',
+      headers: { 'x-marker': 'm1', 'x-persimmonhatch-organisation': 'maarif' },
+      body: Buffer.from('{"item":1}')
+    }, response, '/s/stock/reservations').then(undefined, () => response.destroy())
+  })
+  const answer = await fetch(`http://${front.address}/`)
+  assert.is(await answer.text(), 'done')
+  assert.equal(received, ['POST /reservations m1 {"item":1}'])
+  await httpClient.close()
+  await Promise.all([front.close(), target.close()])
+})
+
+suite.run()
