--- a/packages/system/src/call.ts
+++ b/packages/system/src/call.ts
@@ -24,6 +24,8 @@
   readonly answerTokens: number
   readonly stream: boolean
   readonly deadlineMs?: number
+  /** The body carries no name, so that requests can have one content; targets read the identity, which must be the name. */
+  readonly unnamedBody?: boolean
 }
 
 /** What came of a call. */
@@ -65,7 +67,7 @@
     prompt: request.promptText,
     max_tokens: request.answerTokens,
     stream: request.stream,
-    metadata: { marker: request.request }
+    ...(request.unnamedBody === true ? {} : { metadata: { marker: request.request } })
   })
 }
 
--- a/packages/system/src/engine-speeds.ts
+++ b/packages/system/src/engine-speeds.ts
@@ -39,5 +39,5 @@
 export function describeTarget (target: document.serviceDocument.Target, kind: 'model' | 'plain', seed: number): Description {
   const { name, hardware } = target
   if (kind === 'plain') return { kind: 'plain-service', name, serviceTimeMs: PLAIN_SERVICE_TIME_MS, crashMarker: CRASH_MARKER }
-  return { kind: 'model-engine', name, ...SPEEDS[hardware], loadLagMs: 1_000, cacheEventLagMs: 500, cacheEventLossRate: 0.02, crashMarker: CRASH_MARKER, seed }
+  return { kind: 'model-engine', name, ...SPEEDS[hardware], loadLagMs: 1_000, cacheEventLagMs: 500, cacheEventLossRate: 0.02, crashMarker: CRASH_MARKER, checksFencing: target.checksFencing, seed }
 }
--- a/packages/system/src/request.ts
+++ b/packages/system/src/request.ts
@@ -15,7 +15,7 @@
  * toRequest(load.mix.draw(load.mix.ATLASRENEW, random), 'r17')
  * ```
  */
-export function toRequest (drawn: load.mix.Draw, name: string): callModule.Request {
+export function toRequest (drawn: load.mix.Draw, name: string, deadlineMs?: number): callModule.Request {
   const { kind } = drawn
   return {
     request: name,
@@ -29,6 +29,7 @@
     nonIdempotent: kind.nonIdempotent,
     promptText: load.mix.promptText(drawn, name, protocol.BYTES_PER_TOKEN),
     answerTokens: drawn.answerTokens,
-    stream: kind.stream
+    stream: kind.stream,
+    ...(deadlineMs === undefined ? {} : { deadlineMs })
   }
 }
--- a/packages/system/src/soak.ts
+++ b/packages/system/src/soak.ts
@@ -8,11 +8,14 @@
 import * as distribution from 'pure-rand/distribution/uniformFloat64'
 import * as generator from 'pure-rand/generator/xoroshiro128plus'
 import * as callersModule from './callers.js'
+import * as capacity from './capacity.js'
 import type * as daemonProcess from './daemon-process.js'
 import * as deployment from './deployment.js'
 import * as faultsModule from './faults.js'
 import * as judgeModule from './judge.js'
+import * as operators from './operators.js'
 import * as recorderModule from './recorder.js'
+import * as revisions from './revisions.js'
 import * as systemModule from './system.js'
 import * as trafficModule from './traffic.js'
 
@@ -39,9 +42,19 @@
 const FREEZE_MS = 4_000
 const OUTAGE_MS = 6_000
 const DRAIN_MS = 3_000
+const LOWEST_RANK = 3
+
+/** Deadline of every request, so that the last calls end soon, milliseconds. */
+const DEADLINE_MS = 30_000
+
+/** Longest wait for the last calls after their deadline, milliseconds. */
+const LAST_CALLS_LIMIT_MS = 2 * DEADLINE_MS
+
+const CRASH_SHARE = 0.002
 
 interface Scene {
   readonly system: systemModule.System
+  readonly recorder: recorderModule.Recorder
   readonly faults: faultsModule.Faults
   readonly random: protocol.Random
   readonly anyDaemon: () => daemonProcess.DaemonProcess
@@ -50,10 +63,27 @@
 
 type Fault = (scene: Scene) => Promise<void>
 
+type ServiceDocument = systemModule.System['documents'][number]
+
 function wait (milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds))
 }
 
+/** A document whose longest waits differ from before, so that each change is one. */
+function withWait (one: ServiceDocument, random: protocol.Random): ServiceDocument {
+  return { ...one, tiers: one.tiers.map((tier) => ({ ...tier, maxWaitMs: Math.round(tier.maxWaitMs * (0.9 + random() / 10)) })) }
+}
+
+/** The lowest tier moves between two ranks that no other tier has, so that the order of tiers stays. */
+function withLowestRank (one: ServiceDocument, rank: number): ServiceDocument {
+  const lowest = Math.max(...one.tiers.map((tier) => tier.rank))
+  return { ...one, tiers: one.tiers.map((tier) => tier.rank === lowest ? { ...tier, rank } : tier) }
+}
+
+async function apply ({ system, recorder }: Scene, document: ServiceDocument, operator: string): Promise<void> {
+  await operators.applyChange(system, recorder, { document, operator })
+}
+
 const FAULTS: Readonly<Record<string, Fault>> = {
   kill: async ({ faults, anyDaemon }) => {
     const daemon = anyDaemon()
@@ -88,6 +118,24 @@
   'streams closed early': async ({ faults, anyTarget }) => await faults.set(anyTarget('model'), { closeEarly: 2 }),
   'too many bytes': async ({ faults, anyTarget }) => await faults.set(anyTarget('model'), { extraBytes: 2 }),
   'connections reset': async ({ faults, anyTarget }) => await faults.set(anyTarget('plain'), { resetNext: ['before', 'during', 'after'] }),
+  'leaving targets': async ({ faults, recorder, anyTarget }) => {
+    const leaving = new Set([anyTarget('model'), anyTarget('plain')])
+    await faults.listTargets(leaving)
+    await wait(OUTAGE_MS)
+    await faults.listTargets(new Set())
+    for (const target of leaving) recorder.record({ kind: 'target-returned', target })
+  },
+  'racing operators': async (scene) => {
+    const document = pick(scene.system.documents, scene.random)
+    await Promise.all(['ana', 'berta'].map((operator) => apply(scene, withWait(document, scene.random), operator)))
+  },
+  'changed tiers': async (scene) => {
+    const document = scene.system.documents.find((one) => one.tiers.some((tier) => tier.rank === LOWEST_RANK))
+    if (document === undefined) return
+    await apply(scene, withLowestRank(document, LOWEST_RANK + 1), 'ana')
+    await wait(QUIET_MS)
+    await apply(scene, document, 'ana')
+  },
   straggler: async ({ faults, anyTarget }) => {
     const target = anyTarget('model')
     await faults.set(target, { slowdown: 8 })
@@ -116,15 +164,17 @@
     caused.push(name)
     await FAULTS[name]?.(scene)
     await wait(QUIET_MS)
+    for (const line of await capacity.describeCapacity(scene.system)) options.report(line)
   }
   return caused
 }
 
-function createScene (system: systemModule.System, faults: faultsModule.Faults, random: protocol.Random): Scene {
+function createScene (system: systemModule.System, recorder: recorderModule.Recorder, random: protocol.Random): Scene {
   const targets = systemModule.loggedTargets(system)
   return {
     system,
-    faults,
+    recorder,
+    faults: faultsModule.createFaults(system, recorder),
     random,
     anyDaemon: () => pick(system.daemons(), random),
     anyTarget: (kind) => pick(targets.filter((target) => target.kind === kind), random).name
@@ -153,11 +203,17 @@
     requestsPerS: options.requestsPerS,
     doubleShare: 0.1,
     leaveShare: 0.05,
-    prefix: 'soak-'
+    prefix: 'soak-',
+    deadlineMs: DEADLINE_MS,
+    crashShare: CRASH_SHARE
   })
-  const caused = await causeFaults(createScene(system, faultsModule.createFaults(system, recorder), random), options)
+  const observation = revisions.observeRevisions(system, recorder)
+  const caused = await causeFaults(createScene(system, recorder, random), options)
+  for (const line of await capacity.describeCapacity(system)) options.report(line)
   options.report('waiting for the last calls')
-  await traffic.stop()
+  await Promise.race([traffic.stop(), wait(LAST_CALLS_LIMIT_MS)])
+  await observation.stop()
+  for (const fact of await revisions.acceptedFacts(system)) recorder.recordAt(fact)
   const verdict = await judgeModule.judge(system, recorder, traffic.requests)
   await callers.close()
   await system.close()
--- a/packages/system/src/traffic.ts
+++ b/packages/system/src/traffic.ts
@@ -8,6 +8,7 @@
 import type * as callModule from './call.js'
 import type * as callersModule from './callers.js'
 import type * as daemonProcess from './daemon-process.js'
+import * as engineSpeeds from './engine-speeds.js'
 import * as requestModule from './request.js'
 
 const MS_PER_S = 1_000
@@ -25,6 +26,10 @@
   /** Share of requests whose caller goes away. */
   readonly leaveShare: number
   readonly prefix: string
+  /** Deadline of every request; that of its tier when left out. */
+  readonly deadlineMs?: number
+  /** Share of requests that crash the model engines which run them, all of one content. */
+  readonly crashShare?: number
 }
 
 /** Running traffic. */
@@ -77,9 +82,18 @@
     }
   }
 
-  async function serve (request: callModule.Request): Promise<void> {
-    const to = await steer(request.service)
+  /** A request whose body carries no name is named by its identity. */
+  function nameByIdentity (request: callModule.Request, identity: string): callModule.Request {
+    if (request.unnamedBody !== true) return request
+    const one = { ...request, request: identity }
+    requests.set(identity, one)
+    return one
+  }
+
+  async function serve (drawn: callModule.Request): Promise<void> {
+    const to = await steer(drawn.service)
     if (to === undefined) return
+    const request = nameByIdentity(drawn, to.identity)
     if (random() < options.leaveShare) {
       const leaving = new AbortController()
       setTimeout(() => leaving.abort(), LEAVE_AFTER_MS * random())
@@ -91,10 +105,16 @@
     await Promise.all(calls)
   }
 
+  function drawRequest (name: string): callModule.Request {
+    const request = requestModule.toRequest(load.mix.draw(options.mix, random), name, options.deadlineMs)
+    const crashes = request.kind === 'model' && random() < (options.crashShare ?? 0)
+    return crashes ? { ...request, promptText: engineSpeeds.CRASH_MARKER, unnamedBody: true } : request
+  }
+
   async function run (): Promise<void> {
     for (let index = 0; !stopping.signal.aborted; index += 1) {
       const name = `${options.prefix}${index}`
-      const request = requestModule.toRequest(load.mix.draw(options.mix, random), name)
+      const request = drawRequest(name)
       requests.set(name, request)
       const served = serve(request)
       pending.add(served)
