Take an engine that is gone in mid-stream for crashed

Cause: when an engine crashed while it streamed, the try to resume was refused and the dispatch ended as incomplete, which the authority takes for a failure of the request alone: no content was ever suspected. Ruled out: fingerprints (service, method, path and body; no identity), the authority's rules (its own tests suspect and refuse), the news. Change: a stream whose engine can't be reached for the resume, or that breaks before its first event, ended in a crash. A repeated SIGTERM no longer ends a planned stop suddenly.

--- a/packages/daemon/src/bin/persimmonhatchd.ts
+++ b/packages/daemon/src/bin/persimmonhatchd.ts
@@ -74,8 +74,8 @@
       metrics: metrics.openMetrics(settings.metrics, settings.name)
     })
     await new Promise<void>((resolve) => {
-      process.once('SIGTERM', resolve)
-      process.once('SIGINT', resolve)
+      process.on('SIGTERM', resolve)
+      process.on('SIGINT', resolve)
     })
     await running.stop()
     return EXIT_OK
--- a/packages/daemon/src/dispatch/answer-stream.ts
+++ b/packages/daemon/src/dispatch/answer-stream.ts
@@ -118,7 +118,7 @@
  */
 export async function forwardEvents (options: Options): Promise<Outcome> {
   const { record, meter } = options
-  let body: AsyncIterable<Uint8Array> | undefined = options.body
+  let source = options.body
   let streamId: string | undefined
   let forwarded = 0
   record.start(options.head)
@@ -131,7 +131,7 @@
     if (event.text.includes('"usage"')) meter.usage(eventSplitter.readUsage(dataOf(event)))
   }
 
-  async function forwardUntilCut (source: AsyncIterable<Uint8Array>): Promise<boolean> {
+  async function forwardUntilEnd (): Promise<'finished' | 'ended-early'> {
     const splitter = eventSplitter.createEventSplitter()
     const decoder = new TextDecoder()
     const pieces = source[Symbol.asyncIterator]()
@@ -141,22 +141,31 @@
         await record.append(Buffer.from(event.text))
         if (!event.done) continue
         discardRest(pieces).then(undefined, () => {})
-        return true
+        return 'finished'
       }
     }
-    return false
+    return 'ended-early'
   }
 
-  for (let resumes = 0; body !== undefined; resumes += 1) {
+  async function forwardOrBreak (): Promise<'finished' | 'ended-early' | 'broken'> {
     try {
-      if (await forwardUntilCut(body)) return 'finished'
+      return await forwardUntilEnd()
     } catch (error) {
       if (options.signal.aborted) throw error
+      return 'broken'
     }
-    if (streamId === undefined || resumes >= MAX_RESUMES || options.signal.aborted) return 'incomplete'
-    body = await resume(options, streamId, forwarded)
   }
-  return 'incomplete'
+
+  for (let resumes = 0; ; resumes += 1) {
+    const ending = await forwardOrBreak()
+    if (ending === 'finished') return 'finished'
+    if (streamId === undefined || resumes >= MAX_RESUMES || options.signal.aborted) return ending === 'broken' ? 'crashed' : 'incomplete'
+    const resumed = await resume(options, streamId, forwarded)
+    if (resumed === 'refused') return 'incomplete'
+    // An engine that can't be reached any more went down with the stream.
+    if (resumed === 'unreachable') return 'crashed'
+    source = resumed
+  }
 }
 
 /** Reads the rest of a stream so that its connection can be used again, or closes it when more comes than belongs there. */
@@ -168,7 +177,7 @@
   }
 }
 
-async function resume (options: Options, streamId: string, after: number): Promise<AsyncIterable<Uint8Array> | undefined> {
+async function resume (options: Options, streamId: string, after: number): Promise<AsyncIterable<Uint8Array> | 'refused' | 'unreachable'> {
   try {
     const response = await undici.request(`http://${options.placement.address}/v1/streams/${encodeURIComponent(streamId)}?after=${after}`, {
       dispatcher: options.httpClient,
@@ -177,8 +186,8 @@
     })
     if (response.statusCode === 200) return response.body
     await response.body.dump()
-    return undefined
+    return 'refused'
   } catch {
-    return undefined
+    return 'unreachable'
   }
 }
--- a/packages/daemon/tests/dispatcher.test.ts
+++ b/packages/daemon/tests/dispatcher.test.ts
@@ -41,4 +41,40 @@
   assert.equal(await dispatchAfter(dispatcher.DISPATCH_VALIDITY_MS + 1), { outcome: 'unreachable', received: 0 })
 })
 
+/** Dispatches to an engine that ends its stream after one event, and sees whether it can be asked to resume. */
+async function dispatchStream (afterwards: 'is gone' | 'knows no such stream'): Promise<string> {
+  const server = http.createServer((incoming, response) => {
+    if (incoming.method === 'GET') {
+      response.writeHead(404)
+      response.end()
+      return
+    }
+    response.writeHead(200, { 'content-type': 'text/event-stream' })
+    response.write('data: {"id":"s1"}\n\n', () => {
+      if (afterwards === 'is gone') server.close()
+      incoming.socket.destroy()
+    })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const end = await dispatcher.dispatch({
+    httpClient,
+    clock: () => 0,
+    placement: { target: 'engine-1', address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`, targetKind: 'model' },
+    receipt: {} as dispatcher.Options['receipt'],
+    job: { method: 'POST', path: '/v1/completions', headers: {}, body: Buffer.from('{}'), promptTokens: 1 },
+    record: answerRecord.createAnswerRecord(true),
+    signal: new AbortController().signal
+  })
+  await httpClient.close()
+  server.closeAllConnections()
+  server.close()
+  return end.outcome
+}
+
+suite('tells an engine that is gone in the middle of a stream from one that cut it', async () => {
+  assert.is(await dispatchStream('is gone'), 'crashed')
+  assert.is(await dispatchStream('knows no such stream'), 'incomplete')
+})
+
 suite.run()
