--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,14 +6,10 @@
 import * as platform from '@persimmonhatch/platform'
 import * as protocol from '@persimmonhatch/protocol'
 import type * as undici from 'undici'
-import type * as log from './adapters/log.js'
-import type * as metrics from './adapters/metrics.js'
 import * as engineOrders from './adapters/engine-orders.js'
 import * as callerServer from './http/caller-server.js'
-import type * as readArrival from './http/read-arrival.js'
 import * as compression from './peer/compression.js'
 import * as peerConnections from './peer/peers.js'
-import type * as settingsModule from './settings/settings.js'
 import * as orders from './tasks/orders.js'
 import * as operatorAnswers from './tasks/operator-answers.js'
 import * as platformCalls from './tasks/platform-calls.js'
@@ -37,17 +33,7 @@
 const CONNECT_TIMEOUT_MS = 1_000
 
 /** What a daemon needs of its surroundings. */
-export interface Options {
-  readonly settings: settingsModule.Settings
-  readonly incarnation: protocol.Incarnation
-  readonly clock: protocol.Clock
-  /** Milliseconds since 1970, for records that outlive this process. */
-  readonly wallClock: () => number
-  readonly random: protocol.Random
-  readonly hashes: readArrival.Hashes
-  readonly log: log.Log
-  readonly metrics: metrics.Metrics
-}
+export type Options = Omit<tasksModule.Options, 'calls' | 'httpClient' | 'sendToPeer' | 'dropPeer' | 'onDrained'>
 
 /** A running daemon. */
 export interface Daemon {
