--- a/packages/system/src/index.ts
+++ b/packages/system/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * as call from './call.js'
 export * as callers from './callers.js'
+export * as childProcess from './child-process.js'
 export * as collectRuns from './collect-runs.js'
 export * as daemonProcess from './daemon-process.js'
 export * as deployment from './deployment.js'
