--- a/packages/authority/src/rate-estimator.ts
+++ b/packages/authority/src/rate-estimator.ts
@@ -36,9 +36,13 @@
 const MIN_PREFILL_TOKENS_PER_MS = 1e-6
 const GAIN_BETTER = 0.3
 const GAIN_WORSE = 0.01
+/** Half-life with which worse times of a plain service are taken over, milliseconds: a queue soon passes, a slower service does not. */
+const PLAIN_WORSE_HALF_LIFE_MS = 120_000
 const DECODE_GAIN = 0.1
-/** Gain by which the shortest time between tokens grows, small so that a full target is not taken for a slow one. */
-const BEST_DECODE_GAIN = 0.001
+/** Gains by which the shortest time between tokens changes; it rises slowly, so that a full target is not taken for a slow one. */
+const BEST_DECODE_FALL = 0.3
+const BEST_DECODE_RISE = 0.002
+const FULL_WEIGHT_ANSWER_TOKENS = 128
 /** Wait for earlier prompts above which a first token shows no prefill rate, milliseconds. */
 const MAX_PREFILL_BACKLOG_MS = 20
 
@@ -64,31 +68,45 @@
   return rates.baseMs + (rest < rates.baseMs ? GAIN_BETTER : gainWorse) * (rest - rates.baseMs)
 }
 
+/** Short answers say little of the time between tokens, as their events are seen early or late. */
+function learnBestDecode (bestMs: number, measuredMs: number, answerTokens: number): number {
+  const weight = Math.min(1, answerTokens / FULL_WEIGHT_ANSWER_TOKENS) ** 2
+  const gain = measuredMs < bestMs ? BEST_DECODE_FALL : BEST_DECODE_RISE
+  return bestMs + weight * gain * (measuredMs - bestMs)
+}
+
 /** Rates before the first request; `prior` is what targets on the same hardware measured. */
 export function startRates (kind: 'model' | 'plain', prior: Rates | undefined): Rates {
   const start = { ...prior ?? DEFAULT_RATES, samples: 0 }
   return kind === 'plain' ? { ...start, baseMs: 0, decodeMs: 0 } : start
 }
 
+/** Gain for worse figures. Calls of a plain service come by the thousand, so it goes by time there and not by their number. */
+function gainForWorse (kind: 'model' | 'plain', samples: number, elapsedMs: number): number {
+  if (samples === 1) return 1
+  if (kind === 'plain') return 1 - 2 ** (-elapsedMs / PLAIN_WORSE_HALF_LIFE_MS)
+  return Math.max(GAIN_WORSE, 1 / samples)
+}
+
 /**
  * Rates after one more finished request. Better figures are taken over fast and worse ones slowly, so
- * that the rates show the target without a queue of its own.
+ * that the rates show the target without a queue of its own. `elapsedMs` is the time since the sample before.
  *
  * @example
  * ```ts
- * const rates = learnRates('model', startRates('model', undefined), sample)
+ * const rates = learnRates('model', startRates('model', undefined), sample, 40)
  * ```
  */
-export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample): Rates {
+export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample, elapsedMs: number): Rates {
   const samples = rates.samples + 1
-  const gainWorse = Math.max(GAIN_WORSE, 1 / samples)
+  const gainWorse = gainForWorse(kind, samples, elapsedMs)
   const prefillTokensPerMs = learnPrefill(kind, rates, sample, kind === 'model' ? GAIN_WORSE : gainWorse)
   const baseMs = kind === 'plain' ? 0 : learnBase(rates, sample, prefillTokensPerMs, gainWorse)
   const measured = decodeTime(sample)
   if (measured === undefined) return { ...rates, prefillTokensPerMs, baseMs, samples }
   const isFirst = rates.samples === 0
   const decodeMs = isFirst ? measured : rates.decodeMs + DECODE_GAIN * (measured - rates.decodeMs)
-  const bestDecodeMs = isFirst ? measured : Math.min(measured, rates.bestDecodeMs + BEST_DECODE_GAIN * (measured - rates.bestDecodeMs))
+  const bestDecodeMs = isFirst ? measured : learnBestDecode(rates.bestDecodeMs, measured, sample.answerTokens)
   return { prefillTokensPerMs, baseMs, decodeMs, bestDecodeMs, samples }
 }
 
