--- a/packages/authority/src/limit.ts
+++ b/packages/authority/src/limit.ts
@@ -23,7 +23,7 @@
 const INITIAL_REQUESTS = 16
 const MIN_REQUESTS = 1
 const MAX_REQUESTS = 4_096
-const FIRST_TOKEN_NOISE_MS = 100
+const FIRST_TOKEN_NOISE_MS = 400
 const FIRST_TOKEN_TOLERANCE = 2
 /** Time between tokens that is allowed, as a multiple of the shortest; above 1 so that the batch stays full. */
 const DECODE_TOLERANCE = 1.25
