--- a/packages/authority/src/grants.ts
+++ b/packages/authority/src/grants.ts
@@ -51,6 +51,7 @@
     grantedAtMs: nowMs,
     expiresAtMs: Math.max(nowMs, ask.deadlineAtMs) + DEADLINE_GRACE_MS,
     cachedTokens: placement.cachedTokens,
+    backlogMs: placement.backlogMs,
     expectedFirstTokenMs: placement.expectation.firstTokenMs,
     expectedTotalMs: placement.expectation.totalMs,
     revokedAtMs: undefined,
--- a/packages/authority/src/holdings.ts
+++ b/packages/authority/src/holdings.ts
@@ -63,7 +63,7 @@
   const isPlain = state.targets.kind(holding.target) === 'plain'
   const answerTokens = state.answers.expect(holding.service, holding.answerTokens)
   const costTokens = Math.max(1, isPlain ? holding.answerTokens : holding.promptTokens + answerTokens)
-  const expectation = state.targets.model(holding.target)?.expectIdle(holding.promptTokens, answerTokens)
+  const expectation = state.targets.model(holding.target)?.expect(holding.promptTokens, answerTokens)
   const { service, organisation, tier, promptTokens, nonIdempotent, fingerprint, target } = holding
   state.slots.add({
     key,
@@ -81,6 +81,7 @@
     grantedAtMs: nowMs - holding.runningMs,
     expiresAtMs: nowMs + LONGEST_RUN_MS,
     cachedTokens: 0,
+    backlogMs: 0,
     expectedFirstTokenMs: expectation?.firstTokenMs ?? 0,
     expectedTotalMs: expectation?.totalMs ?? 0,
     revokedAtMs: undefined,
--- a/packages/authority/src/overload.ts
+++ b/packages/authority/src/overload.ts
@@ -22,7 +22,7 @@
 /** Factor by which a queued ask's expected wait may grow beyond its limit. */
 const QUEUED_TOLERANCE = 1.5
 /** Share of the first-token objective that may be spent waiting. */
-const FIRST_TOKEN_WAIT_SHARE = 0.5
+const FIRST_TOKEN_WAIT_SHARE = 0.7
 /** Share of the completion objective that may be spent waiting. */
 const COMPLETION_WAIT_SHARE = 0.25
 /** Share of the longest wait that is allowed where no objective is stated. */
@@ -46,15 +46,6 @@
   return content.maxWaitMs * MAX_WAIT_SHARE
 }
 
-function * dropLower (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): outputs.Outputs {
-  const { service, tier } = ask.message
-  const hasLower = state.queue.ranks().some((rank) => rank > tier && state.queue.tier(rank).backlog(service).asks > 0)
-  if (!hasLower) return
-  const lower = [...state.queue.all()].filter((other) => other.message.service === service && other.message.tier > tier)
-    .sort((left, right) => right.message.tier - left.message.tier)
-  for (const other of lower) yield * refusals.refuse(state, other, 'shed', nowMs)
-}
-
 /** Refuses an ask as soon as nothing of a lower tier runs on its targets; until then it stays pending. */
 export function * considerRefusal (state: context.Context, ask: waitingAsk.WaitingAsk, reason: protocol.Reason, nowMs: number): outputs.Outputs {
   const service = serviceOf(state, ask)
@@ -63,7 +54,6 @@
     state.pending.set(ask.key, reason)
     return
   }
-  if (reason === 'shed') yield * dropLower(state, ask, nowMs)
   yield * refusals.refuse(state, ask, reason, nowMs)
 }
 
@@ -103,12 +93,7 @@
   const estimate = refusals.estimateFor(state, ask, nowMs)
   if (service === undefined || estimate === undefined || !hasTarget(state, service)) return
   const reason = findReason(state, ask, estimate, 1, nowMs)
-  if (reason !== undefined) {
-    yield * considerRefusal(state, ask, reason, nowMs)
-    return
-  }
-  if (service.document.weighing.prefer !== 'goodput-by-tier' || estimate.waitMs <= allowedWait(service, ask.message.tier)) return
-  yield * preemption.preempt(state, ask.message.tier, service, estimate.aheadTokens + ask.costTokens, nowMs)
+  if (reason !== undefined) yield * considerRefusal(state, ask, reason, nowMs)
 }
 
 function * handleDue (state: context.Context, ask: waitingAsk.WaitingAsk, nowMs: number): outputs.Outputs {
--- a/packages/authority/src/rate-estimator.ts
+++ b/packages/authority/src/rate-estimator.ts
@@ -23,6 +23,8 @@
   readonly uncachedTokens: number
   readonly answerTokens: number
   readonly costTokens: number
+  /** Wait for earlier prompts that was expected at the grant. */
+  readonly backlogMs: number
   readonly firstTokenMs: number
   readonly totalMs: number
   /** Objective for the time between tokens, if the service states one. */
@@ -30,15 +32,19 @@
 }
 
 const DEFAULT_RATES: Rates = { prefillTokensPerMs: 4, baseMs: 20, decodeMs: 20, bestDecodeMs: 20, samples: 0 }
-const MIN_PREFILL_SAMPLE_TOKENS = 128
+const MIN_PREFILL_SAMPLE_TOKENS = 512
 const MIN_PREFILL_TOKENS_PER_MS = 1e-6
 const GAIN_BETTER = 0.3
-/** Gain for worse figures from a target with little to do, and from a busy one, whose queue they may show. */
-const GAIN_WORSE_IDLE = 0.05
-const GAIN_WORSE_BUSY = 0.005
-/** First requests that are averaged whether better or worse. */
-const AVERAGED_SAMPLES = 10
+const GAIN_WORSE = 0.01
+/** Half-life with which worse times of a plain service are taken over, milliseconds: a queue soon passes, a slower service does not. */
+const PLAIN_WORSE_HALF_LIFE_MS = 120_000
 const DECODE_GAIN = 0.1
+/** Gains by which the shortest time between tokens changes; it rises slowly, so that a full target is not taken for a slow one. */
+const BEST_DECODE_FALL = 0.3
+const BEST_DECODE_RISE = 0.002
+const FULL_WEIGHT_ANSWER_TOKENS = 128
+/** Wait for earlier prompts above which a first token shows no prefill rate, milliseconds. */
+const MAX_PREFILL_BACKLOG_MS = 20
 
 /** Time between the tokens of a finished request, milliseconds; undefined for answers of a single token. */
 export function decodeTime (sample: Sample): number | undefined {
@@ -46,44 +52,61 @@
   return Math.max(0, sample.totalMs - sample.firstTokenMs) / (sample.answerTokens - 1)
 }
 
+/** The first token of a long prompt bounds the prefill rate from below, whatever the base time is. */
 function learnPrefill (kind: 'model' | 'plain', rates: Rates, sample: Sample, gainWorse: number): number {
-  if (kind === 'model' && sample.uncachedTokens < MIN_PREFILL_SAMPLE_TOKENS) return rates.prefillTokensPerMs
-  const measured = sample.uncachedTokens / Math.max(1, sample.firstTokenMs - rates.baseMs)
-  const gain = rates.samples === 0 ? 1 : measured > rates.prefillTokensPerMs ? GAIN_BETTER : gainWorse
+  const isShort = kind === 'model' && sample.uncachedTokens < MIN_PREFILL_SAMPLE_TOKENS
+  const isDelayed = sample.backlogMs > MAX_PREFILL_BACKLOG_MS
+  const measured = sample.uncachedTokens / Math.max(1, sample.firstTokenMs)
+  const isBetter = measured > rates.prefillTokensPerMs
+  if (!isBetter && (isShort || isDelayed)) return rates.prefillTokensPerMs
+  const gain = rates.samples === 0 ? 1 : isBetter ? GAIN_BETTER : gainWorse
   return Math.max(MIN_PREFILL_TOKENS_PER_MS, rates.prefillTokensPerMs + gain * (measured - rates.prefillTokensPerMs))
 }
 
 function learnBase (rates: Rates, sample: Sample, prefillTokensPerMs: number, gainWorse: number): number {
-  const rest = Math.max(0, sample.firstTokenMs - sample.uncachedTokens / prefillTokensPerMs)
+  const rest = Math.max(0, sample.firstTokenMs - sample.backlogMs - sample.uncachedTokens / prefillTokensPerMs)
   return rates.baseMs + (rest < rates.baseMs ? GAIN_BETTER : gainWorse) * (rest - rates.baseMs)
 }
 
+/** Short answers say little of the time between tokens, as their events are seen early or late. */
+function learnBestDecode (bestMs: number, measuredMs: number, answerTokens: number): number {
+  const weight = Math.min(1, answerTokens / FULL_WEIGHT_ANSWER_TOKENS) ** 2
+  const gain = measuredMs < bestMs ? BEST_DECODE_FALL : BEST_DECODE_RISE
+  return bestMs + weight * gain * (measuredMs - bestMs)
+}
+
 /** Rates before the first request; `prior` is what targets on the same hardware measured. */
 export function startRates (kind: 'model' | 'plain', prior: Rates | undefined): Rates {
   const start = { ...prior ?? DEFAULT_RATES, samples: 0 }
   return kind === 'plain' ? { ...start, baseMs: 0, decodeMs: 0 } : start
 }
 
+/** Gain for worse figures. Calls of a plain service come by the thousand, so it goes by time there and not by their number. */
+function gainForWorse (kind: 'model' | 'plain', samples: number, elapsedMs: number): number {
+  if (samples === 1) return 1
+  if (kind === 'plain') return 1 - 2 ** (-elapsedMs / PLAIN_WORSE_HALF_LIFE_MS)
+  return Math.max(GAIN_WORSE, 1 / samples)
+}
+
 /**
- * Rates after one more finished request. Better figures are taken over fast and worse ones slowly,
- * from a busy target hardly at all, so
- * that the rates show the target without a queue of its own.
+ * Rates after one more finished request. Better figures are taken over fast and worse ones slowly, so
+ * that the rates show the target without a queue of its own. `elapsedMs` is the time since the sample before.
  *
  * @example
  * ```ts
- * const rates = learnRates('model', startRates('model', undefined), sample, false)
+ * const rates = learnRates('model', startRates('model', undefined), sample, 40)
  * ```
  */
-export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample, isBusy: boolean): Rates {
+export function learnRates (kind: 'model' | 'plain', rates: Rates, sample: Sample, elapsedMs: number): Rates {
   const samples = rates.samples + 1
-  const gainWorse = samples <= AVERAGED_SAMPLES ? 1 / samples : isBusy ? GAIN_WORSE_BUSY : GAIN_WORSE_IDLE
-  const prefillTokensPerMs = learnPrefill(kind, rates, sample, gainWorse)
+  const gainWorse = gainForWorse(kind, samples, elapsedMs)
+  const prefillTokensPerMs = learnPrefill(kind, rates, sample, kind === 'model' ? GAIN_WORSE : gainWorse)
   const baseMs = kind === 'plain' ? 0 : learnBase(rates, sample, prefillTokensPerMs, gainWorse)
   const measured = decodeTime(sample)
   if (measured === undefined) return { ...rates, prefillTokensPerMs, baseMs, samples }
   const isFirst = rates.samples === 0
   const decodeMs = isFirst ? measured : rates.decodeMs + DECODE_GAIN * (measured - rates.decodeMs)
-  const bestDecodeMs = isFirst ? measured : Math.min(measured, rates.bestDecodeMs + gainWorse * (measured - rates.bestDecodeMs))
+  const bestDecodeMs = isFirst ? measured : learnBestDecode(rates.bestDecodeMs, measured, sample.answerTokens)
   return { prefillTokensPerMs, baseMs, decodeMs, bestDecodeMs, samples }
 }
 
--- a/packages/authority/tests/overload.test.ts
+++ b/packages/authority/tests/overload.test.ts
@@ -74,8 +74,27 @@
   assert.ok(fixture.only(driver.pass(200), 'refusal').length > 0)
 })
 
+overload('refuses nothing before every entry has said what it holds', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings', OPTIONS)])
+  driver.deliver('e1', { kind: 'holdings', pool: 'east', holdings: [] })
+  driver.handle({ kind: 'target', news: { kind: 'target', target: 't1', version: 1, state: 'leaving' } })
+  driver.deliver('e1', fixture.askOf(1, { deadlineMs: 1_000, round: driver.nowMs }))
+  assert.equal(fixture.only(driver.pass(20_000), 'refusal'), [])
+  driver.settle()
+  assert.is(fixture.only(driver.pass(500), 'refusal').length, 1)
+})
+
+overload('starts the top tier alone while a predecessor\'s floors may hold', () => {
+  const driver = new fixture.Driver([fixture.documentOf('listings', { otherPool: 'west' })]).settle()
+  assert.is(fixture.only(driver.deliver('e1', fixture.askOf(1, { tier: 0 })), 'grant').length, 1)
+  assert.equal(fixture.only(driver.deliver('e1', fixture.askOf(2, { tier: 1 })), 'grant'), [])
+  assert.equal(fixture.only(driver.pass(3_900), 'grant'), [])
+  assert.is(fixture.only(driver.pass(200), 'grant').length, 1)
+})
+
 overload('keeps another pool\'s floor: stops, starts nothing lower, and reports', () => {
   const driver = loaded(2, 4, {}, { otherPool: 'west' }, [['west', 'other']])
+  driver.pass(2_000)
   const sent = driver.deliver('other', { kind: 'floor', pool: 'east', tier: 0, holdMs: 4_000 })
   assert.is(fixture.only(sent, 'revocation').length, 4)
   assert.equal(fixture.only(sent, 'floor-reached'), [])
@@ -101,6 +120,15 @@
   assert.ok(Number(refusal?.figures.expectedMs) > 500)
 })
 
+overload('does not call a deadline unreachable because the only target is leaving', () => {
+  const driver = loaded(1, 1)
+  driver.deliver('e1', fixture.askOf(900, { round: driver.nowMs }))
+  driver.handle({ kind: 'target', news: { kind: 'target', target: 't1', version: 1, state: 'leaving' } })
+  assert.equal(fixture.only(driver.deliver('e1', fixture.askOf(901, { round: driver.nowMs })), 'refusal'), [])
+  for (const ask of [100, 900]) driver.deliver('e1', fixture.releaseOf(ask))
+  assert.is(fixture.only(driver.pass(6_000), 'refusal').find((refusal) => refusal.ask === 901)?.reason, 'no-target')
+})
+
 overload('gives up at once on a deadline that the queue makes unreachable', () => {
   const driver = loaded(1, 20, {}, { maxWaitMs: 60_000 })
   const [refusal] = fixture.only(driver.deliver('e1', fixture.askOf(900, { deadlineMs: 2_500, round: driver.nowMs })), 'refusal')
--- a/packages/daemon/src/peer/link.ts
+++ b/packages/daemon/src/peer/link.ts
@@ -6,6 +6,8 @@
 import * as protocol from '@persimmonhatch/protocol'
 import * as jsonRpc from 'json-rpc-2.0'
 import type * as ws from 'ws'
+import * as compression from './compression.js'
+import * as silenceModule from './silence.js'
 
 /** Bytes waiting to be sent above which a link is given up: the peer does not read. */
 const MAX_BUFFERED_BYTES = 8_388_608
@@ -22,10 +24,14 @@
 /** Identity of the only request that a link makes, its greeting. */
 const GREETING_ID = 1
 
+/** Gives the frame that carries a message: text as it is, or compressed bytes. */
+export type Encode = (text: string) => string | Uint8Array
+
 /** What a link needs of its surroundings. */
 export interface Options {
   readonly socket: ws.WebSocket
   readonly clock: protocol.Clock
+  readonly encode: Encode
   /** This daemon's own greeting. */
   readonly greet: () => protocol.Greeting
   /** Called once the peer has said who it is. */
@@ -91,23 +97,27 @@
  */
 export function openLink (options: Options): Link {
   const { socket, count } = options
-  const openedMs = options.clock()
   let peer: protocol.Incarnation | undefined
-  let heardMs = openedMs
-  let sentMs: number | undefined
+  const silence = silenceModule.createSilence(options.clock)
   let isGreetingOpen = false
 
   const server = createServer(count, acceptGreeting)
-  const client = new jsonRpc.JSONRPCClient((payload) => transmit(JSON.stringify(payload)), () => GREETING_ID)
+  const client = new jsonRpc.JSONRPCClient(sendPayload, () => GREETING_ID)
 
   const link: Link = { peer: () => peer, send, greet, tick, close: () => socket.terminate() }
 
-  function transmit (text: string): void {
+  // The greeting goes as text, so that daemons of other versions can read it.
+  function sendPayload (payload: jsonRpc.JSONRPCRequest): void {
+    const text = JSON.stringify(payload)
+    transmit(payload.id === undefined ? options.encode(text) : text)
+  }
+
+  function transmit (frame: string | Uint8Array): void {
     if (socket.readyState !== socket.OPEN) return
     if (socket.bufferedAmount > MAX_BUFFERED_BYTES) return socket.terminate()
-    sentMs ??= options.clock()
-    count('peers.sentBytes', text.length)
-    socket.send(text)
+    silence.sent()
+    count('peers.sentBytes', frame.length)
+    socket.send(frame)
   }
 
   function send (message: protocol.PeerMessage): void {
@@ -151,11 +161,11 @@
     client.receive(reply)
   }
 
-  function receive (text: string): void {
-    heardMs = options.clock()
-    sentMs = undefined
-    count('peers.receivedBytes', text.length)
-    const payload = parsePayload(text)
+  function receive (frame: Buffer, isBinary: boolean): void {
+    silence.heard()
+    count('peers.receivedBytes', frame.length)
+    const text = isBinary ? compression.decompress(frame) : frame.toString('utf8')
+    const payload = text === undefined ? undefined : parsePayload(text)
     if (payload === undefined) return count('peers.rejected', 1)
     if (jsonRpc.isJSONRPCResponse(payload)) return receiveReply(payload)
     if (!jsonRpc.isJSONRPCRequest(payload)) return count('peers.rejected', 1)
@@ -165,15 +175,13 @@
   }
 
   function tick (): void {
-    if (peer === undefined && options.clock() - openedMs > DEAD_MS) return socket.terminate()
-    if (sentMs === undefined) return
-    const silentMs = options.clock() - Math.max(heardMs, sentMs)
-    if (silentMs > DEAD_MS) return socket.terminate()
-    if (silentMs > QUIET_MS && socket.readyState === socket.OPEN) socket.ping()
+    const isNameless = peer === undefined && silence.ageMs() > DEAD_MS
+    if (isNameless || silence.lengthMs() > DEAD_MS) return socket.terminate()
+    if (silence.lengthMs() > QUIET_MS && socket.readyState === socket.OPEN) socket.ping()
   }
 
-  socket.on('message', (data, isBinary) => { if (isBinary) count('peers.rejected', 1); else receive(String(data)) })
-  socket.on('pong', () => { heardMs = options.clock(); sentMs = undefined })
+  socket.on('message', (data, isBinary) => receive(data as Buffer, isBinary))
+  socket.on('pong', silence.heard)
   socket.on('error', () => count('peers.errors', 1))
   socket.on('close', () => {
     client.rejectAllPendingRequests('closed')
--- a/packages/daemon/src/peer/peers.ts
+++ b/packages/daemon/src/peer/peers.ts
@@ -3,14 +3,11 @@
  *
  * @module
  */
-import * as http from 'node:http'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as ws from 'ws'
-import * as splitAddress from '../util/split-address.js'
+import * as compression from './compression.js'
 import * as linkModule from './link.js'
-
-/** Largest message, bytes: a service document and its envelope. */
-const MAX_MESSAGE_BYTES = 4_194_304
+import * as listenerModule from './listener.js'
 
 /** Messages kept for a peer while its connection is being opened. */
 const MAX_QUEUED_MESSAGES = 2_000
@@ -21,6 +18,8 @@
 /** What the connections need of their surroundings. */
 export interface Options {
   readonly listen: protocol.Address
+  /** Gives the frame that carries a message; a text frame goes as it is, a binary one compressed. */
+  readonly encode: linkModule.Encode
   readonly clock: protocol.Clock
   readonly greet: (wanted: string) => protocol.Greeting
   readonly findMember: (incarnation: protocol.Incarnation) => protocol.MemberNews | undefined
@@ -41,31 +40,6 @@
   readonly close: () => Promise<void>
 }
 
-interface Listener {
-  readonly close: () => Promise<void>
-}
-
-async function listen (address: protocol.Address, onSocket: (socket: ws.WebSocket) => void): Promise<Listener> {
-  const endpoint = splitAddress.splitAddress(address)
-  const httpServer = http.createServer((_, response) => {
-    response.writeHead(426, { 'content-type': 'text/plain' })
-    response.end('This port is for other daemons; callers and operators use the callers address.\n')
-  })
-  const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
-  server.on('connection', onSocket)
-  server.on('error', () => {})
-  await new Promise<void>((resolve, reject) => {
-    httpServer.once('error', reject)
-    httpServer.listen(endpoint.port, endpoint.host, resolve)
-  })
-  return {
-    close: () => {
-      server.close()
-      return new Promise<void>((resolve) => httpServer.close(() => resolve()))
-    }
-  }
-}
-
 /**
  * Listens for other daemons.
  *
@@ -84,6 +58,7 @@
     const link = linkModule.openLink({
       socket,
       clock: options.clock,
+      encode: options.encode,
       greet: () => options.greet(wanted),
       onOpen: (from, member) => opened(from, member, wanted),
       onMessage: (from, message) => {
@@ -120,7 +95,7 @@
   }
 
   function connect (address: protocol.Address, wanted: string): ws.WebSocket {
-    const socket = new ws.WebSocket(`ws://${address}/`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_MESSAGE_BYTES })
+    const socket = new ws.WebSocket(`ws://${address}/`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: compression.MAX_MESSAGE_BYTES })
     const link = startLink(socket, wanted)
     socket.once('open', () => link.greet())
     return socket
@@ -152,7 +127,11 @@
     links.get(incarnation)?.close()
   }
 
-  const listener = await listen(options.listen, (socket) => { startLink(socket, '') })
+  const listener = await listenerModule.openListener({
+    listen: options.listen,
+    maxMessageBytes: compression.MAX_MESSAGE_BYTES,
+    onSocket: (socket) => { startLink(socket, '') }
+  })
 
   async function close (): Promise<void> {
     for (const link of all) link.close()
--- a/packages/daemon/tests/peer-port.test.ts
+++ b/packages/daemon/tests/peer-port.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as ws from 'ws'
+import * as compression from '../src/peer/compression.js'
 import * as peersModule from '../src/peer/peers.js'
 
 const OWN = 'aaaaaaaaaaaaa'
@@ -15,7 +16,7 @@
   readonly address: string
   readonly peers: peersModule.Peers
   readonly counts: Map<string, number>
-  readonly received: readonly (readonly [string, protocol.PeerMessage])[]
+  readonly received: ReadonlyArray<readonly [string, protocol.PeerMessage]>
   readonly connected: readonly string[]
   readonly members: Map<string, protocol.MemberNews>
 }
@@ -45,6 +46,7 @@
   const peers = await peersModule.openPeers({
     listen: address,
     clock: () => performance.now(),
+    encode: compression.compress,
     greet: (wanted) => ({ version: protocol.PROTOCOL_VERSION, member: member(incarnation, address), wanted }),
     findMember: (wanted) => members.get(wanted),
     onMessage: (from, message) => received.push([from, message]),
@@ -171,8 +173,9 @@
   const server = new ws.WebSocketServer({ host: '127.0.0.1', port: Number(address.split(':')[1]) })
   server.on('connection', (socket) => {
     socket.on('error', () => {})
-    socket.on('message', (data) => {
-      const { id } = JSON.parse(String(data)) as { readonly id?: number }
+    socket.on('message', (data, isBinary) => {
+      const text = isBinary ? compression.decompress(data as Buffer) ?? '' : String(data)
+      const { id } = JSON.parse(text) as { readonly id?: number }
       if (id === undefined) return
       const result = { version: protocol.PROTOCOL_VERSION, member: member(OTHER, address), wanted: '' }
       for (const one of [id + 5, id, id]) socket.send(JSON.stringify({ jsonrpc: '2.0', id: one, result }))
--- a/packages/entry/tests/entry.test.ts
+++ b/packages/entry/tests/entry.test.ts
@@ -284,12 +284,12 @@
   assert.equal(fixtures.effects(driver.do({ kind: 'beat', beat: 611 })), ['forget 4'])
 })
 
-test('at the limit a waiting request of a lower tier is displaced, otherwise the arrival is shed', () => {
+test('at the limit a waiting request of a lower tier is displaced, otherwise the arrival is refused', () => {
   const driver = started({ requestLimit: 1 })
   driver.arrive()
   const displacing = driver.arrive({ request: 2, identity: `${OWN}.10.b`, tier: 'counter' })
-  assert.equal(fixtures.effects(displacing), ['refuse 1 shed not-run', 'settled shed not-run'])
-  assert.equal(fixtures.effects(driver.arrive({ request: 3, identity: `${OWN}.10.c`, tier: 'counter' }))[0], 'refuse 3 shed not-run')
+  assert.equal(fixtures.effects(displacing), ['refuse 1 daemon-full not-run', 'settled daemon-full not-run'])
+  assert.equal(fixtures.effects(driver.arrive({ request: 3, identity: `${OWN}.10.c`, tier: 'counter' }))[0], 'refuse 3 daemon-full not-run')
 })
 
 test('documents that change while a request waits', () => {
--- a/packages/protocol/src/reason.ts
+++ b/packages/protocol/src/reason.ts
@@ -33,16 +33,17 @@
   'outcome-unknown': { status: 409, execution: 'unknown', text: 'The daemon that owned this request is gone or out of reach. The request is not run again.', remedy: 'Check whether it took effect before sending it under a new identity.' },
   'answer-not-held': { status: 409, execution: 'ran', text: 'The request ran, but its answer is no longer held. It is not run again.', remedy: 'Read the result from the service, or send a new request under a new identity.' },
   'other-address': { status: 307, execution: 'not-run', text: 'Another daemon owns this identity.', remedy: 'Send the request to the address in the location header.' },
-  shed: { status: 503, execution: 'not-run', text: 'Capacity was short: {ahead} requests of the same or a higher tier were ahead, an expected wait of {expectedWaitMs} ms against a limit of {maxWaitMs} ms.', remedy: 'Come back after the time in the retry-after header.' },
-  'deadline-unreachable': { status: 504, execution: 'not-run', text: 'The deadline of {deadlineMs} ms could not be met: the request needed about {expectedMs} ms.', remedy: 'Allow more time, or come back after the time in the retry-after header.' },
-  'no-target': { status: 503, execution: 'not-run', text: 'No target of the service {service} takes new work at present.', remedy: 'Come back after the time in the retry-after header; operators: persimmonhatch status.' },
-  'no-authority': { status: 503, execution: 'not-run', text: 'No daemon could be reached that places requests for this service.', remedy: 'Come back after the time in the retry-after header, at another address.' },
-  draining: { status: 503, execution: 'not-run', text: 'This daemon is shutting down and takes no new requests.', remedy: 'Send the request to another address; the answer names some.' },
+  shed: { status: 503, execution: 'not-run', text: 'Capacity was short: {ahead} requests of the same or a higher tier were ahead, an expected wait of {expectedWaitMs} ms against a limit of {maxWaitMs} ms.', remedy: 'Come back after the time in the retry-after header, under a new identity.' },
+  'daemon-full': { status: 503, execution: 'not-run', text: 'This daemon had {requestLimit} requests waiting or running, as many as it takes.', remedy: 'Come back after the time in the retry-after header, at another address and under a new identity; operators: limits.requests.' },
+  'deadline-unreachable': { status: 504, execution: 'not-run', text: 'The deadline of {deadlineMs} ms could not be met: the request needed about {expectedMs} ms.', remedy: 'Allow more time, or come back after the time in the retry-after header, under a new identity.' },
+  'no-target': { status: 503, execution: 'not-run', text: 'No target of the service {service} takes new work at present.', remedy: 'Come back after the time in the retry-after header, under a new identity; operators: persimmonhatch status.' },
+  'no-authority': { status: 503, execution: 'not-run', text: 'No daemon could be reached that places requests for this service.', remedy: 'Come back after the time in the retry-after header, at another address and under a new identity.' },
+  draining: { status: 503, execution: 'not-run', text: 'This daemon is shutting down and takes no new requests.', remedy: 'Send the request to another address under a new identity; the answer names some.' },
   'caller-gone': { status: 499, execution: 'not-run', text: 'The caller went away before the request was placed.', remedy: 'Send it again under a new identity if it is still wanted.' },
   'caller-gone-dispatched': { status: 499, execution: 'unknown', text: 'The caller went away after the request was sent to {target}; it was cancelled there.', remedy: 'Check whether it took effect before sending a new one.' },
   'suspect-refused': { status: 422, execution: 'not-run', text: 'Requests with this content have crashed {crashes} targets, so they are refused for {remainingS} s.', remedy: 'Change the request; operators: look at the crash on the named targets.' },
   preempted: { status: 503, execution: 'ran', text: 'The request was stopped on {target} to make room for a higher tier. Part of it had run.', remedy: 'Come back after the time in the retry-after header, under a new identity.' },
-  'target-unreachable': { status: 503, execution: 'not-run', text: 'The target {target} refused the connection before anything was sent.', remedy: 'Come back after the time in the retry-after header.' },
+  'target-unreachable': { status: 503, execution: 'not-run', text: 'The target {target} refused the connection before anything was sent.', remedy: 'Come back after the time in the retry-after header, under a new identity.' },
   'target-failed': { status: 502, execution: 'unknown', text: 'The target {target} failed after the request was sent to it: {detail}.', remedy: 'Check whether it took effect before sending a new one.' },
   'answer-incomplete': { status: 502, execution: 'ran', text: 'The answer of {target} ended without its proper end.', remedy: 'Discard what was received and send a new request.' }
 } as const satisfies Readonly<Record<string, Explanation>>
@@ -53,6 +54,11 @@
 /** The figures behind one outcome, named as in the explanation's text. */
 export type Figures = Readonly<Record<string, string | number>>
 
+function figureText (figure: string | number | undefined): string {
+  if (figure === undefined) return 'unknown'
+  return typeof figure === 'number' ? String(Math.round(figure)) : figure
+}
+
 /**
  * The sentence for one outcome with its figures filled in.
  *
@@ -63,5 +69,5 @@
  * ```
  */
 export function explain (reason: Reason, figures: Figures): string {
-  return EXPLANATIONS[reason].text.replace(/\{(\w+)\}/g, (_, name: string) => String(figures[name] ?? 'unknown'))
+  return EXPLANATIONS[reason].text.replace(/\{(\w+)\}/g, (_, name: string) => figureText(figures[name]))
 }
