Accuse a content only of crashes that took their target down

Cause: a connection that a target lost counted as a crash of the target, so requests of one content (every stock check is a GET of one path) were refused as crashing their targets after two lost connections. Ruled out: crashes (none was caused there), the register of suspects. Change: after a lost connection the target is asked for another; when it takes one, the authority hears of a failed request, not of a crash.

--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
+import * as net from 'node:net'
 import type * as entry from '@persimmonhatch/entry'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as platform from '@persimmonhatch/platform'
 import * as undici from 'undici'
 import type * as answerRecord from './answer-record.js'
+import * as splitAddress from '../util/split-address.js'
 import * as answerStream from './answer-stream.js'
 
 /** Headers that belong to one connection or to this system and are not passed on to a target. */
@@ -19,6 +21,9 @@
 /** Time from a grant's use to the first byte above which nothing is sent any more, milliseconds. */
 export const DISPATCH_VALIDITY_MS = 1_000
 
+/** Time for a target to take a connection after one was lost, milliseconds. */
+const CHECK_TIMEOUT_MS = 500
+
 /** The connection was ready so late that the grant may be stale. */
 export class StaleDispatch extends Error {
   readonly code = 'STALE_DISPATCH'
@@ -71,6 +76,26 @@
   return typeof code === 'string' ? code : String((error as Error | undefined)?.message ?? error)
 }
 
+/** Whether a target takes connections. */
+function isReachable (address: protocol.Address): Promise<boolean> {
+  const { host, port } = splitAddress.splitAddress(address)
+  return new Promise((resolve) => {
+    const socket = net.connect({ host, port, timeout: CHECK_TIMEOUT_MS })
+    function settle (isUp: boolean): void {
+      socket.destroy()
+      resolve(isUp)
+    }
+    socket.once('connect', () => settle(true))
+    socket.once('error', () => settle(false))
+    socket.once('timeout', () => settle(false))
+  })
+}
+
+/** A lost connection accuses the request of a crash only when the target went down with it. */
+async function checkTarget (end: entry.event.DispatchEnd, address: protocol.Address): Promise<entry.event.DispatchEnd> {
+  return end.outcome === 'crashed' ? { ...end, isTargetUp: await isReachable(address) } : end
+}
+
 /**
  * Dispatches once. Only a failure before the first byte may have been written counts as not dispatched.
  *
@@ -81,6 +106,10 @@
  * ```
  */
 export async function dispatch (options: Options): Promise<entry.event.DispatchEnd> {
+  return await checkTarget(await dispatchOnce(options), options.placement.address)
+}
+
+async function dispatchOnce (options: Options): Promise<entry.event.DispatchEnd> {
   const startMs = options.clock()
   const meter = answerStream.createMeter(options.clock, startMs, options.job.promptTokens)
   let sent = false
--- a/packages/daemon/tests/dispatcher.test.ts
+++ b/packages/daemon/tests/dispatcher.test.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http'
-import type * as net from 'node:net'
+import * as net from 'node:net'
 import * as platform from '@persimmonhatch/platform'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
@@ -77,4 +77,34 @@
   assert.is(await dispatchStream('knows no such stream'), 'incomplete')
 })
 
+/** Dispatches to a service that resets the connection, and goes down with it or not. */
+async function dispatchReset (goesDown: boolean): Promise<unknown> {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {})
+    socket.once('data', () => {
+      if (goesDown) server.close()
+      socket.resetAndDestroy()
+    })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const { outcome, isTargetUp } = await dispatcher.dispatch({
+    httpClient,
+    clock: () => 0,
+    placement: { target: 'stock-1', address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`, targetKind: 'plain' },
+    receipt: {} as dispatcher.Options['receipt'],
+    job: { method: 'POST', path: '/reservations', headers: {}, body: Buffer.from('{}'), promptTokens: 1 },
+    record: answerRecord.createAnswerRecord(true),
+    signal: new AbortController().signal
+  })
+  await httpClient.close()
+  server.close()
+  return { outcome, isTargetUp }
+}
+
+suite('tells a target that went down from one that lost a connection', async () => {
+  assert.equal(await dispatchReset(true), { outcome: 'crashed', isTargetUp: false })
+  assert.equal(await dispatchReset(false), { outcome: 'crashed', isTargetUp: true })
+})
+
 suite.run()
--- a/packages/entry/src/dispatch-end.ts
+++ b/packages/entry/src/dispatch-end.ts
@@ -21,7 +21,7 @@
   return {
     kind: 'release',
     ask: running.slot.ask,
-    outcome: outcome.slotOutcome(end.outcome),
+    outcome: outcome.slotOutcome(end),
     promptTokens,
     cachedTokens,
     answerTokens,
--- a/packages/entry/src/event.ts
+++ b/packages/entry/src/event.ts
@@ -40,6 +40,8 @@
   readonly answerTokens: number
   readonly firstTokenMs: number
   readonly totalMs: number
+  /** Whether the target took another connection after a crash: then only this connection was lost. */
+  readonly isTargetUp?: boolean
 }
 
 /** Messages that an entry receives from an authority. */
--- a/packages/entry/src/outcome.ts
+++ b/packages/entry/src/outcome.ts
@@ -51,9 +51,10 @@
  *
  * @example
  * ```ts
- * slotOutcome('incomplete') // 'failed'
+ * slotOutcome({ outcome: 'incomplete' }) // 'failed'
  * ```
  */
-export function slotOutcome (outcome: event.DispatchEnd['outcome']): protocol.SlotOutcome {
+export function slotOutcome ({ outcome, isTargetUp }: Pick<event.DispatchEnd, 'outcome' | 'isTargetUp'>): protocol.SlotOutcome {
+  if (outcome === 'crashed') return isTargetUp === true ? 'failed' : 'crashed'
   return outcome === 'incomplete' ? 'failed' : outcome
 }
