Say nothing of first tokens and cached prompts that the engine does not tell

Cause: a whole answer's end was reported as its first token and all its tokens as written at once, so the authority took the engine's shortest time between tokens for nothing and every stream for crowded: limits fell to 1 request on fast engines. A stream without usage was reported as without cached tokens, which taught the prefix index that nothing is cached and the rates that uncached prompts are fast. Change: a whole answer has no first token, and cached tokens are left out of the release when the engine does not say; the authority then keeps its own estimate. Test red first: 'claims no first token and no cached tokens' found the end of the answer and 0. The test of usage expects undefined where it expected 0.

--- a/packages/authority/src/releases.ts
+++ b/packages/authority/src/releases.ts
@@ -33,14 +33,14 @@
     return
   }
   state.answers.learn(granted.service, granted.answerTokens, message.answerTokens)
-  state.prefixes.learn(granted.target, granted.cachedTokens, message.cachedTokens)
+  if (message.cachedTokens !== undefined) state.prefixes.learn(granted.target, granted.cachedTokens, message.cachedTokens)
   correctShare(state, granted, message.promptTokens + message.answerTokens)
   if (message.firstTokenMs <= 0) {
     model?.learnTotal(message.totalMs)
     return
   }
   const { answerTokens, firstTokenMs, totalMs } = message
-  const uncachedTokens = Math.max(0, message.promptTokens - message.cachedTokens)
+  const uncachedTokens = Math.max(0, message.promptTokens - (message.cachedTokens ?? granted.cachedTokens))
   model?.learn({ uncachedTokens, answerTokens, costTokens: granted.costTokens, backlogMs: granted.backlogMs, firstTokenMs, totalMs, betweenTokensMs }, nowMs)
 }
 
--- a/packages/daemon/src/dispatch/answer-stream.ts
+++ b/packages/daemon/src/dispatch/answer-stream.ts
@@ -60,7 +60,7 @@
       outcome,
       detail,
       promptTokens: reported?.promptTokens ?? promptTokens,
-      cachedTokens: reported?.cachedTokens ?? 0,
+      cachedTokens: reported?.cachedTokens,
       answerTokens: reported?.answerTokens ?? tokens,
       firstTokenMs,
       totalMs: clock() - startMs
@@ -96,7 +96,7 @@
     await record.append(bytes)
   }
   if (started) return 'finished'
-  meter.token()
+  // When its tokens were written can't be seen in a whole answer.
   if (options.placement.targetKind === 'model') meter.usage(eventSplitter.readUsage(Buffer.concat(kept).toString('utf8')))
   record.start(head)
   for (const bytes of kept) await record.append(bytes)
--- a/packages/daemon/src/dispatch/event-splitter.ts
+++ b/packages/daemon/src/dispatch/event-splitter.ts
@@ -63,7 +63,8 @@
 export interface Usage {
   readonly promptTokens: number
   readonly answerTokens: number
-  readonly cachedTokens: number
+  /** Undefined when the engine does not say. */
+  readonly cachedTokens: number | undefined
 }
 
 interface UsageBody {
@@ -89,7 +90,7 @@
  * @example
  * ```ts
  * readUsage('{"usage":{"prompt_tokens":9,"completion_tokens":2}}')
- * // { promptTokens: 9, answerTokens: 2, cachedTokens: 0 }
+ * // { promptTokens: 9, answerTokens: 2, cachedTokens: undefined }
  * ```
  */
 export function readUsage (text: string): Usage | undefined {
@@ -98,7 +99,7 @@
   return {
     promptTokens: usage.prompt_tokens ?? 0,
     answerTokens: usage.completion_tokens ?? 0,
-    cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0
+    cachedTokens: usage.prompt_tokens_details?.cached_tokens
   }
 }
 
--- a/packages/daemon/tests/dispatcher.test.ts
+++ b/packages/daemon/tests/dispatcher.test.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
+import type * as entry from '@persimmonhatch/entry'
 import * as platform from '@persimmonhatch/platform'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
@@ -41,6 +42,33 @@
   assert.equal(await dispatchAfter(dispatcher.DISPATCH_VALIDITY_MS + 1), { outcome: 'unreachable', received: 0 })
 })
 
+/** Dispatches to an engine whose answer is whole. */
+async function dispatchWhole (body: string): Promise<entry.event.DispatchEnd> {
+  const server = http.createServer((_, response) => response.end(body))
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  let nowMs = 0
+  const end = await dispatcher.dispatch({
+    httpClient,
+    clock: () => { nowMs += 1; return nowMs },
+    placement: { target: 'engine-1', address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`, targetKind: 'model' },
+    receipt: {} as dispatcher.Options['receipt'],
+    job: { method: 'POST', path: '/v1/completions', headers: {}, body: Buffer.from('{}'), promptTokens: 7 },
+    record: answerRecord.createAnswerRecord(true),
+    signal: new AbortController().signal
+  })
+  await httpClient.close()
+  await new Promise((resolve) => server.close(resolve))
+  return end
+}
+
+suite('claims no first token and no cached tokens of a whole answer that does not tell', async () => {
+  const end = await dispatchWhole('{"usage":{"prompt_tokens":9,"completion_tokens":20}}')
+  assert.is(end.firstTokenMs, 0)
+  assert.is(end.answerTokens, 20)
+  assert.is(end.cachedTokens, undefined)
+})
+
 /** Dispatches to an engine that ends its stream after one event, and sees whether it can be asked to resume. */
 async function dispatchStream (afterwards: 'is gone' | 'knows no such stream'): Promise<string> {
   const server = http.createServer((incoming, response) => {
--- a/packages/daemon/tests/event-splitter.test.ts
+++ b/packages/daemon/tests/event-splitter.test.ts
@@ -39,7 +39,7 @@
 const usage = uvu.suite('readUsage')
 
 for (const [text, expected] of [
-  ['{"usage":{"prompt_tokens":9,"completion_tokens":2}}', { promptTokens: 9, answerTokens: 2, cachedTokens: 0 }],
+  ['{"usage":{"prompt_tokens":9,"completion_tokens":2}}', { promptTokens: 9, answerTokens: 2, cachedTokens: undefined }],
   ['{"usage":{"prompt_tokens":9,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":4}}}', { promptTokens: 9, answerTokens: 2, cachedTokens: 4 }],
   ['{"usage":null}', undefined],
   ['{}', undefined],
--- a/packages/entry/src/event.ts
+++ b/packages/entry/src/event.ts
@@ -36,7 +36,8 @@
   readonly outcome: 'finished' | 'unreachable' | 'failed' | 'crashed' | 'incomplete' | 'cancelled'
   readonly detail: string
   readonly promptTokens: number
-  readonly cachedTokens: number
+  /** Prompt tokens that the engine had cached; undefined when it did not say. */
+  readonly cachedTokens?: number | undefined
   readonly answerTokens: number
   readonly firstTokenMs: number
   readonly totalMs: number
--- a/packages/protocol/src/peer-message.ts
+++ b/packages/protocol/src/peer-message.ts
@@ -72,7 +72,8 @@
   readonly ask: number
   readonly outcome: SlotOutcome
   readonly promptTokens: number
-  readonly cachedTokens: number
+  /** Prompt tokens that the engine had cached; left out when it did not say. */
+  readonly cachedTokens?: number | undefined
   readonly answerTokens: number
   /** Milliseconds from dispatch to the first token; 0 when there was none. */
   readonly firstTokenMs: number
--- a/packages/protocol/src/peer-schema.ts
+++ b/packages/protocol/src/peer-schema.ts
@@ -87,7 +87,7 @@
   ask: COUNT,
   outcome: SLOT_OUTCOME,
   promptTokens: COUNT,
-  cachedTokens: COUNT,
+  cachedTokens: COUNT.optional(),
   answerTokens: COUNT,
   firstTokenMs: MILLISECONDS,
   totalMs: MILLISECONDS
