--- a/packages/cli/src/explain-request.ts
+++ b/packages/cli/src/explain-request.ts
@@ -26,9 +26,15 @@
   readonly found: neverthrow.Result<RequestAnswer, string>
 }
 
+const DECIMALS = 2
+
+function figureText (value: string | number): string {
+  return typeof value === 'number' ? String(Number(value.toFixed(DECIMALS))) : value
+}
+
 function report (found: RequestAnswer): session.Report {
   const { sentences, remedy } = receipt.explainReceipt(found.receipt, found.sentences)
-  const figures = Object.entries(found.receipt.figures).map(([name, value]) => `  ${name}: ${value}`)
+  const figures = Object.entries(found.receipt.figures).map(([name, value]) => `  ${name}: ${figureText(value)}`)
   const lines = [
     sentences.join(' '),
     ...(remedy === undefined ? [] : [`What to do: ${remedy}`]),
--- a/packages/cli/src/receipt.ts
+++ b/packages/cli/src/receipt.ts
@@ -88,6 +88,7 @@
   if (!isReason(reason)) return { sentences: [opening, ...unknownReason, EXECUTIONS[receipt.execution]], remedy: undefined }
   const known = protocol.EXPLANATIONS[reason]
   const figures: protocol.Figures = { ...receipt.figures, target: receipt.target ?? receipt.figures.target ?? 'unknown', waitedMs: receipt.waitedMs, service: receipt.service, organisation: receipt.organisation, tier: receipt.tier }
-  const rounded = Object.fromEntries(Object.entries(figures).map(([name, value]) => [name, round(value)]))
-  return { sentences: [opening, protocol.explain(reason, rounded), EXECUTIONS[receipt.execution]], remedy: known.remedy }
+  const sentences = [opening, protocol.explain(reason, figures)]
+  // A finished request's sentence says already that it was run.
+  return { sentences: reason === 'finished' ? sentences : [...sentences, EXECUTIONS[receipt.execution]], remedy: known.remedy }
 }
--- a/packages/system/src/system.ts
+++ b/packages/system/src/system.ts
@@ -22,6 +22,8 @@
 const SEEDS = 2
 const FIRST_CALLERS_PORT = 7_401
 const FIRST_PEERS_PORT = 7_501
+const KEY_VALUE_PORT = 2_379
+const VM_LIST_PORT = 2_380
 const KEY_VALUE = 'key-value'
 const VM_LIST = 'vm-list'
 
@@ -32,7 +34,7 @@
   readonly daemons?: number
   readonly drainMs?: number
   readonly vmListLagMs?: number
-  /** `example`: callers at 7401, 7402, … as in the pages; `free`: whatever is free. */
+  /** `example`: callers at 7401, 7402, … and the platform at 2379 and 2380, as in the pages; `free`: whatever is free. */
   readonly ports?: 'example' | 'free'
   readonly seed: number
 }
@@ -63,14 +65,19 @@
   return [...kinds].map(([name, kind]) => ({ name, kind, controlAddress: system.standin(name).controlAddress }))
 }
 
+/** The port that the pages name; any free one otherwise. */
+function examplePort (options: Options, port: number): { readonly port?: number } {
+  return options.ports === 'example' ? { port } : {}
+}
+
 function describeStandins (options: Options): standins.standinSet.StandinSet {
   const targets = new Map(options.deployment.documents.flatMap((one) => one.targets.map((target) => [target.name, { target, kind: one.kind }])))
   const described = [...targets.values()].map(({ target, kind }, index) => engineSpeeds.describeTarget(target, kind, options.seed + index))
   const vms = [...targets.values()].map(({ target }) => ({ name: target.name, address: target.address, state: 'live' as const }))
   return {
     standins: [
-      { kind: 'key-value-service', name: KEY_VALUE, seed: options.seed },
-      { kind: 'vm-list-service', name: VM_LIST, lagMs: options.vmListLagMs ?? 0, vms },
+      { kind: 'key-value-service', name: KEY_VALUE, seed: options.seed, ...examplePort(options, KEY_VALUE_PORT) },
+      { kind: 'vm-list-service', name: VM_LIST, lagMs: options.vmListLagMs ?? 0, vms, ...examplePort(options, VM_LIST_PORT) },
       ...described
     ]
   }
--- a/scripts/prepare.js
+++ b/scripts/prepare.js
@@ -3,6 +3,7 @@
  */
 import * as childProcess from 'node:child_process'
 import * as fs from 'node:fs'
+import * as path from 'node:path'
 
 const LOCK_FILE = 'package-lock.json'
 const INSTALLED_LOCK = 'node_modules/.package-lock.json'
@@ -17,5 +18,12 @@
   return fs.statSync(INSTALLED_LOCK).mtimeMs >= fs.statSync(LOCK_FILE).mtimeMs
 }
 
+// Programs are built after npm has linked them, so npm could not make them executable.
+function makeExecutable (workspace) {
+  const { bin = {} } = JSON.parse(fs.readFileSync(path.join('packages', workspace, 'package.json'), 'utf8'))
+  for (const file of Object.values(bin)) fs.chmodSync(path.join('packages', workspace, file), 0o755)
+}
+
 if (!isInstalled()) run('npm', ['ci'])
 run('npx', ['tsc', '-b'])
+for (const workspace of fs.readdirSync('packages')) makeExecutable(workspace)
