--- a/packages/load/src/replay/engine.ts
+++ b/packages/load/src/replay/engine.ts
@@ -6,8 +6,9 @@
  */
 import type * as authority from '@persimmonhatch/authority'
 import type * as protocol from '@persimmonhatch/protocol'
+import * as standins from '@persimmonhatch/standins'
 import type * as trace from '../trace/trace.js'
-import * as engineCache from './engine-cache.js'
+import * as prefixes from './prefixes.js'
 import type * as timeline from './timeline.js'
 
 /** What a request needs of a target. */
@@ -77,12 +78,12 @@
   #sequence = 0
   readonly #running = new Set<Job>()
   readonly #waiting = new Set<Job>()
-  readonly #cache: engineCache.EngineCache
+  readonly #cache: standins.prefixCache.PrefixCache
 
   constructor (readonly options: Options) {
     this.loadLagMs = options.target.loadLagMs
     this.cacheEventLagMs = options.target.cacheEventLagMs
-    this.#cache = new engineCache.EngineCache(options.target.cacheTokens)
+    this.#cache = new standins.prefixCache.PrefixCache(options.target.cacheTokens)
   }
 
   /** Whether the target refuses connections. */
@@ -172,7 +173,7 @@
       this.#waiting.delete(job)
       this.#running.add(job)
       job.isStarted = true
-      job.cachedTokens = Math.min(job.work.prompt, this.#cache.lookUp(job.work.prefixes))
+      job.cachedTokens = Math.min(job.work.prompt, this.#cache.lookUp(prefixes.withTokens(job.work.prefixes)))
       if (job.prefillLeft === 0) this.#store(job)
     }
   }
@@ -202,7 +203,7 @@
   }
 
   #store (job: Job): void {
-    const change = this.#cache.store(job.work.prefixes)
+    const change = this.#cache.store(prefixes.withTokens(job.work.prefixes))
     if (change.stored.length + change.evicted.length === 0) return
     this.#sequence += 1
     if (this.options.random() < this.options.target.cacheEventLossRate) return
--- a/packages/load/src/replay/prefixes.ts
+++ b/packages/load/src/replay/prefixes.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as protocol from '@persimmonhatch/protocol'
+import type * as standins from '@persimmonhatch/standins'
 import type * as trace from '../trace/trace.js'
 
 /**
@@ -29,3 +30,15 @@
 export function prefixTokens (index: number): number {
   return protocol.PREFIX_TOKENS * 2 ** index
 }
+
+/**
+ * Prefixes with the tokens that they cover, as an engine's cache takes them.
+ *
+ * @example
+ * ```ts
+ * cache.lookUp(withTokens(listPrefixes(kind, arrival, 17)))
+ * ```
+ */
+export function withTokens (hashes: readonly string[]): readonly standins.prefixCache.Prefix[] {
+  return hashes.map((hash, index) => ({ hash, tokens: prefixTokens(index) }))
+}
