--- a/packages/entry/tests/interleaving.test.ts
+++ b/packages/entry/tests/interleaving.test.ts
@@ -3,6 +3,7 @@
 import * as uvu from 'uvu'
 import * as assert from 'uvu/assert'
 import * as model from './model.js'
+import type * as modelCommand from './model-command.js'
 
 const RUNS = 2_000
 const STEPS = 60
@@ -17,11 +18,11 @@
 const rarely = fc.nat({ max: 7 }).map((number) => number === 0)
 const mostly = rarely.map((value) => !value)
 
-function step<Kind extends model.Command['kind']> (kind: Kind): fc.Arbitrary<Kind> {
+function step<Kind extends modelCommand.Command['kind']> (kind: Kind): fc.Arbitrary<Kind> {
   return fc.constant(kind)
 }
 
-const commands: fc.Arbitrary<model.Command> = fc.oneof(
+const commands: fc.Arbitrary<modelCommand.Command> = fc.oneof(
   { weight: 8, arbitrary: fc.record({ kind: step('send'), request: fc.nat({ max: 9 }), elsewhere: rarely }) },
   { weight: 2, arbitrary: fc.record({ kind: step('caller-gone'), call: index }) },
   { weight: 10, arbitrary: fc.record({ kind: step('grant'), ask: recent, foreign: rarely, target, renewed: flag, prompt: flag }) },
--- a/packages/entry/tests/model.ts
+++ b/packages/entry/tests/model.ts
@@ -9,51 +9,8 @@
 import type * as protocol from '@persimmonhatch/protocol'
 import * as index from '../src/index.js'
 import * as fixtures from './fixtures.js'
-
-/** One step of a run. Numbers choose among what there is at that moment. */
-export type Command =
-  | { readonly kind: 'send', readonly request: number, readonly elsewhere: boolean }
-  | { readonly kind: 'caller-gone', readonly call: number }
-  | { readonly kind: 'grant', readonly ask: number, readonly foreign: boolean, readonly target: number, readonly renewed: boolean, readonly prompt: boolean }
-  | { readonly kind: 'refusal', readonly ask: number, readonly reason: protocol.Reason }
-  | { readonly kind: 'revocation', readonly ask: number, readonly cause: protocol.Revocation['cause'] }
-  | { readonly kind: 'deliver', readonly message: number, readonly keep: boolean, readonly reachable: boolean }
-  | { readonly kind: 'lose', readonly message: number }
-  | { readonly kind: 'end', readonly dispatch: number, readonly outcome: index.event.DispatchEnd['outcome'] }
-  | { readonly kind: 'authority', readonly entry: number, readonly authority: number, readonly reconnected: boolean }
-  | { readonly kind: 'collect', readonly entry: number, readonly authority: number }
-  | { readonly kind: 'pause' | 'crash' | 'drain', readonly entry: number }
-  | { readonly kind: 'resume', readonly entry: number, readonly told: boolean }
-  | { readonly kind: 'leaving', readonly target: number }
-  | { readonly kind: 'documents', readonly entry: number, readonly variant: number }
-  | { readonly kind: 'beat', readonly entry: number, readonly by: number }
-  | { readonly kind: 'wait', readonly durationMs: number }
-
-interface Call {
-  readonly call: number
-  readonly request: string
-  readonly daemon: protocol.Incarnation
-}
-
-interface Asked {
-  readonly entry: protocol.Incarnation
-  readonly authority: protocol.Incarnation
-  readonly ask: protocol.Ask
-}
-
-interface Message {
-  readonly to: protocol.Incarnation
-  readonly from: protocol.Incarnation
-  readonly message: index.event.Received
-}
-
-interface Dispatch {
-  readonly entry: protocol.Incarnation
-  readonly request: number
-  readonly run: number
-  readonly reached: boolean
-  readonly cancelled: boolean
-}
+import type * as modelCommand from './model-command.js'
+import type * as modelState from './model-state.js'
 
 const AUTHORITIES = [fixtures.AUTHORITY, fixtures.OTHER_AUTHORITY]
 
@@ -104,14 +61,14 @@
   /** What goes wrong inside the model, where no caller or target would see it. */
   readonly faults: string[] = []
   readonly counts = new Map<string, number>()
-  readonly #calls = new Map<number, Call>()
+  readonly #calls = new Map<number, modelState.Call>()
   readonly #joined = new Map<number, number[]>()
   readonly #answers = new Map<number, string>()
   readonly #identities = new Map<number, string>()
-  readonly #asked: Asked[] = []
+  readonly #asked: modelState.Asked[] = []
   readonly #latestRound = new Map<string, number>()
-  readonly #messages: Message[] = []
-  #dispatches: readonly Dispatch[] = []
+  readonly #messages: modelState.Message[] = []
+  #dispatches: readonly modelState.Dispatch[] = []
   #processes: readonly Process[] = []
   readonly #leaving = new Set<string>()
   /** Calls whose connection is closed: their callers see nothing more. */
@@ -129,7 +86,7 @@
     return { facts: this.facts, targets: new Map([['stock', TARGETS]]) }
   }
 
-  perform (command: Command): void {
+  perform (command: modelCommand.Command): void {
     switch (command.kind) {
       case 'send': return this.#send(command.request, command.elsewhere)
       case 'caller-gone': return this.#leave(pick([...this.#calls.values()], command.call))
@@ -145,7 +102,7 @@
     }
   }
 
-  #performMessage (command: Extract<Command, { readonly kind: 'grant' | 'refusal' | 'revocation' | 'deliver' | 'lose' }>): void {
+  #performMessage (command: Extract<modelCommand.Command, { readonly kind: 'grant' | 'refusal' | 'revocation' | 'deliver' | 'lose' }>): void {
     switch (command.kind) {
       case 'grant': return this.#grant(command)
       case 'refusal': return this.#answerAsk(command.ask, (ask) => ({ kind: 'refusal', ask, reason: command.reason, retryAfterMs: 500, figures: {} }))
@@ -155,7 +112,7 @@
     }
   }
 
-  #performProcess (command: Extract<Command, { readonly entry: number }>, process: Process): void {
+  #performProcess (command: Extract<modelCommand.Command, { readonly entry: number }>, process: Process): void {
     switch (command.kind) {
       case 'authority': return this.#assign(process, AUTHORITIES[command.authority], command.reconnected)
       case 'collect': return this.#handle(process, { kind: 'message', from: AUTHORITIES[command.authority] ?? '', message: { kind: 'collect', pool: 'north' } })
@@ -286,7 +243,7 @@
     return identity
   }
 
-  #leave (call: Call | undefined): void {
+  #leave (call: modelState.Call | undefined): void {
     if (call === undefined) return
     this.#conclude({ kind: 'disconnected', atMs: this.nowMs, call: call.call, by: 'caller' })
     this.#closed.add(call.call)
@@ -294,7 +251,7 @@
     if (process !== undefined) this.#handle(process, { kind: 'caller-gone', request: call.call })
   }
 
-  #grant (command: Extract<Command, { readonly kind: 'grant' }>): void {
+  #grant (command: Extract<modelCommand.Command, { readonly kind: 'grant' }>): void {
     const asked = pickLatest(this.#asked, command.ask)
     if (asked === undefined) return
     const from = command.foreign ? AUTHORITIES.find((each) => each !== asked.authority) ?? '' : asked.authority
@@ -311,7 +268,7 @@
     if (asked !== undefined) this.#messages.push({ to: asked.entry, from: asked.authority, message: message(asked.ask.ask) })
   }
 
-  #deliver (command: Extract<Command, { readonly kind: 'deliver' }>): void {
+  #deliver (command: Extract<modelCommand.Command, { readonly kind: 'deliver' }>): void {
     const chosen = pickLatest(this.#messages, command.message)
     if (chosen === undefined) return
     if (!command.keep) this.#messages.splice(this.#messages.indexOf(chosen), 1)
@@ -332,7 +289,7 @@
     this.facts.push({ kind: 'run-started', atMs: this.nowMs, run: this.#runs, target, request: call.request, service, rank, nonIdempotent })
   }
 
-  #end (dispatch: Dispatch | undefined, wanted: index.event.DispatchEnd['outcome']): void {
+  #end (dispatch: modelState.Dispatch | undefined, wanted: index.event.DispatchEnd['outcome']): void {
     const process = this.#processes.find((each) => each.incarnation === dispatch?.entry)
     if (dispatch === undefined || process === undefined) return
     this.#dispatches = this.#dispatches.filter((each) => each !== dispatch)
@@ -346,7 +303,7 @@
     this.#handle(process, { kind: 'ended', request: dispatch.request, end: { ...fixtures.END, outcome } })
   }
 
-  #possibleOutcome (dispatch: Dispatch, wanted: index.event.DispatchEnd['outcome']): index.event.DispatchEnd['outcome'] {
+  #possibleOutcome (dispatch: modelState.Dispatch, wanted: index.event.DispatchEnd['outcome']): index.event.DispatchEnd['outcome'] {
     if (!dispatch.reached) return 'unreachable'
     if (dispatch.cancelled && wanted !== 'finished') return 'cancelled'
     return wanted === 'unreachable' || wanted === 'cancelled' ? 'finished' : wanted
