Name settings that exist in the remedies of platform failures

Cause: two messages named platform.callsPerS and platform.endpoints, which no settings have. The budget's message is checked; the check failed before the change.

--- a/packages/platform/src/etcd-key-value.ts
+++ b/packages/platform/src/etcd-key-value.ts
@@ -50,7 +50,7 @@
 }
 
 function noEndpoint (): keyValue.PlatformFailure {
-  return new keyValue.PlatformFailure('unavailable', 'No endpoint of the key-value service is set. Name at least one in platform.endpoints of the settings.')
+  return new keyValue.PlatformFailure('unavailable', 'No endpoint of the key-value service is set. Name at least one in platform.keyValue of the daemon settings, or with --platform for the operators\' tool.')
 }
 
 // A write that may have been carried out is `unanswered`, so `unavailable` is safe to send elsewhere.
--- a/packages/platform/src/metered-key-value.ts
+++ b/packages/platform/src/metered-key-value.ts
@@ -25,7 +25,7 @@
 }
 
 function overBudget (kind: CallKind): keyValue.PlatformFailure {
-  return new keyValue.PlatformFailure('over-limit', `The call ${kind} was not sent, because the call budget of this process is spent. Wait, or raise platform.callsPerS in the settings.`)
+  return new keyValue.PlatformFailure('over-limit', `The call ${kind} was not sent, because the call budget of this process is spent. Wait, or raise platform.callsPerMinute in the settings.`)
 }
 
 /**
--- a/packages/platform/tests/metered-key-value.test.ts
+++ b/packages/platform/tests/metered-key-value.test.ts
@@ -27,6 +27,7 @@
   for await (const changes of store.watch('/a', 1, new AbortController().signal)) assert.is(changes.length, 0)
   const refused = await store.grantLease(10)
   assert.is(refused._unsafeUnwrapErr().failure, 'over-limit')
+  assert.match(refused._unsafeUnwrapErr().message, /raise platform\.callsPerMinute in the settings/)
   await store.watch('/a', 1, new AbortController().signal).next().then(() => assert.unreachable(), (error: unknown) => assert.instance(error, keyValue.PlatformFailure))
   nowMs = 500
   assert.ok((await store.keepLeaseAlive('1')).isOk())
