--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,9 +2,9 @@
 import neostandard from 'neostandard'
 import typescript from 'typescript-eslint'
 
-const PURE_PACKAGES = ['protocol', 'document', 'membership', 'authority', 'entry', 'history']
+const PURE_PACKAGES = ['routing', 'protocol', 'document', 'membership', 'authority', 'entry', 'history']
 
-const ADAPTER_PACKAGES = ['platform', 'standins', 'client', 'cli', 'daemon', 'load', 'system'].map((name) => `@persimmonhatch/${name}`)
+const ADAPTER_PACKAGES = ['backing-services', 'gateway', 'standins', 'client', 'cli', 'daemon', 'load', 'system'].map((name) => `@persimmonhatch/${name}`)
 
 const NAMESPACE_IMPORTS_ONLY = [
   {
@@ -28,11 +28,18 @@
   }
 ]
 
+const PLATFORM_IMPORTS = ['@persimmonhatch/platform', '@persimmonhatch/platform/*', '**/../platform/*']
+
+const PLATFORM_NAMES = {
+  selector: 'Literal[value=/^(x-(attempt-id|deadline-remaining|server-signature|expected-replica|api-key|tenant|token-usage|prompt-prefix|not-executed|replica-load)|op\\u002fconfig|servers\\u002f.*|.*kv-(key|range|watch|txn|lease|keep).*)$/i]',
+  message: 'Names of the users\' platform belong in platform/.'
+}
+
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'out/**', 'target/**', 'journal/**'] },
   ...neostandard({ ts: true }),
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
       parser: typescript.parser,
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname }
@@ -54,7 +61,7 @@
     }
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     rules: {
       'jsdoc/require-jsdoc': ['error', {
         publicOnly: true,
@@ -64,13 +71,21 @@
       'max-lines-per-function': ['error', { max: 80, skipBlankLines: true, skipComments: true }]
     }
   },
+  {
+    // Nothing outside platform/ imports from it or names its headers, keys and calls.
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', { patterns: PLATFORM_IMPORTS }],
+      'no-restricted-syntax': ['error', ...NAMESPACE_IMPORTS_ONLY, ...READ_ONLY_TYPES, PLATFORM_NAMES]
+    }
+  },
   {
     // The decision core takes messages, time and random numbers as arguments.
     files: PURE_PACKAGES.map((name) => `packages/${name}/src/**/*.ts`),
     rules: {
       'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'setImmediate', 'Date', 'fetch', 'performance', 'process'],
       'no-restricted-properties': ['error', { object: 'Math', property: 'random' }],
-      'no-restricted-imports': ['error', { patterns: ['node:*', 'undici', 'hono', '@hono/*', 'ws', 'winston', 'hot-shots', ...ADAPTER_PACKAGES] }]
+      'no-restricted-imports': ['error', { patterns: ['node:*', 'undici', 'hono', '@hono/*', 'ws', 'winston', 'hot-shots', ...ADAPTER_PACKAGES, ...PLATFORM_IMPORTS] }]
     }
   }
 ]
--- a/packages/bench/src/processes/bench-system.ts
+++ b/packages/bench/src/processes/bench-system.ts
@@ -7,7 +7,7 @@
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as document from '@persimmonhatch/document'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import * as standins from '@persimmonhatch/standins'
 import * as system from '@persimmonhatch/system'
 import * as undici from 'undici'
@@ -85,7 +85,7 @@
   return document.storedDocument.writeStoredDocument(stored)._unsafeUnwrap()
 }
 
-async function store (keyValue: platform.keyValue.KeyValue, service: string, value: string): Promise<void> {
+async function store (keyValue: backing.keyValue.KeyValue, service: string, value: string): Promise<void> {
   const key = document.storedDocument.documentKey(service)
   const before = await keyValue.get(key)
   const expectedRevision = before.isOk() ? before.value?.modRevision ?? 0 : 0
@@ -138,8 +138,8 @@
   const target = system.childProcess.startChild({ packageName: 'bench', file: 'bare-target' }, [String(options.targets * SERVICES.length)])
   const targets = await system.waitUntil.waitUntil('the target listens', SETTLE_LIMIT_MS, () => readAddresses(target))
   const service = await standins.keyValueService.startKeyValueService({})
-  const client = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
-  const keyValue = platform.etcdKeyValue.etcdKeyValue({ client, endpoints: [`http://${service.address}`], timeoutMs: 2_000 })
+  const client = backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const keyValue = backing.etcdKeyValue.etcdKeyValue({ client, endpoints: [`http://${service.address}`], timeoutMs: 2_000 })
 
   async function write (name: string, kind: 'model' | 'plain', revision: number): Promise<void> {
     const addresses = kind === 'model' ? targets.slice(0, options.targets) : targets.slice(options.targets)
--- a/packages/bench/src/roles/platform-calls.ts
+++ b/packages/bench/src/roles/platform-calls.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as document from '@persimmonhatch/document'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import * as standins from '@persimmonhatch/standins'
 import type * as series from '../series.js'
 import * as countingProxy from './counting-proxy.js'
@@ -16,7 +16,7 @@
 const WRITES_PER_S = 100_000
 
 interface Bench {
-  readonly keyValue: platform.keyValue.KeyValue
+  readonly keyValue: backing.keyValue.KeyValue
   readonly bytes: () => number
   readonly close: () => Promise<void>
 }
@@ -24,9 +24,9 @@
 async function openBench (): Promise<Bench> {
   const service = await standins.keyValueService.startKeyValueService({ writesPerS: WRITES_PER_S })
   const proxy = await countingProxy.startCountingProxy(service.address)
-  const client = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const client = backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
   return {
-    keyValue: platform.etcdKeyValue.etcdKeyValue({ client, endpoints: [`http://${proxy.address}`], timeoutMs: 2_000 }),
+    keyValue: backing.etcdKeyValue.etcdKeyValue({ client, endpoints: [`http://${proxy.address}`], timeoutMs: 2_000 }),
     bytes: () => proxy.requestBytes() + proxy.answerBytes(),
     close: async () => {
       await client.destroy()
@@ -76,8 +76,8 @@
   const list = Array.from({ length: vms }, (_, index) => ({ name: `replica-${String(index).padStart(3, '0')}`, address: `10.1.${Math.floor(index / 250)}.${index % 250}:8000`, state: 'live' as const }))
   const service = await standins.vmListService.startVmListService({ vms: list })
   const proxy = await countingProxy.startCountingProxy(service.address)
-  const client = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
-  const answer = await platform.vmListClient.vmListClient({ client, url: `http://${proxy.address}`, timeoutMs: 2_000 })()
+  const client = backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const answer = await backing.vmListClient.vmListClient({ client, url: `http://${proxy.address}`, timeoutMs: 2_000 })()
   if (answer.isErr()) throw answer.error
   const used = proxy.requestBytes() + proxy.answerBytes()
   await client.destroy()
--- a/packages/bench/src/roles/reports.ts
+++ b/packages/bench/src/roles/reports.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as daemon from '@persimmonhatch/daemon'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import * as standins from '@persimmonhatch/standins'
 import * as undici from 'undici'
 import * as resources from '../resources.js'
@@ -29,7 +29,7 @@
   const engine = await standins.modelEngine.startModelEngine({ cacheEventLagMs: 0, loadLagMs: 1_000 })
   const proxies = await Promise.all(Array.from({ length: count }, () => countingProxy.startCountingProxy(engine.address)))
   const targets = proxies.map(({ address }, index) => ({ name: `replica-${index}`, address, kind: 'model' as const }))
-  return { targets, proxies, engine, client: platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 }) }
+  return { targets, proxies, engine, client: backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 }) }
 }
 
 async function closeBench (bench: Bench): Promise<void> {
--- a/packages/cli/src/adapters/connect.ts
+++ b/packages/cli/src/adapters/connect.ts
@@ -5,7 +5,7 @@
  */
 import * as crypto from 'node:crypto'
 import * as timers from 'node:timers/promises'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as ports from '../ports.js'
 import type * as settings from '../settings.js'
 import * as daemonClient from './daemon-client.js'
@@ -20,13 +20,13 @@
  */
 export function connect (chosen: settings.Settings): ports.Ports {
   const { endpoints, timeoutMs } = chosen.platform
-  const client = platform.httpClient.httpClient({
+  const client = backing.httpClient.httpClient({
     connectTimeoutMs: Math.max(timeoutMs, chosen.daemonTimeoutMs),
     headersTimeoutMs: 0,
     bodyTimeoutMs: 0
   })
   return {
-    keyValue: platform.etcdKeyValue.etcdKeyValue({ client, endpoints, timeoutMs }),
+    keyValue: backing.etcdKeyValue.etcdKeyValue({ client, endpoints, timeoutMs }),
     askDaemon: daemonClient.daemonClient(client, chosen.daemonTimeoutMs),
     nowMs: () => Date.now(),
     sleep: (durationMs) => timers.setTimeout(durationMs),
--- a/packages/cli/src/perform-change.ts
+++ b/packages/cli/src/perform-change.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as document from '@persimmonhatch/document'
-import type * as platform from '@persimmonhatch/platform'
+import type * as backing from '@persimmonhatch/backing-services'
 import type * as neverthrow from 'neverthrow'
 import type * as ports from './ports.js'
 
@@ -13,12 +13,12 @@
 type Step = document.changeFlow.Step
 type Reply = document.changeFlow.Reply
 
-function toHeld (entry: platform.keyValue.Entry | undefined): document.changePlan.StoredValue | undefined {
+function toHeld (entry: backing.keyValue.Entry | undefined): document.changePlan.StoredValue | undefined {
   return entry === undefined ? undefined : { text: entry.value, modRevision: entry.modRevision }
 }
 
 // A write counts as lost unless the adapter is certain that it was not carried out.
-function toFailed (error: platform.keyValue.PlatformFailure, step: Step): Reply {
+function toFailed (error: backing.keyValue.PlatformFailure, step: Step): Reply {
   const certain = step.kind === 'read' || error.failure === 'unavailable' || error.failure === 'over-limit'
   return { kind: 'failed', failure: certain ? 'not-done' : 'unanswered', message: error.message }
 }
--- a/packages/cli/src/ports.ts
+++ b/packages/cli/src/ports.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type * as platform from '@persimmonhatch/platform'
+import type * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 import type * as clipanion from 'clipanion'
 import type * as neverthrow from 'neverthrow'
@@ -20,7 +20,7 @@
 
 /** Connections to the platform and the daemons, and the process's own clock and random numbers. */
 export interface Ports {
-  readonly keyValue: platform.keyValue.KeyValue
+  readonly keyValue: backing.keyValue.KeyValue
   /** Sends `GET http://ADDRESS/PATH`. */
   readonly askDaemon: (address: protocol.Address, path: string) => neverthrow.ResultAsync<DaemonAnswer, failure.Failure>
   /** Milliseconds since 1970. */
--- a/packages/cli/src/store.ts
+++ b/packages/cli/src/store.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as document from '@persimmonhatch/document'
-import type * as platform from '@persimmonhatch/platform'
+import type * as backing from '@persimmonhatch/backing-services'
 import * as neverthrow from 'neverthrow'
 import * as failure from './failure.js'
 import type * as ports from './ports.js'
@@ -25,11 +25,11 @@
  * keyValue.get(key).mapErr(readFailure)
  * ```
  */
-export function readFailure (error: platform.keyValue.PlatformFailure): failure.Failure {
+export function readFailure (error: backing.keyValue.PlatformFailure): failure.Failure {
   return new failure.Failure('platformUnreachable', 'platform-unreachable', { detail: error.message })
 }
 
-function toService (entry: platform.keyValue.Entry): StoredService {
+function toService (entry: backing.keyValue.Entry): StoredService {
   const service = entry.key.slice(document.storedDocument.KEY_PREFIX.length)
   return { service, stored: document.storedDocument.readStoredDocument(service, entry.value) }
 }
--- a/packages/cli/tests/harness.ts
+++ b/packages/cli/tests/harness.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as stream from 'node:stream'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import * as neverthrow from 'neverthrow'
 import type * as burnPage from '../src/burn-page.js'
 import * as failure from '../src/failure.js'
@@ -26,7 +26,7 @@
 
 /** A small world around the tool. */
 export class World {
-  readonly entries = new Map<string, platform.keyValue.Entry>()
+  readonly entries = new Map<string, backing.keyValue.Entry>()
   readonly files = new Map<string, string>()
   readonly daemons = new Map<string, Daemon>()
   readonly environment: Record<string, string> = {}
@@ -101,28 +101,28 @@
     return neverthrow.okAsync(daemon(path))
   }
 
-  private answer<Value> (read: () => Value): platform.keyValue.Answer<Value> {
-    if (this.platformIsDown) return neverthrow.errAsync(new platform.keyValue.PlatformFailure('unavailable', 'connection refused; check platform.endpoints'))
+  private answer<Value> (read: () => Value): backing.keyValue.Answer<Value> {
+    if (this.platformIsDown) return neverthrow.errAsync(new backing.keyValue.PlatformFailure('unavailable', 'connection refused; check platform.endpoints'))
     return neverthrow.okAsync(read())
   }
 
-  private swap (write: platform.keyValue.Write): platform.keyValue.Swap {
+  private swap (write: backing.keyValue.Write): backing.keyValue.Swap {
     const current = this.entries.get(write.key)
     if ((current?.modRevision ?? 0) !== write.expectedRevision) return { succeeded: false, revision: this.revision, current }
     this.put(write.key, write.value ?? '')
     return { succeeded: true, revision: this.revision, current: undefined }
   }
 
-  private compareAndSwap (write: platform.keyValue.Write): platform.keyValue.Answer<platform.keyValue.Swap> {
+  private compareAndSwap (write: backing.keyValue.Write): backing.keyValue.Answer<backing.keyValue.Swap> {
     this.beforeWrite()
     const [fate = 'answered', ...rest] = this.fates
     this.fates = rest
     if (fate === 'answered') return this.answer(() => this.swap(write))
     if (fate === 'lost-after') this.swap(write)
-    return neverthrow.errAsync(new platform.keyValue.PlatformFailure('unanswered', 'timed out'))
+    return neverthrow.errAsync(new backing.keyValue.PlatformFailure('unanswered', 'timed out'))
   }
 
-  private createKeyValue (): platform.keyValue.KeyValue {
+  private createKeyValue (): backing.keyValue.KeyValue {
     const unused = (): never => { throw new Error('the tool takes no leases and watches nothing') }
     return {
       get: (key) => this.answer(() => this.entries.get(key)),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import * as protocol from '@persimmonhatch/protocol'
 import type * as undici from 'undici'
 import * as engineOrders from './adapters/engine-orders.js'
@@ -143,7 +143,7 @@
 export async function startDaemon (options: Options): Promise<Daemon> {
   const { settings, clock, log, metrics } = options
   const stopping = new AbortController()
-  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const httpClient = backing.httpClient.httpClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
   const calls = platformCalls.createPlatformCalls({ settings: settings.platform, clock, count: metrics.count })
   let onDrained: () => void = () => {}
   const drained = new Promise<void>((resolve) => { onDrained = resolve })
--- a/packages/daemon/src/dispatch/dispatcher.ts
+++ b/packages/daemon/src/dispatch/dispatcher.ts
@@ -6,7 +6,7 @@
 import * as net from 'node:net'
 import type * as entry from '@persimmonhatch/entry'
 import type * as protocol from '@persimmonhatch/protocol'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import * as undici from 'undici'
 import type * as answerRecord from './answer-record.js'
 import * as splitAddress from '../util/split-address.js'
@@ -114,7 +114,7 @@
   const meter = answerStream.createMeter(options.clock, startMs, options.job.promptTokens)
   let sent = false
   // The process may have been suspended, or the connection slow, since the grant was checked.
-  const client = platform.httpClient.withDispatchNotice(options.httpClient, () => {
+  const client = backing.httpClient.withDispatchNotice(options.httpClient, () => {
     const elapsedMs = options.clock() - startMs
     if (elapsedMs > DISPATCH_VALIDITY_MS) throw new StaleDispatch(elapsedMs)
     sent = true
--- a/packages/daemon/src/tasks/burn.ts
+++ b/packages/daemon/src/tasks/burn.ts
@@ -5,7 +5,7 @@
  */
 import * as document from '@persimmonhatch/document'
 import type * as entry from '@persimmonhatch/entry'
-import type * as platform from '@persimmonhatch/platform'
+import type * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as pause from '../util/pause.js'
 
@@ -24,7 +24,7 @@
 
 /** What the task needs of its surroundings. */
 export interface Options {
-  readonly keyValue: platform.keyValue.KeyValue
+  readonly keyValue: backing.keyValue.KeyValue
   readonly random: protocol.Random
   /** Milliseconds since 1970. */
   readonly wallClock: () => number
--- a/packages/daemon/src/tasks/documents.ts
+++ b/packages/daemon/src/tasks/documents.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import * as document from '@persimmonhatch/document'
-import type * as platform from '@persimmonhatch/platform'
+import type * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 import type * as log from '../adapters/log.js'
 import * as followDocuments from './follow-documents.js'
@@ -15,7 +15,7 @@
 
 /** What the task needs of its surroundings. */
 export interface Options {
-  readonly keyValue: platform.keyValue.KeyValue
+  readonly keyValue: backing.keyValue.KeyValue
   readonly clock: protocol.Clock
   readonly random: protocol.Random
   readonly send: (outbound: protocol.Outbound) => void
--- a/packages/daemon/src/tasks/follow-documents.ts
+++ b/packages/daemon/src/tasks/follow-documents.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import * as document from '@persimmonhatch/document'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as pause from '../util/pause.js'
 
@@ -14,14 +14,14 @@
 
 /** What following needs of its surroundings. */
 export interface Options {
-  readonly keyValue: platform.keyValue.KeyValue
+  readonly keyValue: backing.keyValue.KeyValue
   readonly random: protocol.Random
   /** Services that a document was seen of. */
   readonly known: () => readonly string[]
   readonly onCopies: (copies: readonly document.adoption.Copy[]) => void
   /** A whole listing was taken in. */
   readonly onListed: () => void
-  readonly onFailure: (failure: platform.keyValue.FailureKind) => void
+  readonly onFailure: (failure: backing.keyValue.FailureKind) => void
 }
 
 function copyOf (key: string, text: string | undefined): document.adoption.Copy {
@@ -56,14 +56,14 @@
  * ```
  */
 export async function followDocuments (options: Options, signal: AbortSignal): Promise<void> {
-  const delays = platform.backoff.backoff({ firstCeilingMs: FIRST_RETRY_MS, maxCeilingMs: LAST_RETRY_MS, random: options.random })
+  const delays = backing.backoff.backoff({ firstCeilingMs: FIRST_RETRY_MS, maxCeilingMs: LAST_RETRY_MS, random: options.random })
   while (!signal.aborted) {
     try {
       const revision = await list(options)
       delays.reset()
       await watch(options, revision, signal)
     } catch (error) {
-      options.onFailure(error instanceof platform.keyValue.PlatformFailure ? error.failure : 'malformed')
+      options.onFailure(error instanceof backing.keyValue.PlatformFailure ? error.failure : 'malformed')
     }
     await pause.pause(delays.next(), signal)
   }
--- a/packages/daemon/src/tasks/orders.ts
+++ b/packages/daemon/src/tasks/orders.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type * as document from '@persimmonhatch/document'
-import type * as platform from '@persimmonhatch/platform'
+import type * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 import type * as log from '../adapters/log.js'
 import * as pause from '../util/pause.js'
@@ -40,7 +40,7 @@
 
 /** What the task needs of its surroundings. */
 export interface Options {
-  readonly keyValue: platform.keyValue.KeyValue
+  readonly keyValue: backing.keyValue.KeyValue
   readonly random: protocol.Random
   readonly incarnation: protocol.Incarnation
   /** Engines of the pools that this daemon is the authority of. */
--- a/packages/daemon/src/tasks/platform-calls.ts
+++ b/packages/daemon/src/tasks/platform-calls.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as neverthrow from 'neverthrow'
 import type * as settings from '../settings/settings.js'
@@ -23,8 +23,8 @@
 
 /** The platform as this daemon sees it. */
 export interface PlatformCalls {
-  readonly keyValue: platform.keyValue.KeyValue
-  readonly listVms: platform.vmList.ListVms
+  readonly keyValue: backing.keyValue.KeyValue
+  readonly listVms: backing.vmList.ListVms
   /** Calls to the key-value service in the last whole minute. */
   readonly lastMinute: () => number
   readonly close: () => Promise<void>
@@ -40,25 +40,25 @@
  */
 export function createPlatformCalls (options: Options): PlatformCalls {
   const { settings, clock, count } = options
-  const client = platform.httpClient.httpClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const client = backing.httpClient.httpClient({ connectTimeoutMs: CONNECT_TIMEOUT_MS, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
   const times: number[] = []
 
-  function note (kind: platform.meteredKeyValue.CallKind, result: platform.meteredKeyValue.CallResult): void {
+  function note (kind: backing.meteredKeyValue.CallKind, result: backing.meteredKeyValue.CallResult): void {
     count(`platform.${kind}.${result}`, 1)
     if (result === 'sent') times.push(clock())
     while (times[0] !== undefined && times[0] < clock() - MS_PER_MINUTE) times.shift()
   }
 
-  const keyValue = platform.meteredKeyValue.meteredKeyValue({
-    keyValue: platform.etcdKeyValue.etcdKeyValue({ client, endpoints: settings.keyValue.map((address) => `http://${address}`), timeoutMs: CALL_TIMEOUT_MS }),
+  const keyValue = backing.meteredKeyValue.meteredKeyValue({
+    keyValue: backing.etcdKeyValue.etcdKeyValue({ client, endpoints: settings.keyValue.map((address) => `http://${address}`), timeoutMs: CALL_TIMEOUT_MS }),
     callsPerS: settings.callsPerMinute / SECONDS_PER_MINUTE,
     burst: BURST_CALLS,
     now: clock,
     count: note
   })
-  const listVms: platform.vmList.ListVms = settings.vmList === undefined
+  const listVms: backing.vmList.ListVms = settings.vmList === undefined
     ? () => neverthrow.okAsync([])
-    : platform.vmListClient.vmListClient({ client, url: `http://${settings.vmList}`, timeoutMs: CALL_TIMEOUT_MS })
+    : backing.vmListClient.vmListClient({ client, url: `http://${settings.vmList}`, timeoutMs: CALL_TIMEOUT_MS })
 
   return {
     keyValue,
--- a/packages/daemon/src/tasks/registration.ts
+++ b/packages/daemon/src/tasks/registration.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import * as protocol from '@persimmonhatch/protocol'
 import * as pause from '../util/pause.js'
 
@@ -21,7 +21,7 @@
 
 /** What the task needs of its surroundings. */
 export interface Options {
-  readonly keyValue: platform.keyValue.KeyValue
+  readonly keyValue: backing.keyValue.KeyValue
   readonly random: protocol.Random
   readonly clock: protocol.Clock
   readonly self: () => protocol.MemberNews
@@ -50,7 +50,7 @@
  */
 export async function keepRegistered (options: Options, signal: AbortSignal): Promise<void> {
   const { keyValue } = options
-  const delays = platform.backoff.backoff({ firstCeilingMs: FIRST_RETRY_MS, maxCeilingMs: LAST_RETRY_MS, random: options.random })
+  const delays = backing.backoff.backoff({ firstCeilingMs: FIRST_RETRY_MS, maxCeilingMs: LAST_RETRY_MS, random: options.random })
   let lease: string | undefined
   let listedAtMs = -Infinity
 
--- a/packages/daemon/src/tasks/target-states.ts
+++ b/packages/daemon/src/tasks/target-states.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type * as platform from '@persimmonhatch/platform'
+import type * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 
 /** Time for which the list must show a target live again, milliseconds: longer than the list lags. */
@@ -13,7 +13,7 @@
 /** What the daemon knows of targets' states. */
 export interface TargetStates {
   /** Takes one reading of the list; gives the news that it brings. An empty or short list brings none. */
-  readonly read: (vms: readonly platform.vmList.Vm[], nowMs: number) => Generator<protocol.TargetNews, void>
+  readonly read: (vms: readonly backing.vmList.Vm[], nowMs: number) => Generator<protocol.TargetNews, void>
   /** Takes news from other daemons. */
   readonly learn: (news: protocol.TargetNews) => void
   readonly leaving: () => readonly string[]
@@ -36,7 +36,7 @@
 export function createTargetStates (): TargetStates {
   const known = new Map<string, Known>()
 
-  function * leave (vm: platform.vmList.Vm): Generator<protocol.TargetNews, void> {
+  function * leave (vm: backing.vmList.Vm): Generator<protocol.TargetNews, void> {
     const before = known.get(vm.name)
     if (before?.news.state === 'leaving') {
       known.set(vm.name, { news: before.news, liveSinceMs: undefined })
@@ -47,7 +47,7 @@
     yield news
   }
 
-  function * live (vm: platform.vmList.Vm, nowMs: number): Generator<protocol.TargetNews, void> {
+  function * live (vm: backing.vmList.Vm, nowMs: number): Generator<protocol.TargetNews, void> {
     const before = known.get(vm.name)
     if (before === undefined || before.news.state === 'serving') return
     const liveSinceMs = before.liveSinceMs ?? nowMs
@@ -60,7 +60,7 @@
     yield news
   }
 
-  function * read (vms: readonly platform.vmList.Vm[], nowMs: number): Generator<protocol.TargetNews, void> {
+  function * read (vms: readonly backing.vmList.Vm[], nowMs: number): Generator<protocol.TargetNews, void> {
     const leaving = new Set(vms.filter((vm) => vm.state === 'leaving').map((vm) => vm.name))
     for (const vm of vms) {
       // A list that shows a target both live and leaving is taken as leaving.
--- a/packages/daemon/src/tasks/vm-list.ts
+++ b/packages/daemon/src/tasks/vm-list.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type * as platform from '@persimmonhatch/platform'
+import type * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as pause from '../util/pause.js'
 
@@ -16,11 +16,11 @@
 
 /** What the task needs of its surroundings. */
 export interface Options {
-  readonly listVms: platform.vmList.ListVms
+  readonly listVms: backing.vmList.ListVms
   readonly random: protocol.Random
   /** Number of live daemons. */
   readonly fleetSize: () => number
-  readonly onList: (vms: readonly platform.vmList.Vm[]) => void
+  readonly onList: (vms: readonly backing.vmList.Vm[]) => void
   readonly count: (counter: string, value: number) => void
 }
 
--- a/packages/daemon/tests/dispatcher.test.ts
+++ b/packages/daemon/tests/dispatcher.test.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import type * as entry from '@persimmonhatch/entry'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as answerRecord from '../src/dispatch/answer-record.js'
@@ -18,7 +18,7 @@
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`
-  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const httpClient = backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
   const times = [0]
   const end = await dispatcher.dispatch({
     httpClient,
@@ -46,7 +46,7 @@
 async function dispatchWhole (body: string): Promise<entry.event.DispatchEnd> {
   const server = http.createServer((_, response) => response.end(body))
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const httpClient = backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
   let nowMs = 0
   const end = await dispatcher.dispatch({
     httpClient,
@@ -84,7 +84,7 @@
     })
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const httpClient = backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
   const end = await dispatcher.dispatch({
     httpClient,
     clock: () => 0,
@@ -115,7 +115,7 @@
     })
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const httpClient = backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
   const { outcome, isTargetUp } = await dispatcher.dispatch({
     httpClient,
     clock: () => 0,
--- a/packages/daemon/tests/requests.test.ts
+++ b/packages/daemon/tests/requests.test.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import type * as entry from '@persimmonhatch/entry'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as hashes from '../src/adapters/hashes.js'
@@ -37,7 +37,7 @@
       if (event.kind === 'ended' && event.end.outcome === 'unreachable') yield dispatchTo(target.address, event.request)
     }
   } as unknown as entry.entry.Entry
-  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const httpClient = backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
   const task = requests.startRequests({
     core,
     httpClient,
--- a/packages/daemon/tests/target-states.test.ts
+++ b/packages/daemon/tests/target-states.test.ts
@@ -1,9 +1,9 @@
-import type * as platform from '@persimmonhatch/platform'
+import type * as backing from '@persimmonhatch/backing-services'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as targetStates from '../src/tasks/target-states.js'
 
-function vm (state: 'live' | 'leaving'): platform.vmList.Vm {
+function vm (state: 'live' | 'leaving'): backing.vmList.Vm {
   return { name: 'engine-1', address: '127.0.0.1:9101', state }
 }
 
--- /dev/null
+++ b/packages/gateway/src/event-log.ts
@@ -0,0 +1,83 @@
+/**
+ * Structured log lines on standard output, bounded in number and never waited for.
+ *
+ * @module
+ */
+import * as stream from 'node:stream'
+import * as winston from 'winston'
+
+/** Lines a second in the long run, and at once; origin: a tenth of a VM's spare processor time. */
+const LINES_PER_S = 60
+const BURST_LINES = 200
+
+/** Bytes that may wait for a slow reader of standard output before lines are dropped. */
+const MAX_WAITING_BYTES = 262_144
+
+const MS_PER_S = 1_000
+
+/** Details of one line. */
+export type Details = Readonly<Record<string, unknown>>
+
+/** Writes lines; each names what happened in a fixed phrase. */
+export interface EventLog {
+  /** A decision on one request; dropped first under load. */
+  readonly request: (event: string, details: Details) => void
+  /** A change of what the process believes; dropped only when standard output does not take it. */
+  readonly change: (event: string, details?: Details) => void
+}
+
+/** Output, clock and what to do with the number of dropped lines. */
+export interface Options {
+  readonly fields: Details
+  readonly now: () => number
+  readonly output: stream.Writable
+  readonly countDropped: (lines: number) => void
+}
+
+/**
+ * Opens the log.
+ *
+ * @example
+ * ```ts
+ * const log = openEventLog({ fields: { daemon: 'front-1' }, now, output: process.stdout, countDropped: () => {} })
+ * log.change('document adopted', { version: 7 })
+ * ```
+ */
+export function openEventLog (options: Options): EventLog {
+  let tokens = BURST_LINES
+  let filledMs = options.now()
+  const bounded = new stream.Writable({
+    decodeStrings: false,
+    write: (line: string | Buffer, _, done) => {
+      if (options.output.writableLength > MAX_WAITING_BYTES) options.countDropped(1)
+      else options.output.write(line)
+      done()
+    }
+  })
+  const logger = winston.createLogger({
+    level: 'info',
+    format: winston.format.json(),
+    transports: [new winston.transports.Stream({ stream: bounded })]
+  })
+
+  function write (event: string, details: Details): void {
+    logger.info({ message: event, at: new Date().toISOString(), ...options.fields, ...details })
+  }
+
+  function admit (): boolean {
+    const nowMs = options.now()
+    tokens = Math.min(BURST_LINES, tokens + (nowMs - filledMs) * LINES_PER_S / MS_PER_S)
+    filledMs = nowMs
+    if (tokens < 1) return false
+    tokens -= 1
+    return true
+  }
+
+  return {
+    request: (event, details) => {
+      if (admit()) write(event, details)
+      else options.countDropped(1)
+    },
+    change: (event, details = {}) => { write(event, details) }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fingerprint.ts
@@ -0,0 +1,24 @@
+/**
+ * Fingerprints of contents, equal whenever a caller sends the same again.
+ *
+ * @module
+ */
+import * as crypto from 'node:crypto'
+import type * as admission from './admission.js'
+
+const CHARACTERS = 16
+
+/**
+ * Fingerprint of a request's path, organisation and body.
+ *
+ * @example
+ * ```ts
+ * const content = fingerprintOf(request, body)
+ * ```
+ */
+export function fingerprintOf (request: admission.Admitted, body: Buffer | undefined): string {
+  const hash = crypto.createHash('sha1')
+  hash.update(`${request.head.method} ${request.head.path} ${request.organisation?.name ?? ''}\n`)
+  if (body !== undefined) hash.update(body)
+  return hash.digest('base64url').slice(0, CHARACTERS)
+}
--- /dev/null
+++ b/packages/gateway/src/front-server.ts
@@ -0,0 +1,136 @@
+/**
+ * The callers' listener.
+ *
+ * @module
+ */
+import * as http from 'node:http'
+import * as admission from './admission.js'
+import type * as contextModule from './context.js'
+import * as endpoint from './endpoint.js'
+import * as refusal from './refusal.js'
+import * as requestTask from './request-task.js'
+
+/** Largest head that is read at all, bytes; the document's own limit is checked on what was read. */
+const MAX_HEAD_BYTES = 131_072
+
+/** Interval at which connections with unfinished heads are looked for, ms. */
+const CHECK_INTERVAL_MS = 1_000
+
+/** Interval at which a closing listener closes connections that have become idle, ms. */
+const CLOSE_IDLE_INTERVAL_MS = 100
+
+const NO_DOCUMENT_RETRY_MS = 700
+const STOPPING_RETRY_MS = 100
+
+/** The open listener. */
+export interface FrontServer {
+  /** Takes over limits of a new document. */
+  readonly adoptLimits: () => void
+  /** Requests whose answer has not ended. */
+  readonly open: () => number
+  /** Takes no new connections and closes those that are idle or become so. */
+  readonly close: () => void
+}
+
+const RETRY_AFTER: Readonly<Partial<Record<refusal.Reason, number>>> = {
+  'no-document': NO_DOCUMENT_RETRY_MS,
+  'no-target': NO_DOCUMENT_RETRY_MS,
+  stopping: STOPPING_RETRY_MS
+}
+
+/** Reads a body up to a limit; undefined for a request without one. */
+function readBody (incoming: http.IncomingMessage, limitBytes: number, done: (body: Buffer | undefined) => void, tooLarge: () => void): void {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  let over = false
+  incoming.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    if (over) return
+    if (bytes <= limitBytes) {
+      chunks.push(chunk)
+      return
+    }
+    over = true
+    tooLarge()
+  })
+  incoming.on('end', () => {
+    if (over) return
+    const hasBody = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
+    done(hasBody ? Buffer.concat(chunks) : undefined)
+  })
+}
+
+/**
+ * Opens the listener.
+ *
+ * @example
+ * ```ts
+ * const server = await openFrontServer(context, '10.1.0.25:8221')
+ * ```
+ */
+export async function openFrontServer (context: contextModule.Context, address: string): Promise<FrontServer> {
+  let open = 0
+
+  function refuse (outgoing: http.ServerResponse, head: admission.Head, reason: refusal.Reason, retryAfterMs = RETRY_AFTER[reason]): void {
+    const answer = refusal.refusalOf(reason, retryAfterMs)
+    const headers = [...answer.headers]
+    if (context.stopping() || reason === 'body-too-large') headers.push('Connection', 'close')
+    context.metrics.count('requests_total', { service: '', kind: '', outcome: 'refused', reason })
+    context.log.request('request refused', { reason, status: answer.status, path: head.path, retryAfterMs, document: context.table()?.version })
+    outgoing.writeHead(answer.status, headers)
+    outgoing.end(answer.body)
+  }
+
+  function take (incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
+    open += 1
+    let counted = true
+    const done = (): void => {
+      if (counted) open -= 1
+      counted = false
+    }
+    outgoing.once('close', done)
+    const head: admission.Head = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.rawHeaders, arrivedMs: context.now() }
+    const admitted = context.refusing() ? undefined : admission.admit(context, head)
+    if (admitted === undefined || admitted.isErr()) {
+      incoming.resume()
+      refuse(outgoing, head, admitted?.error ?? 'stopping')
+      return
+    }
+    const request = admitted.value
+    context.budget.countRequest(request.service, context.now())
+    const admit = (body: Buffer | undefined): void => {
+      if (outgoing.destroyed) return
+      const admission = request.organisation === undefined ? undefined : context.caps.admit(request.organisation.name, request.cappedTokens, context.now())
+      if (admission?.kind === 'over-cap') refuse(outgoing, head, 'over-cap', admission.retryAfterMs)
+      else new requestTask.RequestTask({ context, request, body, outgoing, done }).start()
+    }
+    readBody(incoming, context.limits().bodyBytes, admit, () => { refuse(outgoing, head, 'body-too-large') })
+  }
+
+  const server = http.createServer({
+    maxHeaderSize: MAX_HEAD_BYTES,
+    connectionsCheckingInterval: CHECK_INTERVAL_MS,
+    requestTimeout: 0,
+    noDelay: true
+  }, take)
+  const { host, port } = endpoint.parseEndpoint(address)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+
+  function adoptLimits (): void {
+    const limits = context.limits()
+    server.keepAliveTimeout = limits.idleTimeoutMs
+    server.headersTimeout = limits.headerTimeoutMs
+  }
+
+  function close (): void {
+    if (!server.listening) return
+    server.close()
+    setInterval(() => { server.closeIdleConnections() }, CLOSE_IDLE_INTERVAL_MS).unref()
+  }
+
+  adoptLimits()
+  return { adoptLimits, open: () => open, close }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,291 @@
+/**
+ * Joins the routing core, the listeners and the peers of one daemon.
+ *
+ * @module
+ */
+import * as crypto from 'node:crypto'
+import * as routing from '@persimmonhatch/routing'
+import type * as contextModule from './context.js'
+import type * as dialect from './dialect.js'
+import * as eventLog from './event-log.js'
+import * as frontServer from './front-server.js'
+import type * as knowledgeModule from './knowledge.js'
+import * as metricsModule from './metrics.js'
+import * as peerPort from './peer-port.js'
+import * as peerReports from './peer-reports.js'
+import * as peerTable from './peer-table.js'
+import * as servicePools from './service-pools.js'
+import * as targetClient from './target-client.js'
+
+/** Settings of a gateway. Times are ms. */
+export interface Options {
+  readonly name: string
+  readonly availabilityZone: string
+  readonly frontAddress: string
+  readonly peerAddress: string
+  readonly dialect: dialect.Dialect
+  readonly retryBudget: routing.retryBudget.Options
+  readonly tokenCaps: routing.tokenCap.Options
+  /** Time between a planned stop's begin and the end of the process. */
+  readonly graceMs: number
+}
+
+/** Interval of the pools' clock. */
+const TICK_MS = 20
+
+/** Interval of targets' and fleet's refresh. */
+const REFRESH_MS = 100
+
+/** Time from the begin of a planned stop at which new requests are refused. */
+const REFUSE_AFTER_MS = 4_000
+
+/** Time from the begin of a planned stop before which the process stays, for callers with old addresses. */
+const STAY_MS = 5_000
+
+/** Margin before the end of the grace time. */
+const GRACE_MARGIN_MS = 500
+
+const POLL_MS = 50
+
+/** Share of a target's connections that the daemons use together. */
+const CONNECTION_SHARE = 0.85
+const LEAST_CONNECTIONS = 2
+
+/** Daemons that are reckoned with while a process does not know its peers yet. */
+const ASSUMED_DAEMONS = 8
+
+const INCARNATION_BYTES = 6
+
+const START_LIMITS: routing.document.Limits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 5_000, idleTimeoutMs: 15_000 }
+
+/**
+ * The state of one daemon and what acts on it.
+ *
+ * @example
+ * ```ts
+ * const gateway = new Gateway(options)
+ * await gateway.open()
+ * gateway.adopt(document, 'store')
+ * ```
+ */
+export class Gateway {
+  readonly metrics = metricsModule.createMetrics()
+  readonly log: eventLog.EventLog
+  private readonly registry = routing.targetRegistry.createTargetRegistry()
+  private readonly suspects = routing.suspects.createSuspects()
+  private readonly peers: peerTable.PeerTable
+  private readonly caps: routing.tokenCap.TokenCaps
+  private readonly clients: targetClient.TargetClients
+  private readonly pools: servicePools.ServicePools
+  private readonly context: contextModule.Context
+  private readonly timers: NodeJS.Timeout[] = []
+  /** Longest remaining time that callers of a route have stated, ms. */
+  private readonly longest = new Map<string, number>()
+  private document: routing.document.RoutingDocument | undefined
+  private table: routing.routeTable.RouteTable | undefined
+  private reports: peerReports.PeerReports | undefined
+  private front: frontServer.FrontServer | undefined
+  private stoppingMs: number | undefined
+
+  constructor (private readonly options: Options) {
+    this.log = eventLog.openEventLog({
+      fields: { daemon: options.name },
+      now: () => this.now(),
+      output: process.stdout,
+      countDropped: (lines) => { this.metrics.count('log_lines_dropped_total', {}, lines) }
+    })
+    this.peers = peerTable.createPeerTable(options.peerAddress)
+    this.caps = routing.tokenCap.createTokenCaps(options.tokenCaps)
+    this.clients = targetClient.openTargetClients({
+      connectionLimit: (address) => this.connectionLimit(address),
+      countConnection: () => { this.metrics.count('target_connections_total') }
+    })
+    this.pools = servicePools.createServicePools({
+      now: () => this.now(),
+      random: Math.random,
+      registry: this.registry,
+      changed: () => { this.reports?.changed() }
+    })
+    this.context = this.createContext()
+  }
+
+  /** Opens the listeners and starts to talk to peers. */
+  async open (): Promise<void> {
+    const { frontAddress, peerAddress } = this.options
+    const startMs = Math.round(this.now())
+    const port = await peerPort.openPeerPort({
+      address: peerAddress,
+      onReport: (report) => { this.reports?.take(report) },
+      countMalformed: () => { this.metrics.count('peer_messages_malformed_total') }
+    })
+    this.reports = this.createReports(port)
+    this.front = await frontServer.openFrontServer(this.context, frontAddress)
+    this.timers.push(setInterval(() => { this.pools.tick() }, TICK_MS), setInterval(() => { this.refresh() }, REFRESH_MS))
+    this.log.change('started', { startMs, frontAddress, peerAddress })
+  }
+
+  /** Takes over a document that is newer than the one in force. */
+  adopt (wanted: routing.document.RoutingDocument, source: string): void {
+    if (this.document !== undefined && wanted.version <= this.document.version) return
+    const { version, routes, organisations } = wanted
+    this.log.change('document adopted', { version, before: this.document?.version, source, routes: routes.length, organisations: organisations.length })
+    this.metrics.gauge('document_version', version)
+    this.document = wanted
+    this.table = routing.routeTable.createRouteTable(wanted)
+    this.caps.adopt(organisations, this.now())
+    this.pools.adopt(wanted.services)
+    this.front?.adoptLimits()
+    this.refreshTargets()
+    this.reports?.changed()
+  }
+
+  learnTarget (fact: routing.targetRegistry.Fact, source: string): void {
+    if (!this.registry.learn(fact, this.now())) return
+    const { id, revision, target } = fact
+    this.log.change('target learnt', { target: id, revision, state: peerReports.stateOf(target), service: target?.service, source })
+    this.refreshTargets()
+    if (target === undefined || target.leaving) this.reports?.changed()
+  }
+
+  /** Takes over a whole listing of targets. */
+  learnTargets (facts: readonly routing.targetRegistry.Fact[], revision: number): void {
+    this.registry.learnAll(facts, revision, this.now())
+    this.log.change('targets listed', { targets: facts.length, revision })
+    this.refreshTargets()
+  }
+
+  introducePeer (address: string): void {
+    this.peers.introduce(address)
+  }
+
+  isReady (): boolean {
+    return this.document !== undefined && this.stoppingMs === undefined && this.registry.facts().some((fact) => fact.target !== undefined)
+  }
+
+  /** Front addresses that callers should use. */
+  addresses (): readonly string[] {
+    const others = this.peers.frontAddresses(this.now())
+    return this.isReady() || others.length === 0 ? [this.options.frontAddress, ...others] : others
+  }
+
+  /** What peers that can't reach the store are told. */
+  knowledge (): knowledgeModule.Knowledge {
+    return { document: this.document, targets: this.registry.facts() }
+  }
+
+  /** Endpoints of peers that were heard lately. */
+  heardPeers (): readonly string[] {
+    return this.peers.heard(this.now()).map((peer) => peer.report.from)
+  }
+
+  /** Endpoint of a peer with a newer document. */
+  newerPeer (): string | undefined {
+    const version = this.document?.version ?? 0
+    return this.peers.heard(this.now()).find((peer) => peer.report.documentVersion > version)?.report.from
+  }
+
+  /** Stops without cutting anything off; settles when the process may exit. */
+  async stop (): Promise<void> {
+    if (this.stoppingMs !== undefined) return
+    const begunMs = this.now()
+    this.stoppingMs = begunMs
+    this.log.change('stop begun', { open: this.openRequests() })
+    this.reports?.changed()
+    while (this.now() < begunMs + STAY_MS) await pause()
+    this.front?.close()
+    while (this.openRequests() > 0 && this.now() < begunMs + this.options.graceMs - GRACE_MARGIN_MS) await pause()
+    this.log.change('stopped', { open: this.openRequests(), afterMs: Math.round(this.now() - begunMs) })
+    await this.close()
+  }
+
+  /** Ends everything at once. */
+  async close (): Promise<void> {
+    for (const timer of this.timers) clearInterval(timer)
+    this.reports?.close()
+    this.front?.close()
+    await this.clients.close()
+  }
+
+  private now (): number {
+    return performance.now()
+  }
+
+  private daemons (): number {
+    return Math.max(ASSUMED_DAEMONS, this.peers.size(this.now()))
+  }
+
+  private openRequests (): number {
+    return this.front?.open() ?? 0
+  }
+
+  private refreshTargets (): void {
+    this.pools.refreshTargets(this.now())
+  }
+
+  private connectionLimit (address: string): number {
+    const target = this.registry.facts().find((fact) => fact.target?.address === address)?.target
+    const service = this.document?.services.find((one) => one.name === target?.service)
+    return Math.max(LEAST_CONNECTIONS, Math.floor((service?.connections ?? 0) * CONNECTION_SHARE / this.daemons()))
+  }
+
+  private refresh (): void {
+    const nowMs = this.now()
+    const heard = this.peers.heard(nowMs).length + 1
+    const members = this.peers.size(nowMs)
+    this.pools.takeFleet(heard, members)
+    this.caps.setHeardShare(heard / members)
+    this.refreshTargets()
+    this.clients.retain(new Set(this.registry.facts().flatMap((fact) => fact.target === undefined ? [] : [fact.target.address])))
+    this.metrics.gauge('peers_heard', heard - 1)
+    this.metrics.gauge('requests_waiting', this.pools.waiting())
+    this.metrics.gauge('requests_open', this.openRequests())
+  }
+
+  private createContext (): contextModule.Context {
+    return {
+      now: () => this.now(),
+      random: Math.random,
+      dialect: this.options.dialect,
+      log: this.log,
+      metrics: this.metrics,
+      clients: this.clients,
+      pools: this.pools,
+      caps: this.caps,
+      budget: routing.retryBudget.createRetryBudget(this.options.retryBudget),
+      suspects: this.suspects,
+      table: () => this.table,
+      limits: () => this.document?.limits ?? START_LIMITS,
+      daemons: () => this.daemons(),
+      stopping: () => this.stoppingMs !== undefined,
+      refusing: () => this.stoppingMs !== undefined && this.now() - this.stoppingMs > REFUSE_AFTER_MS,
+      longestRemaining: (route, remainingMs) => {
+        const known = Math.max(remainingMs, this.longest.get(route) ?? 0)
+        this.longest.set(route, known)
+        return known
+      }
+    }
+  }
+
+  private createReports (port: peerPort.PeerPort): peerReports.PeerReports {
+    const { peerAddress, frontAddress, availabilityZone } = this.options
+    return peerReports.createPeerReports({
+      own: { from: peerAddress, incarnation: crypto.randomBytes(INCARNATION_BYTES).toString('hex'), frontAddress, availabilityZone },
+      now: () => this.now(),
+      port,
+      peers: this.peers,
+      pools: this.pools,
+      caps: this.caps,
+      suspects: this.suspects,
+      registry: this.registry,
+      log: this.log,
+      metrics: this.metrics,
+      isReady: () => this.isReady(),
+      documentVersion: () => this.document?.version ?? 0,
+      learnTarget: (fact, source) => { this.learnTarget(fact, source) }
+    })
+  }
+}
+
+function pause (): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, POLL_MS))
+}
--- /dev/null
+++ b/packages/gateway/src/http-endpoint.ts
@@ -0,0 +1,29 @@
+/**
+ * Small HTTP listeners for questions of operators, the platform and peers.
+ *
+ * @module
+ */
+import * as nodeServer from '@hono/node-server'
+import type * as hono from 'hono'
+import * as endpoint from './endpoint.js'
+
+/** A running listener. */
+export interface HttpEndpoint {
+  readonly close: () => void
+}
+
+/**
+ * Listens on an address.
+ *
+ * @example
+ * ```ts
+ * const endpoint = await openHttpEndpoint('10.1.0.25:8224', app)
+ * ```
+ */
+export async function openHttpEndpoint (address: string, app: hono.Hono): Promise<HttpEndpoint> {
+  const { host, port } = endpoint.parseEndpoint(address)
+  return await new Promise((resolve, reject) => {
+    const server = nodeServer.serve({ fetch: app.fetch, hostname: host, port }, () => resolve({ close: () => { server.close() } }))
+    server.once('error', reject)
+  })
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,14 @@
+/**
+ * The daemon's way for requests: front server, target client, peers, logs and metrics around the
+ * routing core. Names on the wire come from a dialect, so that one gateway serves any deployment.
+ *
+ * @module
+ */
+export * as dialect from './dialect.js'
+export * as endpoint from './endpoint.js'
+export * as eventLog from './event-log.js'
+export * as gateway from './gateway.js'
+export * as knowledge from './knowledge.js'
+export * as metrics from './metrics.js'
+export * as httpEndpoint from './http-endpoint.js'
+export * as knowledgeExchange from './knowledge-exchange.js'
--- /dev/null
+++ b/packages/gateway/src/peer-port.ts
@@ -0,0 +1,65 @@
+/**
+ * Datagrams between daemons: JSON-RPC 2.0 notifications over UDP. Each replaces the one before it, so a
+ * lost one needs no repeat, and a silent peer holds nobody up.
+ *
+ * @module
+ */
+import * as dgram from 'node:dgram'
+import * as jsonRpc from 'json-rpc-2.0'
+import * as endpoint from './endpoint.js'
+import * as knowledge from './knowledge.js'
+
+const REPORT_METHOD = 'report'
+
+/** Where to listen and what to do with what comes. */
+export interface Options {
+  /** `host:port`. */
+  readonly address: string
+  readonly onReport: (report: knowledge.Report) => void
+  readonly countMalformed: () => void
+}
+
+/** The open port. */
+export interface PeerPort {
+  readonly send: (addresses: Iterable<string>, report: knowledge.Report) => void
+  readonly close: () => void
+}
+
+/**
+ * Opens the port.
+ *
+ * @example
+ * ```ts
+ * const port = await openPeerPort({ address: '10.1.0.25:7600', onReport, countMalformed })
+ * port.send(['10.2.0.17:7600'], report)
+ * ```
+ */
+export async function openPeerPort (options: Options): Promise<PeerPort> {
+  const socket = dgram.createSocket('udp4')
+  const server = new jsonRpc.JSONRPCServer()
+  server.addMethod(REPORT_METHOD, (params: unknown) => {
+    if (knowledge.isReport(params)) options.onReport(params)
+    else options.countMalformed()
+  })
+  socket.on('message', (bytes) => {
+    try {
+      server.receive(JSON.parse(bytes.toString('utf8')) as jsonRpc.JSONRPCRequest).then(undefined, options.countMalformed)
+    } catch {
+      options.countMalformed()
+    }
+  })
+  // A peer that is down makes sends fail; its silence is what counts.
+  socket.on('error', options.countMalformed)
+  const { host, port } = endpoint.parseEndpoint(options.address)
+  await new Promise<void>((resolve) => { socket.bind(port, host, resolve) })
+  return {
+    send: (addresses, report) => {
+      const bytes = Buffer.from(JSON.stringify(jsonRpc.createJSONRPCNotification(REPORT_METHOD, report)))
+      for (const address of addresses) {
+        const peer = endpoint.parseEndpoint(address)
+        socket.send(bytes, peer.port, peer.host, (error) => { if (error !== null) options.countMalformed() })
+      }
+    },
+    close: () => { socket.close() }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/raw-headers.ts
@@ -0,0 +1,52 @@
+/**
+ * Headers as they stood on the wire: names and values by turns.
+ *
+ * @module
+ */
+
+/** Names and values by turns. */
+export type RawHeaders = readonly string[]
+
+/** Headers that concern one connection only. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade'
+])
+
+/** The first value of a header; undefined when it is missing. */
+export function findHeader (headers: RawHeaders, name: string): string | undefined {
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() === name) return headers[index + 1]
+  }
+  return undefined
+}
+
+/** All values of a header. */
+export function findAll (headers: RawHeaders, name: string): readonly string[] {
+  return headers.filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name)
+}
+
+/** Bytes of all names and values with their separators. */
+export function headerBytes (headers: RawHeaders): number {
+  // Each field adds a colon, a space and a line end to its name and value.
+  return headers.reduce((sum, text) => sum + text.length + 2, 0)
+}
+
+/**
+ * Leaves out headers that concern one connection only, and the named ones.
+ *
+ * @example
+ * ```ts
+ * withoutHeaders(['Connection', 'close', 'Accept', 'a'], new Set()) // ['Accept', 'a']
+ * ```
+ */
+export function withoutHeaders (headers: RawHeaders, dropped: ReadonlySet<string>): string[] {
+  const named = new Set(findAll(headers, 'connection').flatMap((value) => value.toLowerCase().split(',').map((one) => one.trim())))
+  const kept: string[] = []
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] ?? ''
+    const lower = name.toLowerCase()
+    if (CONNECTION_HEADERS.has(lower) || named.has(lower) || dropped.has(lower)) continue
+    kept.push(name, headers[index + 1] ?? '')
+  }
+  return kept
+}
--- /dev/null
+++ b/packages/gateway/src/target-client.ts
@@ -0,0 +1,193 @@
+/**
+ * Sends requests to targets: each at most once, one in flight on a connection.
+ *
+ * @module
+ */
+import * as net from 'node:net'
+import * as undici from 'undici'
+import * as endpoint from './endpoint.js'
+import type * as rawHeaders from './raw-headers.js'
+
+/** Time for a new connection to a target, ms; a target in reach answers within a few. */
+const CONNECT_TIMEOUT_MS = 300
+
+/** Idle time after which a connection is closed when the target names none, ms. */
+const KEEP_ALIVE_MS = 4_000
+
+/** Time before a target's own idle timeout at which the connection is no longer used, ms. */
+const KEEP_ALIVE_MARGIN_MS = 1_000
+
+const LONGEST_KEEP_ALIVE_MS = 30_000
+
+/** One request to a target. */
+export interface Send {
+  readonly address: string
+  readonly method: string
+  readonly path: string
+  readonly headers: rawHeaders.RawHeaders
+  readonly body: Buffer | undefined
+}
+
+/** Status and headers of an answer. */
+export interface AnswerHead {
+  readonly status: number
+  readonly headers: rawHeaders.RawHeaders
+}
+
+/** `unreachable`: nothing was sent. `broken`: the request may have run. */
+export type Failure = 'unreachable' | 'broken'
+
+/** What the sender wants to hear; nothing is called after `end`, `failed` or `abort`. */
+export interface Listener {
+  /** Called just before the first byte may be written. */
+  readonly sent: () => void
+  readonly head: (head: AnswerHead) => void
+  readonly data: (chunk: Buffer) => void
+  readonly end: () => void
+  readonly failed: (failure: Failure, message: string) => void
+}
+
+/** A request under way. */
+export interface Exchange {
+  /** Closes the connection, which tells the target to stop. */
+  readonly abort: () => void
+  readonly pause: () => void
+  readonly resume: () => void
+}
+
+/** Connections to all targets. */
+export interface TargetClients {
+  readonly send: (send: Send, listener: Listener) => Exchange
+  /** Closes idle connections to addresses that are no longer named. */
+  readonly retain: (addresses: ReadonlySet<string>) => void
+  readonly close: () => Promise<void>
+}
+
+/** Counts, and how many connections to a target are allowed. */
+export interface Options {
+  readonly connectionLimit: (address: string) => number
+  readonly countConnection: (address: string) => void
+}
+
+/** A connection could not be made; nothing was sent. */
+class ConnectFailure extends Error {
+  constructor (address: string, cause: string) {
+    super(`No connection to ${address}: ${cause}. Check that the target runs there.`)
+    this.name = 'ConnectFailure'
+  }
+}
+
+/**
+ * Renames a reset. undici takes ECONNRESET for the proper end of an answer that has no length, so that an
+ * answer which was cut short would look whole.
+ */
+function markReset (error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') error.code = 'ERR_TARGET_RESET'
+}
+
+function connectTo (address: string): undici.buildConnector.connector {
+  const { host, port } = endpoint.parseEndpoint(address)
+  return (_, callback) => {
+    const socket = net.connect({ host, port, noDelay: true })
+    const timer = setTimeout(() => { socket.destroy(new ConnectFailure(address, `none within ${CONNECT_TIMEOUT_MS} ms`)) }, CONNECT_TIMEOUT_MS)
+    const fail = (error: Error): void => {
+      clearTimeout(timer)
+      callback(error instanceof ConnectFailure ? error : new ConnectFailure(address, error.message), null)
+    }
+    socket.once('error', fail)
+    socket.once('connect', () => {
+      clearTimeout(timer)
+      socket.off('error', fail)
+      socket.on('error', markReset)
+      callback(null, socket)
+    })
+  }
+}
+
+/**
+ * Opens the client. The caller closes it.
+ *
+ * @example
+ * ```ts
+ * const clients = openTargetClients({ connectionLimit: () => 8, countConnection: () => {} })
+ * const exchange = clients.send({ address: '10.0.0.7:8080', method: 'GET', path: '/', headers: [], body: undefined }, listener)
+ * ```
+ */
+export function openTargetClients (options: Options): TargetClients {
+  const pools = new Map<string, undici.Pool>()
+
+  function poolOf (address: string): undici.Pool {
+    const known = pools.get(address)
+    if (known !== undefined) return known
+    const pool = new undici.Pool(`http://${address}`, {
+      connect: connectTo(address),
+      connections: options.connectionLimit(address),
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: LONGEST_KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS
+    })
+    pool.on('connect', () => { options.countConnection(address) })
+    pools.set(address, pool)
+    return pool
+  }
+
+  function send (request: Send, listener: Listener): Exchange {
+    let controller: undici.Dispatcher.DispatchController | undefined
+    let over = false
+    poolOf(request.address).dispatch({
+      method: request.method as undici.Dispatcher.HttpMethod,
+      path: request.path,
+      headers: request.headers as string[],
+      body: request.body ?? null
+    }, {
+      onRequestStart: (started) => {
+        controller = started
+        if (over) started.abort(new Error('The caller has left.'))
+        else listener.sent()
+      },
+      onResponseStart: (started, status) => {
+        if (over || status < 200) return
+        listener.head({ status, headers: toText(started.rawHeaders) })
+      },
+      onResponseData: (_, chunk) => { if (!over) listener.data(chunk) },
+      onResponseEnd: () => {
+        if (over) return
+        over = true
+        listener.end()
+      },
+      onResponseError: (_, error) => {
+        if (over) return
+        over = true
+        listener.failed(controller === undefined ? 'unreachable' : 'broken', error.message)
+      }
+    })
+    return {
+      abort: () => {
+        over = true
+        controller?.abort(new Error('The exchange was ended here.'))
+      },
+      pause: () => { controller?.pause() },
+      resume: () => { controller?.resume() }
+    }
+  }
+
+  return {
+    send,
+    retain: (addresses) => {
+      for (const [address, pool] of pools) {
+        if (addresses.has(address)) continue
+        pools.delete(address)
+        pool.close().catch(() => { /* The pool is already closed. */ })
+      }
+    },
+    close: async () => { await Promise.all([...pools.values()].map((pool) => pool.destroy())) }
+  }
+}
+
+function toText (headers: unknown): rawHeaders.RawHeaders {
+  if (!Array.isArray(headers)) return []
+  return headers.map((one: Buffer | string) => typeof one === 'string' ? one : one.toString('latin1'))
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,17 @@
+/**
+ * Pure decisions about requests: which route, whose organisation, whether it may run now, where, and
+ * what may be repeated. Time and random numbers are arguments.
+ *
+ * @module
+ */
+export * as document from './document.js'
+export * as engineEstimate from './engine-estimate.js'
+export * as pool from './pool.js'
+export * as poolEvent from './pool-event.js'
+export * as retryBudget from './retry-budget.js'
+export * as routeTable from './route-table.js'
+export * as suspects from './suspects.js'
+export * as targetRecord from './target-record.js'
+export * as targetRegistry from './target-registry.js'
+export * as waitingOrder from './waiting-order.js'
+export * as tokenCap from './token-cap.js'
--- /dev/null
+++ b/packages/routing/src/route-table.ts
@@ -0,0 +1,70 @@
+/**
+ * Finds the route of a request and the organisation of a key.
+ *
+ * @module
+ */
+import type * as document from './document.js'
+
+/** Lookups over one version of the document. */
+export interface RouteTable {
+  readonly version: number
+  /** The route with the longest prefix that begins the path. */
+  readonly findRoute: (host: string, path: string) => document.Route | undefined
+  readonly findOrganisation: (key: string) => document.Organisation | undefined
+  /** Whether requests need a key unless their route is anonymous. */
+  readonly keysNeeded: boolean
+}
+
+function longestPrefix (routes: ReadonlyMap<string, document.Route>, path: string): document.Route | undefined {
+  for (let end = path.lastIndexOf('/'); end >= 0; end = end === 0 ? -1 : path.lastIndexOf('/', end - 1)) {
+    const route = routes.get(path.slice(0, end + 1))
+    if (route !== undefined) return route
+  }
+  return undefined
+}
+
+/**
+ * Indexes a document.
+ *
+ * @example
+ * ```ts
+ * const route = createRouteTable(document).findRoute('shop.example', '/orders/7')
+ * ```
+ */
+export function createRouteTable (source: document.RoutingDocument): RouteTable {
+  const hosts = new Map<string, Map<string, document.Route>>()
+  for (const route of source.routes) {
+    const host = route.host.toLowerCase()
+    const routes = hosts.get(host) ?? new Map<string, document.Route>()
+    hosts.set(host, routes.set(route.prefix, route))
+  }
+  const organisations = new Map(source.organisations.flatMap((one) => one.keys.map((key) => [key, one] as const)))
+  return {
+    version: source.version,
+    keysNeeded: source.organisations.length > 0,
+    findOrganisation: (key) => organisations.get(key),
+    findRoute: (host, path) => {
+      const routes = hosts.get(host.toLowerCase().replace(/:\d+$/, ''))
+      const query = path.indexOf('?')
+      return routes === undefined ? undefined : longestPrefix(routes, query < 0 ? path : path.slice(0, query))
+    }
+  }
+}
+
+/**
+ * Picks the service of a request by the weights of its route.
+ *
+ * @example
+ * ```ts
+ * const service = pickService(route, Math.random())
+ * ```
+ */
+export function pickService (route: document.Route, random: number): string | undefined {
+  const total = route.shares.reduce((sum, share) => sum + share.weight, 0)
+  let left = random * total
+  for (const share of route.shares) {
+    left -= share.weight
+    if (left < 0) return share.service
+  }
+  return route.shares.at(-1)?.service
+}
--- /dev/null
+++ b/packages/routing/src/suspects.ts
@@ -0,0 +1,61 @@
+/**
+ * Finds requests that crash the targets which run them, by the fingerprint of their content.
+ *
+ * Load: one request ends every target that begins to run it, and its caller sends it again at any daemon.
+ *
+ * @module
+ */
+
+/** Crashes after which a content is refused. */
+const CRASHES_TO_REFUSE = 3
+
+/** Time for which a crash counts against a content, ms. */
+const MEMORY_MS = 60_000
+
+/** Most contents remembered. */
+const MAX_SUSPECTS = 1_000
+
+/** Crashes by content. */
+export interface Suspects {
+  /** Counts a crash, seen here or reported by a peer under a name of its own. */
+  readonly record: (fingerprint: string, crash: string, nowMs: number) => void
+  readonly clear: (fingerprint: string) => void
+  readonly isRefused: (fingerprint: string, nowMs: number) => boolean
+  /** Crashes seen lately, for reports to peers. */
+  readonly recent: (nowMs: number, maxAgeMs: number) => readonly (readonly [fingerprint: string, crash: string])[]
+}
+
+/**
+ * Creates the table.
+ *
+ * @example
+ * ```ts
+ * suspects.record(fingerprint, 'engine-3#17', nowMs)
+ * if (suspects.isRefused(fingerprint, nowMs)) refuse()
+ * ```
+ */
+export function createSuspects (): Suspects {
+  const crashes = new Map<string, Map<string, number>>()
+
+  function evict (): void {
+    const oldest = crashes.keys().next().value
+    if (crashes.size > MAX_SUSPECTS && oldest !== undefined) crashes.delete(oldest)
+  }
+
+  return {
+    record: (fingerprint, crash, nowMs) => {
+      const known = crashes.get(fingerprint) ?? new Map<string, number>()
+      if (!known.has(crash)) known.set(crash, nowMs)
+      crashes.set(fingerprint, known)
+      evict()
+    },
+    clear: (fingerprint) => { crashes.delete(fingerprint) },
+    isRefused: (fingerprint, nowMs) => {
+      const known = crashes.get(fingerprint)
+      if (known === undefined) return false
+      return [...known.values()].filter((atMs) => nowMs - atMs < MEMORY_MS).length >= CRASHES_TO_REFUSE
+    },
+    recent: (nowMs, maxAgeMs) => [...crashes].flatMap(([fingerprint, known]) =>
+      [...known].filter(([, atMs]) => nowMs - atMs < maxAgeMs).map(([crash]) => [fingerprint, crash] as const))
+  }
+}
--- /dev/null
+++ b/packages/routing/src/token-cap.ts
@@ -0,0 +1,113 @@
+/**
+ * Caps on the tokens of organisations, held by all daemons together.
+ *
+ * Load: one organisation sends many times its usual, at any set of daemons. Every daemon keeps a
+ * bucket for each organisation and takes from it what it admits and what its peers report. The share
+ * of the rate that belongs to peers which are silent is left to them, so the sum over all daemons
+ * holds when each of them is alone.
+ *
+ * @module
+ */
+import type * as document from './document.js'
+
+const MS_PER_S = 1_000
+
+/** Share of the burst that a process starts with, because it does not know what was used before. */
+const FIRST_LEVEL_SHARE = 0.5
+
+/** What a cap may let pass. */
+export interface Options {
+  /** Tokens above the stated burst that the operators tolerate for the lag between daemons. */
+  readonly toleratedTokens: number
+}
+
+/** Whether a request is within its organisation's cap. */
+export type Admission = { readonly kind: 'admitted' } | { readonly kind: 'over-cap', readonly retryAfterMs: number }
+
+/** The caps of all organisations. */
+export interface TokenCaps {
+  /** Takes over the caps of a document; levels of organisations that stay are kept. */
+  readonly adopt: (organisations: readonly document.Organisation[], nowMs: number) => void
+  readonly admit: (organisation: string, tokens: number, nowMs: number) => Admission
+  /** Gives back what an admitted request did not use. */
+  readonly refund: (organisation: string, tokens: number, nowMs: number) => void
+  /** Takes what a peer says that it has admitted. */
+  readonly takeReported: (organisation: string, tokens: number, nowMs: number) => void
+  /** Sets the share of all daemons, this one included, that can be heard. */
+  readonly setHeardShare: (share: number) => void
+  /** Tokens admitted here since the start, by organisation. */
+  readonly used: () => ReadonlyMap<string, number>
+}
+
+interface Bucket {
+  readonly cap: document.Cap
+  readonly level: number
+  readonly filledAtMs: number
+}
+
+/**
+ * Creates the caps.
+ *
+ * @example
+ * ```ts
+ * const caps = createTokenCaps({ toleratedTokens: 50_000 })
+ * caps.adopt(document.organisations, nowMs)
+ * if (caps.admit('maarif', 6_800, nowMs).kind === 'admitted') dispatch()
+ * ```
+ */
+export function createTokenCaps (options: Options): TokenCaps {
+  const buckets = new Map<string, Bucket>()
+  const usedTokens = new Map<string, number>()
+  let heardShare = 1
+
+  function capacityOf (cap: document.Cap): number {
+    return cap.burst + options.toleratedTokens
+  }
+
+  function filled (bucket: Bucket, nowMs: number): Bucket {
+    const gained = Math.max(0, nowMs - bucket.filledAtMs) * bucket.cap.tokensPerS * heardShare / MS_PER_S
+    return { cap: bucket.cap, level: Math.min(capacityOf(bucket.cap), bucket.level + gained), filledAtMs: nowMs }
+  }
+
+  function firstBucket (cap: document.Cap, nowMs: number): Bucket {
+    return { cap, level: cap.burst * FIRST_LEVEL_SHARE + options.toleratedTokens / 2, filledAtMs: nowMs }
+  }
+
+  function adopt (organisations: readonly document.Organisation[], nowMs: number): void {
+    const capped = new Map(organisations.flatMap((one) => one.cap === undefined ? [] : [[one.name, one.cap] as const]))
+    for (const name of [...buckets.keys()]) if (!capped.has(name)) buckets.delete(name)
+    for (const [name, cap] of capped) {
+      const bucket = buckets.get(name)
+      if (bucket === undefined) buckets.set(name, firstBucket(cap, nowMs))
+      else buckets.set(name, { cap, level: Math.min(filled(bucket, nowMs).level, capacityOf(cap)), filledAtMs: nowMs })
+    }
+  }
+
+  /** Takes tokens from a bucket, which may fall below zero. */
+  function take (organisation: string, tokens: number, nowMs: number): void {
+    const bucket = buckets.get(organisation)
+    if (bucket === undefined) return
+    const now = filled(bucket, nowMs)
+    buckets.set(organisation, { ...now, level: Math.min(capacityOf(now.cap), now.level - tokens) })
+  }
+
+  function admit (organisation: string, tokens: number, nowMs: number): Admission {
+    const bucket = buckets.get(organisation)
+    const missing = bucket === undefined ? 0 : tokens - filled(bucket, nowMs).level
+    if (bucket !== undefined && missing > 0) {
+      return { kind: 'over-cap', retryAfterMs: missing / Math.max(1, bucket.cap.tokensPerS * heardShare) * MS_PER_S }
+    }
+    take(organisation, tokens, nowMs)
+    usedTokens.set(organisation, (usedTokens.get(organisation) ?? 0) + tokens)
+    return { kind: 'admitted' }
+  }
+
+  return {
+    adopt,
+    admit,
+    refund: (organisation, tokens, nowMs) => { take(organisation, -tokens, nowMs) },
+    takeReported: take,
+    setHeardShare: (share) => { heardShare = Math.min(1, Math.max(0, share)) },
+    used: () => usedTokens
+  }
+}
--- /dev/null
+++ b/packages/routing/tests/budgets.test.ts
@@ -0,0 +1,81 @@
+import * as routing from '@persimmonhatch/routing'
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as fixtures from './fixtures.js'
+
+const suite = uvu.suite('budgets of all daemons')
+
+const DAEMONS = 9
+const WINDOW_MS = 10_000
+
+suite('repeats of daemons that hear nobody stay within the bound of the fleet', () => {
+  const bound = { ratio: 0.2, allowance: 58, windowMs: WINDOW_MS }
+  const budgets = Array.from({ length: DAEMONS }, () => routing.retryBudget.createRetryBudget(bound))
+  let requests = 0
+  let repeats = 0
+  for (let nowMs = 0; nowMs < WINDOW_MS; nowMs += 50) {
+    for (const budget of budgets) {
+      budget.countRequest('stock', nowMs)
+      requests += 1
+      for (let tries = 0; tries < 3; tries += 1) if (budget.takeRepeat('stock', DAEMONS, nowMs)) repeats += 1
+    }
+  }
+  assert.ok(repeats <= bound.ratio * requests + bound.allowance, `${repeats} repeats for ${requests} requests`)
+  assert.ok(repeats > 0)
+})
+
+suite('repeats come back when the window has passed', () => {
+  const budget = routing.retryBudget.createRetryBudget({ ratio: 0.2, allowance: 9, windowMs: WINDOW_MS })
+  let first = 0
+  while (budget.takeRepeat('stock', 1, 0)) first += 1
+  assert.ok(first > 0)
+  assert.not.ok(budget.takeRepeat('stock', 1, WINDOW_MS / 2))
+  assert.ok(budget.takeRepeat('stock', 1, 2 * WINDOW_MS + 2_000))
+})
+
+suite('daemons that are cut off admit no more together than the cap', () => {
+  const toleratedTokens = 500
+  const all = Array.from({ length: DAEMONS }, () => routing.tokenCap.createTokenCaps({ toleratedTokens: toleratedTokens / DAEMONS }))
+  let used = 0
+  for (const caps of all) {
+    caps.adopt([{ ...fixtures.ORGANISATION, cap: { tokensPerS: 1_000, burst: 0 } }], 0)
+    caps.setHeardShare(1 / DAEMONS)
+  }
+  const seconds = 8
+  for (let nowMs = 0; nowMs < seconds * 1_000; nowMs += 10) {
+    for (const caps of all) if (caps.admit('maarif', 20, nowMs).kind === 'admitted') used += 20
+  }
+  assert.ok(used <= 1_000 * seconds + toleratedTokens, `${used} tokens`)
+  assert.ok(used > 1_000 * seconds / 2)
+})
+
+suite('what a peer reports is taken from the cap', () => {
+  const caps = routing.tokenCap.createTokenCaps({ toleratedTokens: 0 })
+  caps.adopt([fixtures.ORGANISATION], 0)
+  caps.takeReported('maarif', 2_000, 0)
+  const admission = caps.admit('maarif', 100, 0)
+  assert.is(admission.kind, 'over-cap')
+  assert.ok(admission.kind === 'over-cap' && admission.retryAfterMs > 0)
+  assert.is(caps.admit('maarif', 100, 5_000).kind, 'admitted')
+})
+
+suite('an organisation without a cap is never over it', () => {
+  const caps = routing.tokenCap.createTokenCaps({ toleratedTokens: 0 })
+  caps.adopt([{ ...fixtures.ORGANISATION, cap: undefined }], 0)
+  assert.is(caps.admit('maarif', 1_000_000, 0).kind, 'admitted')
+})
+
+suite('a content that ended several targets is refused until an answer clears it', () => {
+  const suspects = routing.suspects.createSuspects()
+  suspects.record('c', 'engine-1@1', 0)
+  suspects.record('c', 'engine-1@1', 0)
+  suspects.record('c', 'engine-2@5', 10)
+  assert.not.ok(suspects.isRefused('c', 20))
+  suspects.record('c', 'engine-3@9', 20)
+  assert.ok(suspects.isRefused('c', 20))
+  assert.is(suspects.recent(20, 1_000).length, 3)
+  suspects.clear('c')
+  assert.not.ok(suspects.isRefused('c', 20))
+})
+
+suite.run()
--- /dev/null
+++ b/packages/routing/tests/pool.test.ts
@@ -0,0 +1,137 @@
+import * as routing from '@persimmonhatch/routing'
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as fixtures from './fixtures.js'
+
+const suite = uvu.suite('pool')
+
+type Decision = routing.poolEvent.PoolDecision
+
+function poolOf (service: routing.document.Service, targets: readonly routing.targetRegistry.Target[]): routing.pool.Pool {
+  const pool = new routing.pool.Pool({ service, random: () => 0.5 })
+  drain(pool, { kind: 'targets', targets }, 0)
+  return pool
+}
+
+function drain (pool: routing.pool.Pool, event: routing.poolEvent.PoolEvent, nowMs: number): readonly Decision[] {
+  return [...pool.handle(event, nowMs)]
+}
+
+function arrive (pool: routing.pool.Pool, request: routing.poolEvent.PlaceRequest): readonly Decision[] {
+  return drain(pool, { kind: 'arrived', request }, request.arrivedMs)
+}
+
+const ENGINES = [fixtures.targetOf('i-1', 'support', 2), fixtures.targetOf('i-2', 'support', 2)]
+
+suite('places are filled over all targets and no engine gets more than its slots', () => {
+  const pool = poolOf(fixtures.ENGINE, ENGINES)
+  const placed = [1, 2, 3, 4].flatMap((id) => arrive(pool, fixtures.requestOf(id)))
+  const counts = new Map<string, number>()
+  for (const one of placed) if (one.kind === 'dispatch') counts.set(one.target.id, (counts.get(one.target.id) ?? 0) + 1)
+  assert.equal([...counts].sort(), [['i-1', 2], ['i-2', 2]])
+  assert.equal(arrive(pool, fixtures.requestOf(5)), [])
+  assert.is(pool.waiting, 1)
+})
+
+suite('what peers have at an engine takes its places', () => {
+  const pool = poolOf(fixtures.ENGINE, ENGINES)
+  drain(pool, { kind: 'peer-load', peer: 'p', load: { targets: { 'i-1': [2, 0], 'i-2': [1, 500] }, waiting: [] } }, 0)
+  const [first] = arrive(pool, fixtures.requestOf(1))
+  assert.ok(first?.kind === 'dispatch' && first.target.id === 'i-2')
+  assert.equal(arrive(pool, fixtures.requestOf(2)), [])
+})
+
+suite('a freed place goes to the more urgent request', () => {
+  const pool = poolOf(fixtures.ENGINE, [fixtures.targetOf('i-1', 'support', 1)])
+  arrive(pool, fixtures.requestOf(1))
+  arrive(pool, fixtures.requestOf(2, { priority: 2, targetLatencyMs: 1_200 }))
+  arrive(pool, fixtures.requestOf(3, { priority: 0 }))
+  const decisions = drain(pool, { kind: 'ended', id: 1, end: 'answered' }, 50)
+  assert.equal(decisions.map((one) => one.id), [3])
+})
+
+suite('waiting makes up for a lower priority', () => {
+  const pool = poolOf(fixtures.ENGINE, [fixtures.targetOf('i-1', 'support', 1)])
+  arrive(pool, fixtures.requestOf(1))
+  arrive(pool, fixtures.requestOf(2, { priority: 1, targetLatencyMs: 3_000, arrivedMs: 0 }))
+  arrive(pool, fixtures.requestOf(3, { priority: 0, targetLatencyMs: 3_000, arrivedMs: 700 }))
+  const decisions = drain(pool, { kind: 'ended', id: 1, end: 'answered' }, 750)
+  assert.equal(decisions.map((one) => one.id), [2])
+})
+
+suite('a request that waits at a peer for longer goes first', () => {
+  const pool = poolOf(fixtures.ENGINE, [fixtures.targetOf('i-1', 'support', 1)])
+  drain(pool, { kind: 'peer-load', peer: 'p', load: { targets: {}, waiting: [[0, 1, 200]] } }, 100)
+  assert.equal(arrive(pool, fixtures.requestOf(1, { arrivedMs: 110 })), [])
+  assert.is(drain(pool, { kind: 'peer-load', peer: 'p', load: { targets: {}, waiting: [] } }, 130).length, 1)
+})
+
+suite('a request that can not be served within its patience is refused at once, with a time to come back', () => {
+  const pool = poolOf(fixtures.PLAIN, [fixtures.targetOf('i-1', 'stock', 1)])
+  arrive(pool, fixtures.requestOf(1))
+  const decisions = [...Array(60).keys()].flatMap((index) => arrive(pool, fixtures.requestOf(index + 2, { limitMs: 1_500, targetLatencyMs: 120 })))
+  const refused = decisions.find((one) => one.kind === 'refuse')
+  assert.ok(refused?.kind === 'refuse' && refused.reason === 'overloaded' && refused.retryAfterMs > 0 && refused.figures.waitedMs === 0)
+})
+
+suite('nothing is refused while places are free', () => {
+  const pool = poolOf(fixtures.ENGINE, ENGINES)
+  for (const id of [1, 2, 3, 4]) assert.equal(arrive(pool, fixtures.requestOf(id, { limitMs: 10 })).map((one) => one.kind), ['dispatch'])
+})
+
+suite('a target that fails in a row rests, and is used again when all rest', () => {
+  const pool = poolOf(fixtures.PLAIN, [fixtures.targetOf('i-1', 'stock', 6), fixtures.targetOf('i-2', 'stock', 6)])
+  let id = 1
+  for (let failures = 0; failures < 3; id += 1) {
+    const [decision] = arrive(pool, fixtures.requestOf(id))
+    const failed = decision?.kind === 'dispatch' && decision.target.id === 'i-1'
+    drain(pool, { kind: 'ended', id, end: failed ? 'failed' : 'answered' }, 0)
+    if (failed) failures += 1
+    if (id > 50) break
+  }
+  for (let index = 0; index < 5; index += 1, id += 1) {
+    const [decision] = arrive(pool, fixtures.requestOf(id))
+    assert.ok(decision?.kind === 'dispatch' && decision.target.id === 'i-2')
+  }
+  drain(pool, { kind: 'targets', targets: [fixtures.targetOf('i-1', 'stock', 6)] }, 0)
+  const [last] = arrive(pool, fixtures.requestOf(id))
+  assert.ok(last?.kind === 'dispatch' && last.target.id === 'i-1')
+})
+
+suite('a target that was removed gets nothing new', () => {
+  const pool = poolOf(fixtures.ENGINE, ENGINES)
+  const [held] = arrive(pool, fixtures.requestOf(1))
+  const gone = held?.kind === 'dispatch' ? held.target.id : ''
+  drain(pool, { kind: 'targets', targets: ENGINES.filter((target) => target.id !== gone) }, 0)
+  const decisions = [2, 3].flatMap((id) => arrive(pool, fixtures.requestOf(id)))
+  assert.ok(decisions.every((one) => one.kind === 'dispatch' && one.target.id !== gone))
+  assert.equal(arrive(pool, fixtures.requestOf(4)), [])
+})
+
+suite('without targets a request is refused at once', () => {
+  const pool = poolOf(fixtures.ENGINE, [])
+  const [decision] = arrive(pool, fixtures.requestOf(1))
+  assert.ok(decision?.kind === 'refuse' && decision.reason === 'no-target')
+})
+
+suite('a daemon that hears nobody keeps to its part of the places', () => {
+  const pool = poolOf(fixtures.ENGINE, [fixtures.targetOf('i-1', 'support', 12)])
+  drain(pool, { kind: 'fleet', heard: 1, daemons: 9 }, 0)
+  const placed = [...Array(12).keys()].flatMap((index) => arrive(pool, fixtures.requestOf(index + 1)))
+  assert.is(placed.filter((one) => one.kind === 'dispatch').length, 2)
+})
+
+suite('the faster of two engines gets the request', () => {
+  const pool = poolOf(fixtures.ENGINE, [fixtures.targetOf('i-1', 'support', 12), fixtures.targetOf('i-2', 'support', 12)])
+  for (let id = 1; id <= 40; id += 1) {
+    const [decision] = arrive(pool, fixtures.requestOf(id))
+    const slow = decision?.kind === 'dispatch' && decision.target.id === 'i-1'
+    drain(pool, { kind: 'first-event', id }, slow ? 400 : 50)
+    drain(pool, { kind: 'paused', id, pauseMs: slow ? 80 : 12 }, 500)
+    drain(pool, { kind: 'ended', id, end: 'answered' }, 600)
+  }
+  const [decision] = arrive(pool, fixtures.requestOf(100))
+  assert.ok(decision?.kind === 'dispatch' && decision.target.id === 'i-2')
+})
+
+suite.run()
--- a/packages/system/src/callers.ts
+++ b/packages/system/src/callers.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type * as undici from 'undici'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import * as callModule from './call.js'
 import type * as daemonProcess from './daemon-process.js'
 import type * as recorderModule from './recorder.js'
@@ -46,7 +46,7 @@
  * ```
  */
 export function createCallers (options: Options): Callers {
-  const httpClient = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const httpClient = backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
 
   async function steer (asked: daemonProcess.DaemonProcess, service: string): Promise<Steer | undefined> {
     try {
--- a/packages/system/src/system.ts
+++ b/packages/system/src/system.ts
@@ -8,7 +8,7 @@
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as document from '@persimmonhatch/document'
-import * as platform from '@persimmonhatch/platform'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as standins from '@persimmonhatch/standins'
 import * as awaitAuthorities from './await-authorities.js'
@@ -43,7 +43,7 @@
 export interface System {
   readonly directory: string
   readonly documents: deploymentModule.Deployment['documents']
-  readonly keyValue: platform.keyValue.KeyValue
+  readonly keyValue: backing.keyValue.KeyValue
   readonly standin: (name: string) => standins.standinSet.RunningStandin
   readonly daemons: () => readonly daemonProcess.DaemonProcess[]
   /** Starts a daemon again under its old name and addresses, as a new process. */
@@ -84,7 +84,7 @@
 }
 
 /** Writes a document to the platform as `persimmonhatch apply` does. */
-async function storeDocument (keyValue: platform.keyValue.KeyValue, one: document.serviceDocument.ServiceDocument): Promise<void> {
+async function storeDocument (keyValue: backing.keyValue.KeyValue, one: document.serviceDocument.ServiceDocument): Promise<void> {
   const stored = document.storedDocument.addChange(undefined, {
     service: one.service,
     revision: 1,
@@ -129,7 +129,7 @@
   const directory = await fs.mkdtemp(path.join(os.tmpdir(), 'persimmonhatch-'))
   const running = await standins.standinSet.startStandinSet(describeStandins(options))
   const byName = new Map(running.map((one) => [one.name, one]))
-  const client = platform.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+  const client = backing.httpClient.httpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
 
   function standin (name: string): standins.standinSet.RunningStandin {
     const found = byName.get(name)
@@ -137,7 +137,7 @@
     return found
   }
 
-  const keyValue = platform.etcdKeyValue.etcdKeyValue({ client, endpoints: [`http://${standin(KEY_VALUE).address}`], timeoutMs: 2_000 })
+  const keyValue = backing.etcdKeyValue.etcdKeyValue({ client, endpoints: [`http://${standin(KEY_VALUE).address}`], timeoutMs: 2_000 })
   const documents = deploymentModule.relocate(options.deployment.documents, new Map(running.map((one) => [one.name, one.address])))
   for (const one of documents) await storeDocument(keyValue, one)
 
--- a/scripts/test.js
+++ b/scripts/test.js
@@ -16,7 +16,7 @@
 const SYSTEM_PACKAGE = `packages${path.sep}system${path.sep}`
 
 function listTestFiles (filter) {
-  const files = fs.globSync?.('packages/*/dist/tests/**/*.test.js') ?? walk('packages')
+  const files = [...walk('packages'), ...walk('platform')]
   return files.filter((file) => file.includes(filter) && hasSource(file)).sort()
 }
 
