Refuse what would miss its latency target at once, and place urgent priorities first

The least urgent kinds went first, as their longer latency targets kept them in time while urgent ones turned late.

Ruled out: engines that are too full: places were taken, not exceeded; late first events there are rare.

Change: order by priority, then in time before late, then arrival; a request that would miss its latency target by waiting is refused on arrival with a Retry-After after which its caller can be told from others, and waits longer when it comes back. Engines whose learned speed could not end a generation in the caller's time do not get it.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -38,7 +38,7 @@
 }
 
 /** Share of the longest stated time under which a caller is taken to have come back. */
-const RETURNED_SHARE = 0.8
+const RETURNED_SHARE = 0.82
 
 function findOrganisation (context: contextModule.Context, table: routing.routeTable.RouteTable, head: Head): routing.document.Organisation | undefined {
   const keys = rawHeaders.findAll(head.headers, context.dialect.key)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,7 +31,7 @@
 }
 
 /** Interval of the pools' clock. */
-const TICK_MS = 20
+const TICK_MS = 30
 
 /** Interval of targets' and fleet's refresh. */
 const REFRESH_MS = 100
--- a/packages/routing/src/pool-event.ts
+++ b/packages/routing/src/pool-event.ts
@@ -33,8 +33,8 @@
 export interface PeerLoad {
   /** Requests and unread prompt tokens at each target, from this peer. */
   readonly targets: Readonly<Record<string, readonly [running: number, promptTokens: number]>>
-  /** Requests waiting at this peer: priority, number, and how long the first has waited, ms. */
-  readonly waiting: readonly (readonly [priority: number, count: number, oldestMs: number])[]
+  /** Requests waiting at this peer: rank in the order, number, and how long the first has waited, ms. */
+  readonly waiting: readonly (readonly [rank: number, count: number, oldestMs: number])[]
 }
 
 /** What a pool is told. */
@@ -57,6 +57,8 @@
 export interface Figures {
   readonly waitedMs: number
   readonly waiting: number
+  /** Requests here and at peers that go before it. */
+  readonly ahead: number
   readonly freePlaces: number
   readonly expectedWaitMs: number
   /** Daemons whose reports the decision rests on, this one included. */
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -22,6 +22,9 @@
 /** Weight of the generation's time against that of the first event when targets are compared. */
 const GENERATION_WEIGHT = 0.15
 
+/** Share of a request's time that its generation may take at a target. */
+const GENERATION_SHARE = 0.9
+
 /** Penalty of a target for its share of failures, ms at a share of 1. */
 const FAILURE_PENALTY_MS = 400
 
@@ -31,13 +34,6 @@
 /** Time of a plain answer that is expected when a request is judged late, ms. */
 const PLAIN_ANSWER_MS = 30
 
-const RETRY_AFTER_MIN_MS = 300
-const RETRY_AFTER_MAX_MS = 4_000
-const NO_TARGET_RETRY_MS = 700
-
-/** Spread of Retry-After, so that those refused together do not come back together. */
-const RETRY_SPREAD = 0.6
-
 /** Places beyond its fair part that a daemon takes at a target when it hears less than half of its peers. */
 const ALONE_FACTOR = 1.5
 
@@ -46,6 +42,23 @@
 /** Longest expected wait that is told, ms. */
 const MAX_TOLD_WAIT_MS = 1_000_000
 
+/** A target that may get new work, as of one moment. */
+interface Candidate {
+  readonly record: targetRecord.TargetRecord
+  readonly resting: boolean
+  readonly occupied: number
+  readonly free: number
+}
+
+/** Everything that placing looks at, as of one moment. */
+interface Situation {
+  readonly nowMs: number
+  readonly candidates: readonly Candidate[]
+  /** Slowness of the fastest engine up to its first event. */
+  readonly fastest: targetRecord.TargetRecord | undefined
+  readonly slots: number
+}
+
 type Decisions = Generator<poolEvent.PoolDecision, void>
 
 /**
@@ -86,10 +99,11 @@
       if (running > 0) targets[id] = [running, record.ownUnreadTokens()]
     }
     const waiting = new Map<number, readonly [number, number, number]>()
+    const situation = this.situation(nowMs)
     for (const request of this.queue) {
-      if (this.isLate(request, nowMs)) continue
-      const [, count, oldest] = waiting.get(request.priority) ?? [0, 0, 0]
-      waiting.set(request.priority, [request.priority, count + 1, Math.max(oldest, Math.round(nowMs - request.arrivedMs))])
+      const rank = this.rankOf(request, situation)
+      const [, count, oldest] = waiting.get(rank) ?? [0, 0, 0]
+      waiting.set(rank, [rank, count + 1, Math.max(oldest, Math.round(nowMs - request.arrivedMs))])
     }
     return { targets, waiting: [...waiting.values()] }
   }
@@ -161,92 +175,115 @@
     return Math.min(slots, Math.max(2, Math.ceil(ALONE_FACTOR * slots * heard / daemons)))
   }
 
-  private freeAt (record: targetRecord.TargetRecord, nowMs: number): number {
-    return Math.max(0, this.limitOf(record) - record.occupancy(nowMs))
+  private situation (nowMs: number): Situation {
+    const candidates: Candidate[] = []
+    let fastest: targetRecord.TargetRecord | undefined
+    let slots = 0
+    for (const record of this.records.values()) {
+      if (record.isRemoved) continue
+      const occupied = record.occupancy(nowMs)
+      candidates.push({ record, resting: record.isResting(nowMs), occupied, free: Math.max(0, this.limitOf(record) - occupied) })
+      slots += record.target.slots
+      if (fastest === undefined || record.estimate.firstEventMs(0) < fastest.estimate.firstEventMs(0)) fastest = record
+    }
+    return { nowMs, candidates, fastest, slots }
   }
 
-  private hasTargets (): boolean {
-    return [...this.records.values()].some((record) => !record.isRemoved)
+  /** Time from dispatch to the first event, or to a plain answer, at the best target. */
+  private expectedFirstMs (request: poolEvent.PlaceRequest, situation: Situation): number {
+    if (this.options.service.engine === undefined) return PLAIN_ANSWER_MS
+    return situation.fastest?.estimate.firstEventMs(request.promptTokens) ?? 0
   }
 
-  private freePlaces (nowMs: number): number {
-    let free = 0
-    for (const record of this.records.values()) if (!record.isRemoved && !record.isResting(nowMs)) free += this.freeAt(record, nowMs)
-    return free
+  private rankOf (request: poolEvent.PlaceRequest, situation: Situation): number {
+    return waitingOrder.rankOf(request, waitingOrder.isLate(request, this.expectedFirstMs(request, situation), situation.nowMs))
   }
 
-  private scoreOf (record: targetRecord.TargetRecord, request: poolEvent.PlaceRequest, nowMs: number): number {
-    const occupied = record.occupancy(nowMs) / record.target.slots
+  private scoreOf (candidate: Candidate, request: poolEvent.PlaceRequest, nowMs: number): number {
+    const { record, occupied } = candidate
     // The random part spreads requests of several daemons over targets that look the same.
     const extra = FAILURE_PENALTY_MS * record.failureShare + this.options.random()
-    if (this.options.service.engine === undefined) return record.answerMs * (1 + occupied) + extra
+    const crowding = 1 + occupied / record.target.slots
+    if (this.options.service.engine === undefined) return record.answerMs * crowding + extra
     const own = record.hasRead(request.parts, nowMs) ? 0 : request.promptTokens
     const first = record.estimate.firstEventMs(record.unreadTokens() + own)
-    return first + GENERATION_WEIGHT * record.estimate.generationMs(request.outputTokens) * (1 + occupied) + extra
+    return first + GENERATION_WEIGHT * record.estimate.generationMs(request.outputTokens) * crowding + extra
+  }
+
+  /** Whether the target would end the request's generation within its time. */
+  private canFinish (candidate: Candidate, request: poolEvent.PlaceRequest, nowMs: number): boolean {
+    if (this.options.service.engine === undefined) return true
+    return candidate.record.estimate.generationMs(request.outputTokens) < GENERATION_SHARE * (request.limitMs - nowMs)
   }
 
-  private choose (request: poolEvent.PlaceRequest, nowMs: number): targetRecord.TargetRecord | undefined {
-    const all = [...this.records.values()].filter((record) => !record.isRemoved && !request.excluded.has(record.target.id))
-    const rested = all.filter((record) => !record.isResting(nowMs))
+  private choose (request: poolEvent.PlaceRequest, situation: Situation, taken: ReadonlyMap<targetRecord.TargetRecord, number>): targetRecord.TargetRecord | undefined {
+    const { candidates, nowMs } = situation
+    const all = candidates.filter(({ record }) => !request.excluded.has(record.target.id))
+    const rested = all.filter(({ resting }) => !resting)
+    const usable = (rested.length > 0 ? rested : all).filter(({ record, free }) => request.repeated || free > (taken.get(record) ?? 0))
+    const able = usable.filter((candidate) => this.canFinish(candidate, request, nowMs))
     let best: { readonly record: targetRecord.TargetRecord, readonly score: number } | undefined
-    for (const record of rested.length > 0 ? rested : all) {
-      if (!request.repeated && this.freeAt(record, nowMs) === 0) continue
-      const score = this.scoreOf(record, request, nowMs)
-      if (best === undefined || score < best.score) best = { record, score }
+    for (const candidate of able.length > 0 ? able : usable) {
+      const score = this.scoreOf(candidate, request, nowMs)
+      if (best === undefined || score < best.score) best = { record: candidate.record, score }
     }
     return best?.record
   }
 
-  private isLate (request: poolEvent.PlaceRequest, nowMs: number): boolean {
-    let expectedMs = Infinity
-    if (this.options.service.engine === undefined) expectedMs = PLAIN_ANSWER_MS
-    else for (const record of this.records.values()) expectedMs = Math.min(expectedMs, record.estimate.firstEventMs(request.promptTokens))
-    return waitingOrder.isLate(request, expectedMs === Infinity ? 0 : expectedMs, nowMs)
-  }
-
-  private expectedWaitMs (ahead: number): number {
-    let slots = 0
-    for (const record of this.records.values()) if (!record.isRemoved) slots += record.target.slots
-    return slots === 0 ? Infinity : ahead * this.stayMs / slots
+  private expectedWaitMs (ahead: number, situation: Situation): number {
+    return situation.slots === 0 ? Infinity : ahead * this.stayMs / situation.slots
   }
 
-  private figures (request: poolEvent.PlaceRequest, ahead: number, nowMs: number): poolEvent.Figures {
+  private figures (request: poolEvent.PlaceRequest, ahead: number, situation: Situation, free: number): poolEvent.Figures {
     return {
-      waitedMs: Math.round(nowMs - request.arrivedMs),
+      waitedMs: Math.round(situation.nowMs - request.arrivedMs),
       waiting: this.queue.length,
-      freePlaces: this.freePlaces(nowMs),
-      expectedWaitMs: Math.round(Math.min(MAX_TOLD_WAIT_MS, this.expectedWaitMs(ahead))),
+      ahead,
+      freePlaces: free,
+      expectedWaitMs: Math.round(Math.min(MAX_TOLD_WAIT_MS, this.expectedWaitMs(ahead, situation))),
       heardDaemons: this.fleet.heard
     }
   }
 
-  private retryAfterMs (ahead: number): number {
-    const base = !this.hasTargets() ? NO_TARGET_RETRY_MS : Math.min(RETRY_AFTER_MAX_MS, Math.max(RETRY_AFTER_MIN_MS, this.expectedWaitMs(ahead)))
-    return Math.round(base * (1 + RETRY_SPREAD * this.options.random()))
+  private ordered (situation: Situation): readonly (readonly [request: poolEvent.PlaceRequest, rank: number])[] {
+    return this.queue
+      .map((request) => [request, request.repeated ? -1 : this.rankOf(request, situation)] as const)
+      .sort(([one, oneRank], [other, otherRank]) => oneRank - otherRank || one.arrivedMs - other.arrivedMs)
+  }
+
+  private aheadAtPeers (request: poolEvent.PlaceRequest, rank: number, nowMs: number): number {
+    let ahead = 0
+    for (const queue of this.peerQueues.values()) ahead += waitingOrder.aheadAtPeer(request, rank, queue, nowMs)
+    return ahead
   }
 
-  private ordered (nowMs: number): readonly poolEvent.PlaceRequest[] {
-    if (this.queue.length < 2) return this.queue
-    const keys = new Map(this.queue.map((request) => [request.id, waitingOrder.orderOf(request, this.isLate(request, nowMs))]))
-    return [...this.queue].sort((one, other) => (keys.get(one.id) ?? 0) - (keys.get(other.id) ?? 0))
+  private mustGiveUp (request: poolEvent.PlaceRequest, ahead: number, situation: Situation): boolean {
+    const { nowMs } = situation
+    const patienceMs = waitingOrder.patienceMs(request, this.expectedFirstMs(request, situation), nowMs)
+    return nowMs - request.arrivedMs + this.expectedWaitMs(ahead, situation) > patienceMs
   }
 
   private * serveQueue (nowMs: number): Decisions {
     if (this.queue.length === 0) return
+    const situation = this.situation(nowMs)
+    const taken = new Map<targetRecord.TargetRecord, number>()
     const kept: poolEvent.PlaceRequest[] = []
-    let free = this.freePlaces(nowMs)
-    for (const request of this.ordered(nowMs)) {
-      let ahead = kept.length
-      for (const queue of this.peerQueues.values()) ahead += waitingOrder.aheadAtPeer(request, queue, nowMs)
-      const record = request.repeated || free > ahead ? this.choose(request, nowMs) : undefined
+    const allRest = situation.candidates.every((one) => one.resting)
+    let free = situation.candidates.reduce((sum, one) => sum + (one.resting && !allRest ? 0 : one.free), 0)
+    for (const [request, rank] of this.ordered(situation)) {
+      const ahead = kept.length + this.aheadAtPeers(request, rank, nowMs)
+      const record = request.repeated || free > ahead ? this.choose(request, situation, taken) : undefined
+      const figures = this.figures(request, ahead, situation, free)
       if (record !== undefined) {
         free -= 1
+        taken.set(record, (taken.get(record) ?? 0) + 1)
         record.begin(request.id, request.promptTokens, request.parts, nowMs)
         this.places.set(request.id, record)
-        yield { kind: 'dispatch', id: request.id, target: record.target, figures: this.figures(request, ahead, nowMs) }
-      } else if (!this.hasTargets() || nowMs - request.arrivedMs + this.expectedWaitMs(ahead) > waitingOrder.patienceMs(request)) {
-        const reason = this.hasTargets() ? 'overloaded' : 'no-target'
-        yield { kind: 'refuse', id: request.id, reason, retryAfterMs: this.retryAfterMs(ahead), figures: this.figures(request, ahead, nowMs) }
+        yield { kind: 'dispatch', id: request.id, target: record.target, figures }
+      } else if (situation.candidates.length === 0) {
+        yield { kind: 'refuse', id: request.id, reason: 'no-target', retryAfterMs: waitingOrder.retryAfterMs(request, 0, this.options.random(), nowMs), figures }
+      } else if (this.mustGiveUp(request, ahead, situation)) {
+        yield { kind: 'refuse', id: request.id, reason: 'overloaded', retryAfterMs: waitingOrder.retryAfterMs(request, this.expectedWaitMs(ahead, situation), this.options.random(), nowMs), figures }
       } else {
         kept.push(request)
       }
--- a/packages/routing/src/waiting-order.ts
+++ b/packages/routing/src/waiting-order.ts
@@ -1,67 +1,93 @@
 /**
  * In which order requests of a service are placed, and how long each may wait.
  *
- * Load: more requests than places. Those that can still meet their latency target go first, the more
- * urgent priority with a head start that waiting makes up for, so no kind is starved; those that are
- * late go after them. A request that could not be served within its patience is refused at once, so
- * that its caller has most of its time left to come back.
+ * Load: more requests than places. A more urgent priority goes first; within a priority those that can
+ * still meet their latency target go before those that can not, and the earlier before the later. A
+ * request that would miss its latency target by waiting is refused at once, while its caller has most
+ * of its time left to come back. One that has come back waits longer, so that it is not refused again
+ * when that can be helped.
  *
  * @module
  */
 import type * as poolEvent from './pool-event.js'
 
-/** Head start of a priority over the next one. */
-export const PRIORITY_STEP_MS = 600
+/** Ranks of one priority: in time, and late. */
+const RANKS_PER_PRIORITY = 2
 
-/** Handicap of a request that can no longer meet its latency target. */
-const LATE_HANDICAP_MS = 3_000
+/** Latency targets for which a request that is already late may wait. */
+const LATE_PATIENCE_TARGETS = 1.8
 
-/** Share of its time for which a request may wait. */
+/** Latency targets for which a request that has come back may wait; callers leave a silent stream after four. */
+const RETURNED_PATIENCE_TARGETS = 3
+
+/** Share of its time for which any request may wait. */
 const PATIENCE_SHARE = 0.25
-const RETURNED_PATIENCE_SHARE = 0.45
+
+/** Least Retry-After as a share of the caller's time: those that come back are told from others by what is left of it. */
+const RETRY_AFTER_SHARE = 0.22
+
+/** Spread of Retry-After, so that those refused together do not come back together. */
+const RETRY_SPREAD = 0.4
+
+/** Age after which a peer's word on its queue no longer counts, ms. */
+const PEER_QUEUE_MS = 500
 
 /** Whether a request can no longer meet its latency target. */
 export function isLate (request: poolEvent.PlaceRequest, expectedFirstMs: number, nowMs: number): boolean {
-  return nowMs + expectedFirstMs > request.arrivedMs + request.targetLatencyMs
+  return request.returned || nowMs + expectedFirstMs > request.arrivedMs + request.targetLatencyMs
 }
 
 /**
- * A request's place in the order; smaller goes first.
+ * Rank of a request; smaller goes first. Within a rank the earlier goes first.
  *
  * @example
  * ```ts
- * queue.sort((one, other) => orderOf(one, false) - orderOf(other, false))
+ * rankOf(request, isLate(request, 80, nowMs))
  * ```
  */
-export function orderOf (request: poolEvent.PlaceRequest, late: boolean): number {
-  if (request.repeated) return -Infinity
-  return request.arrivedMs + request.priority * PRIORITY_STEP_MS + (late ? LATE_HANDICAP_MS : 0)
+export function rankOf (request: poolEvent.PlaceRequest, late: boolean): number {
+  return request.priority * RANKS_PER_PRIORITY + (late ? 1 : 0)
 }
 
-/** Time for which a request may wait, ms. */
-export function patienceMs (request: poolEvent.PlaceRequest): number {
-  return (request.limitMs - request.arrivedMs) * (request.returned ? RETURNED_PATIENCE_SHARE : PATIENCE_SHARE)
+/** Time for which a request may wait in all, ms, when its first event is expected that long after its dispatch. */
+export function patienceMs (request: poolEvent.PlaceRequest, expectedFirstMs: number, nowMs: number): number {
+  const most = (request.limitMs - request.arrivedMs) * PATIENCE_SHARE
+  if (request.returned) return Math.min(most, request.targetLatencyMs * RETURNED_PATIENCE_TARGETS)
+  const inTimeMs = request.targetLatencyMs - expectedFirstMs
+  if (nowMs - request.arrivedMs < inTimeMs) return Math.min(most, inTimeMs)
+  return Math.min(most, request.targetLatencyMs * LATE_PATIENCE_TARGETS)
 }
 
-/** What peers say of their waiting requests, and when. */
+/**
+ * When a refused caller should come back, ms.
+ *
+ * @example
+ * ```ts
+ * retryAfterMs(request, pool.expectedWaitMs, Math.random(), nowMs)
+ * ```
+ */
+export function retryAfterMs (request: poolEvent.PlaceRequest, expectedWaitMs: number, random: number, nowMs: number): number {
+  const leftMs = Math.max(0, request.limitMs - nowMs)
+  const baseMs = Math.min(Math.max(expectedWaitMs, leftMs * RETRY_AFTER_SHARE), leftMs / 3)
+  return Math.round(baseMs * (1 + RETRY_SPREAD * random))
+}
+
+/** What a peer says of its waiting requests, and when. */
 export interface PeerQueue {
   readonly waiting: poolEvent.PeerLoad['waiting']
   readonly atMs: number
 }
 
-/** Age after which a peer's word on its queue no longer counts, ms. */
-const PEER_QUEUE_MS = 500
-
-/** Requests waiting at a peer that go before this one. */
-export function aheadAtPeer (request: poolEvent.PlaceRequest, queue: PeerQueue, nowMs: number): number {
+/** Requests waiting at a peer that go before one of this rank. */
+export function aheadAtPeer (request: poolEvent.PlaceRequest, ownRank: number, queue: PeerQueue, nowMs: number): number {
   if (nowMs - queue.atMs > PEER_QUEUE_MS) return 0
-  const own = request.arrivedMs + request.priority * PRIORITY_STEP_MS
   let ahead = 0
-  for (const [priority, count, oldestMs] of queue.waiting) {
-    const oldest = queue.atMs - oldestMs + priority * PRIORITY_STEP_MS
-    if (oldest >= own || oldestMs <= 0) continue
+  for (const [rank, count, oldestMs] of queue.waiting) {
+    if (rank < ownRank) ahead += count
+    if (rank !== ownRank || oldestMs <= 0) continue
     // The waiting ones are taken for spread evenly over the time that the first has waited.
-    ahead += Math.ceil(count * Math.min(1, (own - oldest) / oldestMs))
+    const earlierMs = request.arrivedMs - (queue.atMs - oldestMs)
+    if (earlierMs > 0) ahead += Math.ceil(count * Math.min(1, earlierMs / oldestMs))
   }
   return ahead
 }
