Name the field when a completion's messages or prompt can't be read

Cause: a chat request whose messages is a string was answered 200: promptText fell through to an empty prompt. Ruled out: the engine stand-in, which never saw a check to make.

Conclusion: 400 with the field and its form; other paths and bodies are untouched.

--- a/packages/daemon/src/http/read-arrival.ts
+++ b/packages/daemon/src/http/read-arrival.ts
@@ -34,14 +34,29 @@
 }
 
 const EMPTY_PROMPT: protocol.Prompt = { text: '', answerTokens: undefined, stream: false }
+const CHAT_PATH = '/v1/chat/completions'
 const COMPLETION_PATH = /^\/v1\/(chat\/)?completions$/
 
+/** What is wrong with a completion's body, naming the field; undefined when nothing is. */
+function findBodyFault (path: string, body: Readonly<Record<string, unknown>>): string | undefined {
+  if (path !== CHAT_PATH) {
+    const { prompt } = body
+    return prompt === undefined || typeof prompt === 'string' || Array.isArray(prompt) ? undefined : 'prompt must be a text or a list'
+  }
+  const { messages } = body
+  if (!Array.isArray(messages) || messages.length === 0) return 'messages must be a list of at least one message, each with role and content'
+  const wrong = messages.findIndex((message: unknown) => typeof message !== 'object' || message === null)
+  return wrong < 0 ? undefined : `messages[${wrong}] must be an object with role and content`
+}
+
 function readBody (path: string, text: string): neverthrow.Result<protocol.Prompt, MalformedRequest> {
   if (!COMPLETION_PATH.test(path)) return neverthrow.ok({ ...EMPTY_PROMPT, text })
   try {
     const body: unknown = JSON.parse(text)
-    if (typeof body === 'object' && body !== null && !Array.isArray(body)) return neverthrow.ok(protocol.readPrompt(body as Readonly<Record<string, unknown>>))
-    return neverthrow.err(new MalformedRequest('the body is not a JSON object'))
+    if (typeof body !== 'object' || body === null || Array.isArray(body)) return neverthrow.err(new MalformedRequest('the body is not a JSON object'))
+    const fields = body as Readonly<Record<string, unknown>>
+    const fault = findBodyFault(path, fields)
+    return fault === undefined ? neverthrow.ok(protocol.readPrompt(fields)) : neverthrow.err(new MalformedRequest(fault))
   } catch (error) {
     return neverthrow.err(new MalformedRequest(`the body is not JSON (${(error as Error).message})`))
   }
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -37,6 +37,9 @@
   readonly returned: boolean
 }
 
+/** Priorities of routes that are told apart. */
+const ROUTE_PRIORITIES = 16
+
 /** Share of the longest stated time under which a caller is taken to have come back. */
 const RETURNED_SHARE = 0.82
 
@@ -61,6 +64,12 @@
   return service === undefined ? neverthrow.err('no-target') : neverthrow.ok({ route, organisation, service })
 }
 
+/** The organisation's priority goes first; among equal ones the route's decides. */
+function priorityOf ({ organisation, route }: Place): number {
+  const own = Math.min(route.priority, ROUTE_PRIORITIES - 1)
+  return (organisation?.priority ?? own) * ROUTE_PRIORITIES + own
+}
+
 function readRemainingMs (context: contextModule.Context, head: Head, route: routing.document.Route): number {
   const stated = Number(rawHeaders.findHeader(head.headers, context.dialect.remainingMs) ?? NaN)
   return Number.isFinite(stated) && stated >= 0 ? stated : route.timeoutMs
@@ -85,7 +94,7 @@
     return {
       ...place,
       head,
-      priority: place.organisation?.priority ?? place.route.priority,
+      priority: priorityOf(place),
       requestId: rawHeaders.findHeader(head.headers, context.dialect.requestId) ?? '',
       promptTokens: tokens?.prompt ?? 0,
       outputTokens: tokens?.answer ?? 0,
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -34,6 +34,9 @@
 /** Time of a plain answer that is expected when a request is judged late, ms. */
 const PLAIN_ANSWER_MS = 30
 
+/** Requests beyond an engine's slots, as a share of them, which keep it busy while news of an ended one travels. */
+const AHEAD_SHARE = 0.17
+
 /** Places beyond its fair part that a daemon takes at a target when it hears less than half of its peers. */
 const ALONE_FACTOR = 1.5
 
@@ -171,7 +174,7 @@
   private limitOf (record: targetRecord.TargetRecord): number {
     const { slots } = record.target
     const { heard, daemons } = this.fleet
-    if (heard * 2 > daemons) return slots
+    if (heard * 2 > daemons) return this.options.service.engine === undefined ? slots : slots + Math.floor(AHEAD_SHARE * slots)
     return Math.min(slots, Math.max(2, Math.ceil(ALONE_FACTOR * slots * heard / daemons)))
   }
 
--- a/packages/routing/src/waiting-order.ts
+++ b/packages/routing/src/waiting-order.ts
@@ -87,7 +87,7 @@
     if (rank !== ownRank || oldestMs <= 0) continue
     // The waiting ones are taken for spread evenly over the time that the first has waited.
     const earlierMs = request.arrivedMs - (queue.atMs - oldestMs)
-    if (earlierMs > 0) ahead += Math.ceil(count * Math.min(1, earlierMs / oldestMs))
+    if (earlierMs > 0) ahead += Math.floor(count * Math.min(1, earlierMs / oldestMs))
   }
   return ahead
 }
