--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -61,7 +61,7 @@
   })
 
   function write (event: string, details: Details): void {
-    logger.info({ message: event, at: new Date().toISOString(), ...options.fields, ...details })
+    logger.info({ at: new Date().toISOString(), ...options.fields, ...details, message: event })
   }
 
   function admit (): boolean {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -86,6 +86,7 @@
   private reports: peerReports.PeerReports | undefined
   private front: frontServer.FrontServer | undefined
   private stoppingMs: number | undefined
+  private closed = false
 
   constructor (private readonly options: Options) {
     this.log = eventLog.openEventLog({
@@ -200,6 +201,8 @@
 
   /** Ends everything at once. */
   async close (): Promise<void> {
+    if (this.closed) return
+    this.closed = true
     for (const timer of this.timers) clearInterval(timer)
     this.reports?.close()
     this.front?.close()
--- a/packages/gateway/src/knowledge-exchange.ts
+++ b/packages/gateway/src/knowledge-exchange.ts
@@ -70,7 +70,7 @@
     askedMs = nowMs
     ask(peer).catch((error: unknown) => {
       gateway.metrics.count('peer_questions_failed_total')
-      gateway.log.change('peer did not answer', { peer, message: String(error) })
+      gateway.log.change('peer did not answer', { peer, detail: String(error) })
     }).finally(() => { asking = false })
   }
 
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -107,6 +107,7 @@
       reason,
       elapsedMs,
       limitMs: Math.round(request.limitMs - arrivedMs),
+      returned: request.returned,
       sends: this.sends,
       path: this.path,
       ...this.figures,
@@ -262,7 +263,7 @@
     if (this.finished || this.exchange === undefined || !this.repeatable || !this.takeRepeat()) return
     this.exchange.abort()
     context.metrics.count('abandoned_total', { service: request.service })
-    context.log.request('target abandoned', { request: request.requestId, target: this.target?.id, message })
+    context.log.request('target abandoned', { request: request.requestId, target: this.target?.id, detail: message })
     this.freePlace({ kind: 'ended', end: 'failed' })
     this.repeat()
   }
@@ -333,7 +334,7 @@
   private onBroken (message: string): void {
     const { context, request } = this.options
     this.freePlace({ kind: 'ended', end: 'failed' })
-    context.log.request('target broke off', { request: request.requestId, target: this.target?.id, message, lastEvent: this.lastId })
+    context.log.request('target broke off', { request: request.requestId, target: this.target?.id, detail: message, lastEvent: this.lastId })
     if (this.target !== undefined) context.suspects.record(this.content, `${this.target.id}@${Math.round(context.now())}`, context.now())
     if (this.repeatable && this.takeRepeat()) this.repeat()
     else this.refuse('broken')
