--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,11 @@
   readonly frontAddress: string
   readonly peerAddress: string
   readonly dialect: dialect.Dialect
+  readonly tolerances: Tolerances
+}
+
+/** Settings that may change while the process runs. */
+export interface Tolerances {
   readonly retryBudget: routing.retryBudget.Options
   readonly tokenCaps: routing.tokenCap.Options
   /** Time between a planned stop's begin and the end of the process. */
@@ -75,6 +80,8 @@
   private readonly suspects = routing.suspects.createSuspects()
   private readonly peers: peerTable.PeerTable
   private readonly caps: routing.tokenCap.TokenCaps
+  private readonly budget: routing.retryBudget.RetryBudget
+  private tolerances: Tolerances
   private readonly clients: targetClient.TargetClients
   private readonly pools: servicePools.ServicePools
   private readonly context: contextModule.Context
@@ -96,7 +103,9 @@
       countDropped: (lines) => { this.metrics.count('log_lines_dropped_total', {}, lines) }
     })
     this.peers = peerTable.createPeerTable(options.peerAddress)
-    this.caps = routing.tokenCap.createTokenCaps(options.tokenCaps)
+    this.tolerances = options.tolerances
+    this.caps = routing.tokenCap.createTokenCaps(options.tolerances.tokenCaps)
+    this.budget = routing.retryBudget.createRetryBudget(options.tolerances.retryBudget)
     this.clients = targetClient.openTargetClients({
       connectionLimit: (address) => this.connectionLimit(address),
       countConnection: () => { this.metrics.count('target_connections_total') }
@@ -125,6 +134,14 @@
     this.log.change('started', { startMs, frontAddress, peerAddress })
   }
 
+  /** Takes over changed settings; whatever is under way goes on. */
+  configure (tolerances: Tolerances): void {
+    this.tolerances = tolerances
+    this.caps.configure(tolerances.tokenCaps)
+    this.budget.configure(tolerances.retryBudget)
+    this.log.change('settings reloaded', { ...tolerances })
+  }
+
   /** Takes over a document that is newer than the one in force. */
   adopt (wanted: routing.document.RoutingDocument, source: string): void {
     if (this.document !== undefined && wanted.version <= this.document.version) return
@@ -194,7 +211,7 @@
     this.reports?.changed()
     while (this.now() < begunMs + STAY_MS) await pause()
     this.front?.close()
-    while (this.openRequests() > 0 && this.now() < begunMs + this.options.graceMs - GRACE_MARGIN_MS) await pause()
+    while (this.openRequests() > 0 && this.now() < begunMs + this.tolerances.graceMs - GRACE_MARGIN_MS) await pause()
     this.log.change('stopped', { open: this.openRequests(), afterMs: Math.round(this.now() - begunMs) })
     await this.close()
   }
@@ -254,7 +271,7 @@
       clients: this.clients,
       pools: this.pools,
       caps: this.caps,
-      budget: routing.retryBudget.createRetryBudget(this.options.retryBudget),
+      budget: this.budget,
       suspects: this.suspects,
       table: () => this.table,
       limits: () => this.document?.limits ?? START_LIMITS,
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -43,7 +43,7 @@
 }
 
 /** Time over which changes are collected into one report, ms. */
-const COLLECT_MS = 20
+const COLLECT_MS = 40
 
 /** Interval of reports without a change, ms. */
 const IDLE_INTERVAL_MS = 200
--- a/packages/gateway/tests/scene.ts
+++ b/packages/gateway/tests/scene.ts
@@ -155,9 +155,7 @@
     frontAddress,
     peerAddress,
     dialect: DIALECT,
-    retryBudget: { ratio: 0.2, allowance: 200, windowMs: 10_000 },
-    tokenCaps: { toleratedTokens: 0 },
-    graceMs: 8_000
+    tolerances: { retryBudget: { ratio: 0.2, allowance: 200, windowMs: 10_000 }, tokenCaps: { toleratedTokens: 0 }, graceMs: 8_000 }
   })
   await gateway.open()
   gateway.adopt(document, 'test')
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -23,6 +23,8 @@
 
 /** Counts requests and repeats of every service. */
 export interface RetryBudget {
+  /** Takes over a new bound; counts are kept. */
+  readonly configure: (options: Options) => void
   readonly countRequest: (service: string, nowMs: number) => void
   /** Takes one repeat; false when none is left. */
   readonly takeRepeat: (service: string, daemons: number, nowMs: number) => boolean
@@ -43,7 +45,8 @@
  * if (budget.takeRepeat('stock', 9, nowMs)) sendAgain()
  * ```
  */
-export function createRetryBudget (options: Options): RetryBudget {
+export function createRetryBudget (first: Options): RetryBudget {
+  let options = first
   const services = new Map<string, readonly Second[]>()
 
   function recent (service: string, nowMs: number): readonly Second[] {
@@ -70,5 +73,5 @@
     return true
   }
 
-  return { countRequest: (service, nowMs) => { add(service, 1, 0, nowMs) }, takeRepeat }
+  return { configure: (wanted) => { options = wanted }, countRequest: (service, nowMs) => { add(service, 1, 0, nowMs) }, takeRepeat }
 }
--- a/packages/routing/src/token-cap.ts
+++ b/packages/routing/src/token-cap.ts
@@ -26,6 +26,8 @@
 
 /** The caps of all organisations. */
 export interface TokenCaps {
+  /** Takes over new tolerances; levels are kept. */
+  readonly configure: (options: Options) => void
   /** Takes over the caps of a document; levels of organisations that stay are kept. */
   readonly adopt: (organisations: readonly document.Organisation[], nowMs: number) => void
   readonly admit: (organisation: string, tokens: number, nowMs: number) => Admission
@@ -55,7 +57,8 @@
  * if (caps.admit('maarif', 6_800, nowMs).kind === 'admitted') dispatch()
  * ```
  */
-export function createTokenCaps (options: Options): TokenCaps {
+export function createTokenCaps (first: Options): TokenCaps {
+  let options = first
   const buckets = new Map<string, Bucket>()
   const usedTokens = new Map<string, number>()
   let heardShare = 1
@@ -103,6 +106,7 @@
   }
 
   return {
+    configure: (wanted) => { options = wanted },
     adopt,
     admit,
     refund: (organisation, tokens, nowMs) => { take(organisation, -tokens, nowMs) },
