--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -75,6 +75,11 @@
   return Number.isFinite(stated) && stated >= 0 ? stated : route.timeoutMs
 }
 
+function isTaken (context: contextModule.Context, kind: routing.document.RequestKind, outputTokens: number): boolean {
+  const sinceStopMs = context.sinceStopMs()
+  return sinceStopMs === undefined || routing.plannedStop.isTakenDuringStop({ sinceStopMs, graceMs: context.graceMs(), kind, outputTokens })
+}
+
 /**
  * Finds route, organisation and limits of a request.
  *
@@ -88,10 +93,11 @@
   const table = context.table()
   if (table === undefined) return neverthrow.err('no-document')
   if (rawHeaders.headerBytes(head.headers) > context.limits().headerBytes) return neverthrow.err('headers-too-large')
-  return findPlace(context, table, head).map((place) => {
+  return findPlace(context, table, head).andThen((place) => {
     const tokens = dialect.parseTokens(rawHeaders.findHeader(head.headers, context.dialect.tokens))
     const remainingMs = readRemainingMs(context, head, place.route)
-    return {
+    if (!isTaken(context, place.route.kind, tokens?.answer ?? 0)) return neverthrow.err('stopping' as const)
+    return neverthrow.ok({
       ...place,
       head,
       priority: priorityOf(place),
@@ -102,6 +108,6 @@
       parts: dialect.parseParts(rawHeaders.findHeader(head.headers, context.dialect.promptParts)),
       limitMs: head.arrivedMs + Math.min(place.route.timeoutMs, remainingMs),
       returned: remainingMs < RETURNED_SHARE * context.longestRemaining(place.route.name, remainingMs)
-    }
+    })
   })
 }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -29,8 +29,9 @@
   readonly daemons: () => number
   /** Whether a planned stop is under way. */
   readonly stopping: () => boolean
-  /** Whether new requests are refused because the stop is near. */
-  readonly refusing: () => boolean
+  /** Time since a planned stop began, ms; undefined when none is under way. */
+  readonly sinceStopMs: () => number | undefined
+  readonly graceMs: () => number
   /** Longest remaining time that callers of a route have stated, ms. */
   readonly longestRemaining: (route: string, remainingMs: number) => number
 }
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -90,10 +90,10 @@
     }
     outgoing.once('close', done)
     const head: admission.Head = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.rawHeaders, arrivedMs: context.now() }
-    const admitted = context.refusing() ? undefined : admission.admit(context, head)
-    if (admitted === undefined || admitted.isErr()) {
+    const admitted = admission.admit(context, head)
+    if (admitted.isErr()) {
       incoming.resume()
-      refuse(outgoing, head, admitted?.error ?? 'stopping')
+      refuse(outgoing, head, admitted.error)
       return
     }
     const request = admitted.value
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,9 +41,6 @@
 /** Interval of targets' and fleet's refresh. */
 const REFRESH_MS = 100
 
-/** Time from the begin of a planned stop at which new requests are refused. */
-const REFUSE_AFTER_MS = 4_000
-
 /** Time from the begin of a planned stop before which the process stays, for callers with old addresses. */
 const STAY_MS = 5_000
 
@@ -277,7 +274,8 @@
       limits: () => this.document?.limits ?? START_LIMITS,
       daemons: () => this.daemons(),
       stopping: () => this.stoppingMs !== undefined,
-      refusing: () => this.stoppingMs !== undefined && this.now() - this.stoppingMs > REFUSE_AFTER_MS,
+      sinceStopMs: () => this.stoppingMs === undefined ? undefined : this.now() - this.stoppingMs,
+      graceMs: () => this.tolerances.graceMs,
       longestRemaining: (route, remainingMs) => {
         const known = Math.max(remainingMs, this.longest.get(route) ?? 0)
         this.longest.set(route, known)
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,6 +6,7 @@
  */
 export * as document from './document.js'
 export * as engineEstimate from './engine-estimate.js'
+export * as plannedStop from './planned-stop.js'
 export * as pool from './pool.js'
 export * as poolEvent from './pool-event.js'
 export * as retryBudget from './retry-budget.js'
