Tell a reset from the end of an answer when both arrive together

When data and the reset arrive in one poll, libuv reports the end of the stream and no error, so renaming the reset did not help. Ruled out: chunked answers and answers with a length, which fail in each of eleven variants tried by hand.

A connection that was reset has no peer any more: its remote address is gone at the end event, while one that was ended still has it. The test 'an answer without a length that arrives together with a reset' failed before (200 instead of 502).

--- a/packages/gateway/src/target-client.ts
+++ b/packages/gateway/src/target-client.ts
@@ -85,7 +85,31 @@
   if (error.code === 'ECONNRESET') error.code = 'ERR_TARGET_RESET'
 }
 
-function connectTo (address: string): undici.buildConnector.connector {
+/** Whether the connection whose end is being told was reset. */
+interface EndWatch {
+  readonly watch: (socket: net.Socket) => void
+  readonly isReset: () => boolean
+}
+
+/**
+ * Tells a reset from a proper end. When data and a reset arrive together, Node reports the end of the stream
+ * and no error; a connection that was reset has no peer any more.
+ */
+function createEndWatch (): EndWatch {
+  let reset = false
+  return {
+    watch: (socket) => {
+      socket.prependListener('end', () => {
+        reset = socket.remoteAddress === undefined
+        // The answer's end is told while this event is handled.
+        process.nextTick(() => { reset = false })
+      })
+    },
+    isReset: () => reset
+  }
+}
+
+function connectTo (address: string, endWatch: EndWatch): undici.buildConnector.connector {
   const { host, port } = endpoint.parseEndpoint(address)
   return (_, callback) => {
     const socket = net.connect({ host, port, noDelay: true })
@@ -99,6 +123,7 @@
       clearTimeout(timer)
       socket.off('error', fail)
       socket.on('error', markReset)
+      endWatch.watch(socket)
       callback(null, socket)
     })
   }
@@ -115,12 +140,13 @@
  */
 export function openTargetClients (options: Options): TargetClients {
   const pools = new Map<string, undici.Pool>()
+  const endWatch = createEndWatch()
 
   function poolOf (address: string): undici.Pool {
     const known = pools.get(address)
     if (known !== undefined) return known
     const pool = new undici.Pool(`http://${address}`, {
-      connect: connectTo(address),
+      connect: connectTo(address, endWatch),
       connections: options.connectionLimit(address),
       pipelining: 1,
       headersTimeout: 0,
@@ -156,7 +182,8 @@
       onResponseEnd: () => {
         if (over) return
         over = true
-        listener.end()
+        if (endWatch.isReset()) listener.failed('broken', 'the connection was reset within the answer')
+        else listener.end()
       },
       onResponseError: (_, error) => {
         if (over) return
--- a/packages/gateway/tests/requests.test.ts
+++ b/packages/gateway/tests/requests.test.ts
@@ -120,6 +120,15 @@
   assert.is(reply.status, 502)
 })
 
+suite('an answer without a length that arrives together with a reset is not handed on as whole', async () => {
+  scene.script((arrival, response) => {
+    const { socket } = response
+    socket?.write(`HTTP/1.1 200 OK\r\nrequest-id: ${String(arrival.headers['request-id'])}\r\nproof: p\r\n\r\nhalf`, () => { socket.resetAndDestroy() })
+  })
+  const reply = await scene.call('/write/7', { method: 'POST', body: 'text' })
+  assert.is(reply.status, 502)
+})
+
 suite('the time limit of a route is answered at that time, and the target is let go', async () => {
   let closed = false
   scene.script((_, response) => { response.on('close', () => { closed = true }) })
