--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -107,6 +107,8 @@
       reason,
       elapsedMs,
       limitMs: Math.round(request.limitMs - arrivedMs),
+      promptTokens: request.promptTokens,
+      outputTokens: request.outputTokens,
       returned: request.returned,
       sends: this.sends,
       path: this.path,
