--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -75,6 +75,12 @@
   return Number.isFinite(stated) && stated >= 0 ? stated : route.timeoutMs
 }
 
+/** Answer tokens to reckon with: the caller's estimate, within the stated bound, or else the bound. */
+function expectedTokens (context: contextModule.Context, head: Head, bound: number): number {
+  const hint = Number(rawHeaders.findHeader(head.headers, context.dialect.lengthHint) ?? NaN)
+  return Number.isFinite(hint) && hint > 0 ? Math.min(hint, bound) : bound
+}
+
 function isTaken (context: contextModule.Context, kind: routing.document.RequestKind, outputTokens: number): boolean {
   const sinceStopMs = context.sinceStopMs()
   return sinceStopMs === undefined || routing.plannedStop.isTakenDuringStop({ sinceStopMs, graceMs: context.graceMs(), kind, outputTokens })
@@ -103,7 +109,7 @@
       priority: priorityOf(place),
       requestId: rawHeaders.findHeader(head.headers, context.dialect.requestId) ?? '',
       promptTokens: tokens?.prompt ?? 0,
-      outputTokens: tokens?.answer ?? 0,
+      outputTokens: expectedTokens(context, head, tokens?.answer ?? 0),
       cappedTokens: tokens === undefined ? place.organisation?.plainTokens ?? 0 : tokens.prompt + tokens.answer,
       parts: dialect.parseParts(rawHeaders.findHeader(head.headers, context.dialect.promptParts)),
       limitMs: head.arrivedMs + Math.min(place.route.timeoutMs, remainingMs),
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -25,6 +25,8 @@
   readonly load: string
   /** Prompt tokens and most answer tokens. */
   readonly tokens: string
+  /** The caller's estimate of the answer's tokens. */
+  readonly lengthHint: string
   /** Parts of the prompt as `id:tokens`. */
   readonly promptParts: string
   /** Headers that only the system may set. */
--- a/packages/gateway/tests/scene.ts
+++ b/packages/gateway/tests/scene.ts
@@ -17,6 +17,7 @@
   notRun: 'not-run',
   load: 'load',
   tokens: 'tokens',
+  lengthHint: 'length-hint',
   promptParts: 'prompt-parts',
   reserved: new Set(['pin'])
 }
--- a/packages/system/src/call.ts
+++ b/packages/system/src/call.ts
@@ -59,6 +59,17 @@
 
 const DONE = '[DONE]'
 
+/** Longest time for any call, ms; over every deadline that tests and soak give. */
+const CALL_LIMIT_MS = 150_000
+
+/** A call that neither ended nor failed; whoever waits for it would wait forever. */
+class EndlessCall extends Error {
+  constructor (request: Request, daemon: string) {
+    super(`The call ${request.request} (${request.method} ${request.path}) to ${daemon} had no outcome within ${CALL_LIMIT_MS} ms: look at the connection that it was sent on.`)
+    this.name = 'EndlessCall'
+  }
+}
+
 function bodyOf (request: Request): string | null {
   if (request.method === 'GET') return null
   if (request.kind === 'plain') return JSON.stringify({ item: request.promptText })
@@ -179,17 +190,23 @@
     daemon: daemon.name,
     deadlineMs: request.deadlineMs
   })
+  const limit = AbortSignal.timeout(CALL_LIMIT_MS)
   try {
     const response = await undici.request(`http://${daemon.address}/s/${request.service}${request.path}`, {
       dispatcher: options.httpClient,
       method: request.method as undici.Dispatcher.HttpMethod,
       headers: headersOf(options),
       body: bodyOf(request),
-      ...(options.signal === undefined ? {} : { signal: options.signal })
+      signal: options.signal === undefined ? limit : AbortSignal.any([options.signal, limit])
     })
     const isStream = String(response.headers['content-type'] ?? '').startsWith('text/event-stream')
     return isStream ? await readStream(response) : await readWhole(response)
   } catch (error) {
+    if (limit.aborted) {
+      const endless = new EndlessCall(request, daemon.name)
+      console.error(endless.message)
+      throw endless
+    }
     const refusedConnection = (error as { readonly code?: string }).code === 'ECONNREFUSED'
     if (refusedConnection) recorder.record({ kind: 'redirected', call })
     else recorder.record({ kind: 'disconnected', call, by: options.signal?.aborted === true ? 'caller' : 'daemon' })
