Show at which stage callers leave, and how late the event loop and the closing of connections are

A caller-left line does not say whether the request had been sent, and nothing measures the delay of the event loop or the time in which Node.js reports a connection that its caller has ended as closed.

Change: caller-left lines and callers_left_total name the stage (waiting, connecting, running, streaming); event_loop_delay_ms is measured by the tick that exists, and a delay of 250 ms or more is logged; caller_close_ms measures the time from the end of the caller's side to the close.

Ruled out: a timer of its own for the delay; the tick of 30 ms is enough for delays of half a second.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -60,6 +60,18 @@
   })
 }
 
+/** Records how long a connection takes to close after the caller has ended its side within a request. */
+function observeClosing (context: contextModule.Context, incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
+  const { socket } = incoming
+  let endedMs: number | undefined
+  const handleEnd = (): void => { endedMs = context.now() }
+  socket.once('end', handleEnd)
+  outgoing.once('close', () => {
+    socket.off('end', handleEnd)
+    if (endedMs !== undefined) context.metrics.observe('caller_close_ms', context.now() - endedMs)
+  })
+}
+
 /**
  * Opens the listener.
  *
@@ -89,6 +101,7 @@
       counted = false
     }
     outgoing.once('close', done)
+    observeClosing(context, incoming, outgoing)
     const head: admission.RequestHead = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.rawHeaders, arrivedMs: context.now() }
     const admitted = admission.admit(context, head)
     if (admitted.isErr()) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,6 +38,9 @@
 /** Interval of the ticks of the pools, ms. */
 const TICK_MS = 30
 
+/** Delay of a tick from which it is logged, ms. */
+const LOGGED_DELAY_MS = 250
+
 /** Interval at which targets and the state of the fleet are refreshed, ms. */
 const REFRESH_MS = 100
 
@@ -91,6 +94,7 @@
   private front: frontServer.FrontServer | undefined
   private stoppingMs: number | undefined
   private closed = false
+  private lastTickMs = 0
 
   constructor (private readonly options: Options) {
     this.log = eventLog.openEventLog({
@@ -127,7 +131,8 @@
     })
     this.reports = this.createReports(port)
     this.front = await frontServer.openFrontServer(this.context, frontAddress)
-    this.timers.push(setInterval(() => { this.pools.tick() }, TICK_MS), setInterval(() => { this.refresh() }, REFRESH_MS))
+    this.lastTickMs = this.now()
+    this.timers.push(setInterval(() => { this.tick() }, TICK_MS), setInterval(() => { this.refresh() }, REFRESH_MS))
     this.log.change('started', { startMs, frontAddress, peerAddress })
   }
 
@@ -257,6 +262,15 @@
     return performance.now()
   }
 
+  private tick (): void {
+    const nowMs = this.now()
+    const delayMs = Math.max(0, Math.round(nowMs - this.lastTickMs - TICK_MS))
+    this.metrics.observe('event_loop_delay_ms', delayMs)
+    if (delayMs >= LOGGED_DELAY_MS) this.log.change('event loop delayed', { delayMs, open: this.openRequests() })
+    this.lastTickMs = nowMs
+    this.pools.tick()
+  }
+
   private daemons (): number {
     return Math.max(MIN_ASSUMED_DAEMONS, this.peers.memberCount(this.now()))
   }
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -25,6 +25,9 @@
   readonly done: () => void
 }
 
+/** How far the current attempt of a request has come. */
+type Stage = 'waiting' | 'connecting' | 'running' | 'streaming'
+
 /** Share of the latency target after which an idempotent request without a response is retried at another target. */
 const RETRY_DELAY_LATENCY_SHARE = 0.6
 
@@ -68,6 +71,7 @@
   private lastId: number | undefined
   private lastEventMs = 0
   private firstEventMs: number | undefined
+  private isSent = false
   private awaitsFirstEvent = true
 
   constructor (private readonly options: Options) {
@@ -85,7 +89,7 @@
     else this.requestPlacement(false)
   }
 
-  private finish (outcome: string, status: number, reason: string): void {
+  private finish (outcome: string, status: number, reason: string, stage?: Stage): void {
     const { context, request, done } = this.options
     const { metrics } = context
     this.finished = true
@@ -105,6 +109,7 @@
       outcome,
       status,
       reason,
+      stage,
       elapsedMs,
       limitMs: Math.round(request.limitMs - arrivedMs),
       promptTokens: request.promptTokens,
@@ -157,9 +162,17 @@
 
   private onCallerLeft (): void {
     if (this.finished) return
+    const stage = this.stage()
     this.exchange?.abort()
     this.endPlacement({ kind: 'left' })
-    this.finish('caller-left', 0, 'caller-left')
+    this.options.context.metrics.count('callers_left_total', { service: this.options.request.service, stage })
+    this.finish('caller-left', 0, 'caller-left', stage)
+  }
+
+  private stage (): Stage {
+    if (this.exchange === undefined) return 'waiting'
+    if (!this.isSent) return 'connecting'
+    return this.awaitsFirstEvent ? 'running' : 'streaming'
   }
 
   private requestPlacement (isRetry: boolean): void {
@@ -199,6 +212,7 @@
     const { context, request, body } = this.options
     this.target = target
     this.triedTargets.push(target.id)
+    this.isSent = false
     this.awaitsFirstEvent = true
     this.exchange = attemptModule.startAttempt({
       context,
@@ -216,6 +230,7 @@
     const { context, request } = this.options
     const { route } = request
     this.sends += 1
+    this.isSent = true
     this.mayHaveRun = true
     context.metrics.count('sends_total', { service: request.service, repeated: String(this.sends > 1) })
     if (route.kind !== 'idempotent' || this.sends >= route.attempts) return
--- a/packages/gateway/tests/requests.test.ts
+++ b/packages/gateway/tests/requests.test.ts
@@ -146,6 +146,23 @@
   assert.equal([fixture.arrivals.length, closed], [1, true])
 })
 
+const STAGES: readonly (readonly [stage: string, path: string, script: fixtureModule.Script])[] = [
+  ['running', '/write/7', () => { /* The target doesn't respond. */ }],
+  ['streaming', '/answer/7', (arrival, response) => {
+    fixtureModule.beginStream(arrival, response)
+    response.write('id: 1\ndata: 1\n\n')
+  }]
+]
+
+for (const [stage, path, script] of STAGES) {
+  suite(`the metrics show that a caller left while its request was ${stage}`, async () => {
+    fixture.script(script)
+    await fixture.call(path, { method: 'POST', body: 'text', disconnectAfterMs: 100 })
+    await fixtureModule.wait(100)
+    assert.match(fixture.gateway.metrics.text(), `callers_left_total{service="stock",stage="${stage}"} 1`)
+  })
+}
+
 suite('a broken stream is resumed at another target without a gap or a duplicate', async () => {
   fixture.script((arrival, response, count) => {
     fixtureModule.beginStream(arrival, response)
