Abort a request when its caller ends its side of a connection that takes no more data

What callers saw: nothing; targets went on with streams that nobody read, up to the time limit of the route, and held their slots for that long.

Cause: the daemon learns of a caller's departure from the close event of the response. When the caller has ended its side, Node.js ends the other one and reports the close only once the rest of the response is sent. A connection that takes no more data never gets there before the time limit.

Change: the end of the caller's side within a request destroys the connection. A response that is complete on our side is still sent to its end, and a caller that ends its side before the response began got none before this change either.

Evidence: departed-callers.test.ts failed before ("the exchange with the target goes on" after 5 s) and passes, 3 of 3 runs.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -60,16 +60,20 @@
   })
 }
 
-/** Records how long a connection takes to close after the caller has ended its side within a request. */
-function observeClosing (context: contextModule.Context, incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
+/**
+ * Destroys the connection when the caller ends its side within a request. Otherwise Node.js reports the connection as
+ * closed only once the rest of the response is sent, which it can't be while the caller reads nothing.
+ */
+function closeWithCaller (context: contextModule.Context, incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
   const { socket } = incoming
-  let endedMs: number | undefined
-  const handleEnd = (): void => { endedMs = context.now() }
+  const handleEnd = (): void => {
+    if (outgoing.writableEnded) return
+    const endedMs = context.now()
+    outgoing.once('close', () => { context.metrics.observe('caller_close_ms', context.now() - endedMs) })
+    outgoing.destroy()
+  }
   socket.once('end', handleEnd)
-  outgoing.once('close', () => {
-    socket.off('end', handleEnd)
-    if (endedMs !== undefined) context.metrics.observe('caller_close_ms', context.now() - endedMs)
-  })
+  outgoing.once('close', () => { socket.off('end', handleEnd) })
 }
 
 /**
@@ -101,7 +105,7 @@
       counted = false
     }
     outgoing.once('close', done)
-    observeClosing(context, incoming, outgoing)
+    closeWithCaller(context, incoming, outgoing)
     const head: admission.RequestHead = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.rawHeaders, arrivedMs: context.now() }
     const admitted = admission.admit(context, head)
     if (admitted.isErr()) {
