Send no request whose caller left before it was read

What callers saw: nothing; targets began work, and held slots, for callers that had left up to as long before as the daemon was late in reading.

Cause: a request and the close that follows it are read from a connection in two turns of the event loop; the daemon placed and sent the request in the first. So each request that waited unread while its caller left was sent, and aborted some milliseconds later.

Change: a request is admitted after one more turn of the event loop, in which the events that were already pending are handled, the close among them.

Ruled out: looking at the state of the connection at once; Node.js learns of the close only with the next read.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -60,6 +60,11 @@
   })
 }
 
+/** Calls `next` after the events that are already pending on the connections, such as the end of the caller's side. */
+function afterPendingEvents (next: () => void): void {
+  setImmediate(() => { setImmediate(next) })
+}
+
 /**
  * Destroys the connection when the caller ends its side within a request. Otherwise Node.js reports the connection as
  * closed only once the rest of the response is sent, which it can't be while the caller reads nothing.
@@ -121,7 +126,7 @@
       if (admission?.kind === 'over-cap') refuse(outgoing, head, 'over-cap', admission.retryAfterMs, admission.figures)
       else new requestTask.RequestTask({ context, request, body, outgoing, done }).start()
     }
-    readBody(incoming, context.limits().bodyBytes, admit, () => { refuse(outgoing, head, 'body-too-large') })
+    readBody(incoming, context.limits().bodyBytes, (body) => { afterPendingEvents(() => { admit(body) }) }, () => { refuse(outgoing, head, 'body-too-large') })
   }
 
   const server = http.createServer({
--- a/packages/gateway/tests/departed-callers.test.ts
+++ b/packages/gateway/tests/departed-callers.test.ts
@@ -1,5 +1,7 @@
 import type * as http from 'node:http'
 import * as net from 'node:net'
+import * as workerThreads from 'node:worker_threads'
+import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as gatewayPackage from '@persimmonhatch/gateway'
 import * as fixtureModule from './fixture.js'
@@ -14,12 +16,42 @@
 
 const REQUEST = ['POST /answer/7 HTTP/1.1', 'host: shop.example', 'key: k-1', 'request-id: r-1', `remaining-ms: ${LONG_TIMEOUT_MS}`, 'content-length: 4', '', 'text'].join('\r\n')
 
+/** Sends a request in a thread of its own, leaves as `leave` says and then wakes the thread of the gateway. */
+const LEAVING_CALLER = `
+  const { workerData } = require('node:worker_threads')
+  const socket = require('node:net').connect(workerData.port, workerData.host, () => {
+    socket.write(workerData.request, () => { socket[workerData.leave](() => {}) })
+  })
+  const wake = () => {
+    Atomics.store(workerData.left, 0, 1)
+    Atomics.notify(workerData.left, 0)
+  }
+  socket.on('error', () => {}).on(workerData.leave === 'end' ? 'finish' : 'close', wake)
+`
+
 let fixture: fixtureModule.Fixture
 const suite = uvu.suite('callers that have left')
 
 suite.before.each(async () => { fixture = await fixtureModule.openFixture(2, DOCUMENT) })
 suite.after.each(async () => { await fixture.close() })
 
+/** Blocks the gateway until a caller has sent a request and left. */
+async function leaveUnread (leave: 'end' | 'destroy' | 'resetAndDestroy'): Promise<void> {
+  const left = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT))
+  const worker = new workerThreads.Worker(LEAVING_CALLER, { eval: true, workerData: { ...gatewayPackage.endpoint.parseEndpoint(fixture.frontAddress), request: REQUEST, leave, left } })
+  Atomics.wait(left, 0, 0)
+  await worker.terminate()
+}
+
+for (const leave of ['end', 'destroy', 'resetAndDestroy'] as const) {
+  suite(`a request whose caller left before it was read is not sent to a target (${leave})`, async () => {
+    await leaveUnread(leave)
+    await fixtureModule.wait(100)
+    assert.is(fixture.arrivals.length, 0)
+    assert.is((await fixture.call('/read/7')).status, 200)
+  })
+}
+
 /** Sends more events than all connections on the way can hold, and waits until no more data leaves. */
 async function streamUntilBlocked (arrival: fixtureModule.Arrival, response: http.ServerResponse): Promise<void> {
   fixtureModule.beginStream(arrival, response)
