Report a crash to peers a few times, and a bounded number of crashes in each report

Cause: every report to a peer carried every crash that the daemon had heard of within 10 s, its own and those of all others. At 15.5 s a quarter of the engines crashed and others lost answers; each request that broke off counts as a crash of its content. So the reports grew to many KB, up to 14 a second to each member of the cell, and filled the links of 10 Mbit/s. Reports were lost (heardDaemons fell from 87 at 13 s to 1 to 26 at 18 s), each daemon took the fleet for lost, and the close of an aborted exchange waited behind the reports on the link. Class of fault: retransmission of unbounded state that grows with the failures of a fleet, which takes the bandwidth needed to recover.

Change: a daemon tells its cell a crash of its own once at once and in the listings of the next three intervals; the reports to other cells carry those of the own cell in three listings; crashes heard from other cells are not passed on, as each daemon gets a report from every cell. A report has 32 crashes at most, contents with most crashes first.

A content that crashed targets in three cells is refused by all 87 within 4 s while 522 others broke off.

--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -33,8 +33,11 @@
 /** Maximum number of members of other cells in a listing, by which daemons with different divisions converge. */
 const MAX_LISTED_REMOTE_MEMBERS = 4
 
-/** Maximum age of crashes in reports, ms. */
-const CRASH_REPORT_MS = 10_000
+/** Number of listings in which a crash is repeated, in case a report is lost. */
+const CRASH_REPETITIONS = 3
+
+/** Maximum number of crashes in a report, which bounds its size when many targets fail at once. */
+const MAX_REPORTED_CRASHES = 32
 
 /**
  * Creates the writer of one daemon's reports.
@@ -51,12 +54,13 @@
   const reportedTokens = new Map<string, number>()
   /** Totals in the reports that were sent to the cell, by organisation. */
   const sentTokens = new Map<string, number>()
+  let lastCellReportMs = -Infinity
 
   function leavingTargets (): readonly (readonly [string, number])[] {
     return registry.versionedTargets().filter((versioned) => versioned.target?.leaving === true).map((versioned) => [versioned.id, versioned.revision] as const)
   }
 
-  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'members'>, nowMs: number): peerMessages.Report {
+  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'crashes' | 'members'>): peerMessages.Report {
     sequence += 1
     return {
       ...options.sender,
@@ -66,7 +70,6 @@
       documentVersion: options.documentVersion(),
       targetsRevision: registry.revision(),
       leavingTargets: leavingTargets(),
-      crashes: suspects.recent(nowMs, CRASH_REPORT_MS),
       ...content
     }
   }
@@ -83,14 +86,32 @@
     return Object.fromEntries(tokens)
   }
 
+  /** Returns crashes of this daemon since its last report, or, with a listing, also earlier ones. */
+  function ownCrashes (withListing: boolean, nowMs: number): peerMessages.Report['crashes'] {
+    const sinceMs = withListing ? listingsSince(nowMs) : lastCellReportMs
+    lastCellReportMs = nowMs
+    return suspects.select({ sources: ['own'], sinceMs, maxCrashes: MAX_REPORTED_CRASHES })
+  }
+
+  function listingsSince (nowMs: number): number {
+    return nowMs - CRASH_REPETITIONS * peers.fleetIntervalMs(nowMs)
+  }
+
   return {
     writeForCell: (withListing, nowMs) => createReport('cell', {
       pools: pools.loads(),
       usedTokens: withListing ? Object.fromEntries(caps.used()) : changedTokens(),
       complete: withListing,
+      crashes: ownCrashes(withListing, nowMs),
       members: withListing ? peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS) : []
-    }, nowMs),
-    writeForFleet: (nowMs) => createReport('fleet', { pools: {}, usedTokens: cellTokens(), complete: true, members: peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS) }, nowMs),
+    }),
+    writeForFleet: (nowMs) => createReport('fleet', {
+      pools: {},
+      usedTokens: cellTokens(),
+      complete: true,
+      crashes: suspects.select({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), maxCrashes: MAX_REPORTED_CRASHES }),
+      members: peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS)
+    }),
     countCellTokens: (organisation, tokens) => { reportedTokens.set(organisation, tokens + (reportedTokens.get(organisation) ?? 0)) }
   }
 }
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -352,7 +352,7 @@
     const { context, request } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'failed' })
     context.log.request('target broke off', { request: request.requestId, target: this.target?.id, detail: message, lastEvent: this.lastId })
-    if (this.target !== undefined) context.suspects.record(this.contentFingerprint, `${this.target.id}@${Math.round(context.now())}`, context.now())
+    if (this.target !== undefined) context.suspects.record(this.contentFingerprint, `${this.target.id}@${Math.round(context.now())}`, 'own', context.now())
     if (this.isRetryable && this.acquireRetry()) this.retry()
     else this.refuse('broken')
   }
--- a/packages/gateway/tests/peer-fleet.test.ts
+++ b/packages/gateway/tests/peer-fleet.test.ts
@@ -19,13 +19,15 @@
   readonly writer: gatewayPackage.reportWriter.ReportWriter
   readonly caps: routing.tokenCap.TokenCaps
   readonly reportedTokens: gatewayPackage.reportedTokens.ReportedTokens
+  readonly suspects: routing.suspects.Suspects
 }
 
 interface Fleet {
   readonly members: readonly Member[]
   /** Messages and bytes per second that a daemon sent on average during the last simulation. */
   readonly mean: () => { readonly messages: number, readonly bytes: number }
-  readonly simulate: (durationMs: number, reaches: (from: number, to: number) => boolean) => void
+  /** Runs the fleet; `eachSecond` is called at the start of every second. */
+  readonly simulate: (durationMs: number, reaches: (from: number, to: number) => boolean, eachSecond?: () => void) => void
   readonly now: () => number
 }
 
@@ -33,17 +35,18 @@
   const peers = new gatewayPackage.peerTable.PeerTable(address, random)
   const caps = routing.tokenCap.createTokenCaps({ toleratedTokens: 0 })
   caps.adopt([ORGANISATION], 0)
+  const suspects = routing.suspects.createSuspects()
   const writer = gatewayPackage.reportWriter.createReportWriter({
     sender: { from: address, incarnation: address, frontAddress: address.replace('7600', '80') },
     peers,
     pools: { loads: () => ({}) } as never,
     caps,
-    suspects: routing.suspects.createSuspects(),
+    suspects,
     registry: routing.targetRegistry.createTargetRegistry(),
     isReady: () => true,
     documentVersion: () => 1
   })
-  return { address, peers, writer, caps, reportedTokens: gatewayPackage.reportedTokens.createReportedTokens({ caps, countCellTokens: writer.countCellTokens, cellOf: (peer, nowMs) => peers.cellOf(peer, nowMs), intervalMs: (nowMs) => peers.fleetIntervalMs(nowMs) }) }
+  return { address, peers, writer, caps, suspects, reportedTokens: gatewayPackage.reportedTokens.createReportedTokens({ caps, countCellTokens: writer.countCellTokens, cellOf: (peer, nowMs) => peers.cellOf(peer, nowMs), intervalMs: (nowMs) => peers.fleetIntervalMs(nowMs) }) }
 }
 
 /** Creates a fleet in which every daemon knows the first `seeds` members at the start. */
@@ -64,14 +67,17 @@
       const to = indexes.get(address) ?? -1
       const member = members[to]
       if (member === undefined || !reaches(from, to)) continue
-      if (member.peers.accept(report, nowMs) !== 'old') member.reportedTokens.apply(report, nowMs)
+      if (member.peers.accept(report, nowMs) === 'old') continue
+      member.reportedTokens.apply(report, nowMs)
+      for (const [fingerprint, crash] of report.crashes) member.suspects.record(fingerprint, crash, report.scope, nowMs)
     }
   }
 
-  function simulate (durationMs: number, reaches: (from: number, to: number) => boolean): void {
+  function simulate (durationMs: number, reaches: (from: number, to: number) => boolean, eachSecond?: () => void): void {
     sent = { messages: 0, bytes: 0 }
     simulatedMs = durationMs
     for (const endMs = nowMs + durationMs; nowMs < endMs; nowMs += CELL_INTERVAL_MS) {
+      if (nowMs % MS_PER_S === 0) eachSecond?.()
       for (const [index, { peers, writer }] of members.entries()) {
         const withListing = nowMs - (lastListingMs.get(index) ?? -Infinity) >= peers.fleetIntervalMs(nowMs)
         if (withListing) lastListingMs.set(index, nowMs)
@@ -116,6 +122,33 @@
   })
 }
 
+for (const size of [9, 87, 320]) {
+  suite(`requests that break off at each of ${size} daemons every second add little to the reports`, () => {
+    const fleet = createFleet(size, size)
+    fleet.simulate(5_000, CONNECTED)
+    fleet.simulate(8_000, CONNECTED)
+    const quietBytes = fleet.mean().bytes
+    fleet.simulate(8_000, CONNECTED, () => {
+      for (const [index, { suspects }] of fleet.members.entries()) suspects.record(`content-${index}-${fleet.now()}`, `i-0123456789@${fleet.now()}`, 'own', fleet.now())
+    })
+    const addedBytes = fleet.mean().bytes - quietBytes
+    // The limit of all control traffic is 20 KB/s per daemon (letter 1).
+    assert.ok(addedBytes <= 20_000, `${addedBytes} bytes`)
+  })
+}
+
+suite('a content that crashes targets of three cells is refused everywhere before the fleet counts as stable again, also while other requests break off', () => {
+  const fleet = createFleet(87, 87)
+  fleet.simulate(5_000, CONNECTED)
+  for (const [index, { suspects }] of fleet.members.entries()) {
+    for (let request = 0; request < 6; request += 1) suspects.record(`content-${index}-${request}`, `i-0123456789@${request}`, 'own', fleet.now())
+    if (index % 29 === 0) suspects.record('poison', `i-${index}@1`, 'own', fleet.now())
+  }
+  // The bound is 4 s (stableMs of the grown sites).
+  fleet.simulate(4_000, CONNECTED)
+  assert.is(fleet.members.filter(({ suspects }) => suspects.isRefused('poison', fleet.now())).length, 87)
+})
+
 suite('when a third of the daemons is isolated the others agree on the rest, and accept them again later', () => {
   const fleet = createFleet(87, 87)
   const isCutOff = (index: number): boolean => index % 3 === 0
--- a/packages/routing/src/suspects.ts
+++ b/packages/routing/src/suspects.ts
@@ -15,14 +15,31 @@
 /** Maximum number of contents in the table. */
 const MAX_SUSPECTS = 1_000
 
+/** Who reported a crash: this daemon itself, a member of its cell, or another cell. */
+export type CrashSource = 'own' | 'cell' | 'fleet'
+
+/** Selects crashes for a report. */
+export interface CrashSelection {
+  readonly sources: readonly CrashSource[]
+  /** Crashes recorded before this time are left out, ms. */
+  readonly sinceMs: number
+  /** Maximum number of crashes; contents with most crashes come first, then the latest. */
+  readonly maxCrashes: number
+}
+
 /** Crashes by content. */
 export interface Suspects {
-  /** Counts a crash that was seen here or reported by a peer; `crash` identifies it across daemons. */
-  readonly record: (fingerprint: string, crash: string, nowMs: number) => void
+  /** Counts a crash; `crash` identifies it across daemons. */
+  readonly record: (fingerprint: string, crash: string, source: CrashSource, nowMs: number) => void
   readonly clear: (fingerprint: string) => void
   readonly isRefused: (fingerprint: string, nowMs: number) => boolean
-  /** Returns recent crashes, for reports to peers. */
-  readonly recent: (nowMs: number, maxAgeMs: number) => readonly (readonly [fingerprint: string, crash: string])[]
+  /** Returns crashes for a report to peers. */
+  readonly select: (selection: CrashSelection) => readonly (readonly [fingerprint: string, crash: string])[]
+}
+
+interface Crash {
+  readonly atMs: number
+  readonly source: CrashSource
 }
 
 /**
@@ -30,12 +47,12 @@
  *
  * @example
  * ```ts
- * suspects.record(fingerprint, 'engine-3#17', nowMs)
+ * suspects.record(fingerprint, 'engine-3#17', 'own', nowMs)
  * if (suspects.isRefused(fingerprint, nowMs)) refuse()
  * ```
  */
 export function createSuspects (): Suspects {
-  const crashes = new Map<string, Map<string, number>>()
+  const crashes = new Map<string, Map<string, Crash>>()
 
   function evict (): void {
     const oldest = crashes.keys().next().value
@@ -43,19 +60,23 @@
   }
 
   return {
-    record: (fingerprint, crash, nowMs) => {
-      const crashTimes = crashes.get(fingerprint) ?? new Map<string, number>()
-      if (!crashTimes.has(crash)) crashTimes.set(crash, nowMs)
-      crashes.set(fingerprint, crashTimes)
+    record: (fingerprint, crash, source, nowMs) => {
+      const recorded = crashes.get(fingerprint) ?? new Map<string, Crash>()
+      if (!recorded.has(crash)) recorded.set(crash, { atMs: nowMs, source })
+      crashes.set(fingerprint, recorded)
       evict()
     },
     clear: (fingerprint) => { crashes.delete(fingerprint) },
     isRefused: (fingerprint, nowMs) => {
-      const crashTimes = crashes.get(fingerprint)
-      if (crashTimes === undefined) return false
-      return [...crashTimes.values()].filter((atMs) => nowMs - atMs < CRASH_RETENTION_MS).length >= CRASHES_TO_REFUSE
+      const recorded = crashes.get(fingerprint)
+      if (recorded === undefined) return false
+      return [...recorded.values()].filter(({ atMs }) => nowMs - atMs < CRASH_RETENTION_MS).length >= CRASHES_TO_REFUSE
     },
-    recent: (nowMs, maxAgeMs) => [...crashes].flatMap(([fingerprint, crashTimes]) =>
-      [...crashTimes].filter(([, atMs]) => nowMs - atMs < maxAgeMs).map(([crash]) => [fingerprint, crash] as const))
+    select: ({ sources, sinceMs, maxCrashes }) => [...crashes]
+      .flatMap(([fingerprint, recorded]) => [...recorded].map(([crash, { atMs, source }]) => ({ fingerprint, crash, atMs, source, count: recorded.size })))
+      .filter(({ atMs, source }) => atMs >= sinceMs && sources.includes(source))
+      .sort((a, b) => b.count - a.count || b.atMs - a.atMs)
+      .slice(0, maxCrashes)
+      .map(({ fingerprint, crash }) => [fingerprint, crash] as const)
   }
 }
