Log when a daemon loses contact with half of its fleet, and when it regains it

Change: a line 'peers lost' and 'peers regained' with live and known members, at the bound at which a daemon restricts itself to its own share.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -95,6 +95,7 @@
   private stoppingMs: number | undefined
   private closed = false
   private lastTickMs = 0
+  private isIsolated = false
 
   constructor (private readonly options: Options) {
     this.log = eventLog.openEventLog({
@@ -298,12 +299,20 @@
     this.caps.setReachableShare(live / members)
     this.refreshTargets()
     this.clients.retain(new Set(this.registry.versionedTargets().flatMap((versioned) => versioned.target === undefined ? [] : [versioned.target.address])))
+    this.logReach(live, members)
     this.metrics.gauge('peers_live', live - 1)
     this.metrics.gauge('peers_in_cell', this.peers.reachablePeers(nowMs).length)
     this.metrics.gauge('requests_waiting', this.pools.waiting())
     this.metrics.gauge('requests_open', this.openRequests())
   }
 
+  /** Logs when the daemon loses contact with half of the fleet, which restricts it to its own share, and when it regains it. */
+  private logReach (live: number, members: number): void {
+    const isIsolated = live * 2 <= members
+    if (isIsolated !== this.isIsolated) this.log.change(isIsolated ? 'peers lost' : 'peers regained', { live, members })
+    this.isIsolated = isIsolated
+  }
+
   private createContext (): contextModule.Context {
     return {
       now: () => this.now(),
