--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,6 +38,9 @@
 /** Interval of the ticks of the pools, ms. */
 const TICK_MS = 30
 
+/** Delay of a tick from which it is logged, ms. */
+const LOGGED_DELAY_MS = 250
+
 /** Interval at which targets and the state of the fleet are refreshed, ms. */
 const REFRESH_MS = 100
 
@@ -91,6 +94,8 @@
   private front: frontServer.FrontServer | undefined
   private stoppingMs: number | undefined
   private closed = false
+  private lastTickMs = 0
+  private isIsolated = false
 
   constructor (private readonly options: Options) {
     this.log = eventLog.openEventLog({
@@ -127,7 +132,8 @@
     })
     this.reports = this.createReports(port)
     this.front = await frontServer.openFrontServer(this.context, frontAddress)
-    this.timers.push(setInterval(() => { this.pools.tick() }, TICK_MS), setInterval(() => { this.refresh() }, REFRESH_MS))
+    this.lastTickMs = this.now()
+    this.timers.push(setInterval(() => { this.tick() }, TICK_MS), setInterval(() => { this.refresh() }, REFRESH_MS))
     this.log.change('started', { startMs, frontAddress, peerAddress })
   }
 
@@ -257,6 +263,15 @@
     return performance.now()
   }
 
+  private tick (): void {
+    const nowMs = this.now()
+    const delayMs = Math.max(0, Math.round(nowMs - this.lastTickMs - TICK_MS))
+    this.metrics.observe('event_loop_delay_ms', delayMs)
+    if (delayMs >= LOGGED_DELAY_MS) this.log.change('event loop delayed', { delayMs, open: this.openRequests() })
+    this.lastTickMs = nowMs
+    this.pools.tick()
+  }
+
   private daemons (): number {
     return Math.max(MIN_ASSUMED_DAEMONS, this.peers.memberCount(this.now()))
   }
@@ -284,12 +299,20 @@
     this.caps.setReachableShare(live / members)
     this.refreshTargets()
     this.clients.retain(new Set(this.registry.versionedTargets().flatMap((versioned) => versioned.target === undefined ? [] : [versioned.target.address])))
+    this.logReach(live, members)
     this.metrics.gauge('peers_live', live - 1)
     this.metrics.gauge('peers_in_cell', this.peers.reachablePeers(nowMs).length)
     this.metrics.gauge('requests_waiting', this.pools.waiting())
     this.metrics.gauge('requests_open', this.openRequests())
   }
 
+  /** Logs when the daemon loses contact with half of the fleet, which restricts it to its own share, and when it regains it. */
+  private logReach (live: number, members: number): void {
+    const isIsolated = live * 2 <= members
+    if (isIsolated !== this.isIsolated) this.log.change(isIsolated ? 'peers lost' : 'peers regained', { live, members })
+    this.isIsolated = isIsolated
+  }
+
   private createContext (): contextModule.Context {
     return {
       now: () => this.now(),
