Read the rest of a refused body before the connection is closed

What callers saw: 'fetch failed' in place of the 413 for a body over the limit, now and then when the body was still being sent; always for a chunked body.

Cause: the response to an unread body ends with connection: close, and Node.js closes the connection as soon as the response is sent. What the caller still sends is answered by a reset, which discards the response if the caller has not read it yet. A body without a length was worse off: leaving the loop that reads it destroyed the request, and the connection with it.

Change: the response is sent at once, and it ends, with the connection, when the rest of the body has been read or after 2 s. Leaving the loop no longer destroys the request.

Ruled out: the draining of @hono/node-server, which begins when the response has ended, too late for a connection that closes then.

Evidence: two new cases of caller-server.test.ts failed before (EPIPE at the caller while it sends) and pass.

--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -11,6 +11,7 @@
 import * as hono from 'hono'
 import type * as settings from '../settings/settings.js'
 import * as splitAddress from '../util/split-address.js'
+import * as endAfterBody from './end-after-body.js'
 import * as readBody from './read-body.js'
 import type * as readArrival from './read-arrival.js'
 import * as localResponses from './local-responses.js'
@@ -63,6 +64,13 @@
   response.end(localResponse.body)
 }
 
+/** Sends a response to a request whose body was not read. */
+function sendUnread (incoming: http.IncomingMessage, outgoing: http.ServerResponse, localResponse: localResponses.LocalResponse): void {
+  if (outgoing.destroyed) return
+  outgoing.writeHead(localResponse.status, { ...localResponse.headers, 'content-length': Buffer.byteLength(localResponse.body) })
+  endAfterBody.endAfterBody(incoming, outgoing, localResponse.body)
+}
+
 /** Returns the execution reported for a request that was refused unread. With an identity it may be a retry of a request that ran, so nothing is claimed. */
 function executionBeforeRead (incoming: http.IncomingMessage): protocol.Execution {
   return incoming.headers[protocol.HEADERS.identity] === undefined ? 'not-run' : 'unknown'
@@ -83,7 +91,7 @@
     const localResponse = body.error instanceof readBody.OversizedBody
       ? localResponses.errorResponse('body-too-large', { limitBytes: body.error.limitBytes }, executionBeforeRead(incoming))
       : localResponses.errorResponse('unsupported-transfer', {}, executionBeforeRead(incoming))
-    sendLocalResponse(outgoing, localResponse)
+    sendUnread(incoming, outgoing, localResponse)
     return sentResponse.RESPONSE_ALREADY_SENT
   }
   await options.submit({
--- a/packages/daemon/src/http/read-body.ts
+++ b/packages/daemon/src/http/read-body.ts
@@ -35,7 +35,7 @@
   const chunks: Uint8Array[] = []
   let bytes = 0
   try {
-    for await (const chunk of incoming as AsyncIterable<Uint8Array>) {
+    for await (const chunk of incoming.iterator({ destroyOnReturn: false }) as AsyncIterable<Uint8Array>) {
       bytes += chunk.length
       if (bytes > limitBytes) return neverthrow.err(new OversizedBody(limitBytes))
       chunks.push(chunk)
--- a/packages/daemon/tests/caller-server.test.ts
+++ b/packages/daemon/tests/caller-server.test.ts
@@ -16,9 +16,8 @@
 
 const suite = uvu.suite('openCallerServer')
 
-suite('closes while callers hold connections that carry no request', async () => {
-  const port = await freePort()
-  const server = await callerServer.openCallerServer({
+function openServer (port: number): Promise<callerServer.CallerServer> {
+  return callerServer.openCallerServer({
     listen: `127.0.0.1:${port}`,
     limits: { bodyBytes: 1_000, headerBytes: 1_000, requests: 10, heldAnswerBytes: 1_000, requestReadMs: 1_000 },
     addresses: () => localResponses.errorResponse('no-authority', {}),
@@ -28,6 +27,11 @@
     submit: async () => {},
     count: () => {}
   })
+}
+
+suite('closes while callers hold connections that carry no request', async () => {
+  const port = await freePort()
+  const server = await openServer(port)
   const unused = net.connect(port, '127.0.0.1')
   await new Promise((resolve) => unused.once('connect', resolve))
   assert.is((await fetch(`http://127.0.0.1:${port}/healthz`)).status, 200)
@@ -39,4 +43,39 @@
   assert.is(closed, true)
 })
 
+const OVERSIZED_BODIES: readonly (readonly [framing: string, header: string, parts: readonly string[]])[] = [
+  ['with a length', 'content-length: 3000', ['x'.repeat(1_000), 'x'.repeat(1_000), 'x'.repeat(1_000)]],
+  ['in chunks', 'transfer-encoding: chunked', [`5dc\r\n${'x'.repeat(1_500)}\r\n`, `5dc\r\n${'x'.repeat(1_500)}\r\n`, '0\r\n\r\n']]
+]
+
+for (const [framing, header, parts] of OVERSIZED_BODIES) {
+  suite(`a caller that still sends an oversized body ${framing} when it is refused gets the response and no reset`, async () => {
+    const port = await freePort()
+    const server = await openServer(port)
+    const caller = net.connect({ port, host: '127.0.0.1', allowHalfOpen: true })
+    const errors: Error[] = []
+    let received = ''
+    caller.on('error', (error) => errors.push(error))
+    const closed = new Promise((resolve) => caller.once('close', resolve))
+    const responded = new Promise<void>((resolve) => {
+      caller.setEncoding('utf8').on('data', (text: string) => {
+        received += text
+        if (received.includes('body-too-large')) resolve()
+      })
+    })
+    caller.write(`POST /s/support/x HTTP/1.1\r\nhost: a\r\n${header}\r\n\r\n`)
+    for (const part of parts) {
+      caller.write(part)
+      await Promise.race([responded, closed])
+      // Time for a reset to arrive, if one is sent.
+      await new Promise((resolve) => setTimeout(resolve, 100))
+    }
+    caller.end()
+    await closed
+    await server.close()
+    assert.equal(errors, [])
+    assert.match(received, /^HTTP\/1.1 413 /)
+  })
+}
+
 suite.run()
