Refuse a request during a planned stop only after its body was read

Change: requests that are refused by their head are answered once the body, up to its limit, has been read and discarded.

Ruled out: a timer as in the daemon; bodies within the limit end soon.

Evidence: the new case of requests.test.ts failed before (EPIPE at the caller) and passes, 27 of 27. Bodies over the limit of the routing document are still refused at once, with the same fault; callers of that platform stay within it.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -113,9 +113,10 @@
     closeWithCaller(context, incoming, outgoing)
     const head: admission.RequestHead = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.rawHeaders, arrivedMs: context.now() }
     const admitted = admission.admit(context, head)
+    const refuseBody = (): void => { refuse(outgoing, head, 'body-too-large') }
     if (admitted.isErr()) {
-      incoming.resume()
-      refuse(outgoing, head, admitted.error)
+      // Closing a connection with an unread body resets it, and the caller may lose the response.
+      readBody(incoming, context.limits().bodyBytes, () => { refuse(outgoing, head, admitted.error) }, refuseBody)
       return
     }
     const request = admitted.value
@@ -126,7 +127,7 @@
       if (admission?.kind === 'over-cap') refuse(outgoing, head, 'over-cap', admission.retryAfterMs, admission.figures)
       else new requestTask.RequestTask({ context, request, body, outgoing, done }).start()
     }
-    readBody(incoming, context.limits().bodyBytes, (body) => { afterPendingEvents(() => { admit(body) }) }, () => { refuse(outgoing, head, 'body-too-large') })
+    readBody(incoming, context.limits().bodyBytes, (body) => { afterPendingEvents(() => { admit(body) }) }, refuseBody)
   }
 
   const server = http.createServer({
--- a/packages/gateway/tests/requests.test.ts
+++ b/packages/gateway/tests/requests.test.ts
@@ -1,5 +1,7 @@
+import * as net from 'node:net'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
+import * as gatewayPackage from '@persimmonhatch/gateway'
 import * as fixtureModule from './fixture.js'
 
 let fixture: fixtureModule.Fixture
@@ -198,6 +200,25 @@
   assert.ok(fixture.arrivals.every((arrival) => arrival.target !== leaving?.id))
 })
 
+suite('a caller that still sends its body when a stopping daemon refuses the request gets the response and no reset', async () => {
+  const stopped = fixture.gateway.stop()
+  // A stopping daemon accepts every request for 2.7 s.
+  await fixtureModule.wait(2_800)
+  const caller = net.connect({ ...gatewayPackage.endpoint.parseEndpoint(fixture.frontAddress), allowHalfOpen: true })
+  const errors: Error[] = []
+  let received = ''
+  caller.on('error', (error) => errors.push(error)).setEncoding('utf8').on('data', (text: string) => { received += text })
+  caller.write('POST /answer/7 HTTP/1.1\r\nhost: shop.example\r\nkey: k-1\r\nrequest-id: r-1\r\nremaining-ms: 1400\r\ntokens: 1,9000\r\ncontent-length: 3000\r\n\r\n')
+  for (let part = 0; part < 3; part += 1) {
+    caller.write('x'.repeat(1_000))
+    await fixtureModule.wait(100)
+  }
+  caller.end()
+  await stopped
+  assert.equal(errors, [])
+  assert.match(received, /^HTTP\/1.1 503 /)
+})
+
 suite('an organisation over its cap gets 429 and a Retry-After', async () => {
   const replies = [await fixture.call('/read/7', { headers: { tokens: '400,100' } }), await fixture.call('/read/7', { headers: { tokens: '40000,100' } })]
   assert.equal(replies.map((reply) => reply.status), [200, 429])
