Report leaving targets to the cell when they change, and in listings

Change: a report to the cell carries the leaving targets that changed since the last one; the listings, one a second, and the reports to other cells carry all, so that a lost report is made up for within a second.

Ruled out: the totals of tokens, which are reported in this way already; members and loads, whose number is bounded by the cell.

--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -55,12 +55,14 @@
   /** Totals in the reports that were sent to the cell, by organisation. */
   const sentTokens = new Map<string, number>()
   let lastCellReportMs = -Infinity
+  /** Revisions of the leaving targets in the last report to the cell. */
+  let sentLeaving: ReadonlyMap<string, number> = new Map()
 
-  function leavingTargets (): readonly (readonly [string, number])[] {
+  function leavingTargets (): peerMessages.Report['leavingTargets'] {
     return registry.versionedTargets().filter((versioned) => versioned.target?.leaving === true).map((versioned) => [versioned.id, versioned.revision] as const)
   }
 
-  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'crashes' | 'members'>): peerMessages.Report {
+  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'crashes' | 'members'>): peerMessages.Report {
     sequence += 1
     return {
       ...options.sender,
@@ -69,7 +71,6 @@
       ready: options.isReady(),
       documentVersion: options.documentVersion(),
       targetsRevision: registry.revision(),
-      leavingTargets: leavingTargets(),
       ...content
     }
   }
@@ -86,6 +87,13 @@
     return Object.fromEntries(tokens)
   }
 
+  function leavingTargetsForCell (withListing: boolean): peerMessages.Report['leavingTargets'] {
+    const leaving = leavingTargets()
+    const changed = leaving.filter(([id, revision]) => sentLeaving.get(id) !== revision)
+    sentLeaving = new Map(leaving)
+    return withListing ? leaving : changed
+  }
+
   /** Returns crashes of this daemon since its last report, or, with a listing, also earlier ones. */
   function ownCrashes (withListing: boolean, nowMs: number): peerMessages.Report['crashes'] {
     const sinceMs = withListing ? listingsSince(nowMs) : lastCellReportMs
@@ -102,6 +110,7 @@
       pools: pools.loads(),
       usedTokens: withListing ? Object.fromEntries(caps.used()) : changedTokens(),
       complete: withListing,
+      leavingTargets: leavingTargetsForCell(withListing),
       crashes: ownCrashes(withListing, nowMs),
       members: withListing ? peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS) : []
     }),
@@ -109,6 +118,7 @@
       pools: {},
       usedTokens: cellTokens(),
       complete: true,
+      leavingTargets: leavingTargets(),
       crashes: suspects.select({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), maxCrashes: MAX_REPORTED_CRASHES }),
       members: peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS)
     }),
--- a/packages/gateway/tests/peer-fleet.test.ts
+++ b/packages/gateway/tests/peer-fleet.test.ts
@@ -20,6 +20,7 @@
   readonly caps: routing.tokenCap.TokenCaps
   readonly reportedTokens: gatewayPackage.reportedTokens.ReportedTokens
   readonly suspects: routing.suspects.Suspects
+  readonly registry: routing.targetRegistry.TargetRegistry
 }
 
 interface Fleet {
@@ -36,17 +37,18 @@
   const caps = routing.tokenCap.createTokenCaps({ toleratedTokens: 0 })
   caps.adopt([ORGANISATION], 0)
   const suspects = routing.suspects.createSuspects()
+  const registry = routing.targetRegistry.createTargetRegistry()
   const writer = gatewayPackage.reportWriter.createReportWriter({
     sender: { from: address, incarnation: address, frontAddress: address.replace('7600', '80') },
     peers,
     pools: { loads: () => ({}) } as never,
     caps,
     suspects,
-    registry: routing.targetRegistry.createTargetRegistry(),
+    registry,
     isReady: () => true,
     documentVersion: () => 1
   })
-  return { address, peers, writer, caps, suspects, reportedTokens: gatewayPackage.reportedTokens.createReportedTokens({ caps, countCellTokens: writer.countCellTokens, cellOf: (peer, nowMs) => peers.cellOf(peer, nowMs), intervalMs: (nowMs) => peers.fleetIntervalMs(nowMs) }) }
+  return { address, peers, writer, caps, suspects, registry, reportedTokens: gatewayPackage.reportedTokens.createReportedTokens({ caps, countCellTokens: writer.countCellTokens, cellOf: (peer, nowMs) => peers.cellOf(peer, nowMs), intervalMs: (nowMs) => peers.fleetIntervalMs(nowMs) }) }
 }
 
 /** Creates a fleet in which every daemon knows the first `seeds` members at the start. */
@@ -137,6 +139,33 @@
   })
 }
 
+for (const size of [9, 87]) {
+  suite(`thirty leaving targets add little to the reports of each of ${size} daemons`, () => {
+    const fleet = createFleet(size, size)
+    fleet.simulate(5_000, CONNECTED)
+    fleet.simulate(5_000, CONNECTED)
+    const quietBytes = fleet.mean().bytes
+    for (const { registry } of fleet.members) {
+      for (let revision = 1; revision <= 30; revision += 1) {
+        const id = `i-${String(revision).padStart(10, '0')}`
+        registry.apply({ id, revision, target: { id, service: 'stock', address: '10.9.0.1:80', availabilityZone: 'casa-a', slots: 6, leaving: true } }, fleet.now())
+      }
+    }
+    fleet.simulate(5_000, CONNECTED)
+    const addedBytes = fleet.mean().bytes - quietBytes
+    // The limit of all control traffic is 20 KB/s per daemon (letter 1).
+    assert.ok(addedBytes <= 20_000, `${addedBytes} bytes`)
+  })
+}
+
+suite('a target that leaves is in the next report to the cell and in every listing', () => {
+  const { registry, writer } = createMember('10.0.0.1:7600', () => 0)
+  const reported = (withListing: boolean, nowMs: number): number => writer.writeForCell(withListing, nowMs).leavingTargets.length
+  registry.apply({ id: 'i-1', revision: 7, target: { id: 'i-1', service: 'stock', address: '10.9.0.1:80', availabilityZone: 'casa-a', slots: 6, leaving: true } }, 0)
+  assert.equal([reported(false, 0), reported(false, 70), reported(true, 140), reported(false, 210), reported(true, 280)], [1, 0, 1, 0, 1])
+  assert.is(writer.writeForFleet(280).leavingTargets.length, 1)
+})
+
 suite('a content that crashes targets of three cells is refused everywhere before the fleet counts as stable again, also while other requests break off', () => {
   const fleet = createFleet(87, 87)
   fleet.simulate(5_000, CONNECTED)
