Place a request whose target was unreachable only on a free slot

Cause: a retry is placed without a free slot. The retry budget bounds how many there are, but a request whose target was unreachable has not been sent and uses none of it, so all requests placed on crashed targets moved to the few others of the cell at once.

Change: such a request is placed again as what it is, one that has not run: in its order, on a free slot, or refused truthfully. Retries of requests that may have run are placed as before.

Ruled out: an earlier ejection; connections time out together.

Evidence: the new case of requests.test.ts (a server that accepts nothing) had 12 requests at a target of six slots before, and at most 6 after; 28 of 28 pass.

--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -268,10 +268,10 @@
     return context.budget.acquireRetry(request.service, context.daemons(), context.now())
   }
 
-  private retry (): void {
+  private retry (isRetry = true): void {
     if (this.target !== undefined) this.excludedTargets.add(this.target.id)
     this.exchange = undefined
-    this.requestPlacement(true)
+    this.requestPlacement(isRetry)
   }
 
   /** Abandons a stalled target if the request can be retried. */
@@ -304,7 +304,8 @@
   private onUnreachable (): void {
     this.endPlacement({ kind: 'ended', outcome: 'unreachable' })
     this.unreachableAttempts += 1
-    if (this.unreachableAttempts < MAX_UNREACHABLE_ATTEMPTS) this.retry()
+    // Nothing was sent, so no retry of the budget limits how many requests are placed again; they wait for a free slot.
+    if (this.unreachableAttempts < MAX_UNREACHABLE_ATTEMPTS) this.retry(this.mayHaveRun)
     else this.refuse(this.mayHaveRun ? 'broken' : 'unreachable', REJECTED_RETRY_MS)
   }
 
--- a/packages/gateway/tests/requests.test.ts
+++ b/packages/gateway/tests/requests.test.ts
@@ -1,4 +1,5 @@
 import * as net from 'node:net'
+import * as workerThreads from 'node:worker_threads'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as gatewayPackage from '@persimmonhatch/gateway'
@@ -219,6 +220,58 @@
   assert.match(received, /^HTTP\/1.1 503 /)
 })
 
+/** Listens with a short queue of new connections in a thread that accepts none of them. */
+const SILENT_SERVER = `
+  const { parentPort } = require('node:worker_threads')
+  const server = require('node:net').createServer().listen({ port: 0, host: '127.0.0.1', backlog: 1 }, () => {
+    parentPort.postMessage(server.address().port)
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0)
+  })
+`
+
+/** Starts a server that answers no new connection; `close` stops it. */
+async function openUnreachableServer (): Promise<{ readonly address: string, readonly close: () => Promise<void> }> {
+  const worker = new workerThreads.Worker(SILENT_SERVER, { eval: true })
+  const port = await new Promise<number>((resolve) => { worker.once('message', resolve) })
+  const queued: net.Socket[] = []
+  const isQueueFull = (): Promise<boolean> => new Promise((resolve) => {
+    const socket = net.connect(port, '127.0.0.1', () => { resolve(false) }).on('error', () => {})
+    queued.push(socket)
+    setTimeout(() => { resolve(true) }, 100)
+  })
+  while (!await isQueueFull()) { /* The kernel has queued the connection. */ }
+  return {
+    address: `127.0.0.1:${port}`,
+    close: async () => {
+      for (const socket of queued) socket.destroy()
+      await worker.terminate()
+    }
+  }
+}
+
+suite('requests whose target is unreachable wait for a free slot at another target', async () => {
+  fixture.gateway.adopt({ ...fixtureModule.DOCUMENT, version: 2, services: [{ name: 'stock', connections: 1_000, engine: undefined }] }, 'test')
+  const server = await openUnreachableServer()
+  const target = { id: 'i-unreachable', service: 'stock', address: server.address, availabilityZone: 'casa-a', slots: 24, leaving: false }
+  fixture.gateway.applyTarget({ id: target.id, revision: 50, target }, 'test')
+  const inFlight = new Map<string, number>()
+  let maxInFlight = 0
+  fixture.script((arrival, response) => {
+    const running = (inFlight.get(arrival.target) ?? 0) + 1
+    inFlight.set(arrival.target, running)
+    maxInFlight = Math.max(maxInFlight, running)
+    setTimeout(() => {
+      inFlight.set(arrival.target, (inFlight.get(arrival.target) ?? 0) - 1)
+      fixtureModule.respondComplete(arrival, response)
+    }, 50)
+  })
+  const replies = await Promise.all(Array.from({ length: 36 }, () => fixture.call('/write/7', { method: 'POST', body: 'text' })))
+  await server.close()
+  assert.equal([...new Set(replies.map((reply) => reply.status))], [200])
+  // Each of the other targets has six slots.
+  assert.ok(maxInFlight <= 6, `${maxInFlight} requests at a target`)
+})
+
 suite('an organisation over its cap gets 429 and a Retry-After', async () => {
   const replies = [await fixture.call('/read/7', { headers: { tokens: '400,100' } }), await fixture.call('/read/7', { headers: { tokens: '40000,100' } })]
   assert.equal(replies.map((reply) => reply.status), [200, 429])
