Drop the metric of the time in which callers' connections close

Cause: caller_close_ms was added to tell the hypotheses of GONE apart. Since the end of the caller's side closes the connection, it measures nothing.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -69,14 +69,9 @@
  * Destroys the connection when the caller ends its side within a request. Otherwise Node.js reports the connection as
  * closed only once the rest of the response is sent, which it can't be while the caller reads nothing.
  */
-function closeWithCaller (context: contextModule.Context, incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
+function closeWithCaller (incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
   const { socket } = incoming
-  const handleEnd = (): void => {
-    if (outgoing.writableEnded) return
-    const endedMs = context.now()
-    outgoing.once('close', () => { context.metrics.observe('caller_close_ms', context.now() - endedMs) })
-    outgoing.destroy()
-  }
+  const handleEnd = (): void => { if (!outgoing.writableEnded) outgoing.destroy() }
   socket.once('end', handleEnd)
   outgoing.once('close', () => { socket.off('end', handleEnd) })
 }
@@ -110,7 +105,7 @@
       counted = false
     }
     outgoing.once('close', done)
-    closeWithCaller(context, incoming, outgoing)
+    closeWithCaller(incoming, outgoing)
     const head: admission.RequestHead = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.rawHeaders, arrivedMs: context.now() }
     const admitted = admission.admit(context, head)
     const refuseBody = (): void => { refuse(outgoing, head, 'body-too-large') }
