Split the tests of report sizes from those of membership

Change: the simulated fleet is a fixture of its own, and the seven cases about sizes and leaving targets are report-size.test.ts.

--- /dev/null
+++ b/packages/gateway/tests/report-size.test.ts
@@ -0,0 +1,64 @@
+/**
+ * Sizes of the reports within large fleets while requests fail and targets leave.
+ */
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as fleetModule from './fleet.js'
+
+const suite = uvu.suite('report size')
+
+for (const size of [9, 87, 320]) {
+  suite(`requests that break off at each of ${size} daemons every second add little to the reports`, () => {
+    const fleet = fleetModule.createFleet(size, size)
+    fleet.simulate(5_000, fleetModule.CONNECTED)
+    fleet.simulate(8_000, fleetModule.CONNECTED)
+    const quietBytes = fleet.mean().bytes
+    fleet.simulate(8_000, fleetModule.CONNECTED, () => {
+      for (const [index, { suspects }] of fleet.members.entries()) suspects.record(`content-${index}-${fleet.now()}`, `i-0123456789@${fleet.now()}`, 'own', fleet.now())
+    })
+    const addedBytes = fleet.mean().bytes - quietBytes
+    // The limit of all control traffic is 20 KB/s per daemon (letter 1).
+    assert.ok(addedBytes <= 20_000, `${addedBytes} bytes`)
+  })
+}
+
+for (const size of [9, 87]) {
+  suite(`thirty leaving targets add little to the reports of each of ${size} daemons`, () => {
+    const fleet = fleetModule.createFleet(size, size)
+    fleet.simulate(5_000, fleetModule.CONNECTED)
+    fleet.simulate(5_000, fleetModule.CONNECTED)
+    const quietBytes = fleet.mean().bytes
+    for (const { registry } of fleet.members) {
+      for (let revision = 1; revision <= 30; revision += 1) {
+        const id = `i-${String(revision).padStart(10, '0')}`
+        registry.apply({ id, revision, target: { id, service: 'stock', address: '10.9.0.1:80', availabilityZone: 'casa-a', slots: 6, leaving: true } }, fleet.now())
+      }
+    }
+    fleet.simulate(5_000, fleetModule.CONNECTED)
+    const addedBytes = fleet.mean().bytes - quietBytes
+    // The limit of all control traffic is 20 KB/s per daemon (letter 1).
+    assert.ok(addedBytes <= 20_000, `${addedBytes} bytes`)
+  })
+}
+
+suite('a target that leaves is in the next report to the cell and in every listing', () => {
+  const { registry, writer } = fleetModule.createMember('10.0.0.1:7600', () => 0)
+  const reported = (withListing: boolean, nowMs: number): number => writer.writeForCell(withListing, nowMs).leavingTargets.length
+  registry.apply({ id: 'i-1', revision: 7, target: { id: 'i-1', service: 'stock', address: '10.9.0.1:80', availabilityZone: 'casa-a', slots: 6, leaving: true } }, 0)
+  assert.equal([reported(false, 0), reported(false, 70), reported(true, 140), reported(false, 210), reported(true, 280)], [1, 0, 1, 0, 1])
+  assert.is(writer.writeForFleet(280).leavingTargets.length, 1)
+})
+
+suite('a content that crashes targets of three cells is refused everywhere before the fleet counts as stable again, also while other requests break off', () => {
+  const fleet = fleetModule.createFleet(87, 87)
+  fleet.simulate(5_000, fleetModule.CONNECTED)
+  for (const [index, { suspects }] of fleet.members.entries()) {
+    for (let request = 0; request < 6; request += 1) suspects.record(`content-${index}-${request}`, `i-0123456789@${request}`, 'own', fleet.now())
+    if (index % 29 === 0) suspects.record('poison', `i-${index}@1`, 'own', fleet.now())
+  }
+  // The bound is 4 s (stableMs of the grown sites).
+  fleet.simulate(4_000, fleetModule.CONNECTED)
+  assert.is(fleet.members.filter(({ suspects }) => suspects.isRefused('poison', fleet.now())).length, 87)
+})
+
+suite.run()
