--- a/packages/backing-services/src/etcd-key-value.ts
+++ b/packages/backing-services/src/etcd-key-value.ts
@@ -13,6 +13,9 @@
 
 const DEFAULT_WATCH_IDLE_MS = 60_000
 
+/** etcd does not tell whether it was restored; a watch only fails if its revision is ahead of the service's. */
+const ERA = 0
+
 /** Endpoints and timeouts. */
 export interface Options {
   readonly client: undici.Dispatcher
@@ -104,11 +107,11 @@
     return attempt({ path, body, effect, schema }, endpoints.count)
   }
 
-  async function * watch (prefix: string, afterRevision: number, signal: AbortSignal): AsyncGenerator<readonly keyValue.Change[]> {
+  async function * watch (prefix: string, after: keyValue.Position, signal: AbortSignal): AsyncGenerator<readonly keyValue.Change[]> {
     const endpoint = endpoints.current()
     if (endpoint === undefined) throw noEndpoint()
     try {
-      yield * etcdWatch.etcdWatch({ client: options.client, endpoint, prefix, afterRevision, signal, startTimeoutMs: options.timeoutMs, idleTimeoutMs: options.watchIdleMs ?? DEFAULT_WATCH_IDLE_MS })
+      yield * etcdWatch.etcdWatch({ client: options.client, endpoint, prefix, afterRevision: after.revision, signal, startTimeoutMs: options.timeoutMs, idleTimeoutMs: options.watchIdleMs ?? DEFAULT_WATCH_IDLE_MS })
     } catch (error) {
       if (error instanceof keyValue.PlatformFailure && error.failure === 'unavailable') endpoints.advanceFrom(endpoint)
       throw error
@@ -119,7 +122,7 @@
     get: (key) => call('/v3/kv/range', 'read', etcdSchema.RANGE, { key: etcdSchema.encodeBytes(key) })
       .map((response) => response.kvs[0] && etcdSchema.toEntry(response.kvs[0])),
     list: (prefix) => call('/v3/kv/range', 'read', etcdSchema.RANGE, { key: etcdSchema.encodeBytes(prefix), range_end: etcdSchema.prefixEnd(prefix) })
-      .map((response) => ({ entries: response.kvs.map(etcdSchema.toEntry), revision: response.header.revision })),
+      .map((response) => ({ entries: response.kvs.map(etcdSchema.toEntry), era: ERA, revision: response.header.revision })),
     compareAndSwap: (write) => call('/v3/kv/txn', 'write', etcdSchema.TRANSACTION, swapBody(write)).map(toSwapResult),
     grantLease: (timeToLiveS) => call('/v3/lease/grant', 'write', etcdSchema.LEASE_GRANT, { TTL: String(timeToLiveS) }).map((response) => response.ID),
     // Renewing and revoking a lease are idempotent, so both fail over like reads.
--- a/packages/backing-services/src/key-value.ts
+++ b/packages/backing-services/src/key-value.ts
@@ -12,12 +12,20 @@
   readonly modRevision: number
 }
 
-/** All entries under a prefix. A watch from `revision` delivers the changes that are not in them. */
-export interface Listing {
-  readonly entries: readonly Entry[]
+/**
+ * Point in the history of the service. A service that was restored from a copy is in a later era, in which it
+ * assigns revisions and lease identities again.
+ */
+export interface Position {
+  readonly era: number
   readonly revision: number
 }
 
+/** All entries under a prefix. A watch from its position delivers the changes that are not in them. */
+export interface Listing extends Position {
+  readonly entries: readonly Entry[]
+}
+
 /** Result of a compare-and-swap. `current` is the existing entry when it did not succeed. */
 export interface SwapResult {
   readonly succeeded: boolean
@@ -46,10 +54,11 @@
 /**
  * Why a call to the platform failed. `unavailable`: it certainly had no effect. `unanswered`: a write
  * may have taken effect. `over-limit`: refused because a call limit is spent. `compacted`: the watch
- * can't continue from its revision, so the caller must list again. `malformed`: the response was invalid
- * or rejected the call.
+ * can't continue from its revision, so the caller must list again. `restored`: the service was restored from a
+ * copy since, so the caller must list again, and a write may be lost. `malformed`: the response was invalid or
+ * rejected the call.
  */
-export type FailureKind = 'unavailable' | 'unanswered' | 'over-limit' | 'compacted' | 'malformed'
+export type FailureKind = 'unavailable' | 'unanswered' | 'over-limit' | 'compacted' | 'restored' | 'malformed'
 
 /** Error for a failed call. The message names the remedy. */
 export class PlatformFailure extends Error {
@@ -67,11 +76,11 @@
   readonly get: (key: string) => PlatformResult<Entry | undefined>
   readonly list: (prefix: string) => PlatformResult<Listing>
   readonly compareAndSwap: (write: Write) => PlatformResult<SwapResult>
-  /** Grants a lease and returns its identity, which also serves as a fencing number: later leases have greater identities. */
+  /** Grants a lease and returns its identity, which also serves as a fencing number: later leases of an era have greater identities. */
   readonly grantLease: (timeToLiveS: number) => PlatformResult<string>
   /** Renews a lease and returns its time to live in seconds, or 0 when it has expired. */
   readonly keepLeaseAlive: (lease: string) => PlatformResult<number>
   readonly revokeLease: (lease: string) => PlatformResult<void>
-  /** Yields the changes under a prefix after a revision. Ends by throwing a `PlatformFailure`, or when `signal` aborts. */
-  readonly watch: (prefix: string, afterRevision: number, signal: AbortSignal) => AsyncGenerator<readonly Change[]>
+  /** Yields the changes under a prefix after a position. Ends by throwing a `PlatformFailure`, or when `signal` aborts. */
+  readonly watch: (prefix: string, after: Position, signal: AbortSignal) => AsyncGenerator<readonly Change[]>
 }
--- a/packages/backing-services/src/metered-key-value.ts
+++ b/packages/backing-services/src/metered-key-value.ts
@@ -57,9 +57,9 @@
     grantLease: (timeToLiveS) => call('grantLease', () => inner.grantLease(timeToLiveS)),
     keepLeaseAlive: (lease) => call('keepLeaseAlive', () => inner.keepLeaseAlive(lease)),
     revokeLease: (lease) => call('revokeLease', () => inner.revokeLease(lease)),
-    watch: async function * (prefix, afterRevision, signal) {
+    watch: async function * (prefix, after, signal) {
       if (!admit('watch')) throw overBudget('watch')
-      yield * inner.watch(prefix, afterRevision, signal)
+      yield * inner.watch(prefix, after, signal)
     }
   }
 }
--- a/packages/backing-services/tests/etcd-key-value.test.ts
+++ b/packages/backing-services/tests/etcd-key-value.test.ts
@@ -218,7 +218,7 @@
   await writeValues(store, '/a/1', 2)
   const controller = new AbortController()
   const received: keyValue.Change[] = []
-  for await (const changes of store.watch('/a/', 2, controller.signal)) {
+  for await (const changes of store.watch('/a/', { era: 0, revision: 2 }, controller.signal)) {
     received.push(...changes)
     if (received.length === 1) {
       await store.compareAndSwap({ key: '/other', expectedRevision: 0, value: 'x' })
@@ -234,7 +234,7 @@
 
 async function watchFailure (store: keyValue.KeyValue, afterRevision: number): Promise<string> {
   try {
-    for await (const changes of store.watch('/a/', afterRevision, new AbortController().signal)) assert.ok(changes.length > 0)
+    for await (const changes of store.watch('/a/', { era: 0, revision: afterRevision }, new AbortController().signal)) assert.ok(changes.length > 0)
     return 'ended'
   } catch (error) {
     return (error as keyValue.PlatformFailure).failure
@@ -262,7 +262,7 @@
 
 watches('ends at the service when the consumer stops', async ({ setup }) => {
   await writeValues(setup.store, '/a/1', 1)
-  const changes = setup.store.watch('/a/', 1, new AbortController().signal)
+  const changes = setup.store.watch('/a/', { era: 0, revision: 1 }, new AbortController().signal)
   assert.is((await changes.next()).value?.length, 1)
   await changes.return(undefined)
   let open = 1
--- a/packages/backing-services/tests/metered-key-value.test.ts
+++ b/packages/backing-services/tests/metered-key-value.test.ts
@@ -8,7 +8,7 @@
 
 const stub: keyValue.KeyValue = {
   get: () => neverthrow.okAsync(undefined),
-  list: () => neverthrow.okAsync({ entries: [], revision: 1 }),
+  list: () => neverthrow.okAsync({ entries: [], era: 0, revision: 1 }),
   compareAndSwap: () => neverthrow.okAsync({ succeeded: true, revision: 2, current: undefined }),
   grantLease: () => neverthrow.okAsync('1'),
   keepLeaseAlive: () => neverthrow.okAsync(10),
@@ -24,11 +24,11 @@
   const store = meteredKeyValue.createMeteredKeyValue({ keyValue: stub, callsPerS: 2, burst: 3, now: () => nowMs, count: (kind, result) => counted.push(`${kind} ${result}`) })
   assert.ok((await store.get('/a')).isOk())
   assert.ok((await store.list('/a')).isOk())
-  for await (const changes of store.watch('/a', 1, new AbortController().signal)) assert.is(changes.length, 0)
+  for await (const changes of store.watch('/a', { era: 0, revision: 1 }, new AbortController().signal)) assert.is(changes.length, 0)
   const refused = await store.grantLease(10)
   assert.is(refused._unsafeUnwrapErr().failure, 'over-limit')
   assert.match(refused._unsafeUnwrapErr().message, /raise platform\.callsPerMinute in the settings/)
-  await store.watch('/a', 1, new AbortController().signal).next().then(() => assert.unreachable(), (error: unknown) => assert.instance(error, keyValue.PlatformFailure))
+  await store.watch('/a', { era: 0, revision: 1 }, new AbortController().signal).next().then(() => assert.unreachable(), (error: unknown) => assert.instance(error, keyValue.PlatformFailure))
   nowMs = 500
   assert.ok((await store.keepLeaseAlive('1')).isOk())
   assert.ok((await store.revokeLease('1')).isErr())
--- a/packages/bench/src/roles/platform-calls.ts
+++ b/packages/bench/src/roles/platform-calls.ts
@@ -60,7 +60,7 @@
 async function documentChangeBytes (organisations: number): Promise<number> {
   const platform = await openMeteredPlatform()
   const stop = new AbortController()
-  const changes = platform.keyValue.watch(document.storedDocument.KEY_PREFIX, 0, stop.signal)
+  const changes = platform.keyValue.watch(document.storedDocument.KEY_PREFIX, { era: 0, revision: 0 }, stop.signal)
   const firstChange = changes.next()
   await new Promise((resolve) => { setTimeout(resolve, WATCH_SETUP_MS) })
   const content = workload.createDocumentText({ targets: 30, organisations })
--- a/packages/cli/tests/harness.ts
+++ b/packages/cli/tests/harness.ts
@@ -126,7 +126,7 @@
     const unused = (): never => { throw new Error('the tool must neither use leases nor watch') }
     return {
       get: (key) => this.respond(() => this.entries.get(key)),
-      list: (prefix) => this.respond(() => ({ entries: [...this.entries.values()].filter((entry) => entry.key.startsWith(prefix)), revision: this.revision })),
+      list: (prefix) => this.respond(() => ({ entries: [...this.entries.values()].filter((entry) => entry.key.startsWith(prefix)), era: 0, revision: this.revision })),
       compareAndSwap: (write) => this.compareAndSwap(write),
       grantLease: unused,
       keepLeaseAlive: unused,
--- a/packages/daemon/src/tasks/watch-documents.ts
+++ b/packages/daemon/src/tasks/watch-documents.ts
@@ -28,7 +28,7 @@
   return { service: key.slice(document.storedDocument.KEY_PREFIX.length), text, source: 'platform' }
 }
 
-async function readListing (options: Options): Promise<number> {
+async function readListing (options: Options): Promise<backing.keyValue.Position> {
   const listing = await options.keyValue.list(document.storedDocument.KEY_PREFIX)
   if (listing.isErr()) throw listing.error
   const present = new Set(listing.value.entries.map((entry) => entry.key))
@@ -38,11 +38,11 @@
     ...missing.map((key) => toCopy(key, undefined))
   ])
   options.onListing()
-  return listing.value.revision
+  return listing.value
 }
 
-async function watchChanges (options: Options, revision: number, signal: AbortSignal): Promise<void> {
-  for await (const changes of options.keyValue.watch(document.storedDocument.KEY_PREFIX, revision, signal)) {
+async function watchChanges (options: Options, after: backing.keyValue.Position, signal: AbortSignal): Promise<void> {
+  for await (const changes of options.keyValue.watch(document.storedDocument.KEY_PREFIX, after, signal)) {
     options.onCopies(changes.map((change) => toCopy(change.key, change.value)))
   }
 }
@@ -59,9 +59,9 @@
   const delays = backing.backoff.createBackoff({ initialCeilingMs: INITIAL_RETRY_CEILING_MS, maxCeilingMs: MAX_RETRY_CEILING_MS, random: options.random })
   while (!signal.aborted) {
     try {
-      const revision = await readListing(options)
+      const position = await readListing(options)
       delays.reset()
-      await watchChanges(options, revision, signal)
+      await watchChanges(options, position, signal)
     } catch (error) {
       options.onFailure(error instanceof backing.keyValue.PlatformFailure ? error.failure : 'malformed')
     }
