Order the states of targets by era and by the targets' own reports

What callers would have seen: after the store was restored from a copy, targets that left or moved went on getting requests, targets that came back got none, and daemons disagreed until the store's revision had passed that of before. Cause: the registry and the reports between daemons took revisions as one order. Entries written again with lower revisions were dropped, a copy's entry could bring back a target that had left, and a peer that had not noticed the new era beat one that had. Same class as the watch: an order of one history used across two. Change: states carry era, revision and the target's own report. Reports between daemons name era and revision. A gateway follows its peer into a later era at a lower revision.

--- a/packages/backing-services/src/key-value.ts
+++ b/packages/backing-services/src/key-value.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type * as protocol from '@persimmonhatch/protocol'
 import type * as neverthrow from 'neverthrow'
 
 /** Stored value. `modRevision` increases with every write to the key. */
@@ -12,14 +13,8 @@
   readonly modRevision: number
 }
 
-/**
- * Point in the history of the service. A service that was restored from a copy is in a later era, in which it
- * assigns revisions and lease identities again.
- */
-export interface Position {
-  readonly era: number
-  readonly revision: number
-}
+/** Point in the history of the service. */
+export type Position = protocol.StorePosition
 
 /** All entries under a prefix. A watch from its position delivers the changes that are not in them. */
 export interface Listing extends Position {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -160,24 +160,22 @@
     this.reports?.changed()
   }
 
-  applyTarget (versioned: routing.targetRegistry.VersionedTarget, source: string): void {
-    if (!this.registry.apply(versioned, this.now())) return
-    const { id, revision, target } = versioned
-    this.log.change('target learnt', { target: id, revision, state: peerReports.stateOf(target), service: target?.service, source })
-    this.refreshTargets()
-    if (target === undefined || target.leaving) this.reports?.changed()
+  /** Applies a target's state from a peer. */
+  applyTarget (versioned: routing.targetRegistry.VersionedTarget, peer: string): void {
+    if (this.registry.apply(versioned, this.now())) this.handleTargetChange(versioned, peer)
   }
 
   /** Applies the next change from the watch on the store. */
   applyStoreTarget (versioned: routing.targetRegistry.VersionedTarget): void {
-    this.applyTarget(versioned, 'store')
-    this.registry.advanceRevision(versioned.revision)
+    if (this.registry.applyChange(versioned, this.now())) this.handleTargetChange(versioned, 'store')
+    this.registry.advanceTo(versioned)
   }
 
   /** Applies a listing of all targets. */
-  applyTargetListing (versionedTargets: readonly routing.targetRegistry.VersionedTarget[], revision: number): void {
-    this.registry.applyListing(versionedTargets, revision, this.now())
-    this.log.change('targets listed', { targets: versionedTargets.length, revision })
+  applyTargetListing (listing: routing.targetRegistry.TargetListing): void {
+    this.registry.applyListing(listing, this.now())
+    const { era, revision, targets, isProvisional } = listing
+    this.log.change('targets listed', { targets: targets.length, era, revision, isProvisional })
     this.refreshTargets()
   }
 
@@ -203,25 +201,27 @@
 
   /** Returns the state for peers that can't reach the store. */
   sharedState (): peerMessages.SharedState {
-    return { document: this.document, targetsRevision: this.registry.revision(), targets: this.registry.versionedTargets() }
+    return { document: this.document, targetsPosition: this.registry.position(), targets: this.registry.versionedTargets() }
   }
 
-  /** Returns a peer that holds the targets as of a later revision, and that revision. */
-  peerWithLaterTargets (): { readonly from: string, readonly targetsRevision: number } | undefined {
-    const ownRevision = this.registry.revision()
-    return this.peers.recentPeers(this.now()).map((peer) => peer.report).find((report) => report.targetsRevision > ownRevision)
+  /** Returns a peer that holds the targets as of a later position, and that position. */
+  peerWithLaterTargets (): { readonly from: string, readonly position: routing.targetRegistry.Position } | undefined {
+    const ownPosition = this.registry.position()
+    return this.peers.recentPeers(this.now())
+      .map(({ report: { from, targetsPosition: [era, revision] } }) => ({ from, position: { era, revision } }))
+      .find(({ position }) => routing.targetRegistry.isLater(position, ownPosition))
   }
 
-  /** Returns the revision of the store up to which the changes of targets are applied. */
-  targetsRevision (): number {
-    return this.registry.revision()
+  /** Returns the position of the store up to which the changes of targets are applied. */
+  targetsPosition (): routing.targetRegistry.Position {
+    return this.registry.position()
   }
 
   /** Applies the state of a peer. */
   applySharedState (state: peerMessages.SharedState, peer: string): void {
     if (state.document !== undefined) this.adopt(state.document, peer)
     for (const versioned of state.targets) this.applyTarget(versioned, peer)
-    this.registry.advanceRevision(state.targetsRevision)
+    this.registry.advanceTo(state.targetsPosition)
   }
 
   /** Returns the endpoints of reachable peers in the cell. */
@@ -259,6 +259,12 @@
     await this.clients.close()
   }
 
+  private handleTargetChange ({ id, era, revision, target }: routing.targetRegistry.VersionedTarget, source: string): void {
+    this.log.change('target learnt', { target: id, era, revision, state: peerReports.stateOf(target), service: target?.service, source })
+    this.refreshTargets()
+    if (target === undefined || target.leaving) this.reports?.changed()
+  }
+
   private now (): number {
     return performance.now()
   }
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -8,6 +8,9 @@
 /** A member as reported by a peer, with the time since its last report. */
 export type Member = readonly [address: string, frontAddress: string, ready: boolean, ageMs: number]
 
+/** Position and report of a leaving target, whose other fields the recipient knows from the store; `started` is in ms, base 36. */
+export type LeavingTarget = readonly [id: string, era: number, revision: number, ...report: readonly [started: string, sequence: number] | readonly []]
+
 /** Load and state of a daemon, sent to its peers several times a second. */
 export interface Report {
   /** Endpoint of the sender's peer port, as `host:port`. */
@@ -20,14 +23,14 @@
   readonly frontAddress: string
   readonly ready: boolean
   readonly documentVersion: number
-  /** Revision of the store up to which the sender has applied the changes of targets. */
-  readonly targetsRevision: number
+  /** Position of the store up to which the sender has applied the changes of targets. */
+  readonly targetsPosition: readonly [era: number, revision: number]
   readonly pools: Readonly<Record<string, routing.poolEvent.PeerLoad>>
   /** Tokens admitted since the start of the process minus refunds, by organisation: of the sender, or of its cell as far as reported to it. */
   readonly usedTokens: Readonly<Record<string, number>>
   /** Whether `usedTokens` has every organisation that has used tokens; otherwise it has those whose totals have changed since the last report. */
   readonly complete: boolean
-  readonly leavingTargets: readonly (readonly [id: string, revision: number])[]
+  readonly leavingTargets: readonly LeavingTarget[]
   readonly crashes: readonly (readonly [fingerprint: string, crash: string])[]
   /** Peers from which or about which the sender has received reports recently; empty in most reports. */
   readonly members: readonly Member[]
@@ -36,12 +39,38 @@
 /** All state from the store, for peers that can't reach it. */
 export interface SharedState {
   readonly document: routing.document.RoutingDocument | undefined
-  readonly targetsRevision: number
+  readonly targetsPosition: routing.targetRegistry.Position
   readonly targets: readonly routing.targetRegistry.VersionedTarget[]
 }
 
 const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], crashes: [], members: [] }
 
+const STARTED_RADIX = 36
+
+/**
+ * Returns a leaving target for a report.
+ *
+ * @example
+ * ```ts
+ * toLeavingTarget({ id: 'i-1', era: 1, revision: 30, report: { startedMs: 1_764_841_234_567, sequence: 7 }, target })
+ * ```
+ */
+export function toLeavingTarget ({ id, era, revision, report }: routing.targetRegistry.VersionedTarget): LeavingTarget {
+  return report === undefined ? [id, era, revision] : [id, era, revision, report.startedMs.toString(STARTED_RADIX), report.sequence]
+}
+
+/**
+ * Returns a leaving target's own report; undefined if it states none.
+ *
+ * @example
+ * ```ts
+ * selfReportOf(['i-1', 1, 30, 'mis1g9x3', 7])
+ * ```
+ */
+export function selfReportOf ([,,, started, sequence]: LeavingTarget): routing.targetRegistry.SelfReport | undefined {
+  return started === undefined || sequence === undefined ? undefined : { startedMs: parseInt(started, STARTED_RADIX), sequence }
+}
+
 /**
  * Returns the message for a report, without empty fields.
  *
@@ -69,6 +98,7 @@
   const report = { ...EMPTY_FIELDS, ...message } as Partial<Report>
   const isComplete = typeof report.from === 'string' && typeof report.incarnation === 'string' && typeof report.sequence === 'number' &&
     typeof report.pools === 'object' && typeof report.usedTokens === 'object' && Array.isArray(report.members) &&
-    Array.isArray(report.leavingTargets) && Array.isArray(report.crashes)
+    Array.isArray(report.leavingTargets) && Array.isArray(report.crashes) &&
+    Array.isArray(report.targetsPosition)
   return isComplete ? report as Report : undefined
 }
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -5,7 +5,7 @@
  */
 import type * as routing from '@persimmonhatch/routing'
 import type * as eventLog from './event-log.js'
-import type * as peerMessages from './peer-messages.js'
+import * as peerMessages from './peer-messages.js'
 import type * as metricsModule from './metrics.js'
 import type * as peerPort from './peer-port.js'
 import * as reportWriter from './report-writer.js'
@@ -106,9 +106,10 @@
   function applyLeavingTargets (report: peerMessages.Report): void {
     if (report.leavingTargets.length === 0) return
     const versionedTargets = new Map(registry.versionedTargets().map((versioned) => [versioned.id, versioned]))
-    for (const [id, revision] of report.leavingTargets) {
-      const versioned = versionedTargets.get(id)
-      if (versioned?.target !== undefined) options.applyTarget({ id, revision, target: { ...versioned.target, leaving: true } }, report.from)
+    for (const leavingTarget of report.leavingTargets) {
+      const [id, era, revision] = leavingTarget
+      const target = versionedTargets.get(id)?.target
+      if (target !== undefined) options.applyTarget({ id, era, revision, report: peerMessages.selfReportOf(leavingTarget), target: { ...target, leaving: true } }, report.from)
     }
   }
 
--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type * as routing from '@persimmonhatch/routing'
-import type * as peerMessages from './peer-messages.js'
+import * as peerMessages from './peer-messages.js'
 import type * as peerTable from './peer-table.js'
 import type * as servicePools from './service-pools.js'
 
@@ -55,22 +55,23 @@
   /** Totals in the reports that were sent to the cell, by organisation. */
   const sentTokens = new Map<string, number>()
   let lastCellReportMs = -Infinity
-  /** Revisions of the leaving targets in the last report to the cell. */
-  let sentLeaving: ReadonlyMap<string, number> = new Map()
+  /** Leaving targets in the last report to the cell, at their positions. */
+  let sentLeaving: ReadonlySet<string> = new Set()
 
   function leavingTargets (): peerMessages.Report['leavingTargets'] {
-    return registry.versionedTargets().filter((versioned) => versioned.target?.leaving === true).map((versioned) => [versioned.id, versioned.revision] as const)
+    return registry.versionedTargets().filter((versioned) => versioned.target?.leaving === true).map(peerMessages.toLeavingTarget)
   }
 
   function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'crashes' | 'members'>): peerMessages.Report {
     sequence += 1
+    const { era, revision } = registry.position()
     return {
       ...options.sender,
       sequence,
       scope,
       ready: options.isReady(),
       documentVersion: options.documentVersion(),
-      targetsRevision: registry.revision(),
+      targetsPosition: [era, revision],
       ...content
     }
   }
@@ -89,8 +90,8 @@
 
   function leavingTargetsForCell (withListing: boolean): peerMessages.Report['leavingTargets'] {
     const leaving = leavingTargets()
-    const changed = leaving.filter(([id, revision]) => sentLeaving.get(id) !== revision)
-    sentLeaving = new Map(leaving)
+    const changed = leaving.filter((target) => !sentLeaving.has(target.join()))
+    sentLeaving = new Set(leaving.map((target) => target.join()))
     return withListing ? leaving : changed
   }
 
--- a/packages/gateway/src/state-sync.ts
+++ b/packages/gateway/src/state-sync.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import * as hono from 'hono'
+import * as routing from '@persimmonhatch/routing'
 import * as undici from 'undici'
 import type * as gatewayModule from './gateway.js'
 import * as httpEndpoint from './http-endpoint.js'
@@ -46,8 +47,8 @@
   const { gateway } = options
   let lastQueryMs = -Infinity
   let isQuerying = false
-  /** Revision of the targets that peers hold and this daemon does not, and since when. */
-  let expected: { readonly revision: number, readonly sinceMs: number } | undefined
+  /** Position of the targets that peers hold and this daemon does not, and since when. */
+  let expected: { readonly position: routing.targetRegistry.Position, readonly sinceMs: number } | undefined
 
   async function query (peer: string): Promise<void> {
     const response = await client.request({ origin: `http://${peer}`, path: SHARED_STATE_PATH, method: 'GET', signal: AbortSignal.timeout(QUERY_TIMEOUT_MS) })
@@ -56,12 +57,12 @@
 
   /** Returns a peer that holds later targets, once the store had time to deliver them here as well. */
   function peerAheadOfStore (nowMs: number): string | undefined {
-    const ownRevision = gateway.targetsRevision()
-    if (expected !== undefined && ownRevision >= expected.revision) expected = undefined
+    const ownPosition = gateway.targetsPosition()
+    if (expected !== undefined && !routing.targetRegistry.isLater(expected.position, ownPosition)) expected = undefined
     const peer = gateway.peerWithLaterTargets()
     if (peer === undefined) return undefined
-    expected ??= { revision: peer.targetsRevision, sinceMs: nowMs }
-    return ownRevision === 0 || nowMs - expected.sinceMs > MAX_STORE_LAG_MS ? peer.from : undefined
+    expected ??= { position: peer.position, sinceMs: nowMs }
+    return ownPosition.revision === 0 || nowMs - expected.sinceMs > MAX_STORE_LAG_MS ? peer.from : undefined
   }
 
   function queryWhenDue (): void {
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -162,7 +162,7 @@
   gateway.adopt(document, 'test')
   for (const [index, address] of addresses.entries()) {
     const id = `i-${index + 1}`
-    gateway.applyTarget({ id, revision: index + 1, target: { id, service: 'stock', address, availabilityZone: 'casa-a', slots: 6, leaving: false } }, 'test')
+    gateway.applyTarget({ id, era: 1, revision: index + 1, target: { id, service: 'stock', address, availabilityZone: 'casa-a', slots: 6, leaving: false } }, 'test')
   }
   return {
     gateway,
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as gatewayPackage from '@persimmonhatch/gateway'
+import type * as routing from '@persimmonhatch/routing'
 import * as fixtureModule from './fixture.js'
 
 const suite = uvu.suite('peers')
@@ -18,7 +19,7 @@
 
 function reportOf (changes: object): string {
   const params = {
-    from: '127.0.0.9:7600', incarnation: 'a', sequence: 1, frontAddress: '127.0.0.9:80', ready: true, documentVersion: 1, pools: {}, usedTokens: {}, leavingTargets: [], crashes: [], members: [], scope: 'cell', targetsRevision: 0, complete: true, ...changes
+    from: '127.0.0.9:7600', incarnation: 'a', sequence: 1, frontAddress: '127.0.0.9:80', ready: true, documentVersion: 1, pools: {}, usedTokens: {}, leavingTargets: [], crashes: [], members: [], scope: 'cell', targetsPosition: [0, 0], complete: true, ...changes
   }
   return JSON.stringify({ jsonrpc: '2.0', method: 'report', params })
 }
@@ -41,7 +42,7 @@
 
 suite('a target that a peer reports as leaving gets no new requests', async () => {
   const fixture = await fixtureModule.openFixture(2)
-  await sendDatagram(fixture.peerAddress, reportOf({ leavingTargets: [['i-1', 90]] }))
+  await sendDatagram(fixture.peerAddress, reportOf({ leavingTargets: [['i-1', 1, 90]] }))
   await until(() => fixture.gateway.sharedState().targets.some((versioned) => versioned.target?.leaving === true))
   for (let index = 0; index < 6; index += 1) await fixture.call('/read/7')
   assert.equal([...new Set(fixture.arrivals.map((arrival) => arrival.target))], ['i-2'])
@@ -116,18 +117,40 @@
   for (const fixture of fixtures) await fixture.close()
 })
 
-suite('a target that the store delivers only to a peer is synchronised from it', async () => {
-  const fixtures = [await fixtureModule.openFixture(1), await fixtureModule.openFixture(1)]
-  const [source, follower] = fixtures
-  if (source === undefined || follower === undefined) throw new Error('A fixture is missing.')
-  const syncs = await Promise.all(fixtures.map((fixture) => gatewayPackage.stateSync.openStateSync({ gateway: fixture.gateway, address: fixture.peerAddress })))
-  follower.gateway.addPeer(source.peerAddress)
-  const target = { id: 'i-9', service: 'stock', address: '127.0.0.1:9', availabilityZone: 'casa-a', slots: 2, leaving: false }
-  source.gateway.applyStoreTarget({ id: 'i-9', revision: 1_000, target })
-  await until(() => follower.gateway.sharedState().targets.some((versioned) => versioned.id === 'i-9'))
-  assert.is(follower.gateway.targetsRevision(), 1_000)
-  for (const sync of syncs) sync.close()
-  for (const fixture of fixtures) await fixture.close()
+const DELIVERED_TO_PEER: readonly (readonly [description: string, own: routing.targetRegistry.Position, delivered: routing.targetRegistry.Position])[] = [
+  ['at a later revision', { era: 1, revision: 20 }, { era: 1, revision: 1_000 }],
+  ['at a lower revision of a later era', { era: 1, revision: 1_000 }, { era: 2, revision: 20 }]
+]
+
+for (const [description, own, delivered] of DELIVERED_TO_PEER) {
+  suite(`a target that the store delivers only to a peer, ${description}, is synchronised from it`, async () => {
+    const fixtures = [await fixtureModule.openFixture(1), await fixtureModule.openFixture(1)]
+    const [source, follower] = fixtures
+    if (source === undefined || follower === undefined) throw new Error('A fixture is missing.')
+    const target = { id: 'i-9', service: 'stock', address: '127.0.0.1:9', availabilityZone: 'casa-a', slots: 2, leaving: false }
+    const [atStart, moved] = [{ startedMs: 5, sequence: 1 }, { startedMs: 5, sequence: 2 }]
+    for (const { gateway } of fixtures) gateway.applyStoreTarget({ id: 'i-9', ...own, report: atStart, target })
+    const syncs = await Promise.all(fixtures.map((fixture) => gatewayPackage.stateSync.openStateSync({ gateway: fixture.gateway, address: fixture.peerAddress })))
+    follower.gateway.addPeer(source.peerAddress)
+    source.gateway.applyStoreTarget({ id: 'i-9', ...delivered, report: moved, target: { ...target, address: '127.0.0.1:10' } })
+    await until(() => follower.gateway.sharedState().targets.some((versioned) => versioned.target?.address === '127.0.0.1:10'))
+    assert.equal(follower.gateway.targetsPosition(), delivered)
+    for (const sync of syncs) sync.close()
+    for (const fixture of fixtures) await fixture.close()
+  })
+}
+
+suite('a target that a peer reports as leaving since before a restoration gets no new requests', async () => {
+  const fixture = await fixtureModule.openFixture(2)
+  const leaving = fixture.gateway.sharedState().targets.find((versioned) => versioned.id === 'i-1')
+  if (leaving === undefined) throw new Error('The fixture has no target.')
+  fixture.gateway.applyStoreTarget({ ...leaving, era: 2, revision: 7, report: { startedMs: 1_764_841_234_567, sequence: 3 } })
+  const reported = gatewayPackage.peerMessages.toLeavingTarget({ ...leaving, era: 1, revision: 90, report: { startedMs: 1_764_841_234_567, sequence: 40 } })
+  await sendDatagram(fixture.peerAddress, reportOf({ leavingTargets: [reported] }))
+  await until(() => fixture.gateway.sharedState().targets.some((versioned) => versioned.target?.leaving === true))
+  for (let index = 0; index < 6; index += 1) await fixture.call('/read/7')
+  assert.equal([...new Set(fixture.arrivals.map((arrival) => arrival.target))], ['i-2'])
+  await fixture.close()
 })
 
 suite.run()
--- a/packages/gateway/tests/requests.test.ts
+++ b/packages/gateway/tests/requests.test.ts
@@ -199,7 +199,7 @@
   const { targets } = fixture.gateway.sharedState()
   const leaving = targets[0]?.target
   assert.ok(leaving !== undefined)
-  if (leaving !== undefined) fixture.gateway.applyTarget({ id: leaving.id, revision: 50, target: { ...leaving, leaving: true } }, 'test')
+  if (leaving !== undefined) fixture.gateway.applyTarget({ id: leaving.id, era: 1, revision: 50, target: { ...leaving, leaving: true } }, 'test')
   for (let index = 0; index < 6; index += 1) await fixture.call('/read/7')
   assert.ok(fixture.arrivals.every((arrival) => arrival.target !== leaving?.id))
 })
@@ -257,7 +257,7 @@
   fixture.gateway.adopt({ ...fixtureModule.DOCUMENT, version: 2, routes, services: [{ name: 'stock', connections: 1_000, engine: undefined }] }, 'test')
   const server = await openUnreachableServer()
   const target = { id: 'i-unreachable', service: 'stock', address: server.address, availabilityZone: 'casa-a', slots: 24, leaving: false }
-  fixture.gateway.applyTarget({ id: target.id, revision: 50, target }, 'test')
+  fixture.gateway.applyTarget({ id: target.id, era: 1, revision: 50, target }, 'test')
   const inFlight = new Map<string, number>()
   let maxInFlight = 0
   fixture.script((arrival, response) => {
--- a/packages/protocol/src/common-types.ts
+++ b/packages/protocol/src/common-types.ts
@@ -18,3 +18,12 @@
 
 /** Injected source of random numbers in [0, 1). */
 export type Random = () => number
+
+/**
+ * A point in the history of a store. A store that was restored from a copy is in a later era, in which it assigns
+ * revisions and lease identities again.
+ */
+export interface StorePosition {
+  readonly era: number
+  readonly revision: number
+}
--- a/packages/routing/src/target-registry.ts
+++ b/packages/routing/src/target-registry.ts
@@ -5,8 +5,13 @@
  * for a short time, but only if its service has no other target: entries also expire while the store is
  * unavailable and reappear when it is available again.
  *
+ * A store that was restored from a copy holds earlier states of targets. Positions of different eras say nothing
+ * about which of two states is later, so the targets' own reports decide between them, until the store has been
+ * listed again.
+ *
  * @module
  */
+import type * as protocol from '@persimmonhatch/protocol'
 
 /** A target as it is registered in the store. */
 export interface Target {
@@ -18,29 +23,53 @@
   readonly leaving: boolean
 }
 
-/** State of a target at a revision of the store; `target` is undefined if its entry was removed. */
-export interface VersionedTarget {
+/** Point in the history of the store. */
+export type Position = protocol.StorePosition
+
+/** A target's report about itself, on which its state in the store is based. */
+export interface SelfReport {
+  /** Time at which the target started, Unix ms. */
+  readonly startedMs: number
+  /** Rises with each report since the start. */
+  readonly sequence: number
+}
+
+/** State of a target at a position of the store; `target` is undefined if its entry was removed. */
+export interface VersionedTarget extends Position {
   readonly id: string
-  readonly revision: number
+  /** Latest report that this state takes into account; undefined if the target numbers none. */
+  readonly report?: SelfReport | undefined
   readonly target: Target | undefined
 }
 
+/** A listing of all targets. */
+export interface TargetListing extends Position {
+  readonly targets: readonly VersionedTarget[]
+  /**
+   * Whether the store has just been restored from a copy. Until targets have written again, entries may be older
+   * than what is known of them, and absent ones need not be gone.
+   */
+  readonly isProvisional: boolean
+}
+
 /** Time for which a target is used as a last resort after its entry was removed, ms. */
 const LAST_RESORT_TARGET_MS = 1_200
 
 /** The targets of all services. */
 export interface TargetRegistry {
-  /** Applies the state of a target unless it is outdated; returns whether it was applied. */
+  /** Applies a state from a peer unless it is outdated; returns whether it was applied. */
   readonly apply: (versioned: VersionedTarget, nowMs: number) => boolean
+  /** Applies a change that the store has delivered unless it is outdated; returns whether it was applied. */
+  readonly applyChange: (versioned: VersionedTarget, nowMs: number) => boolean
   /** Applies a complete listing: targets that are not in it are removed. */
-  readonly applyListing: (versionedTargets: readonly VersionedTarget[], revision: number, nowMs: number) => void
+  readonly applyListing: (listing: TargetListing, nowMs: number) => void
   /** Returns the targets that may receive new requests. */
   readonly usable: (service: string, nowMs: number) => readonly Target[]
   readonly versionedTargets: () => readonly VersionedTarget[]
-  /** Returns the revision of the store up to which all changes are applied. */
-  readonly revision: () => number
-  /** Records that all changes up to a revision are applied. */
-  readonly advanceRevision: (revision: number) => void
+  /** Returns the position of the store up to which all changes are applied. */
+  readonly position: () => Position
+  /** Records that all changes up to a position are applied. */
+  readonly advanceTo: (position: Position) => void
 }
 
 interface RegistryEntry {
@@ -50,38 +79,77 @@
   readonly removedAtMs: number
 }
 
+const INITIAL_POSITION: Position = { era: 0, revision: 0 }
+
+/**
+ * Returns whether a position is later than another in the history of the store.
+ *
+ * @example
+ * ```ts
+ * isLater({ era: 2, revision: 7 }, { era: 1, revision: 90 }) // true
+ * ```
+ */
+export function isLater (position: Position, other: Position): boolean {
+  return position.era === other.era ? position.revision > other.revision : position.era > other.era
+}
+
+/** Returns a positive number if the first report is later, a negative one if the second is. */
+function compareReports (report: SelfReport, other: SelfReport): number {
+  return report.startedMs - other.startedMs || report.sequence - other.sequence
+}
+
+/** Returns how far a target has got in leaving, which it does not take back before its next start. */
+function departureOf (target: Target | undefined): number {
+  if (target === undefined) return 2
+  return target.leaving ? 1 : 0
+}
+
+/** Returns whether a state is later than another whose era may differ. */
+function isLaterState (next: VersionedTarget, held: VersionedTarget): boolean {
+  if (next.era === held.era || next.report === undefined || held.report === undefined) return isLater(next, held)
+  const order = compareReports(next.report, held.report) || departureOf(next.target) - departureOf(held.target)
+  return order === 0 ? isLater(next, held) : order > 0
+}
+
 /**
  * Creates a registry without targets.
  *
  * @example
  * ```ts
- * registry.apply({ id: 'i-1', revision: 7, target }, nowMs)
+ * registry.applyChange({ id: 'i-1', era: 1, revision: 7, report: { startedMs, sequence: 4 }, target }, nowMs)
  * const candidates = registry.usable('support', nowMs)
  * ```
  */
 export function createTargetRegistry (): TargetRegistry {
   const entries = new Map<string, RegistryEntry>()
-  let appliedRevision = 0
+  let applied = INITIAL_POSITION
 
-  function advanceRevision (revision: number): void {
-    appliedRevision = Math.max(appliedRevision, revision)
+  function advanceTo ({ era, revision }: Position): void {
+    if (isLater({ era, revision }, applied)) applied = { era, revision }
   }
 
-  function apply (versioned: VersionedTarget, nowMs: number): boolean {
+  function applyIf (isApplied: (next: VersionedTarget, held: VersionedTarget) => boolean, versioned: VersionedTarget, nowMs: number): boolean {
     const previous = entries.get(versioned.id)
-    if (previous !== undefined && previous.versioned.revision >= versioned.revision) return false
+    if (previous !== undefined && !isApplied(versioned, previous.versioned)) return false
     const wasLeaving = previous?.versioned.target?.leaving === true
     const lastTarget = versioned.target ?? (wasLeaving ? undefined : previous?.versioned.target)
-    entries.set(versioned.id, { versioned, lastTarget, removedAtMs: nowMs })
+    const report = versioned.report ?? (versioned.target === undefined ? previous?.versioned.report : undefined)
+    entries.set(versioned.id, { versioned: { ...versioned, report }, lastTarget, removedAtMs: nowMs })
     return true
   }
 
-  function applyListing (versionedTargets: readonly VersionedTarget[], revision: number, nowMs: number): void {
-    advanceRevision(revision)
-    const listedIds = new Set(versionedTargets.map((versioned) => versioned.id))
-    for (const versioned of versionedTargets) apply(versioned, nowMs)
+  const apply = (versioned: VersionedTarget, nowMs: number): boolean => applyIf(isLaterState, versioned, nowMs)
+  const applyChange = (versioned: VersionedTarget, nowMs: number): boolean => applyIf(isLater, versioned, nowMs)
+
+  function applyListing (listing: TargetListing, nowMs: number): void {
+    const { era, revision, targets, isProvisional } = listing
+    advanceTo(listing)
+    const listedIds = new Set(targets.map((versioned) => versioned.id))
+    for (const versioned of targets) applyIf(isProvisional ? isLaterState : isLater, versioned, nowMs)
     for (const [id, { versioned }] of [...entries]) {
-      if (!listedIds.has(id) && versioned.target !== undefined) apply({ id, revision, target: undefined }, nowMs)
+      const mayBeWrittenAgain = isProvisional && versioned.era < era
+      if (listedIds.has(id) || versioned.target === undefined || mayBeWrittenAgain) continue
+      applyChange({ id, era, revision, target: undefined }, nowMs)
     }
   }
 
@@ -95,5 +163,5 @@
     return ready.length > 0 ? ready : lastResort
   }
 
-  return { apply, applyListing, usable, advanceRevision, revision: () => appliedRevision, versionedTargets: () => [...entries.values()].map((entry) => entry.versioned) }
+  return { apply, applyChange, applyListing, usable, advanceTo, position: () => applied, versionedTargets: () => [...entries.values()].map((entry) => entry.versioned) }
 }
