--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -352,7 +352,14 @@
   private onBroken (message: string): void {
     const { context, request } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'failed' })
-    context.log.request('target broke off', { request: request.requestId, target: this.target?.id, detail: message, lastEvent: this.lastId })
+    context.log.request('target broke off', {
+      request: request.requestId,
+      target: this.target?.id,
+      detail: message,
+      awaitedFirstEvent: this.awaitsFirstEvent,
+      lastEvent: this.lastId,
+      promptSegments: request.promptSegments
+    })
     if (this.target !== undefined) context.suspects.record(this.contentFingerprint, `${this.target.id}@${Math.round(context.now())}`, 'own', context.now())
     if (this.isRetryable && this.acquireRetry()) this.retry()
     else this.refuse('broken')
