Refuse requests with a prompt segment that crashes targets, by the evidence of the whole fleet

Cause: evidence was kept by a fingerprint of the whole content, and no two requests with the part are alike. Besides, every request that broke off counted as a suspect, sound ones that had begun too. Change: evidence is kept by trait, that is the content and each segment of the prompt but the last. A crash counts against the traits of requests that the target had not begun to answer, if the request was sent after the crash before; answers that begin clear traits over the fleet. A segment is refused after three crashes (two targets, two contents), tried by one daemon at a time after 20 s, and absolves the segments beside it. Class of fault: a fault is looked for under a key that no two instances share.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -22,6 +22,8 @@
   readonly caps: routing.tokenCap.TokenCaps
   readonly budget: routing.retryBudget.RetryBudget
   readonly suspects: routing.suspects.Suspects
+  /** Whether this daemon may try a request with a refused trait. */
+  readonly isArbiterOf: (trait: string) => boolean
   /** Undefined until a document is in force. */
   readonly table: () => routing.routeTable.RouteTable | undefined
   readonly limits: () => routing.document.Limits
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -77,7 +77,7 @@
   readonly metrics = metricsModule.createMetrics()
   readonly log: eventLog.EventLog
   private readonly registry = routing.targetRegistry.createTargetRegistry()
-  private readonly suspects = routing.suspects.createSuspects()
+  private readonly suspects = new routing.suspects.Suspects((refused, isRefused) => { this.logSuspect(refused, isRefused) })
   private readonly peers: peerTable.PeerTable
   private readonly caps: routing.tokenCap.TokenCaps
   private readonly budget: routing.retryBudget.RetryBudget
@@ -319,6 +319,12 @@
     this.isIsolated = isIsolated
   }
 
+  private logSuspect ({ trait, lastCrashMs, refusals }: routing.suspects.RefusedTrait, isRefused: boolean): void {
+    this.log.change(isRefused ? 'trait refused' : 'trait no longer refused', { trait, sinceCrashMs: Math.round(this.now() - lastCrashMs), refusals })
+    this.metrics.count('traits_refused_total', {}, isRefused ? 1 : 0)
+    this.reports?.changed()
+  }
+
   private createContext (): contextModule.Context {
     return {
       now: () => this.now(),
@@ -331,6 +337,7 @@
       caps: this.caps,
       budget: this.budget,
       suspects: this.suspects,
+      isArbiterOf: (trait) => this.peers.isArbiterOf(trait, this.now()),
       table: () => this.table,
       limits: () => this.document?.limits ?? INITIAL_LIMITS,
       daemons: () => this.daemons(),
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -31,7 +31,7 @@
   /** Whether `usedTokens` has every organisation that has used tokens; otherwise it has those whose totals have changed since the last report. */
   readonly complete: boolean
   readonly leavingTargets: readonly LeavingTarget[]
-  readonly crashes: readonly (readonly [fingerprint: string, crash: string])[]
+  readonly suspects: routing.suspects.SuspectReport
   /** Peers from which or about which the sender has received reports recently; empty in most reports. */
   readonly members: readonly Member[]
 }
@@ -43,7 +43,7 @@
   readonly targets: readonly routing.targetRegistry.VersionedTarget[]
 }
 
-const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], crashes: [], members: [] }
+const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], suspects: {}, members: [] }
 
 const STARTED_RADIX = 36
 
@@ -98,7 +98,7 @@
   const report = { ...EMPTY_FIELDS, ...message } as Partial<Report>
   const isComplete = typeof report.from === 'string' && typeof report.incarnation === 'string' && typeof report.sequence === 'number' &&
     typeof report.pools === 'object' && typeof report.usedTokens === 'object' && Array.isArray(report.members) &&
-    Array.isArray(report.leavingTargets) && Array.isArray(report.crashes) &&
+    Array.isArray(report.leavingTargets) && typeof report.suspects === 'object' &&
     Array.isArray(report.targetsPosition)
   return isComplete ? report as Report : undefined
 }
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -119,7 +119,7 @@
     if (acceptance === 'old') return
     if (acceptance === 'new') options.log.change('peer heard', { peer: report.from, incarnation: report.incarnation, documentVersion: report.documentVersion })
     tokenReports.apply(report, nowMs)
-    for (const [fingerprint, crash] of report.crashes) suspects.record(fingerprint, crash, report.scope, nowMs)
+    suspects.applyReport(report.suspects, report.scope, nowMs)
     applyLeavingTargets(report)
     if (report.scope === 'cell') pools.applyPeerLoads(report.from, report.pools)
   }
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -175,6 +175,12 @@
     ]
   }
 
+  /** Returns whether this daemon is the one of the live members that decides about a name; members that hear each other agree. */
+  isArbiterOf (name: string, nowMs: number): boolean {
+    const live = [...this.reachablePeers(nowMs).map(({ report }) => report.from), ...this.reachableRemoteMembers(nowMs).map(([address]) => address)]
+    return routing.cell.selectMember([this.localAddress, ...live], name) === this.localAddress
+  }
+
   private remoteTimeoutMs (nowMs: number): number {
     return MISSED_LISTINGS * this.fleetIntervalMs(nowMs)
   }
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -26,7 +26,7 @@
   'over-cap': { status: 429, message: 'The organisation has used up its token cap.', remedy: 'Retry after the time in Retry-After, or request a higher cap.' },
   overloaded: { status: 503, message: 'More requests are waiting than can be served in time.', remedy: 'Retry after the time in Retry-After.' },
   'no-target': { status: 503, message: 'No target of the service is available.', remedy: 'Retry after the time in Retry-After; check that targets are registered.' },
-  suspect: { status: 503, message: 'This content has crashed several targets that ran it.', remedy: 'Change the content; it is refused for a while.' },
+  suspect: { status: 503, message: 'Requests with this content, or with a segment of its prompt, have crashed several targets.', remedy: 'Change the content; it is refused for a while.' },
   stopping: { status: 503, message: 'This daemon is stopping.', remedy: 'Use another address.' },
   rejected: { status: 503, message: 'The target had no free slot and has not run the request.', remedy: 'Retry after the time in Retry-After.' },
   unreachable: { status: 503, message: 'No target was reachable; nothing was sent.', remedy: 'Retry after the time in Retry-After.' },
--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -33,11 +33,11 @@
 /** Maximum number of members of other cells in a listing, by which daemons with different divisions converge. */
 const MAX_LISTED_REMOTE_MEMBERS = 4
 
-/** Number of listings in which a crash is repeated, in case a report is lost. */
-const CRASH_REPETITIONS = 3
+/** Number of listings in which evidence about crashes is repeated, in case a report is lost. */
+const EVIDENCE_REPETITIONS = 3
 
-/** Maximum number of crashes in a report, which bounds its size when many targets fail at once. */
-const MAX_REPORTED_CRASHES = 32
+/** Maximum number of rows of each kind of evidence in a report, which bounds its size when many targets fail at once. */
+const MAX_EVIDENCE_ROWS = 32
 
 /**
  * Creates the writer of one daemon's reports.
@@ -62,7 +62,7 @@
     return registry.versionedTargets().filter((versioned) => versioned.target?.leaving === true).map(peerMessages.toLeavingTarget)
   }
 
-  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'crashes' | 'members'>): peerMessages.Report {
+  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'suspects' | 'members'>): peerMessages.Report {
     sequence += 1
     const { era, revision } = registry.position()
     return {
@@ -95,15 +95,15 @@
     return withListing ? leaving : changed
   }
 
-  /** Returns crashes of this daemon since its last report, or, with a listing, also earlier ones. */
-  function ownCrashes (withListing: boolean, nowMs: number): peerMessages.Report['crashes'] {
+  /** Returns this daemon's evidence since its last report, or, with a listing, also earlier one. */
+  function ownEvidence (withListing: boolean, nowMs: number): peerMessages.Report['suspects'] {
     const sinceMs = withListing ? listingsSince(nowMs) : lastCellReportMs
     lastCellReportMs = nowMs
-    return suspects.select({ sources: ['own'], sinceMs, maxCrashes: MAX_REPORTED_CRASHES })
+    return suspects.select({ sources: ['own'], sinceMs, withAllRefused: withListing, maxRows: MAX_EVIDENCE_ROWS }, nowMs)
   }
 
   function listingsSince (nowMs: number): number {
-    return nowMs - CRASH_REPETITIONS * peers.fleetIntervalMs(nowMs)
+    return nowMs - EVIDENCE_REPETITIONS * peers.fleetIntervalMs(nowMs)
   }
 
   return {
@@ -112,7 +112,7 @@
       usedTokens: withListing ? Object.fromEntries(caps.used()) : changedTokens(),
       complete: withListing,
       leavingTargets: leavingTargetsForCell(withListing),
-      crashes: ownCrashes(withListing, nowMs),
+      suspects: ownEvidence(withListing, nowMs),
       members: withListing ? peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS) : []
     }),
     writeForFleet: (nowMs) => createReport('fleet', {
@@ -120,7 +120,7 @@
       usedTokens: cellTokens(),
       complete: true,
       leavingTargets: leavingTargets(),
-      crashes: suspects.select({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), maxCrashes: MAX_REPORTED_CRASHES }),
+      suspects: suspects.select({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withAllRefused: true, maxRows: MAX_EVIDENCE_ROWS }, nowMs),
       members: peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS)
     }),
     countCellTokens: (organisation, tokens) => { reportedTokens.set(organisation, tokens + (reportedTokens.get(organisation) ?? 0)) }
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -9,12 +9,12 @@
 import type * as admission from './admission.js'
 import * as attemptModule from './attempt.js'
 import type * as contextModule from './context.js'
-import * as fingerprint from './fingerprint.js'
 import * as rawHeaders from './raw-headers.js'
 import * as refusal from './refusal.js'
 import type * as servicePools from './service-pools.js'
 import type * as streamEvents from './stream-events.js'
 import type * as targetClient from './target-client.js'
+import * as traitsModule from './traits.js'
 
 /** Dependencies of a task. */
 export interface Options {
@@ -55,7 +55,7 @@
   private readonly excludedTargets = new Set<string>()
   /** Targets in the order in which they were tried. */
   private readonly triedTargets: string[] = []
-  private readonly contentFingerprint: string
+  private readonly traits: routing.suspects.Traits
   private readonly isRetryable: boolean
   private readonly deadlineTimer: NodeJS.Timeout
   private retryTimer: NodeJS.Timeout | undefined
@@ -72,12 +72,17 @@
   private lastEventMs = 0
   private firstEventMs: number | undefined
   private isSent = false
+  private sentMs = 0
   private awaitsFirstEvent = true
+  /** Whether the current target has gone on after its first event, so that the request does not crash it. */
+  private isProven = false
+  private isOnTrial = false
+  private refusedTrait: string | undefined
 
   constructor (private readonly options: Options) {
     const { context, request, body } = options
     const { kind, resumable } = request.route
-    this.contentFingerprint = fingerprint.fingerprintOf(request, body)
+    this.traits = traitsModule.traitsOf(request, body)
     this.isRetryable = kind === 'idempotent' || (kind === 'stream' && resumable)
     this.deadlineTimer = setTimeout(() => { this.onDeadline() }, Math.max(0, request.limitMs - context.now()))
   }
@@ -85,8 +90,14 @@
   start (): void {
     const { context, outgoing } = this.options
     outgoing.once('close', () => { this.onCallerLeft() })
-    if (context.suspects.isRefused(this.contentFingerprint, context.now())) this.refuse('suspect', REJECTED_RETRY_MS)
-    else this.requestPlacement(false)
+    const verdict = context.suspects.admit(this.traits, context.now(), context.isArbiterOf)
+    if (verdict.kind === 'admitted') {
+      this.isOnTrial = verdict.isOnTrial
+      this.requestPlacement(false)
+    } else {
+      this.refusedTrait = verdict.trait
+      this.refuse('suspect', Math.max(REJECTED_RETRY_MS, verdict.retryAfterMs))
+    }
   }
 
   private finish (outcome: string, status: number, reason: string, stage?: Stage): void {
@@ -115,6 +126,7 @@
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
       returned: request.resubmitted,
+      trait: this.refusedTrait,
       sends: this.sends,
       path: this.triedTargets,
       ...this.figures,
@@ -200,7 +212,9 @@
     if (this.finished) return
     this.figures = decision.figures
     if (decision.kind === 'dispatch') {
-      this.send(decision.target)
+      this.refusedTrait = this.isOnTrial ? undefined : this.options.context.suspects.refusedTrait(this.traits, this.options.context.now())
+      if (this.refusedTrait === undefined) this.send(decision.target)
+      else this.refuse(this.mayHaveRun ? 'broken' : 'suspect', REJECTED_RETRY_MS)
       return
     }
     this.placement = undefined
@@ -214,6 +228,7 @@
     this.triedTargets.push(target.id)
     this.isSent = false
     this.awaitsFirstEvent = true
+    this.isProven = false
     this.exchange = attemptModule.startAttempt({
       context,
       request,
@@ -231,6 +246,7 @@
     const { route } = request
     this.sends += 1
     this.isSent = true
+    this.sentMs = context.now()
     this.mayHaveRun = true
     context.metrics.count('sends_total', { service: request.service, repeated: String(this.sends > 1) })
     if (route.kind !== 'idempotent' || this.sends >= route.attempts) return
@@ -243,11 +259,26 @@
     if (this.placement !== undefined) {
       context.pools.handlePlacementEvent(this.placement, this.awaitsFirstEvent ? { kind: 'first-event' } : { kind: 'next-event', intervalMs: nowMs - this.lastEventMs })
     }
+    if (!this.awaitsFirstEvent && !this.isProven) this.recordAnswer(this.lastEventMs)
     this.awaitsFirstEvent = false
     this.firstEventMs ??= nowMs
     this.lastEventMs = nowMs
   }
 
+  private recordAnswer (begunMs: number): void {
+    const { context } = this.options
+    this.isProven = true
+    context.suspects.recordAnswer(this.traits, begunMs, context.now())
+  }
+
+  /** Records that the target broke off before it was proven that the request does not crash it; returns whether the request may be repeated. */
+  private recordCrash (): boolean {
+    const { context } = this.options
+    const nowMs = context.now()
+    if (this.target !== undefined) context.suspects.recordCrash({ ...this.traits, target: this.target.id, sentMs: this.sentMs, atMs: nowMs }, 'own', nowMs)
+    return !context.suspects.isDoubtful(this.traits)
+  }
+
   private push (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[]): boolean {
     const { context, outgoing } = this.options
     if (!outgoing.headersSent) {
@@ -330,7 +361,7 @@
       this.refuse('broken')
       return
     }
-    if (!failed) context.suspects.clear(this.contentFingerprint)
+    if (!failed) this.recordAnswer(context.now())
     const outcome = head.status < REDIRECTION ? 'answered' : 'target-failed'
     this.finish(outcome, head.status, outcome)
     const headers = rawHeaders.withoutHeaders(head.headers, new Set([context.headerNames.load, 'content-length']))
@@ -338,9 +369,9 @@
   }
 
   private onStreamed (): void {
-    const { context, outgoing } = this.options
+    const { outgoing } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'answered' })
-    context.suspects.clear(this.contentFingerprint)
+    if (!this.isProven) this.recordAnswer(this.lastEventMs)
     if (!outgoing.headersSent) {
       this.refuse('broken')
       return
@@ -360,8 +391,8 @@
       lastEvent: this.lastId,
       promptSegments: request.promptSegments
     })
-    if (this.target !== undefined) context.suspects.record(this.contentFingerprint, `${this.target.id}@${Math.round(context.now())}`, 'own', context.now())
-    if (this.isRetryable && this.acquireRetry()) this.retry()
+    const mayBeRepeated = this.isProven || this.recordCrash()
+    if (mayBeRepeated && this.isRetryable && this.acquireRetry()) this.retry()
     else this.refuse('broken')
   }
 }
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -1,6 +1,7 @@
 /**
  * Fixture: a gateway in front of scripted targets, on loopback.
  */
+import * as dgram from 'node:dgram'
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as gatewayPackage from '@persimmonhatch/gateway'
@@ -183,3 +184,17 @@
     }
   }
 }
+
+export function sendDatagram (address: string, text: string): Promise<void> {
+  const { host, port } = gatewayPackage.endpoint.parseEndpoint(address)
+  const socket = dgram.createSocket('udp4')
+  return new Promise((resolve) => { socket.send(text, port, host, () => { socket.close(() => resolve()) }) })
+}
+
+/** Returns the datagram of a report of a peer with some fields changed. */
+export function reportOf (changes: object): string {
+  const params = {
+    from: '127.0.0.9:7600', incarnation: 'a', sequence: 1, frontAddress: '127.0.0.9:80', ready: true, documentVersion: 1, pools: {}, usedTokens: {}, leavingTargets: [], suspects: {}, members: [], scope: 'cell', targetsPosition: [0, 0], complete: true, ...changes
+  }
+  return JSON.stringify({ jsonrpc: '2.0', method: 'report', params })
+}
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -33,7 +33,7 @@
   const peers = new gatewayPackage.peerTable.PeerTable(address, random)
   const caps = routing.tokenCap.createTokenCaps({ toleratedTokens: 0 })
   caps.adopt([ORGANISATION], 0)
-  const suspects = routing.suspects.createSuspects()
+  const suspects = new routing.suspects.Suspects()
   const registry = routing.targetRegistry.createTargetRegistry()
   const writer = gatewayPackage.reportWriter.createReportWriter({
     sender: { from: address, incarnation: address, frontAddress: address.replace('7600', '80') },
@@ -68,7 +68,7 @@
       if (member === undefined || !reaches(from, to)) continue
       if (member.peers.accept(report, nowMs) === 'old') continue
       member.reportedTokens.apply(report, nowMs)
-      for (const [fingerprint, crash] of report.crashes) member.suspects.record(fingerprint, crash, report.scope, nowMs)
+      member.suspects.applyReport(report.suspects, report.scope, nowMs)
     }
   }
 
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -1,4 +1,3 @@
-import * as dgram from 'node:dgram'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as gatewayPackage from '@persimmonhatch/gateway'
@@ -11,19 +10,6 @@
   while (!condition()) await fixtureModule.wait(5)
 }
 
-function sendDatagram (address: string, text: string): Promise<void> {
-  const { host, port } = gatewayPackage.endpoint.parseEndpoint(address)
-  const socket = dgram.createSocket('udp4')
-  return new Promise((resolve) => { socket.send(text, port, host, () => { socket.close(() => resolve()) }) })
-}
-
-function reportOf (changes: object): string {
-  const params = {
-    from: '127.0.0.9:7600', incarnation: 'a', sequence: 1, frontAddress: '127.0.0.9:80', ready: true, documentVersion: 1, pools: {}, usedTokens: {}, leavingTargets: [], crashes: [], members: [], scope: 'cell', targetsPosition: [0, 0], complete: true, ...changes
-  }
-  return JSON.stringify({ jsonrpc: '2.0', method: 'report', params })
-}
-
 suite('daemons that know one peer advertise all ready ones, and none that is leaving or unresponsive', async () => {
   const fixtures = [await fixtureModule.openFixture(1), await fixtureModule.openFixture(1), await fixtureModule.openFixture(1)]
   const [first, second, third] = fixtures
@@ -42,7 +28,7 @@
 
 suite('a target that a peer reports as leaving gets no new requests', async () => {
   const fixture = await fixtureModule.openFixture(2)
-  await sendDatagram(fixture.peerAddress, reportOf({ leavingTargets: [['i-1', 1, 90]] }))
+  await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ leavingTargets: [['i-1', 1, 90]] }))
   await until(() => fixture.gateway.sharedState().targets.some((versioned) => versioned.target?.leaving === true))
   for (let index = 0; index < 6; index += 1) await fixture.call('/read/7')
   assert.equal([...new Set(fixture.arrivals.map((arrival) => arrival.target))], ['i-2'])
@@ -51,9 +37,9 @@
 
 suite('tokens that a peer has admitted count against the cap', async () => {
   const fixture = await fixtureModule.openFixture(1)
-  await sendDatagram(fixture.peerAddress, reportOf({ sequence: 1, usedTokens: { maarif: 0 } }))
+  await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ sequence: 1, usedTokens: { maarif: 0 } }))
   await until(() => fixture.gateway.reachablePeers().length === 1)
-  await sendDatagram(fixture.peerAddress, reportOf({ sequence: 2, usedTokens: { maarif: 50_000 } }))
+  await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ sequence: 2, usedTokens: { maarif: 50_000 } }))
   await fixtureModule.wait(50)
   assert.is((await fixture.call('/read/7', { headers: { tokens: '10,10' } })).status, 429)
   await fixture.close()
@@ -61,9 +47,9 @@
 
 suite('a late report does not override a newer one', async () => {
   const fixture = await fixtureModule.openFixture(1)
-  await sendDatagram(fixture.peerAddress, reportOf({ sequence: 9, ready: false }))
+  await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ sequence: 9, ready: false }))
   await until(() => fixture.gateway.reachablePeers().length === 1)
-  await sendDatagram(fixture.peerAddress, reportOf({ sequence: 8, ready: true }))
+  await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ sequence: 8, ready: true }))
   await fixtureModule.wait(50)
   assert.equal(fixture.gateway.addresses(), [fixture.frontAddress])
   await fixture.close()
@@ -72,7 +58,7 @@
 for (const text of ['', 'no JSON', '{"jsonrpc":"2.0","method":"report","params":{}}', '{"jsonrpc":"2.0","method":"report","params":[1]}']) {
   suite(`a datagram ${JSON.stringify(text)} changes nothing`, async () => {
     const fixture = await fixtureModule.openFixture(1)
-    await sendDatagram(fixture.peerAddress, text)
+    await fixtureModule.sendDatagram(fixture.peerAddress, text)
     await fixtureModule.wait(30)
     assert.equal(fixture.gateway.reachablePeers(), [])
     assert.is((await fixture.call('/read/7')).status, 200)
@@ -82,7 +68,7 @@
 
 suite('requests do not wait for a peer that becomes unresponsive', async () => {
   const fixture = await fixtureModule.openFixture(2)
-  await sendDatagram(fixture.peerAddress, reportOf({ pools: { stock: { targets: { 'i-1': [2, 0], 'i-2': [2, 0] }, waiting: [] } } }))
+  await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ pools: { stock: { targets: { 'i-1': [2, 0], 'i-2': [2, 0] }, waiting: [] } } }))
   await until(() => fixture.gateway.reachablePeers().length === 1)
   const replies = await Promise.all([...Array(6).keys()].map(() => fixture.call('/read/7')))
   assert.equal(replies.map((reply) => reply.status), [200, 200, 200, 200, 200, 200])
@@ -146,7 +132,7 @@
   if (leaving === undefined) throw new Error('The fixture has no target.')
   fixture.gateway.applyStoreTarget({ ...leaving, era: 2, revision: 7, report: { startedMs: 1_764_841_234_567, sequence: 3 } })
   const reported = gatewayPackage.peerMessages.toLeavingTarget({ ...leaving, era: 1, revision: 90, report: { startedMs: 1_764_841_234_567, sequence: 40 } })
-  await sendDatagram(fixture.peerAddress, reportOf({ leavingTargets: [reported] }))
+  await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ leavingTargets: [reported] }))
   await until(() => fixture.gateway.sharedState().targets.some((versioned) => versioned.target?.leaving === true))
   for (let index = 0; index < 6; index += 1) await fixture.call('/read/7')
   assert.equal([...new Set(fixture.arrivals.map((arrival) => arrival.target))], ['i-2'])
--- a/packages/gateway/tests/report-size.test.ts
+++ b/packages/gateway/tests/report-size.test.ts
@@ -1,12 +1,17 @@
 /**
  * Sizes of the reports within large fleets while requests fail and targets leave.
  */
+import type * as routing from '@persimmonhatch/routing'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as fleetModule from './fleet.js'
 
 const suite = uvu.suite('report size')
 
+function crashOf (nowMs: number, content: string, segments: readonly string[], target = 'i-0123456789'): routing.suspects.Crash {
+  return { content: content.padEnd(10, '-'), segments: segments.map((segment) => segment.padEnd(12, '0')), target, sentMs: nowMs - 150, atMs: nowMs }
+}
+
 for (const size of [9, 87, 320]) {
   suite(`requests that break off at each of ${size} daemons every second add little to the reports`, () => {
     const fleet = fleetModule.createFleet(size, size)
@@ -14,7 +19,7 @@
     fleet.simulate(8_000, fleetModule.CONNECTED)
     const quietBytes = fleet.mean().bytes
     fleet.simulate(8_000, fleetModule.CONNECTED, () => {
-      for (const [index, { suspects }] of fleet.members.entries()) suspects.record(`content-${index}-${fleet.now()}`, `i-0123456789@${fleet.now()}`, 'own', fleet.now())
+      for (const [index, { suspects }] of fleet.members.entries()) suspects.recordCrash(crashOf(fleet.now(), `c${index}-${fleet.now()}`, [`a1979a${index}`, `48720f${fleet.now()}`]), 'own', fleet.now())
     })
     const addedBytes = fleet.mean().bytes - quietBytes
     // The limit of all control traffic is 20 KB/s per daemon (letter 1).
@@ -49,16 +54,27 @@
   assert.is(writer.writeForFleet(280).leavingTargets.length, 1)
 })
 
-suite('a content that crashes targets of three cells is refused everywhere before the fleet counts as stable again, also while other requests break off', () => {
-  const fleet = fleetModule.createFleet(87, 87)
-  fleet.simulate(5_000, fleetModule.CONNECTED)
-  for (const [index, { suspects }] of fleet.members.entries()) {
-    for (let request = 0; request < 6; request += 1) suspects.record(`content-${index}-${request}`, `i-0123456789@${request}`, 'own', fleet.now())
-    if (index % 29 === 0) suspects.record('poison', `i-${index}@1`, 'own', fleet.now())
-  }
-  // The bound is 4 s (stableMs of the grown sites).
-  fleet.simulate(4_000, fleetModule.CONNECTED)
-  assert.is(fleet.members.filter(({ suspects }) => suspects.isRefused('poison', fleet.now())).length, 87)
-})
+const POISONS: readonly (readonly [description: string, contentOf: (crash: number) => string, segments: readonly string[]])[] = [
+  ['content', () => 'poison', []],
+  ['segment of different contents', (crash) => `poison-${crash}`, ['48720f3588ea']]
+]
+
+for (const [description, contentOf, segments] of POISONS) {
+  suite(`a ${description} that crashes targets of three cells is refused everywhere before the fleet counts as stable again, also while other requests break off`, () => {
+    const fleet = fleetModule.createFleet(87, 87)
+    fleet.simulate(5_000, fleetModule.CONNECTED)
+    for (const [index, { suspects }] of fleet.members.entries()) {
+      for (let request = 0; request < 6; request += 1) suspects.recordCrash(crashOf(fleet.now(), `c${index}-${request}`, []), 'own', fleet.now())
+    }
+    for (const [crash, index] of [0, 29, 58].entries()) {
+      fleet.members[index]?.suspects.recordCrash(crashOf(fleet.now(), contentOf(crash), segments, `i-${index}`), 'own', fleet.now())
+      fleet.simulate(200, fleetModule.CONNECTED)
+    }
+    // The bound is 4 s (stableMs of the grown sites).
+    fleet.simulate(4_000 - 200, fleetModule.CONNECTED)
+    const isRefused = ({ suspects }: fleetModule.Member): boolean => suspects.admit({ content: crashOf(0, contentOf(0), []).content, segments }, fleet.now(), () => false).kind === 'refused'
+    assert.is(fleet.members.filter(isRefused).length, 87)
+  })
+}
 
 suite.run()
--- a/packages/routing/src/cell.ts
+++ b/packages/routing/src/cell.ts
@@ -117,6 +117,19 @@
   return [...ordered.slice(first), ...ordered.slice(0, first)].slice(0, maxNames)
 }
 
+/**
+ * Selects a member for a name. A member that joins or leaves changes the selection only for the names that are or
+ * were its own.
+ *
+ * @example
+ * ```ts
+ * selectMember(['10.1.0.25:7600', '10.2.0.17:7600'], 'name')
+ * ```
+ */
+export function selectMember (members: readonly string[], name: string): string | undefined {
+  return sortByHash(members, (member) => `${name}\n${member}`)[0]
+}
+
 /**
  * Returns the targets of one service that a cell uses. Adjacent cells share the slots of the targets at their
  * common edge.
--- a/packages/routing/tests/budgets.test.ts
+++ b/packages/routing/tests/budgets.test.ts
@@ -94,28 +94,4 @@
   assert.is(caps.admit('maarif', 1_000_000, 0).kind, 'admitted')
 })
 
-suite('a content that crashed several targets is refused until a response clears it', () => {
-  const suspects = routing.suspects.createSuspects()
-  suspects.record('c', 'engine-1@1', 'own', 0)
-  suspects.record('c', 'engine-1@1', 'cell', 0)
-  suspects.record('c', 'engine-2@5', 'cell', 10)
-  assert.not.ok(suspects.isRefused('c', 20))
-  suspects.record('c', 'engine-3@9', 'fleet', 20)
-  assert.ok(suspects.isRefused('c', 20))
-  assert.is(suspects.select({ sources: ['own', 'cell', 'fleet'], sinceMs: 0, maxCrashes: 10 }).length, 3)
-  suspects.clear('c')
-  assert.not.ok(suspects.isRefused('c', 20))
-})
-
-suite('a report gets the crashes of its sources since a time, contents with most crashes first', () => {
-  const suspects = routing.suspects.createSuspects()
-  suspects.record('a', 'engine-1@1', 'own', 0)
-  suspects.record('b', 'engine-1@2', 'own', 10)
-  suspects.record('c', 'engine-1@3', 'fleet', 20)
-  suspects.record('d', 'engine-2@1', 'cell', 5)
-  suspects.record('d', 'engine-3@1', 'cell', 6)
-  assert.equal(suspects.select({ sources: ['own'], sinceMs: 0, maxCrashes: 10 }), [['b', 'engine-1@2'], ['a', 'engine-1@1']])
-  assert.equal(suspects.select({ sources: ['own', 'cell'], sinceMs: 5, maxCrashes: 2 }), [['d', 'engine-3@1'], ['d', 'engine-2@1']])
-})
-
 suite.run()
