Give up a target that sends bytes without end

What callers would have seen: 504 at the route's time limit instead of an answer at once, and a daemon that runs out of memory (bodies that are held). Cause: heads (but for the reason phrase), trailers and events were bounded; bodies that are held until they are complete, interim responses, reason phrases and chunk sizes were not. The HTTP client reads the last three and passes nothing on. Change: a held response may have 16 MiB; an exchange is ended when its connection has received 1 MiB, and as much as its body again, that belongs to no response. The client's diagnostics channel tells which connection a request uses. Evidence: endless-responses.test.ts, 17 cases; before, six of them failed (reason phrase, interim responses, chunk size, three kinds of body). The six cases of responses that end with their connection, or within an event, a length or a chunk, passed before and after, so nothing changed there.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -46,6 +46,9 @@
 
 const MISDIRECTED_REQUEST = 421
 
+/** Maximum size of a response that is held until it is complete, bytes. */
+const MAX_HELD_BYTES = 16_777_216
+
 function requestHeaders (options: Options): string[] {
   const { context, request, target, sink } = options
   const names = context.headerNames
@@ -88,6 +91,7 @@
   const chunks: Buffer[] = []
   const splitter = streamEvents.createEventSplitter()
   let head: targetClient.ResponseHead | undefined
+  let heldBytes = 0
   let finished = false
 
   function finish (outcome: AttemptOutcome): void {
@@ -129,6 +133,8 @@
     if (head === undefined) return
     if (!isStream(head)) {
       chunks.push(chunk)
+      heldBytes += chunk.length
+      if (heldBytes > MAX_HELD_BYTES) failBroken(`the response has more than ${MAX_HELD_BYTES} bytes`)
       return
     }
     try {
--- a/packages/gateway/src/target-client.ts
+++ b/packages/gateway/src/target-client.ts
@@ -7,6 +7,7 @@
 import * as undici from 'undici'
 import * as endpoint from './endpoint.js'
 import type * as rawHeaders from './raw-headers.js'
+import * as receivedBytes from './received-bytes.js'
 
 /** Timeout for a new connection to a target, ms; a reachable target accepts within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 300
@@ -129,6 +130,28 @@
   }
 }
 
+function createPool (address: string, connections: number, resetDetector: ResetDetector): undici.Pool {
+  return new undici.Pool(`http://${address}`, {
+    connect: connectTo(address, resetDetector),
+    connections,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS
+  })
+}
+
+/** Closes the pools of addresses that are not in the set. */
+function closeOthers (pools: Map<string, undici.Pool>, addresses: ReadonlySet<string>): void {
+  for (const [address, pool] of pools) {
+    if (addresses.has(address)) continue
+    pools.delete(address)
+    pool.close().catch(() => { /* The pool is already closed. */ })
+  }
+}
+
 /**
  * Opens the clients of all targets. The caller must close them.
  *
@@ -141,20 +164,12 @@
 export function openTargetClients (options: Options): TargetClients {
   const pools = new Map<string, undici.Pool>()
   const resetDetector = createResetDetector()
+  const monitor = receivedBytes.openMonitor()
 
   function poolOf (address: string): undici.Pool {
     const existing = pools.get(address)
     if (existing !== undefined) return existing
-    const pool = new undici.Pool(`http://${address}`, {
-      connect: connectTo(address, resetDetector),
-      connections: options.connectionLimit(address),
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS
-    })
+    const pool = createPool(address, options.connectionLimit(address), resetDetector)
     pool.on('connect', () => { options.countConnection(address) })
     pools.set(address, pool)
     return pool
@@ -162,7 +177,20 @@
 
   function send (request: TargetRequest, listener: Listener): Exchange {
     let controller: undici.Dispatcher.DispatchController | undefined
+    let received: receivedBytes.ReceivedBytes | undefined
     let isFinished = false
+
+    function finish (): void {
+      isFinished = true
+      received?.end()
+    }
+
+    function fail (kind: FailureKind, message: string): void {
+      if (isFinished) return
+      finish()
+      listener.failed(kind, message)
+    }
+
     poolOf(request.address).dispatch({
       method: request.method as undici.Dispatcher.HttpMethod,
       path: request.path,
@@ -171,29 +199,37 @@
     }, {
       onRequestStart: (responseController) => {
         controller = responseController
-        if (isFinished) responseController.abort(new Error('The caller has left.'))
-        else listener.sent()
+        if (isFinished) {
+          responseController.abort(new Error('The caller has left.'))
+          return
+        }
+        received = monitor.begin((message) => {
+          fail('broken', message)
+          responseController.abort(new Error(message))
+        })
+        listener.sent()
       },
       onResponseStart: (responseController, status) => {
         if (isFinished || status < 200) return
         listener.head({ status, headers: toRawHeaders(responseController.rawHeaders) })
       },
-      onResponseData: (_, chunk) => { if (!isFinished) listener.data(chunk) },
+      onResponseData: (_, chunk) => {
+        received?.deliver(chunk.length)
+        if (!isFinished) listener.data(chunk)
+      },
       onResponseEnd: () => {
         if (isFinished) return
-        isFinished = true
+        finish()
         if (resetDetector.isReset()) listener.failed('broken', 'the connection was reset within the response')
         else listener.end()
       },
       onResponseError: (_, error) => {
-        if (isFinished) return
-        isFinished = true
-        listener.failed(controller === undefined ? 'unreachable' : 'broken', error.message)
+        fail(controller === undefined ? 'unreachable' : 'broken', error.message)
       }
     })
     return {
       abort: () => {
-        isFinished = true
+        finish()
         controller?.abort(new Error('The gateway ended the exchange.'))
       },
       pause: () => { controller?.pause() },
@@ -203,14 +239,11 @@
 
   return {
     send,
-    retain: (addresses) => {
-      for (const [address, pool] of pools) {
-        if (addresses.has(address)) continue
-        pools.delete(address)
-        pool.close().catch(() => { /* The pool is already closed. */ })
-      }
-    },
-    close: async () => { await Promise.all([...pools.values()].map((pool) => pool.destroy())) }
+    retain: (addresses) => { closeOthers(pools, addresses) },
+    close: async () => {
+      monitor.close()
+      await Promise.all([...pools.values()].map((pool) => pool.destroy()))
+    }
   }
 }
 
