--- a/packages/routing/tests/cell.test.ts
+++ b/packages/routing/tests/cell.test.ts
@@ -82,4 +82,16 @@
   assert.ok([...uses.values()].every((count) => count === 2 || count === 3 || count === 4))
 })
 
+suite('every daemon selects the same member for a name, and a member that leaves moves only its own names', () => {
+  const members = Array.from({ length: 9 }, (_, index) => `10.0.0.${index}:7600`)
+  const names = Array.from({ length: 200 }, (_, index) => `name-${index}`)
+  const selected = names.map((name) => cell.selectMember(members, name))
+  assert.equal(names.map((name) => cell.selectMember([...members].reverse(), name)), selected)
+  assert.is(new Set(selected).size, members.length)
+  const [left, ...others] = members
+  for (const [index, name] of names.entries()) {
+    if (selected[index] !== left) assert.is(cell.selectMember(others, name), selected[index])
+  }
+})
+
 suite.run()
