--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -321,7 +321,7 @@
 
   private logSuspect ({ trait, lastCrashMs, refusals }: routing.suspects.RefusedTrait, isRefused: boolean): void {
     this.log.change(isRefused ? 'trait refused' : 'trait no longer refused', { trait, sinceCrashMs: Math.round(this.now() - lastCrashMs), refusals })
-    this.metrics.count('traits_refused_total', {}, isRefused ? 1 : 0)
+    if (isRefused) this.metrics.count('traits_refused_total')
     this.reports?.changed()
   }
 
--- a/packages/routing/src/crash-table.ts
+++ b/packages/routing/src/crash-table.ts
@@ -54,8 +54,10 @@
   readonly contents: number
 }
 
-/** Counts crashes behind each other: each in a request that was sent after the crash before. */
-function evidenceOf (crashes: readonly suspects.Crash[]): Evidence {
+/** Counts the recent crashes behind each other: each in a request that was sent after the crash before. */
+function evidenceOf (allCrashes: readonly suspects.Crash[]): Evidence {
+  const latestMs = Math.max(...allCrashes.map(({ atMs }) => atMs))
+  const crashes = allCrashes.filter(({ atMs }) => latestMs - atMs < CRASH_RETENTION_MS)
   let counted = 0
   let lastMs = -Infinity
   for (const { sentMs, atMs } of [...crashes].sort((a, b) => a.atMs - b.atMs)) {
--- a/packages/routing/src/suspects.ts
+++ b/packages/routing/src/suspects.ts
@@ -99,6 +99,11 @@
   return Math.min(MAX_REFUSAL_MS, REFUSAL_MS * 2 ** (refusals - 1))
 }
 
+/** Returns whether a refusal has ended because no trial has settled it. */
+function isUnsettled (refused: RefusedTrait, nowMs: number): boolean {
+  return nowMs - refused.lastCrashMs >= UNSETTLED_FACTOR * durationMs(refused)
+}
+
 /** Sets a key as the most recent one and removes the oldest beyond the maximum. */
 function setBounded<Value> (map: Map<string, Value>, key: string, value: Value, max: number): void {
   map.delete(key)
@@ -140,16 +145,13 @@
 
   /** Decides whether a request may be sent. `isArbiter` tells whether this daemon may try a refused trait. */
   admit (traits: Traits, nowMs: number, isArbiter: (trait: string) => boolean): Verdict {
-    let isOnTrial = false
-    for (const trait of traitsOf(traits)) {
-      const refusal = this.currentRefusal(trait, nowMs)
-      if (refusal === undefined) continue
+    const refusals = traitsOf(traits).flatMap((trait) => this.currentRefusal(trait, nowMs) ?? [])
+    for (const refusal of refusals) {
       const remainingMs = refusal.lastCrashMs + durationMs(refusal) - nowMs
-      if (remainingMs > 0 || refusal.trialEndMs > nowMs || !isArbiter(trait)) return { kind: 'refused', trait, retryAfterMs: Math.max(0, remainingMs) }
-      this.refusals.set(trait, { ...refusal, trialEndMs: nowMs + TRIAL_MS })
-      isOnTrial = true
+      if (remainingMs > 0 || refusal.trialEndMs > nowMs || !isArbiter(refusal.trait)) return { kind: 'refused', trait: refusal.trait, retryAfterMs: Math.max(0, remainingMs) }
     }
-    return { kind: 'admitted', isOnTrial }
+    for (const refusal of refusals) this.refusals.set(refusal.trait, { ...refusal, trialEndMs: nowMs + TRIAL_MS })
+    return { kind: 'admitted', isOnTrial: refusals.length > 0 }
   }
 
   /** Returns the refused trait of a request that was admitted earlier, if there is one. */
@@ -175,7 +177,7 @@
       .slice(-maxRows)
       .map(([trait, { atMs }]) => [trait, age(atMs)] as const)
     const refusedRows = [...this.refusals.values()]
-      .filter(({ changedMs }) => withAllRefused || changedMs >= sinceMs)
+      .filter((refusal) => !isUnsettled(refusal, nowMs) && (withAllRefused || refusal.changedMs >= sinceMs))
       .slice(-maxRows)
       .map(({ trait, lastCrashMs, refusals }) => [trait, age(lastCrashMs), refusals] as const)
     return {
@@ -216,12 +218,12 @@
     const { trait, lastCrashMs, refusals } = refused
     const own = this.refusals.get(trait)
     const isKnown = own !== undefined && (own.refusals > refusals || (own.refusals === refusals && own.lastCrashMs + AGE_TOLERANCE_MS >= lastCrashMs))
-    if (!isKnown && this.lastAnswerMs(trait) < lastCrashMs) this.refuse(refused, true, nowMs)
+    if (!isKnown && !isUnsettled(refused, nowMs) && this.lastAnswerMs(trait) < lastCrashMs) this.refuse(refused, true, nowMs)
   }
 
   /** Records a crash of a refused trait; returns whether there is one. */
   private recordAgain (crash: Crash, nowMs: number): boolean {
-    const refusal = traitsOf(crash).map((trait) => this.refusals.get(trait)).find((found) => found !== undefined)
+    const refusal = traitsOf(crash).map((trait) => this.currentRefusal(trait, nowMs)).find((found) => found !== undefined)
     if (refusal === undefined) return false
     const { trait, lastCrashMs, refusals } = refusal
     if (crash.atMs <= lastCrashMs + AGE_TOLERANCE_MS) return true
@@ -243,7 +245,7 @@
   /** Returns the refusal of a trait unless it has ended unsettled. */
   private currentRefusal (trait: string, nowMs: number): Refusal | undefined {
     const refusal = this.refusals.get(trait)
-    if (refusal === undefined || nowMs - refusal.lastCrashMs < UNSETTLED_FACTOR * durationMs(refusal)) return refusal
+    if (refusal === undefined || !isUnsettled(refusal, nowMs)) return refusal
     this.end(trait)
     return undefined
   }
--- a/packages/routing/tests/suspects.test.ts
+++ b/packages/routing/tests/suspects.test.ts
@@ -15,6 +15,8 @@
 const REFUSAL_MS = 20_000
 const UNSETTLED_MS = 60_000
 
+const ALL: routing.suspects.Selection = { sources: ['own', 'cell', 'fleet'], sinceMs: 0, withAllRefused: true, maxRows: 32 }
+
 interface Setup {
   readonly suspects: routing.suspects.Suspects
   readonly changes: readonly string[]
@@ -167,7 +169,29 @@
 suite('a refusal that no trial has settled ends by itself', () => {
   const { suspects, crash, now } = setUp()
   for (let index = 1; index <= 3; index += 1) crash(`engine-${index}`, `c${index}`, ['tainted'])
+  const refused = suspects.select(ALL, now())
+  assert.equal(refused.refused?.map(([trait]) => trait), ['tainted'])
+  assert.equal(suspects.select(ALL, now() + UNSETTLED_MS + 1).refused, undefined)
   assert.is(suspects.admit({ content: 'c', segments: ['tainted'] }, now() + UNSETTLED_MS + 1, NOBODY).kind, 'admitted')
+  suspects.applyReport({ refused: [['tainted', UNSETTLED_MS + 2, 1]] }, 'cell', now() + UNSETTLED_MS + 2)
+  assert.equal(suspects.refused(), [])
+})
+
+suite('crashes long ago are no evidence', () => {
+  const { suspects, isRefused } = setUp()
+  for (const index of [0, 1, 2, 3]) {
+    const atMs = 1_000 + index * 40_000
+    suspects.recordCrash({ content: `c${index}`, segments: ['shared'], target: `engine-${index}`, sentMs: atMs - RUN_MS, atMs }, 'own', atMs)
+  }
+  assert.not.ok(isRefused(['shared']))
+})
+
+suite('a request that is refused for one trait leaves the trial of another to the next', () => {
+  const { suspects, crash, now } = setUp()
+  for (const segment of ['tainted-1', 'tainted-2']) for (let index = 1; index <= 3; index += 1) crash(`engine-${index}`, `${segment}-${index}`, [segment])
+  const isFirst = (trait: string): boolean => trait === 'tainted-1'
+  assert.is(suspects.admit({ content: 'c', segments: ['tainted-1', 'tainted-2'] }, now() + REFUSAL_MS + 1, isFirst).kind, 'refused')
+  assert.is(suspects.admit({ content: 'c', segments: ['tainted-1'] }, now() + REFUSAL_MS + 1, isFirst).kind, 'admitted')
 })
 
 suite('a request is not repeated when one more crash would refuse one of its traits', () => {
@@ -179,8 +203,6 @@
   assert.not.ok(suspects.isDoubtful({ content: 'c2', segments: ['shared'] }))
 })
 
-const ALL: routing.suspects.Selection = { sources: ['own', 'cell', 'fleet'], sinceMs: 0, withAllRefused: true, maxRows: 32 }
-
 suite('evidence of several daemons refuses a segment, and a daemon that has just started learns of it', () => {
   const daemons = [setUp(), setUp(), setUp()]
   for (const [index, { suspects }] of daemons.entries()) {
