Share one wait that ends when a signal aborts

Cause, found by reading: the daemon of other deployments, the watch of the store and peer discovery each had a wait of their own, two of which a stop did not end. Ruled out: node:timers/promises, which rejects when the signal aborts.

--- a/packages/daemon/src/util/pause.ts
+++ b/packages/backing-services/src/pause.ts
@@ -1,3 +1,9 @@
+/**
+ * Waits that end early when a signal aborts.
+ *
+ * @module
+ */
+
 /**
  * Waits for a time, or until `signal` aborts.
  *
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -16,7 +16,6 @@
 import * as registration from './tasks/registration.js'
 import * as tasksModule from './tasks/tasks.js'
 import * as vmList from './tasks/vm-list.js'
-import * as pause from './util/pause.js'
 
 /** Interval of the ticks that drive every task, milliseconds. */
 const TICK_INTERVAL_MS = 100
@@ -123,12 +122,12 @@
     if (tasks.members.peers().length === 0) {
       for (const seed of seeds) if (seed !== listen.peers) peers.connectToAddress(seed)
     }
-    await pause.pause(SEED_INTERVAL_MS, signal)
+    await backing.pause.pause(SEED_INTERVAL_MS, signal)
   }
 }
 
 function wait (milliseconds: number): Promise<void> {
-  return pause.pause(milliseconds, new AbortController().signal)
+  return backing.pause.pause(milliseconds, new AbortController().signal)
 }
 
 /**
--- a/packages/daemon/src/tasks/burn.ts
+++ b/packages/daemon/src/tasks/burn.ts
@@ -6,9 +6,8 @@
  */
 import * as document from '@persimmonhatch/document'
 import type * as entry from '@persimmonhatch/entry'
-import type * as backing from '@persimmonhatch/backing-services'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
-import * as pause from '../util/pause.js'
 
 const WRITE_INTERVAL_MS = 60_000
 
@@ -136,7 +135,7 @@
   async function storePeriodically (signal: AbortSignal): Promise<void> {
     let intervalMs = WRITE_INTERVAL_MS
     while (!signal.aborted) {
-      await pause.pause(intervalMs * (0.5 + options.random()), signal)
+      await backing.pause.pause(intervalMs * (0.5 + options.random()), signal)
       const bytes = await storeOnce()
       intervalMs = Math.min(MAX_WRITE_INTERVAL_MS, Math.max(WRITE_INTERVAL_MS, bytes / WRITE_BYTES_PER_MS))
     }
--- a/packages/daemon/src/tasks/orders.ts
+++ b/packages/daemon/src/tasks/orders.ts
@@ -8,10 +8,9 @@
  * @module
  */
 import type * as document from '@persimmonhatch/document'
-import type * as backing from '@persimmonhatch/backing-services'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 import type * as log from '../adapters/log.js'
-import * as pause from '../util/pause.js'
 
 /** Prefix of the keys whose leases protect the sending of orders. */
 export const ORDERS_PREFIX = '/persimmonhatch/orders/'
@@ -136,7 +135,7 @@
  */
 export async function reconcileEngines (options: Options, signal: AbortSignal): Promise<void> {
   while (!signal.aborted) {
-    await pause.pause(RECONCILE_INTERVAL_MS * (0.5 + options.random()), signal)
+    await backing.pause.pause(RECONCILE_INTERVAL_MS * (0.5 + options.random()), signal)
     const engines = options.engines()
     for (const pool of new Set(engines.map((engine) => engine.pool))) {
       await reconcilePool(options, engines.filter((engine) => engine.pool === pool))
--- a/packages/daemon/src/tasks/registration.ts
+++ b/packages/daemon/src/tasks/registration.ts
@@ -6,7 +6,6 @@
  */
 import * as backing from '@persimmonhatch/backing-services'
 import * as protocol from '@persimmonhatch/protocol'
-import * as pause from '../util/pause.js'
 
 /** Prefix of the keys under which daemons register. */
 export const MEMBERS_PREFIX = '/persimmonhatch/members/'
@@ -89,10 +88,10 @@
       await renew()
       await discoverMembers()
       delays.reset()
-      await pause.pause(lease === undefined ? 0 : RENEWAL_INTERVAL_MS * (0.5 + options.random()), signal)
+      await backing.pause.pause(lease === undefined ? 0 : RENEWAL_INTERVAL_MS * (0.5 + options.random()), signal)
     } catch {
       options.count('registration.failed', 1)
-      await pause.pause(delays.next(), signal)
+      await backing.pause.pause(delays.next(), signal)
     }
   }
   if (lease !== undefined) await keyValue.revokeLease(lease)
--- a/packages/daemon/src/tasks/vm-list.ts
+++ b/packages/daemon/src/tasks/vm-list.ts
@@ -4,9 +4,8 @@
  *
  * @module
  */
-import type * as backing from '@persimmonhatch/backing-services'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
-import * as pause from '../util/pause.js'
 
 /** Average interval between two polls by any daemon of the fleet, milliseconds. */
 const FLEET_INTERVAL_MS = 200
@@ -38,6 +37,6 @@
     if (listed.isOk()) options.onList(listed.value)
     else options.count('vmList.failed', 1)
     const intervalMs = Math.max(MIN_INTERVAL_MS, FLEET_INTERVAL_MS * options.fleetSize())
-    await pause.pause(intervalMs * (0.5 + options.random()), signal)
+    await backing.pause.pause(intervalMs * (0.5 + options.random()), signal)
   }
 }
--- a/packages/daemon/src/tasks/watch-documents.ts
+++ b/packages/daemon/src/tasks/watch-documents.ts
@@ -7,7 +7,6 @@
 import * as document from '@persimmonhatch/document'
 import * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
-import * as pause from '../util/pause.js'
 
 const INITIAL_RETRY_CEILING_MS = 200
 const MAX_RETRY_CEILING_MS = 10_000
@@ -65,6 +64,6 @@
     } catch (error) {
       options.onFailure(error instanceof backing.keyValue.PlatformFailure ? error.failure : 'malformed')
     }
-    await pause.pause(delays.next(), signal)
+    await backing.pause.pause(delays.next(), signal)
   }
 }
