Compare received bytes with delivered ones as they arrive

Cause: the check of discarded bytes ran every 250 ms, so that a fast target could send 78 to 97 MB before it, where the test allows 64. Change: a connection's bytes are compared whenever some have arrived; the timer is gone. Ruled out: a wider bound, as the fault is in the code.

--- a/packages/gateway/src/received-bytes.ts
+++ b/packages/gateway/src/received-bytes.ts
@@ -10,9 +10,6 @@
 /** Maximum number of bytes of an exchange beyond those of its response's body, and beyond as many again. */
 const MAX_DISCARDED_BYTES = 1_048_576
 
-/** Interval at which received bytes are compared with delivered ones, ms. */
-const CHECK_INTERVAL_MS = 250
-
 const SEND_HEADERS_CHANNEL = 'undici:client:sendHeaders'
 
 /** Bytes of one exchange. */
@@ -24,6 +21,8 @@
 
 /** The exchanges in progress. */
 export interface Monitor {
+  /** Watches a connection. */
+  readonly watch: (socket: net.Socket) => void
   /** Starts to watch an exchange; must be called immediately before the client writes its request. */
   readonly begin: (onExcess: (message: string) => void) => ReceivedBytes
   readonly close: () => void
@@ -35,7 +34,7 @@
   private receivedBefore = 0
   private delivered = 0
 
-  constructor (readonly onExcess: (message: string) => void, private readonly onEnd: (exchange: Exchange) => void) {}
+  constructor (private readonly onExcess: (message: string) => void) {}
 
   use (socket: net.Socket): void {
     this.socket = socket
@@ -47,11 +46,12 @@
   }
 
   end (): void {
-    this.onEnd(this)
+    this.socket = undefined
   }
 
   check (): void {
-    const discarded = (this.socket?.bytesRead ?? 0) - this.receivedBefore - this.delivered
+    if (this.socket === undefined) return
+    const discarded = this.socket.bytesRead - this.receivedBefore - this.delivered
     if (discarded > MAX_DISCARDED_BYTES + this.delivered) this.onExcess(`the target sent ${discarded} bytes that belong to no response`)
   }
 }
@@ -67,18 +67,20 @@
  * ```
  */
 export function openMonitor (): Monitor {
-  const exchanges = new Set<Exchange>()
+  const exchanges = new WeakMap<net.Socket, Exchange>()
   let starting: Exchange | undefined
 
   // The client publishes the connection of a request while it writes the request.
   const onSendHeaders = (message: unknown): void => {
-    starting?.use((message as { readonly socket: net.Socket }).socket)
+    const { socket } = message as { readonly socket: net.Socket }
+    if (starting === undefined) return
+    starting.use(socket)
+    exchanges.set(socket, starting)
     starting = undefined
   }
 
   function begin (onExcess: (message: string) => void): ReceivedBytes {
-    const exchange = new Exchange(onExcess, (ended) => { exchanges.delete(ended) })
-    exchanges.add(exchange)
+    const exchange = new Exchange(onExcess)
     starting = exchange
     // A request that is not written at once must not get the connection of another.
     queueMicrotask(() => { if (starting === exchange) starting = undefined })
@@ -86,13 +88,9 @@
   }
 
   diagnosticsChannel.subscribe(SEND_HEADERS_CHANNEL, onSendHeaders)
-  const timer = setInterval(() => { for (const exchange of [...exchanges]) exchange.check() }, CHECK_INTERVAL_MS)
-  timer.unref()
   return {
+    watch: (socket) => { socket.on('readable', () => { exchanges.get(socket)?.check() }) },
     begin,
-    close: () => {
-      clearInterval(timer)
-      diagnosticsChannel.unsubscribe(SEND_HEADERS_CHANNEL, onSendHeaders)
-    }
+    close: () => { diagnosticsChannel.unsubscribe(SEND_HEADERS_CHANNEL, onSendHeaders) }
   }
 }
--- a/packages/gateway/src/target-client.ts
+++ b/packages/gateway/src/target-client.ts
@@ -110,7 +110,10 @@
   }
 }
 
-function connectTo (address: string, resetDetector: ResetDetector): undici.buildConnector.connector {
+/** Called with each new connection. */
+type Watchers = readonly ((socket: net.Socket) => void)[]
+
+function connectTo (address: string, watchers: Watchers): undici.buildConnector.connector {
   const { host, port } = endpoint.parseEndpoint(address)
   return (_, callback) => {
     const socket = net.connect({ host, port, noDelay: true })
@@ -124,15 +127,15 @@
       clearTimeout(timer)
       socket.off('error', fail)
       socket.on('error', markReset)
-      resetDetector.watch(socket)
+      for (const watch of watchers) watch(socket)
       callback(null, socket)
     })
   }
 }
 
-function createPool (address: string, connections: number, resetDetector: ResetDetector): undici.Pool {
+function createPool (address: string, connections: number, watchers: Watchers): undici.Pool {
   return new undici.Pool(`http://${address}`, {
-    connect: connectTo(address, resetDetector),
+    connect: connectTo(address, watchers),
     connections,
     pipelining: 1,
     headersTimeout: 0,
@@ -169,7 +172,7 @@
   function poolOf (address: string): undici.Pool {
     const existing = pools.get(address)
     if (existing !== undefined) return existing
-    const pool = createPool(address, options.connectionLimit(address), resetDetector)
+    const pool = createPool(address, options.connectionLimit(address), [resetDetector.watch, monitor.watch])
     pool.on('connect', () => { options.countConnection(address) })
     pools.set(address, pool)
     return pool
