Look up whether a crash is known before anything else

Cause: reports repeat their rows, and each repeated row looked up the refusals of all its traits before it was found to be known. Change: the table first tells whether a crash is new.

--- a/packages/routing/src/crash-table.ts
+++ b/packages/routing/src/crash-table.ts
@@ -33,8 +33,10 @@
 
 /** The crashes. */
 export interface CrashTable {
-  /** Adds a crash unless it is known. */
-  readonly add: (crash: suspects.Crash, source: suspects.Source, nowMs: number) => boolean
+  /** Returns whether a crash is not known yet, and makes it known. */
+  readonly isNew: (crash: suspects.Crash) => boolean
+  /** Adds a crash as evidence. */
+  readonly add: (crash: suspects.Crash, source: suspects.Source, nowMs: number) => void
   readonly has: (trait: string) => boolean
   /** Removes the crashes with a trait. */
   readonly removeWith: (trait: string) => void
@@ -120,15 +122,16 @@
  * @example
  * ```ts
  * const table = createCrashTable()
- * if (table.add(crash, 'own', nowMs)) refuse(table.convict(crash, lastAnswerMs))
+ * if (table.isNew(crash)) table.add(crash, 'own', nowMs)
+ * const trait = table.convict(crash, lastAnswerMs)
  * ```
  */
 export function createCrashTable (): CrashTable {
   const index = new CrashIndex()
-  /** Times of the crashes by content and target, which stay known after they have been removed as evidence. */
+  /** Times of the crashes by content and target. */
   const known = new Map<string, number>()
 
-  function add (crash: suspects.Crash, source: suspects.Source, nowMs: number): boolean {
+  function isNew (crash: suspects.Crash): boolean {
     const key = `${crash.content} ${crash.target}`
     const knownMs = known.get(key)
     if (knownMs !== undefined && Math.abs(knownMs - crash.atMs) < SAME_CRASH_MS) return false
@@ -136,7 +139,6 @@
     known.set(key, crash.atMs)
     const [oldestKey] = known.keys()
     if (known.size > MAX_CRASHES && oldestKey !== undefined) known.delete(oldestKey)
-    index.add({ ...crash, source, recordedMs: nowMs })
     return true
   }
 
@@ -173,7 +175,8 @@
   }
 
   return {
-    add,
+    isNew,
+    add: (crash, source, nowMs) => { index.add({ ...crash, source, recordedMs: nowMs }) },
     has: (trait) => index.countOf(trait) > 0,
     removeWith: (trait) => { for (const crash of index.crashesOf(trait)) index.remove(crash) },
     clearBefore,
--- a/packages/routing/src/suspects.ts
+++ b/packages/routing/src/suspects.ts
@@ -131,7 +131,8 @@
   constructor (private readonly onChange: (trait: RefusedTrait, isRefused: boolean) => void = () => {}) {}
 
   recordCrash (crash: Crash, source: Source, nowMs: number): void {
-    if (this.recordAgain(crash, nowMs) || !this.crashes.add(crash, source, nowMs)) return
+    if (!this.crashes.isNew(crash) || this.recordAgain(crash, nowMs)) return
+    this.crashes.add(crash, source, nowMs)
     const trait = this.crashes.convict(crash, this.lastAnswerMs)
     if (trait !== undefined) this.refuse({ trait, lastCrashMs: crash.atMs, refusals: 1 }, trait !== crash.content, nowMs)
   }
