Keep a request's evidence about crashes apart from its task

Cause, found by reading: the task of a request had grown five fields and two methods for one matter, whose order (sent, first event, next event, broken off) was spread over it. Change: RequestEvidence holds it.

--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -11,10 +11,11 @@
 import type * as contextModule from './context.js'
 import * as rawHeaders from './raw-headers.js'
 import * as refusal from './refusal.js'
+import * as requestEvidence from './request-evidence.js'
 import type * as servicePools from './service-pools.js'
 import type * as streamEvents from './stream-events.js'
 import type * as targetClient from './target-client.js'
-import * as traitsModule from './traits.js'
+import * as traits from './traits.js'
 
 /** Dependencies of a task. */
 export interface Options {
@@ -55,7 +56,7 @@
   private readonly excludedTargets = new Set<string>()
   /** Targets in the order in which they were tried. */
   private readonly triedTargets: string[] = []
-  private readonly traits: routing.suspects.Traits
+  private readonly evidence: requestEvidence.RequestEvidence
   private readonly isRetryable: boolean
   private readonly deadlineTimer: NodeJS.Timeout
   private retryTimer: NodeJS.Timeout | undefined
@@ -72,27 +73,21 @@
   private lastEventMs = 0
   private firstEventMs: number | undefined
   private isSent = false
-  private sentMs = 0
   private awaitsFirstEvent = true
-  /** Whether the current target has gone on after its first event, so that the request does not crash it. */
-  private isProven = false
-  private isOnTrial = false
   private refusedTrait: string | undefined
 
   constructor (private readonly options: Options) {
     const { context, request, body } = options
     const { kind, resumable } = request.route
-    this.traits = traitsModule.traitsOf(request, body)
+    this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
     this.isRetryable = kind === 'idempotent' || (kind === 'stream' && resumable)
     this.deadlineTimer = setTimeout(() => { this.onDeadline() }, Math.max(0, request.limitMs - context.now()))
   }
 
   start (): void {
-    const { context, outgoing } = this.options
-    outgoing.once('close', () => { this.onCallerLeft() })
-    const verdict = context.suspects.admit(this.traits, context.now(), context.isArbiterOf)
+    this.options.outgoing.once('close', () => { this.onCallerLeft() })
+    const verdict = this.evidence.admit()
     if (verdict.kind === 'admitted') {
-      this.isOnTrial = verdict.isOnTrial
       this.requestPlacement(false)
     } else {
       this.refusedTrait = verdict.trait
@@ -212,7 +207,7 @@
     if (this.finished) return
     this.figures = decision.figures
     if (decision.kind === 'dispatch') {
-      this.refusedTrait = this.isOnTrial ? undefined : this.options.context.suspects.refusedTrait(this.traits, this.options.context.now())
+      this.refusedTrait = this.evidence.refusedTrait()
       if (this.refusedTrait === undefined) this.send(decision.target)
       else this.refuse(this.mayHaveRun ? 'broken' : 'suspect', REJECTED_RETRY_MS)
       return
@@ -228,7 +223,6 @@
     this.triedTargets.push(target.id)
     this.isSent = false
     this.awaitsFirstEvent = true
-    this.isProven = false
     this.exchange = attemptModule.startAttempt({
       context,
       request,
@@ -246,7 +240,7 @@
     const { route } = request
     this.sends += 1
     this.isSent = true
-    this.sentMs = context.now()
+    if (this.target !== undefined) this.evidence.begin(this.target.id)
     this.mayHaveRun = true
     context.metrics.count('sends_total', { service: request.service, repeated: String(this.sends > 1) })
     if (route.kind !== 'idempotent' || this.sends >= route.attempts) return
@@ -259,26 +253,12 @@
     if (this.placement !== undefined) {
       context.pools.handlePlacementEvent(this.placement, this.awaitsFirstEvent ? { kind: 'first-event' } : { kind: 'next-event', intervalMs: nowMs - this.lastEventMs })
     }
-    if (!this.awaitsFirstEvent && !this.isProven) this.recordAnswer(this.lastEventMs)
+    this.evidence.recordEvent()
     this.awaitsFirstEvent = false
     this.firstEventMs ??= nowMs
     this.lastEventMs = nowMs
   }
 
-  private recordAnswer (begunMs: number): void {
-    const { context } = this.options
-    this.isProven = true
-    context.suspects.recordAnswer(this.traits, begunMs, context.now())
-  }
-
-  /** Records that the target broke off before it was proven that the request does not crash it; returns whether the request may be repeated. */
-  private recordCrash (): boolean {
-    const { context } = this.options
-    const nowMs = context.now()
-    if (this.target !== undefined) context.suspects.recordCrash({ ...this.traits, target: this.target.id, sentMs: this.sentMs, atMs: nowMs }, 'own', nowMs)
-    return !context.suspects.isDoubtful(this.traits)
-  }
-
   private push (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[]): boolean {
     const { context, outgoing } = this.options
     if (!outgoing.headersSent) {
@@ -361,7 +341,7 @@
       this.refuse('broken')
       return
     }
-    if (!failed) this.recordAnswer(context.now())
+    if (!failed) this.evidence.recordResponse()
     const outcome = head.status < REDIRECTION ? 'answered' : 'target-failed'
     this.finish(outcome, head.status, outcome)
     const headers = rawHeaders.withoutHeaders(head.headers, new Set([context.headerNames.load, 'content-length']))
@@ -371,7 +351,7 @@
   private onStreamed (): void {
     const { outgoing } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'answered' })
-    if (!this.isProven) this.recordAnswer(this.lastEventMs)
+    this.evidence.recordResponse()
     if (!outgoing.headersSent) {
       this.refuse('broken')
       return
@@ -391,7 +371,7 @@
       lastEvent: this.lastId,
       promptSegments: request.promptSegments
     })
-    const mayBeRepeated = this.isProven || this.recordCrash()
+    const mayBeRepeated = this.evidence.recordBreak()
     if (mayBeRepeated && this.isRetryable && this.acquireRetry()) this.retry()
     else this.refuse('broken')
   }
