Log the limits that targets name, and count sends to limited targets

Change: a limit in a response's head is parsed and a change of it logged (`target limit changed`); sends to targets that have named one are counted with their target and whether they are repeats (`limited_sends_total`). Only a success without the header counts as the end of a limit, since a misdirected request is answered by another target. Placement is unchanged. Ruled out: a count per target of all sends, which would grow with the service.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -45,6 +45,8 @@
 }
 
 const MISDIRECTED_REQUEST = 421
+const OK = 200
+const REDIRECTION = 300
 
 /** Maximum size of a response that is held until it is complete, bytes. */
 const MAX_HELD_BYTES = 16_777_216
@@ -62,10 +64,14 @@
   return headers
 }
 
+function isSuccess (head: targetClient.ResponseHead): boolean {
+  return head.status >= OK && head.status < REDIRECTION
+}
+
 /** Returns why a response can't be accepted for this request; undefined if it can. */
 function findFault (options: Options, head: targetClient.ResponseHead): string | undefined {
   const { headerNames: names } = options.context
-  const success = head.status >= 200 && head.status < 300
+  const success = isSuccess(head)
   const echoed = rawHeaders.findHeader(head.headers, names.requestId)
   if (echoed === undefined ? success : echoed !== options.request.requestId) return 'the response belongs to another request'
   if (!success) return undefined
@@ -74,6 +80,14 @@
   return undefined
 }
 
+/** Records the limit of requests that the target names, or that it names none any more. */
+function observeLimit ({ context, request, target }: Options, head: targetClient.ResponseHead): void {
+  const requestsPerS = headerNames.parseRequestLimit(rawHeaders.findHeader(head.headers, context.headerNames.requestLimit))
+  // Only a success shows that the target has no limit any more: a misdirected request is answered by another one.
+  if (requestsPerS === undefined && !isSuccess(head)) return
+  if (context.targetLimits.observe(target.id, requestsPerS)) context.log.change('target limit changed', { target: target.id, service: request.service, requestsPerS })
+}
+
 function isStream (head: targetClient.ResponseHead): boolean {
   return head.status === 200 && (rawHeaders.findHeader(head.headers, 'content-type') ?? '').startsWith('text/event-stream')
 }
@@ -112,6 +126,7 @@
       return
     }
     head = response
+    observeLimit(options, response)
     const load = headerNames.parseLoad(rawHeaders.findHeader(response.headers, context.headerNames.load))
     if (load !== undefined) context.pools.applyReportedLoad(request.service, target.id, load)
   }
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -22,6 +22,7 @@
   readonly caps: routing.tokenCap.TokenCaps
   readonly budget: routing.retryBudget.RetryBudget
   readonly suspects: routing.suspects.Suspects
+  readonly targetLimits: routing.targetLimits.TargetLimits
   /** Whether this daemon may try a request with a refused trait. */
   readonly isArbiterOf: (trait: string) => boolean
   /** Undefined until a document is in force. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -78,6 +78,7 @@
   readonly log: eventLog.EventLog
   private readonly registry = routing.targetRegistry.createTargetRegistry()
   private readonly suspects = new routing.suspects.Suspects((refused, isRefused) => { this.logSuspect(refused, isRefused) })
+  private readonly targetLimits = routing.targetLimits.createTargetLimits()
   private readonly peers: peerTable.PeerTable
   private readonly caps: routing.tokenCap.TokenCaps
   private readonly budget: routing.retryBudget.RetryBudget
@@ -337,6 +338,7 @@
       caps: this.caps,
       budget: this.budget,
       suspects: this.suspects,
+      targetLimits: this.targetLimits,
       isArbiterOf: (trait) => this.peers.isArbiterOf(trait, this.now()),
       table: () => this.table,
       limits: () => this.document?.limits ?? INITIAL_LIMITS,
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -23,6 +23,8 @@
   readonly notRun: string
   /** Load that a target reports: running, waiting, slots. */
   readonly load: string
+  /** Requests per second that a target in need accepts from all senders. */
+  readonly requestLimit: string
   /** Prompt tokens and maximum output tokens. */
   readonly tokens: string
   /** The caller's estimate of the output tokens. */
@@ -84,3 +86,15 @@
   const match = /^(\d{1,6}),(\d{1,6}),(\d{1,6})$/.exec(text ?? '')
   return match === null ? undefined : { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]) }
 }
+
+/**
+ * Parses a target's limit of requests per second; returns undefined if it is missing or malformed.
+ *
+ * @example
+ * ```ts
+ * parseRequestLimit('2.8') // 2.8
+ * ```
+ */
+export function parseRequestLimit (text: string | undefined): number | undefined {
+  return text !== undefined && /^\d{1,9}(\.\d{1,9})?$/.test(text) ? Number(text) : undefined
+}
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -240,7 +240,10 @@
     const { route } = request
     this.sends += 1
     this.isSent = true
-    if (this.target !== undefined) this.evidence.begin(this.target.id)
+    if (this.target !== undefined) {
+      this.evidence.begin(this.target.id)
+      if (context.targetLimits.isLimited(this.target.id)) context.metrics.count('limited_sends_total', { target: this.target.id, repeated: String(this.sends > 1) })
+    }
     this.mayHaveRun = true
     context.metrics.count('sends_total', { service: request.service, repeated: String(this.sends > 1) })
     if (route.kind !== 'idempotent' || this.sends >= route.attempts) return
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -17,6 +17,7 @@
   proof: 'proof',
   notRun: 'not-run',
   load: 'load',
+  requestLimit: 'request-limit',
   tokens: 'tokens',
   lengthHint: 'length-hint',
   promptParts: 'prompt-parts',
--- a/packages/gateway/tests/parsing.test.ts
+++ b/packages/gateway/tests/parsing.test.ts
@@ -18,6 +18,20 @@
   suite(`tokens ${String(text)}`, () => assert.equal(gateway.headerNames.parseTokens(text), use))
 }
 
+const LIMITS: readonly (readonly [text: string | undefined, requestsPerS: number | undefined])[] = [
+  ['2.8', 2.8],
+  ['0', 0],
+  ['40', 40],
+  ['-1', undefined],
+  ['1e3', undefined],
+  ['many', undefined],
+  [undefined, undefined]
+]
+
+for (const [text, requestsPerS] of LIMITS) {
+  suite(`request limit ${String(text)}`, () => assert.is(gateway.headerNames.parseRequestLimit(text), requestsPerS))
+}
+
 suite('prompt segments are parsed in order', () => {
   assert.equal(gateway.headerNames.parsePromptSegments('5c1e07a2:800,91bd3f06:410'), ['5c1e07a2', '91bd3f06'])
   assert.equal(gateway.headerNames.parsePromptSegments(undefined), [])
