--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -5,6 +5,7 @@
 import * as routing from '@persimmonhatch/routing'
 import * as distribution from 'pure-rand/distribution/uniformFloat64'
 import * as generator from 'pure-rand/generator/xoroshiro128plus'
+import * as servicePools from '../src/service-pools.js'
 
 const CELL_INTERVAL_MS = 200
 const MS_PER_S = 1_000
@@ -18,6 +19,8 @@
   readonly reportedTokens: gatewayPackage.reportedTokens.ReportedTokens
   readonly suspects: routing.suspects.Suspects
   readonly registry: routing.targetRegistry.TargetRegistry
+  readonly targetLimits: routing.targetLimits.TargetLimits
+  readonly pools: servicePools.ServicePools
 }
 
 export interface Fleet {
@@ -27,35 +30,41 @@
   /** Runs the fleet; `eachSecond` is called at the start of every second. */
   readonly simulate: (durationMs: number, reaches: (from: number, to: number) => boolean, eachSecond?: () => void) => void
   readonly now: () => number
+  /** Replaces a member by one that has just started and knows the first `seeds` members. */
+  readonly restart: (index: number) => void
 }
 
-export function createMember (address: string, random: () => number): Member {
+export function createMember (address: string, random: () => number, now: () => number = () => 0, incarnation = address): Member {
   const peers = new gatewayPackage.peerTable.PeerTable(address, random)
   const caps = routing.tokenCap.createTokenCaps({ toleratedTokens: 0 })
   caps.adopt([ORGANISATION], 0)
   const suspects = new routing.suspects.Suspects()
   const registry = routing.targetRegistry.createTargetRegistry()
+  const targetLimits = routing.targetLimits.createTargetLimits()
+  const pools = servicePools.createServicePools({ now, random, registry, changed: () => {} })
   const writer = gatewayPackage.reportWriter.createReportWriter({
-    sender: { from: address, incarnation: address, frontAddress: address.replace('7600', '80') },
+    sender: { from: address, incarnation, frontAddress: address.replace('7600', '80') },
     peers,
-    pools: { loads: () => ({}) } as never,
+    pools,
     caps,
     suspects,
     registry,
     isReady: () => true,
     documentVersion: () => 1
   })
-  return { address, peers, writer, caps, suspects, registry, reportedTokens: gatewayPackage.reportedTokens.createReportedTokens({ caps, countCellTokens: writer.countCellTokens, cellOf: (peer, nowMs) => peers.cellOf(peer, nowMs), intervalMs: (nowMs) => peers.fleetIntervalMs(nowMs) }) }
+  return { address, peers, writer, caps, suspects, registry, targetLimits, pools, reportedTokens: gatewayPackage.reportedTokens.createReportedTokens({ caps, countCellTokens: writer.countCellTokens, cellOf: (peer, nowMs) => peers.cellOf(peer, nowMs), intervalMs: (nowMs) => peers.fleetIntervalMs(nowMs) }) }
 }
 
-/** Creates a fleet in which every daemon knows the first `seeds` members at the start. */
-export function createFleet (size: number, seeds: number): Fleet {
+/** Creates a fleet in which every daemon knows the first `seeds` members at the start; `clock` is the time of its pools, by default that of the reports. */
+export function createFleet (size: number, seeds: number, clock?: () => number): Fleet {
   const source = generator.xoroshiro128plus(size)
   const random = (): number => distribution.uniformFloat64(source)
-  const members = Array.from({ length: size }, (_, index) => createMember(`10.0.${Math.floor(index / 100)}.${index % 100}:7600`, random))
-  const indexes = new Map(members.map((member, index) => [member.address, index]))
-  for (const { peers } of members) for (const seed of members.slice(0, seeds)) peers.discover(seed.address, 0)
   let nowMs = 0
+  const now = clock ?? ((): number => nowMs)
+  const addresses = Array.from({ length: size }, (_, index) => `10.0.${Math.floor(index / 100)}.${index % 100}:7600`)
+  const members = addresses.map((address) => createMember(address, random, now))
+  const indexes = new Map(addresses.map((address, index) => [address, index]))
+  for (const { peers } of members) for (const seed of addresses.slice(0, seeds)) peers.discover(seed, 0)
   let simulatedMs = 0
   const lastListingMs = new Map<number, number>()
   let sent = { messages: 0, bytes: 0 }
@@ -69,6 +78,7 @@
       if (member.peers.accept(report, nowMs) === 'old') continue
       member.reportedTokens.apply(report, nowMs)
       member.suspects.applyReport(report.suspects, report.scope, nowMs)
+      if (report.scope === 'cell') member.pools.applyPeerLoads(report.from, report.pools)
     }
   }
 
@@ -87,11 +97,24 @@
     }
   }
 
+  function restart (index: number): void {
+    const address = addresses[index] ?? ''
+    const member = createMember(address, random, now, `${address} ${nowMs}`)
+    for (const seed of addresses.slice(0, seeds)) member.peers.discover(seed, nowMs)
+    members[index] = member
+    lastListingMs.delete(index)
+  }
+
   const mean = (): { readonly messages: number, readonly bytes: number } => ({
     messages: sent.messages * MS_PER_S / simulatedMs / size,
     bytes: sent.bytes * MS_PER_S / simulatedMs / size
   })
-  return { members, mean, simulate, now: () => nowMs }
+  return { members, mean, simulate, now: () => nowMs, restart }
+}
+
+/** Assigns the targets to the pools of a member, as a gateway does several times a second. */
+export function refreshTargets ({ peers, pools }: Member, nowMs: number): void {
+  pools.refreshTargets(peers.segment(nowMs), nowMs)
 }
 
 export const CONNECTED = (): boolean => true
--- /dev/null
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -0,0 +1,266 @@
+/**
+ * Fixture: a fleet of daemons that serve requests at scripted targets, in simulated time. Requests pass through the
+ * admission, the task and the attempts of the gateway; only sockets and clocks are replaced.
+ */
+import * as events from 'node:events'
+import type * as http from 'node:http'
+import * as routing from '@persimmonhatch/routing'
+import * as distribution from 'pure-rand/distribution/uniformFloat64'
+import * as generator from 'pure-rand/generator/xoroshiro128plus'
+import * as admission from '../src/admission.js'
+import type * as contextModule from '../src/context.js'
+import * as metrics from '../src/metrics.js'
+import * as rawHeaders from '../src/raw-headers.js'
+import * as requestTask from '../src/request-task.js'
+import type * as targetClient from '../src/target-client.js'
+import * as fixture from './fixture.js'
+import * as fleetModule from './fleet.js'
+
+const STEP_MS = 10
+const TICK_MS = 30
+const REFRESH_MS = 100
+const REPORT_MS = 200
+
+/** Minimum fleet size that a gateway assumes. */
+const MIN_ASSUMED_DAEMONS = 8
+
+/** Time in which the fleet exchanges reports before it serves, ms. */
+const SETTLING_MS = 4_000
+
+/** A request as a target received it. */
+export interface Arrival {
+  readonly atMs: number
+  readonly daemon: number
+  readonly target: routing.targetRegistry.Target
+  readonly headers: rawHeaders.RawHeaders
+}
+
+/** What a target sends, with times since the arrival of the request. */
+export interface TargetResponse {
+  readonly headMs: number
+  readonly status?: number
+  readonly headers: readonly string[]
+  /** Ids of events and when each is sent; the response is a stream if there are any. */
+  readonly events?: readonly (readonly [id: number, atMs: number])[]
+  readonly endMs: number
+  /** Whether the connection breaks at `endMs`. */
+  readonly breaks?: boolean
+}
+
+/** A response as its caller received it. */
+export interface Reply {
+  readonly daemon: number
+  readonly sentMs: number
+  readonly status: () => number | undefined
+  readonly headers: () => readonly string[]
+  readonly body: () => string
+  /** Whether the response has ended, and whether it is complete. */
+  readonly end: () => 'complete' | 'cut' | undefined
+}
+
+export interface Options {
+  readonly daemons: number
+  readonly document: routing.document.RoutingDocument
+  readonly targets: readonly routing.targetRegistry.Target[]
+  readonly seed: number
+  readonly respond: (arrival: Arrival) => TargetResponse
+  /** Called when a daemon has received the head of a target's response. */
+  readonly onHead?: (arrival: Arrival, headers: readonly string[], nowMs: number) => void
+}
+
+export interface ServingFleet {
+  readonly now: () => number
+  readonly random: () => number
+  readonly fleet: fleetModule.Fleet
+  readonly request: (daemon: number, path: string, headers?: readonly string[]) => Reply
+  readonly advance: (durationMs: number) => void
+  /** Sets which daemons reach each other. */
+  readonly setReach: (reaches: (from: number, to: number) => boolean) => void
+  readonly restart: (daemon: number) => void
+  /** Registers a target's state at every daemon. */
+  readonly register: (target: routing.targetRegistry.Target, startedMs?: number) => void
+}
+
+/** The part of a caller's response that tasks use. */
+class CallerResponse extends events.EventEmitter {
+  status: number | undefined
+  headers: readonly string[] = []
+  body = ''
+  ended: 'complete' | 'cut' | undefined
+
+  get headersSent (): boolean {
+    return this.status !== undefined
+  }
+
+  writeHead (status: number, headers: readonly string[]): void {
+    this.status = status
+    this.headers = headers
+  }
+
+  write (bytes: Buffer): boolean {
+    this.body += bytes.toString('latin1')
+    return true
+  }
+
+  end (body?: Buffer): void {
+    if (body !== undefined) this.write(body)
+    this.ended = 'complete'
+    this.emit('close')
+  }
+
+  destroy (): void {
+    this.ended ??= 'cut'
+    this.emit('close')
+  }
+}
+
+/** Creates a fleet whose daemons all know each other. */
+export function createServingFleet (options: Options): ServingFleet {
+  const { daemons, document } = options
+  const source = generator.xoroshiro128plus(options.seed)
+  const random = (): number => distribution.uniformFloat64(source)
+  let nowMs = 0
+  /** What happens at each step. */
+  const scheduled = new Map<number, (() => void)[]>()
+  let reaches: (from: number, to: number) => boolean = fleetModule.CONNECTED
+  let revision = 0
+  let nextRequest = 1
+  const now = (): number => nowMs
+  const fleet = fleetModule.createFleet(daemons, daemons, now)
+  const registered = new Map<string, routing.targetRegistry.VersionedTarget>()
+  const table = routing.routeTable.createRouteTable(document)
+  const contexts = new Map<number, contextModule.Context>()
+
+  function schedule (afterMs: number, run: () => void): void {
+    const step = Math.floor(nowMs / STEP_MS) + Math.max(1, Math.ceil(afterMs / STEP_MS))
+    const others = scheduled.get(step)
+    if (others === undefined) scheduled.set(step, [run])
+    else others.push(run)
+  }
+
+  function clientsOf (daemon: number): targetClient.TargetClients {
+    return {
+      send: (request, listener) => {
+        const target = [...registered.values()].find((versioned) => versioned.target?.address === request.address)?.target
+        let isOpen = true
+        const later = (afterMs: number, run: () => void): void => schedule(afterMs, () => { if (isOpen) run() })
+        if (target === undefined) {
+          later(0, () => { listener.failed('unreachable', 'nothing listens there') })
+        } else {
+          listener.sent()
+          const arrival = { atMs: nowMs, daemon, target, headers: request.headers }
+          const { headMs, status = 200, headers, events: streamed = [], endMs, breaks = false } = options.respond(arrival)
+          const type = streamed.length > 0 ? ['content-type', 'text/event-stream'] : []
+          const echoed = ['request-id', rawHeaders.findHeader(request.headers, 'request-id') ?? '', ...status === 200 ? ['proof', target.id] : []]
+          later(headMs, () => {
+            options.onHead?.(arrival, headers, nowMs)
+            listener.head({ status, headers: [...echoed, ...type, ...headers] })
+          })
+          for (const [id, atMs] of streamed) later(atMs, () => { listener.data(Buffer.from(`id: ${id}\ndata: ${target.id}\n\n`)) })
+          later(endMs, () => {
+            isOpen = false
+            if (breaks) listener.failed('broken', 'the connection was reset')
+            else listener.end()
+          })
+        }
+        return { abort: () => { isOpen = false }, pause: () => {}, resume: () => {} }
+      },
+      retain: () => {},
+      close: async () => {}
+    }
+  }
+
+  function memberOf (daemon: number): fleetModule.Member {
+    const member = fleet.members[daemon]
+    if (member === undefined) throw new Error(`The fleet has no daemon ${daemon}; use a number below ${daemons}.`)
+    return member
+  }
+
+  function createContext (daemon: number): contextModule.Context {
+    const { peers, pools, caps, suspects, targetLimits } = memberOf(daemon)
+    return {
+      now,
+      random,
+      headerNames: fixture.HEADER_NAMES,
+      log: { request: () => {}, change: () => {} },
+      metrics: metrics.createMetrics(),
+      clients: clientsOf(daemon),
+      pools,
+      caps,
+      budget: routing.retryBudget.createRetryBudget({ ratio: 0.2, allowance: 200, windowMs: 10_000 }),
+      suspects,
+      targetLimits,
+      isArbiterOf: (trait) => peers.isArbiterOf(trait, nowMs),
+      table: () => table,
+      limits: () => document.limits,
+      daemons: () => Math.max(MIN_ASSUMED_DAEMONS, peers.memberCount(nowMs)),
+      stopping: () => false,
+      sinceStopMs: () => undefined,
+      graceMs: () => 8_000,
+      maxRemainingMs: (_, remainingMs) => remainingMs
+    }
+  }
+
+  function refresh (daemon: number): void {
+    const { peers, pools } = memberOf(daemon)
+    pools.setFleet(peers.liveCount(nowMs), peers.memberCount(nowMs))
+    fleetModule.refreshTargets(memberOf(daemon), nowMs)
+  }
+
+  function start (daemon: number): void {
+    const { registry, pools } = memberOf(daemon)
+    for (const versioned of registered.values()) registry.apply(versioned, nowMs)
+    pools.adopt(document.services)
+    contexts.set(daemon, createContext(daemon))
+    refresh(daemon)
+  }
+
+  function register (target: routing.targetRegistry.Target, startedMs = 0): void {
+    revision += 1
+    const versioned = { id: target.id, era: 1, revision, report: { startedMs, sequence: revision }, target }
+    registered.set(target.id, versioned)
+    for (const { registry } of fleet.members) registry.apply(versioned, nowMs)
+    for (const daemon of contexts.keys()) refresh(daemon)
+  }
+
+  function advance (durationMs: number): void {
+    for (const endMs = nowMs + durationMs; nowMs < endMs;) {
+      nowMs += STEP_MS
+      const step = Math.floor(nowMs / STEP_MS)
+      for (const run of scheduled.get(step) ?? []) run()
+      scheduled.delete(step)
+      if (nowMs % REPORT_MS === 0) fleet.simulate(REPORT_MS, reaches)
+      if (nowMs % TICK_MS === 0) for (const { pools } of fleet.members) pools.tick()
+      if (nowMs % REFRESH_MS === 0) for (const daemon of contexts.keys()) refresh(daemon)
+    }
+  }
+
+  function request (daemon: number, path: string, headers: readonly string[] = []): Reply {
+    const context = contexts.get(daemon) ?? createContext(daemon)
+    const sentMs = nowMs
+    const outgoing = new CallerResponse()
+    const named = rawHeaders.findHeader(headers, 'request-id') === undefined ? ['request-id', `r-${nextRequest}`] : []
+    nextRequest += 1
+    const admitted = admission.admit(context, { method: 'POST', path, headers: ['host', 'shop.example', 'key', 'k-1', ...named, ...headers], arrivedMs: nowMs })
+    if (admitted.isErr()) outgoing.destroy()
+    else new requestTask.RequestTask({ context, request: admitted.value, body: undefined, outgoing: outgoing as unknown as http.ServerResponse, done: () => {} }).start()
+    return { daemon, sentMs, status: () => outgoing.status, headers: () => outgoing.headers, body: () => outgoing.body, end: () => outgoing.ended }
+  }
+
+  for (const target of options.targets) register(target)
+  for (let daemon = 0; daemon < daemons; daemon += 1) start(daemon)
+  advance(SETTLING_MS)
+  return {
+    now,
+    random,
+    fleet,
+    request,
+    advance,
+    setReach: (next) => { reaches = next },
+    restart: (daemon) => {
+      fleet.restart(daemon)
+      start(daemon)
+    },
+    register
+  }
+}
