Keep to the limits of requests that targets name, over the whole fleet

Callers saw nothing; engines that had named 2.9 and 3.4 requests a second got 36 and 27 in 4 s, as nothing read `Server-Limit`. Cause: placement knows only free slots and speed. Class: a bound for all that each daemon would have to keep; an equal share for each breaks at 87 daemons, where a first request each exceeds a low limit.

First try: each change was repeated at once by every member of a cell and reports had 32 rows, which added more than 20 KB/s a daemon with 63 limits that change each second (87 and 320 daemons, test report-size); now only own observations are sent at once, and 16 rows.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -80,12 +80,27 @@
   return undefined
 }
 
-/** Records the limit of requests that the target names, or that it names none any more. */
-function observeLimit ({ context, request, target }: Options, head: targetClient.ResponseHead): void {
-  const requestsPerS = headerNames.parseRequestLimit(rawHeaders.findHeader(head.headers, context.headerNames.requestLimit))
-  // Only a success shows that the target has no limit any more: a misdirected request is answered by another one.
-  if (requestsPerS === undefined && !isSuccess(head)) return
-  if (context.targetLimits.observe(target.id, requestsPerS)) context.log.change('target limit changed', { target: target.id, service: request.service, requestsPerS })
+/** Observes the limit of requests that the target names in its response. */
+interface LimitObserver {
+  readonly sent: () => void
+  readonly head: (head: targetClient.ResponseHead) => void
+}
+
+function createLimitObserver ({ context, target }: Options): LimitObserver {
+  let known: routing.targetLimits.LimitStatement | undefined
+  return {
+    sent: () => { known = context.targetLimits.statementOf(target.id) },
+    head: (head) => {
+      const requestsPerS = headerNames.parseRequestLimit(rawHeaders.findHeader(head.headers, context.headerNames.requestLimit))
+      // Only a success shows that the target has no limit any more: a misdirected request is answered by another one.
+      if (requestsPerS === undefined && !isSuccess(head)) return
+      if (context.targetLimits.observe({ target: target.id, requestsPerS, known }, context.now())) context.onLimitsChanged([target.id], 'response')
+    }
+  }
+}
+
+function isRejection ({ context }: Options, head: targetClient.ResponseHead): boolean {
+  return rawHeaders.findHeader(head.headers, context.headerNames.notRun) !== undefined || head.status === MISDIRECTED_REQUEST
 }
 
 function isStream (head: targetClient.ResponseHead): boolean {
@@ -104,6 +119,7 @@
   const { context, request, target, sink } = options
   const chunks: Buffer[] = []
   const splitter = streamEvents.createEventSplitter()
+  const limitObserver = createLimitObserver(options)
   let head: targetClient.ResponseHead | undefined
   let heldBytes = 0
   let finished = false
@@ -126,7 +142,7 @@
       return
     }
     head = response
-    observeLimit(options, response)
+    limitObserver.head(response)
     const load = headerNames.parseLoad(rawHeaders.findHeader(response.headers, context.headerNames.load))
     if (load !== undefined) context.pools.applyReportedLoad(request.service, target.id, load)
   }
@@ -161,15 +177,10 @@
 
   function handleEnd (): void {
     if (head === undefined) return
-    if (rawHeaders.findHeader(head.headers, context.headerNames.notRun) !== undefined || head.status === MISDIRECTED_REQUEST) {
-      finish({ kind: 'rejected', status: head.status })
-    } else if (!isStream(head)) {
-      finish({ kind: 'answered', head, body: Buffer.concat(chunks) })
-    } else if (splitter.pending().length > 0) {
-      finish({ kind: 'broken', message: 'the stream ended in the middle of an event' })
-    } else {
-      finish({ kind: 'streamed' })
-    }
+    if (isRejection(options, head)) finish({ kind: 'rejected', status: head.status })
+    else if (!isStream(head)) finish({ kind: 'answered', head, body: Buffer.concat(chunks) })
+    else if (splitter.pending().length > 0) finish({ kind: 'broken', message: 'the stream ended in the middle of an event' })
+    else finish({ kind: 'streamed' })
   }
 
   const exchange = context.clients.send({
@@ -179,7 +190,10 @@
     headers: requestHeaders(options),
     body: options.body
   }, {
-    sent: options.onSent,
+    sent: () => {
+      limitObserver.sent()
+      options.onSent()
+    },
     head: handleHead,
     data: handleData,
     end: handleEnd,
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -23,6 +23,8 @@
   readonly budget: routing.retryBudget.RetryBudget
   readonly suspects: routing.suspects.Suspects
   readonly targetLimits: routing.targetLimits.TargetLimits
+  /** Called when limits of targets have changed. */
+  readonly onLimitsChanged: (targets: readonly string[], source: string) => void
   /** Whether this daemon may try a request with a refused trait. */
   readonly isArbiterOf: (trait: string) => boolean
   /** Undefined until a document is in force. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -56,9 +56,6 @@
 const CONNECTION_SHARE = 0.85
 const MIN_CONNECTIONS = 2
 
-/** Minimum fleet size that is assumed, as a process does not know its peers right after its start. */
-const MIN_ASSUMED_DAEMONS = 8
-
 const INCARNATION_BYTES = 6
 
 const INITIAL_LIMITS: routing.document.Limits = { headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 5_000, idleTimeoutMs: 15_000 }
@@ -78,7 +75,7 @@
   readonly log: eventLog.EventLog
   private readonly registry = routing.targetRegistry.createTargetRegistry()
   private readonly suspects = new routing.suspects.Suspects((refused, isRefused) => { this.logSuspect(refused, isRefused) })
-  private readonly targetLimits = routing.targetLimits.createTargetLimits()
+  private readonly targetLimits = routing.targetLimits.createTargetLimits((target) => this.registry.startOf(target))
   private readonly peers: peerTable.PeerTable
   private readonly caps: routing.tokenCap.TokenCaps
   private readonly budget: routing.retryBudget.RetryBudget
@@ -117,6 +114,7 @@
       now: () => this.now(),
       random: Math.random,
       registry: this.registry,
+      limitOf: this.targetLimits.limitOf,
       changed: () => { this.reports?.changed() }
     })
     this.context = this.createContext()
@@ -280,7 +278,7 @@
   }
 
   private daemons (): number {
-    return Math.max(MIN_ASSUMED_DAEMONS, this.peers.memberCount(this.now()))
+    return Math.max(routing.rateShare.MIN_ASSUMED_MEMBERS, this.peers.memberCount(this.now()))
   }
 
   private openRequests (): number {
@@ -289,7 +287,7 @@
 
   private refreshTargets (): void {
     const nowMs = this.now()
-    this.pools.refreshTargets(this.peers.segment(nowMs), nowMs)
+    this.pools.refreshTargets(this.peers.place(nowMs), nowMs)
   }
 
   private connectionLimit (address: string): number {
@@ -305,10 +303,12 @@
     this.pools.setFleet(live, members)
     this.caps.setReachableShare(live / members)
     this.refreshTargets()
+    this.targetLimits.retain(new Set(this.registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id])))
     this.clients.retain(new Set(this.registry.versionedTargets().flatMap((versioned) => versioned.target === undefined ? [] : [versioned.target.address])))
     this.logReach(live, members)
     this.metrics.gauge('peers_live', live - 1)
     this.metrics.gauge('peers_in_cell', this.peers.reachablePeers(nowMs).length)
+    this.metrics.gauge('targets_limited', this.targetLimits.limitedCount())
     this.metrics.gauge('requests_waiting', this.pools.waiting())
     this.metrics.gauge('requests_open', this.openRequests())
   }
@@ -326,6 +326,12 @@
     this.reports?.changed()
   }
 
+  private handleLimitChanges (targets: readonly string[], source: string): void {
+    for (const target of targets) this.log.change('target limit changed', { target, requestsPerS: this.targetLimits.limitOf(target), source })
+    this.refreshTargets()
+    this.reports?.changed()
+  }
+
   private createContext (): contextModule.Context {
     return {
       now: () => this.now(),
@@ -339,6 +345,7 @@
       budget: this.budget,
       suspects: this.suspects,
       targetLimits: this.targetLimits,
+      onLimitsChanged: (targets, source) => { this.handleLimitChanges(targets, source) },
       isArbiterOf: (trait) => this.peers.isArbiterOf(trait, this.now()),
       table: () => this.table,
       limits: () => this.document?.limits ?? INITIAL_LIMITS,
@@ -364,6 +371,8 @@
       pools: this.pools,
       caps: this.caps,
       suspects: this.suspects,
+      targetLimits: this.targetLimits,
+      onLimitsChanged: (targets, source) => { this.handleLimitChanges(targets, source) },
       registry: this.registry,
       log: this.log,
       metrics: this.metrics,
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -11,6 +11,9 @@
 /** Position and report of a leaving target, whose other fields the recipient knows from the store; `started` is in ms, base 36. */
 export type LeavingTarget = readonly [id: string, era: number, revision: number, ...report: readonly [started: string, sequence: number] | readonly []]
 
+/** A target's limit of requests per second, null for none; `started` is in ms, base 36. */
+export type LimitRow = readonly [target: string, started: string, revision: number, requestsPerS: number | null]
+
 /** Load and state of a daemon, sent to its peers several times a second. */
 export interface Report {
   /** Endpoint of the sender's peer port, as `host:port`. */
@@ -32,6 +35,8 @@
   readonly complete: boolean
   readonly leavingTargets: readonly LeavingTarget[]
   readonly suspects: routing.suspects.SuspectReport
+  /** Limits that targets have named, those learned recently in each report and others in turn. */
+  readonly limits: readonly LimitRow[]
   /** Peers from which or about which the sender has received reports recently; empty in most reports. */
   readonly members: readonly Member[]
 }
@@ -43,7 +48,7 @@
   readonly targets: readonly routing.targetRegistry.VersionedTarget[]
 }
 
-const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], suspects: {}, members: [] }
+const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], suspects: {}, limits: [], members: [] }
 
 const STARTED_RADIX = 36
 
@@ -71,6 +76,30 @@
   return started === undefined || sequence === undefined ? undefined : { startedMs: parseInt(started, STARTED_RADIX), sequence }
 }
 
+/**
+ * Returns a statement about a limit for a report.
+ *
+ * @example
+ * ```ts
+ * toLimitRow({ target: 'i-1', startedMs: 1_764_841_234_567, revision: 2, requestsPerS: 2.8 })
+ * ```
+ */
+export function toLimitRow ({ target, startedMs, revision, requestsPerS }: routing.targetLimits.LimitStatement): LimitRow {
+  return [target, startedMs.toString(STARTED_RADIX), revision, requestsPerS ?? null]
+}
+
+/**
+ * Returns the statement in a row of a report.
+ *
+ * @example
+ * ```ts
+ * limitStatementOf(['i-1', 'mis1g9x3', 2, 2.8])
+ * ```
+ */
+export function limitStatementOf ([target, started, revision, requestsPerS]: LimitRow): routing.targetLimits.LimitStatement {
+  return { target, startedMs: parseInt(started, STARTED_RADIX), revision, requestsPerS: requestsPerS ?? undefined }
+}
+
 /**
  * Returns the message for a report, without empty fields.
  *
@@ -98,7 +127,7 @@
   const report = { ...EMPTY_FIELDS, ...message } as Partial<Report>
   const isComplete = typeof report.from === 'string' && typeof report.incarnation === 'string' && typeof report.sequence === 'number' &&
     typeof report.pools === 'object' && typeof report.usedTokens === 'object' && Array.isArray(report.members) &&
-    Array.isArray(report.leavingTargets) && typeof report.suspects === 'object' &&
+    Array.isArray(report.leavingTargets) && typeof report.suspects === 'object' && Array.isArray(report.limits) &&
     Array.isArray(report.targetsPosition)
   return isComplete ? report as Report : undefined
 }
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -17,6 +17,8 @@
   readonly port: peerPort.PeerPort
   readonly log: eventLog.EventLog
   readonly metrics: metricsModule.Metrics
+  /** Called when limits of targets have changed. */
+  readonly onLimitsChanged: (targets: readonly string[], source: string) => void
   readonly applyTarget: (versioned: routing.targetRegistry.VersionedTarget, source: string) => void
 }
 
@@ -57,7 +59,7 @@
  * ```
  */
 export function createPeerReports (options: Options): PeerReports {
-  const { caps, now, peers, pools, registry, suspects } = options
+  const { caps, now, peers, pools, registry, suspects, targetLimits } = options
   let closed = false
   /** Whether changes are being collected, so that a report will be sent soon. */
   let collecting = true
@@ -113,6 +115,11 @@
     }
   }
 
+  function applyLimits (report: peerMessages.Report, nowMs: number): void {
+    const changed = report.limits.map(peerMessages.limitStatementOf).filter((statement) => targetLimits.apply(statement, report.scope, nowMs))
+    if (changed.length > 0) options.onLimitsChanged(changed.map(({ target }) => target), report.from)
+  }
+
   function handle (report: peerMessages.Report): void {
     const nowMs = now()
     const acceptance = peers.accept(report, nowMs)
@@ -120,6 +127,7 @@
     if (acceptance === 'new') options.log.change('peer heard', { peer: report.from, incarnation: report.incarnation, documentVersion: report.documentVersion })
     tokenReports.apply(report, nowMs)
     suspects.applyReport(report.suspects, report.scope, nowMs)
+    applyLimits(report, nowMs)
     applyLeavingTargets(report)
     if (report.scope === 'cell') pools.applyPeerLoads(report.from, report.pools)
   }
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -48,6 +48,13 @@
   readonly lastSeenMs: number
 }
 
+/** Place of a daemon on the ring, which decides what it uses of the targets. */
+export interface RingPlace {
+  /** Segment whose targets the daemon's cell uses. */
+  readonly segment: routing.cell.RingSegment
+  readonly position: routing.rateShare.RingPosition
+}
+
 interface CachedDivision {
   /** Whether the fleet has a single cell, so that every daemon reports to every other. */
   readonly isSingleCell: boolean
@@ -77,6 +84,8 @@
   /** Time at which each endpoint was discovered. */
   private readonly discovered = new Map<string, number>()
   private cachedDivision: CachedDivision | undefined
+  /** Position when most members were last live. */
+  private position: routing.rateShare.RingPosition | undefined
 
   constructor (private readonly localAddress: string, private readonly random: () => number) {}
 
@@ -125,10 +134,12 @@
     return isSingleCell ? FLEET_INTERVAL_MS : Math.max(FLEET_INTERVAL_MS, FLEET_INTERVAL_PER_CELL_MS * (1 + division.otherCells.length))
   }
 
-  /** Returns the segment of the ring whose targets this daemon's cell uses. */
-  segment (nowMs: number): routing.cell.RingSegment {
+  /** Returns this daemon's place on the ring. */
+  place (nowMs: number): RingPlace {
     const { isSingleCell, division } = this.divide(nowMs)
-    return isSingleCell ? routing.cell.WHOLE_RING : division.segment
+    // An isolated daemon keeps its position, since the others keep counting it until they miss it for long.
+    if (this.position === undefined || this.liveCount(nowMs) * 2 > this.memberCount(nowMs)) this.position = division.position
+    return { segment: isSingleCell ? routing.cell.WHOLE_RING : division.segment, position: this.position }
   }
 
   /** Returns a name for the cell of a member of another cell. */
--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -15,6 +15,7 @@
   readonly pools: servicePools.ServicePools
   readonly caps: routing.tokenCap.TokenCaps
   readonly suspects: routing.suspects.Suspects
+  readonly targetLimits: routing.targetLimits.TargetLimits
   readonly registry: routing.targetRegistry.TargetRegistry
   readonly isReady: () => boolean
   readonly documentVersion: () => number
@@ -39,6 +40,9 @@
 /** Maximum number of rows of each kind of evidence in a report, which bounds its size when many targets fail at once. */
 const MAX_EVIDENCE_ROWS = 32
 
+/** Maximum number of limits in a report. */
+const MAX_LIMIT_ROWS = 16
+
 /**
  * Creates the writer of one daemon's reports.
  *
@@ -48,7 +52,7 @@
  * ```
  */
 export function createReportWriter (options: Options): ReportWriter {
-  const { caps, peers, pools, registry, suspects } = options
+  const { caps, peers, pools, registry, suspects, targetLimits } = options
   let sequence = 0
   /** Tokens that members of the cell have reported, by organisation. */
   const reportedTokens = new Map<string, number>()
@@ -62,7 +66,7 @@
     return registry.versionedTargets().filter((versioned) => versioned.target?.leaving === true).map(peerMessages.toLeavingTarget)
   }
 
-  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'suspects' | 'members'>): peerMessages.Report {
+  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'suspects' | 'limits' | 'members'>): peerMessages.Report {
     sequence += 1
     const { era, revision } = registry.position()
     return {
@@ -98,29 +102,38 @@
   /** Returns this daemon's evidence since its last report, or, with a listing, also earlier one. */
   function ownEvidence (withListing: boolean, nowMs: number): peerMessages.Report['suspects'] {
     const sinceMs = withListing ? listingsSince(nowMs) : lastCellReportMs
-    lastCellReportMs = nowMs
     return suspects.select({ sources: ['own'], sinceMs, withAllRefused: withListing, maxRows: MAX_EVIDENCE_ROWS }, nowMs)
   }
 
+  function limits (selection: Omit<routing.targetLimits.Selection, 'maxRows'>): peerMessages.Report['limits'] {
+    return targetLimits.select({ ...selection, maxRows: MAX_LIMIT_ROWS }).map(peerMessages.toLimitRow)
+  }
+
   function listingsSince (nowMs: number): number {
     return nowMs - EVIDENCE_REPETITIONS * peers.fleetIntervalMs(nowMs)
   }
 
   return {
-    writeForCell: (withListing, nowMs) => createReport('cell', {
-      pools: pools.loads(),
-      usedTokens: withListing ? Object.fromEntries(caps.used()) : changedTokens(),
-      complete: withListing,
-      leavingTargets: leavingTargetsForCell(withListing),
-      suspects: ownEvidence(withListing, nowMs),
-      members: withListing ? peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS) : []
-    }),
+    writeForCell: (withListing, nowMs) => {
+      const report = createReport('cell', {
+        pools: pools.loads(),
+        usedTokens: withListing ? Object.fromEntries(caps.used()) : changedTokens(),
+        complete: withListing,
+        leavingTargets: leavingTargetsForCell(withListing),
+        suspects: ownEvidence(withListing, nowMs),
+        limits: limits({ sources: ['own'], sinceMs: lastCellReportMs, withOthers: withListing }),
+        members: withListing ? peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS) : []
+      })
+      lastCellReportMs = nowMs
+      return report
+    },
     writeForFleet: (nowMs) => createReport('fleet', {
       pools: {},
       usedTokens: cellTokens(),
       complete: true,
       leavingTargets: leavingTargets(),
       suspects: suspects.select({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withAllRefused: true, maxRows: MAX_EVIDENCE_ROWS }, nowMs),
+      limits: limits({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withOthers: true }),
       members: peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS)
     }),
     countCellTokens: (organisation, tokens) => { reportedTokens.set(organisation, tokens + (reportedTokens.get(organisation) ?? 0)) }
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -242,7 +242,7 @@
     this.isSent = true
     if (this.target !== undefined) {
       this.evidence.begin(this.target.id)
-      if (context.targetLimits.isLimited(this.target.id)) context.metrics.count('limited_sends_total', { target: this.target.id, repeated: String(this.sends > 1) })
+      if (context.targetLimits.limitOf(this.target.id) !== undefined) context.metrics.count('limited_sends_total', { target: this.target.id, repeated: String(this.sends > 1) })
     }
     this.mayHaveRun = true
     context.metrics.count('sends_total', { service: request.service, repeated: String(this.sends > 1) })
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as routing from '@persimmonhatch/routing'
+import type * as peerTable from './peer-table.js'
 
 /** Callbacks for one request. */
 export interface PlacementListener {
@@ -26,8 +27,8 @@
 /** The pools of all services. */
 export interface ServicePools {
   readonly adopt: (services: readonly routing.document.Service[]) => void
-  /** Assigns the usable targets in the segment of this daemon's cell. */
-  readonly refreshTargets: (segment: routing.cell.RingSegment, nowMs: number) => void
+  /** Assigns the usable targets in the segment of this daemon's cell, with their limits. */
+  readonly refreshTargets: (place: peerTable.RingPlace, nowMs: number) => void
   readonly requestPlacement: (service: string, request: PlacementOptions, listener: PlacementListener) => void
   readonly handlePlacementEvent: (placement: Placement, event: PlacementEvent) => void
   readonly applyReportedLoad: (service: string, target: string, load: { readonly running: number, readonly waiting: number, readonly slots: number }) => void
@@ -50,6 +51,7 @@
   readonly now: () => number
   readonly random: () => number
   readonly registry: routing.targetRegistry.TargetRegistry
+  readonly limitOf: routing.cell.LimitLookup
   /** Called when the load to report to peers has changed. */
   readonly changed: () => void
 }
@@ -93,8 +95,11 @@
     }
   }
 
-  function refreshTargets (segment: routing.cell.RingSegment, nowMs: number): void {
-    for (const service of pools.keys()) handle(service, { kind: 'targets', targetShares: routing.cell.assignTargets(options.registry.usable(service, nowMs), segment) })
+  function refreshTargets ({ segment, position }: peerTable.RingPlace, nowMs: number): void {
+    for (const service of pools.keys()) {
+      const targets = options.registry.usable(service, nowMs)
+      handle(service, { kind: 'targets', targetShares: routing.cell.limitTargets(targets, routing.cell.assignTargets(targets, segment), options.limitOf, position) })
+    }
   }
 
   function requestPlacement (service: string, request: PlacementOptions, listener: PlacementListener): void {
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -40,14 +40,15 @@
   caps.adopt([ORGANISATION], 0)
   const suspects = new routing.suspects.Suspects()
   const registry = routing.targetRegistry.createTargetRegistry()
-  const targetLimits = routing.targetLimits.createTargetLimits()
-  const pools = servicePools.createServicePools({ now, random, registry, changed: () => {} })
+  const targetLimits = routing.targetLimits.createTargetLimits((target) => registry.startOf(target))
+  const pools = servicePools.createServicePools({ now, random, registry, limitOf: targetLimits.limitOf, changed: () => {} })
   const writer = gatewayPackage.reportWriter.createReportWriter({
     sender: { from: address, incarnation, frontAddress: address.replace('7600', '80') },
     peers,
     pools,
     caps,
     suspects,
+    targetLimits,
     registry,
     isReady: () => true,
     documentVersion: () => 1
@@ -78,6 +79,8 @@
       if (member.peers.accept(report, nowMs) === 'old') continue
       member.reportedTokens.apply(report, nowMs)
       member.suspects.applyReport(report.suspects, report.scope, nowMs)
+      const changed = report.limits.map(gatewayPackage.peerMessages.limitStatementOf).filter((statement) => member.targetLimits.apply(statement, report.scope, nowMs))
+      if (changed.length > 0) refreshTargets(member, nowMs)
       if (report.scope === 'cell') member.pools.applyPeerLoads(report.from, report.pools)
     }
   }
@@ -114,7 +117,7 @@
 
 /** Assigns the targets to the pools of a member, as a gateway does several times a second. */
 export function refreshTargets ({ peers, pools }: Member, nowMs: number): void {
-  pools.refreshTargets(peers.segment(nowMs), nowMs)
+  pools.refreshTargets(peers.place(nowMs), nowMs)
 }
 
 export const CONNECTED = (): boolean => true
--- a/packages/gateway/tests/report-size.test.ts
+++ b/packages/gateway/tests/report-size.test.ts
@@ -46,6 +46,25 @@
   })
 }
 
+for (const size of [9, 87, 320]) {
+  suite(`limits of 63 targets that change each second add little to the reports of each of ${size} daemons`, () => {
+    const fleet = fleetModule.createFleet(size, size)
+    fleet.simulate(5_000, fleetModule.CONNECTED)
+    fleet.simulate(5_000, fleetModule.CONNECTED)
+    const quietBytes = fleet.mean().bytes
+    fleet.simulate(5_000, fleetModule.CONNECTED, () => {
+      for (let index = 0; index < 63; index += 1) {
+        const target = `i-${String(index).padStart(10, '0')}`
+        const limits = fleet.members[index * 7 % size]?.targetLimits
+        limits?.observe({ target, requestsPerS: 1 + fleet.now() / 10_000, known: limits.statementOf(target) }, fleet.now())
+      }
+    })
+    const addedBytes = fleet.mean().bytes - quietBytes
+    // The limit of all control traffic is 20 KB/s per daemon (letter 1).
+    assert.ok(addedBytes <= 20_000, `${addedBytes} bytes`)
+  })
+}
+
 suite('a target that leaves is in the next report to the cell and in every listing', () => {
   const { registry, writer } = fleetModule.createMember('10.0.0.1:7600', () => 0)
   const reported = (withListing: boolean, nowMs: number): number => writer.writeForCell(withListing, nowMs).leavingTargets.length
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -190,6 +190,7 @@
       budget: routing.retryBudget.createRetryBudget({ ratio: 0.2, allowance: 200, windowMs: 10_000 }),
       suspects,
       targetLimits,
+      onLimitsChanged: () => { refresh(daemon) },
       isArbiterOf: (trait) => peers.isArbiterOf(trait, nowMs),
       table: () => table,
       limits: () => document.limits,
--- a/packages/routing/src/cell.ts
+++ b/packages/routing/src/cell.ts
@@ -10,6 +10,7 @@
  * @module
  */
 import * as membership from '@persimmonhatch/membership'
+import * as rateShare from './rate-share.js'
 import type * as targetRegistry from './target-registry.js'
 
 /** Intended number of daemons in a cell. */
@@ -39,12 +40,15 @@
   readonly ownCell: readonly string[]
   readonly otherCells: readonly (readonly string[])[]
   readonly segment: RingSegment
+  readonly position: rateShare.RingPosition
 }
 
 /** A target and the share of its slots that a cell may use. */
 export interface TargetShare {
   readonly target: targetRegistry.Target
   readonly share: number
+  /** Undefined if the target has no limit of its request rate. */
+  readonly limit?: rateShare.RateLimit | undefined
 }
 
 /** Sorts items by the hash of their names, so that every process computes the same order. */
@@ -88,7 +92,8 @@
   return {
     ownCell,
     otherCells: groups.filter((group) => group !== ownCell),
-    segment: { from: firstIndex / length, to: (firstIndex + ownCell.length) / length }
+    segment: { from: firstIndex / length, to: (firstIndex + ownCell.length) / length },
+    position: { index: ordered.indexOf(own), members: length }
   }
 }
 
@@ -153,3 +158,26 @@
     return overlap > 0 && (isWidened || share * target.slots >= MIN_SLOTS_AT_TARGET) ? [{ target, share }] : []
   })
 }
+
+/** Returns the limit of a target's request rate; undefined if it has none. */
+export type LimitLookup = (target: string) => number | undefined
+
+/**
+ * Adds their limits to the targets that a cell uses, and the limited targets of other cells that this daemon is a
+ * sender of.
+ *
+ * @example
+ * ```ts
+ * const shares = limitTargets(targets, assignTargets(targets, segment), limits.limitOf, position)
+ * ```
+ */
+export function limitTargets (targets: readonly targetRegistry.Target[], shares: readonly TargetShare[], limitOf: LimitLookup, position: rateShare.RingPosition): readonly TargetShare[] {
+  if (targets.every(({ id }) => limitOf(id) === undefined)) return shares
+  const shareOf = new Map(shares.map(({ target, share }) => [target.id, share]))
+  return sortByHash(targets, (target) => target.id).flatMap((target, index) => {
+    const share = shareOf.get(target.id)
+    const requestsPerS = limitOf(target.id)
+    const limit = requestsPerS === undefined ? undefined : rateShare.shareRate(requestsPerS, { index, targets: targets.length }, position)
+    return share !== undefined || (limit?.ownRequestsPerS ?? 0) > 0 ? [{ target, share: share ?? 0, limit }] : []
+  })
+}
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -49,6 +49,8 @@
 /** Weight of a new sample in the moving average of service times. */
 const SMOOTHING_FACTOR = 0.1
 
+const MS_PER_S = 1_000
+
 /** Maximum expected wait in the figures, ms. */
 const MAX_REPORTED_WAIT_MS = 1_000_000
 
@@ -58,6 +60,8 @@
   readonly isEjected: boolean
   readonly inFlight: number
   readonly freeSlots: number
+  /** Requests that the limit of the target's request rate allows this daemon to send. */
+  readonly allowedSends: number
 }
 
 /** State of the targets at one moment, used for placement. */
@@ -66,7 +70,22 @@
   readonly candidates: readonly Candidate[]
   /** The target with the shortest time to the first event. */
   readonly fastest: targetRecord.TargetRecord | undefined
+  /** Slots that may be used; a limited target has only those that its request rate fills. */
   readonly slots: number
+  readonly sendLimit: SendLimit | undefined
+}
+
+/** What this daemon may send while all usable targets are limited. */
+interface SendLimit {
+  readonly requestsPerS: number
+  /** Time until the next request may be sent, ms. */
+  readonly waitMs: number
+}
+
+/** Requests that are placed before another: at this daemon alone, and here and at peers. */
+interface QueuePosition {
+  readonly aheadHere: number
+  readonly ahead: number
 }
 
 type Decisions = Generator<poolEvent.PoolDecision, void>
@@ -159,7 +178,7 @@
       const { id } = targetShare.target
       const record = this.records.get(id)
       if (record === undefined) this.records.set(id, new targetRecord.TargetRecord(targetShare, nowMs))
-      else record.update(targetShare)
+      else record.update(targetShare, nowMs)
     }
   }
 
@@ -200,17 +219,33 @@
     return Math.max(0, Math.min(availableByReports, this.concurrencyLimit(record) - record.targetReportedOccupancy(nowMs)))
   }
 
+  /** Returns the slots that a target fills with the requests that its rate allows. */
+  private usableSlots ({ target, share, limit }: targetRecord.TargetRecord): number {
+    return share * Math.min(target.slots, (limit?.requestsPerS ?? Infinity) * this.serviceTimeMs / MS_PER_S)
+  }
+
+  private sendLimit (candidates: readonly Candidate[], nowMs: number): SendLimit | undefined {
+    const healthy = candidates.filter(({ isEjected }) => !isEjected)
+    const limited = healthy.filter(({ record }) => record.limit !== undefined)
+    if (limited.length === 0 || limited.length < healthy.length) return undefined
+    return {
+      requestsPerS: limited.reduce((sum, { record }) => sum + (record.limit?.ownRequestsPerS ?? 0), 0),
+      waitMs: Math.min(...limited.map(({ record }) => record.sendWaitMs(nowMs)))
+    }
+  }
+
   private snapshot (nowMs: number): PoolSnapshot {
     const candidates: Candidate[] = []
     let fastest: targetRecord.TargetRecord | undefined
     let slots = 0
     for (const record of this.records.values()) {
       if (record.isRemoved) continue
-      candidates.push({ record, isEjected: record.isEjected(nowMs), inFlight: record.occupancy(nowMs), freeSlots: this.freeSlotsAt(record, nowMs) })
-      slots += record.target.slots * record.share
+      const allowedSends = record.allowedSends(nowMs)
+      candidates.push({ record, isEjected: record.isEjected(nowMs), inFlight: record.occupancy(nowMs), freeSlots: Math.min(allowedSends, this.freeSlotsAt(record, nowMs)), allowedSends })
+      slots += this.usableSlots(record)
       if (fastest === undefined || record.estimate.firstEventMs(0) < fastest.estimate.firstEventMs(0)) fastest = record
     }
-    return { nowMs, candidates, fastest, slots }
+    return { nowMs, candidates, fastest, slots, sendLimit: this.sendLimit(candidates, nowMs) }
   }
 
   /** Returns the expected time from dispatch to the first event, or to a plain response, at the fastest target. */
@@ -244,8 +279,10 @@
     const { candidates, nowMs } = snapshot
     const eligible = candidates.filter(({ record }) => !request.excludedTargets.has(record.target.id))
     const notEjected = eligible.filter(({ isEjected }) => !isEjected)
-    const usable = (notEjected.length > 0 ? notEjected : eligible).filter(({ record, freeSlots }) => request.isRetry || freeSlots > (assigned.get(record) ?? 0))
+    const usable = (notEjected.length > 0 ? notEjected : eligible).filter(({ record, freeSlots, allowedSends }) => (request.isRetry ? allowedSends : freeSlots) > (assigned.get(record) ?? 0))
     const capable = usable.filter((candidate) => this.canFinish(candidate, request, nowMs))
+    const unconfirmed = capable.find(({ record }) => record.isLimitUnconfirmed(nowMs))
+    if (unconfirmed !== undefined) return unconfirmed.record
     let best: { readonly record: targetRecord.TargetRecord, readonly score: number } | undefined
     for (const candidate of capable.length > 0 ? capable : usable) {
       const score = this.scoreOf(candidate, request, nowMs)
@@ -254,17 +291,25 @@
     return best?.record
   }
 
-  private expectedWaitMs (ahead: number, snapshot: PoolSnapshot): number {
-    return snapshot.slots === 0 ? Infinity : ahead * this.serviceTimeMs / snapshot.slots
+  /** Returns the expected wait for a slot in the whole fleet. */
+  private slotWaitMs (ahead: number, { slots }: PoolSnapshot): number {
+    return slots === 0 ? Infinity : ahead * this.serviceTimeMs / slots
+  }
+
+  private expectedWaitMs ({ ahead, aheadHere }: QueuePosition, snapshot: PoolSnapshot): number {
+    const { sendLimit } = snapshot
+    if (sendLimit === undefined) return this.slotWaitMs(ahead, snapshot)
+    const sendWaitMs = sendLimit.requestsPerS === 0 ? Infinity : sendLimit.waitMs + aheadHere / sendLimit.requestsPerS * MS_PER_S
+    return Math.max(sendWaitMs, this.slotWaitMs(ahead, snapshot))
   }
 
-  private figures (request: poolEvent.PlacementRequest, ahead: number, snapshot: PoolSnapshot, freeSlots: number): poolEvent.Figures {
+  private figures (request: poolEvent.PlacementRequest, position: QueuePosition, snapshot: PoolSnapshot, freeSlots: number): poolEvent.Figures {
     return {
       waitedMs: Math.round(snapshot.nowMs - request.arrivedMs),
       waiting: this.queue.length,
-      ahead,
+      ahead: position.ahead,
       freePlaces: freeSlots,
-      expectedWaitMs: Math.round(Math.min(MAX_REPORTED_WAIT_MS, this.expectedWaitMs(ahead, snapshot))),
+      expectedWaitMs: Math.round(Math.min(MAX_REPORTED_WAIT_MS, this.expectedWaitMs(position, snapshot))),
       heardDaemons: this.fleet.reachable
     }
   }
@@ -281,10 +326,10 @@
     return ahead
   }
 
-  private mustRefuse (request: poolEvent.PlacementRequest, ahead: number, snapshot: PoolSnapshot): boolean {
+  private mustRefuse (request: poolEvent.PlacementRequest, position: QueuePosition, snapshot: PoolSnapshot): boolean {
     const { nowMs } = snapshot
     const maxWaitMs = waitingOrder.maxWaitMs(request, this.expectedFirstMs(request, snapshot), nowMs)
-    return nowMs - request.arrivedMs + this.expectedWaitMs(ahead, snapshot) > maxWaitMs
+    return nowMs - request.arrivedMs + this.expectedWaitMs(position, snapshot) > maxWaitMs
   }
 
   private * serveQueue (nowMs: number): Decisions {
@@ -295,9 +340,9 @@
     const allEjected = snapshot.candidates.every((candidate) => candidate.isEjected)
     let freeSlots = snapshot.candidates.reduce((sum, candidate) => sum + (candidate.isEjected && !allEjected ? 0 : candidate.freeSlots), 0)
     for (const [request, rank] of this.orderedQueue(snapshot)) {
-      const ahead = stillWaiting.length + this.aheadAtPeers(request, rank, nowMs)
-      const record = request.isRetry || freeSlots > ahead ? this.chooseTarget(request, snapshot, assigned) : undefined
-      const figures = this.figures(request, ahead, snapshot, freeSlots)
+      const position = { aheadHere: stillWaiting.length, ahead: stillWaiting.length + this.aheadAtPeers(request, rank, nowMs) }
+      const record = request.isRetry || freeSlots > position.ahead ? this.chooseTarget(request, snapshot, assigned) : undefined
+      const figures = this.figures(request, position, snapshot, freeSlots)
       if (record !== undefined) {
         freeSlots -= 1
         assigned.set(record, (assigned.get(record) ?? 0) + 1)
@@ -306,8 +351,8 @@
         yield { kind: 'dispatch', id: request.id, target: record.target, figures }
       } else if (snapshot.candidates.length === 0) {
         yield { kind: 'refuse', id: request.id, reason: 'no-target', retryAfterMs: waitingOrder.retryAfterMs(request, 0, this.options.random(), nowMs), figures }
-      } else if (this.mustRefuse(request, ahead, snapshot)) {
-        yield { kind: 'refuse', id: request.id, reason: 'overloaded', retryAfterMs: waitingOrder.retryAfterMs(request, this.expectedWaitMs(ahead, snapshot), this.options.random(), nowMs), figures }
+      } else if (this.mustRefuse(request, position, snapshot)) {
+        yield { kind: 'refuse', id: request.id, reason: 'overloaded', retryAfterMs: waitingOrder.retryAfterMs(request, this.slotWaitMs(position.ahead, snapshot), this.options.random(), nowMs), figures }
       } else {
         stillWaiting.push(request)
       }
--- a/packages/routing/src/target-record.ts
+++ b/packages/routing/src/target-record.ts
@@ -5,6 +5,8 @@
  */
 import type * as cell from './cell.js'
 import * as engineEstimate from './engine-estimate.js'
+import * as rateBucket from './rate-bucket.js'
+import type * as rateShare from './rate-share.js'
 import type * as targetRegistry from './target-registry.js'
 
 /** A request of this daemon that is in flight at the target. */
@@ -46,6 +48,9 @@
 const INITIAL_EJECTION_MS = 250
 const MAX_EJECTION_MS = 3_000
 
+/** Time without a request of this daemon after which a limited target is preferred, as only its responses show changes of the limit, ms. */
+const LIMIT_CONFIRMATION_MS = 1_000
+
 /** Maximum number of prompt segments recorded for one target. */
 const MAX_CACHED_SEGMENTS = 400
 
@@ -64,6 +69,7 @@
 export class TargetRecord {
   readonly estimate = engineEstimate.createEngineEstimate()
   private readonly inFlight = new Map<number, InFlightRequest>()
+  private readonly bucket = new rateBucket.RateBucket()
   private readonly peers = new Map<string, PeerTargetLoad>()
   /** Time at which each prompt segment was last sent there. */
   private readonly cachedSegments = new Map<string, number>()
@@ -72,11 +78,14 @@
   private smoothedResponseMs = INITIAL_RESPONSE_MS
   private ejectedUntilMs = 0
   private lastReceivedMs: number
+  private lastBegunMs: number
   private reportedLoad: ReportedLoad | undefined
   private removed = false
 
   constructor (private targetShare: cell.TargetShare, nowMs: number) {
     this.lastReceivedMs = nowMs
+    this.lastBegunMs = nowMs
+    this.bucket.configure(targetShare.limit?.ownRequestsPerS, nowMs)
   }
 
   get target (): targetRegistry.Target {
@@ -107,8 +116,14 @@
     return [...this.inFlight.keys()]
   }
 
-  update (targetShare: cell.TargetShare): void {
+  /** Limit of the request rate; undefined if there is none. */
+  get limit (): rateShare.RateLimit | undefined {
+    return this.targetShare.limit
+  }
+
+  update (targetShare: cell.TargetShare, nowMs: number): void {
     this.targetShare = targetShare
+    this.bucket.configure(targetShare.limit?.ownRequestsPerS, nowMs)
     this.removed = false
   }
 
@@ -125,6 +140,21 @@
     return this.inFlight.size > 0 && nowMs - this.lastReceivedMs > stallMs
   }
 
+  /** Returns the number of requests that the limit of the request rate allows this daemon to send now. */
+  allowedSends (nowMs: number): number {
+    return Math.floor(this.bucket.tokens(nowMs))
+  }
+
+  /** Returns the time until the limit of the request rate allows this daemon to send a request, ms. */
+  sendWaitMs (nowMs: number): number {
+    return this.bucket.waitMs(nowMs)
+  }
+
+  /** Returns whether a limited target has got no request of this daemon for so long that its limit may have changed unnoticed. */
+  isLimitUnconfirmed (nowMs: number): boolean {
+    return this.limit !== undefined && nowMs - this.lastBegunMs > LIMIT_CONFIRMATION_MS
+  }
+
   /** Returns the number of requests at the target from all daemons, as far as reported. */
   occupancy (nowMs: number): number {
     return Math.max(this.peerReportedOccupancy(nowMs), this.targetReportedOccupancy(nowMs))
@@ -170,6 +200,8 @@
   begin (id: number, promptTokens: number, promptSegments: readonly string[], nowMs: number): void {
     const prefillTokens = this.hasCachedPrompt(promptSegments, nowMs) ? 0 : promptTokens
     if (this.inFlight.size === 0) this.lastReceivedMs = nowMs
+    this.lastBegunMs = nowMs
+    this.bucket.take(nowMs)
     this.inFlight.set(id, { startMs: nowMs, promptTokens: prefillTokens, pendingPrefillTokens: this.pendingPrefillTokens() + prefillTokens, firstEventMs: undefined })
     this.cacheSegments(promptSegments, nowMs)
   }
--- a/packages/routing/src/target-registry.ts
+++ b/packages/routing/src/target-registry.ts
@@ -66,6 +66,8 @@
   /** Returns the targets that may receive new requests. */
   readonly usable: (service: string, nowMs: number) => readonly Target[]
   readonly versionedTargets: () => readonly VersionedTarget[]
+  /** Returns the start that a target has reported, Unix ms; 0 if it has reported none. */
+  readonly startOf: (id: string) => number
   /** Returns the position of the store up to which all changes are applied. */
   readonly position: () => Position
   /** Records that all changes up to a position are applied. */
@@ -163,5 +165,7 @@
     return ready.length > 0 ? ready : lastResort
   }
 
-  return { apply, applyChange, applyListing, usable, advanceTo, position: () => applied, versionedTargets: () => [...entries.values()].map((entry) => entry.versioned) }
+  const startOf = (id: string): number => entries.get(id)?.versioned.report?.startedMs ?? 0
+
+  return { apply, applyChange, applyListing, usable, advanceTo, startOf, position: () => applied, versionedTargets: () => [...entries.values()].map((entry) => entry.versioned) }
 }
