Log the versions of targets, and which stream a request resumes

Cause: the logs can't tell apart why streams went on at another version: neither versions nor the attempt that a caller names in `Resumes` are in them. Change: a target has its version in `routing`; `target learnt` and `request ended` have versions, the latter also `resumes`. Placement is unchanged.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -33,6 +33,8 @@
   readonly promptSegments: readonly string[]
   /** Deadline of the route or the caller, whichever is earlier. */
   readonly limitMs: number
+  /** The attempt whose stream this request resumes, as the caller names it; undefined if it resumes none. */
+  readonly resumes: string | undefined
   /** Whether the caller has sent the request again, as it states less remaining time than others start with. */
   readonly resubmitted: boolean
 }
@@ -81,6 +83,11 @@
   return Number.isFinite(hintTokens) && hintTokens > 0 ? Math.min(hintTokens, bound) : bound
 }
 
+function readResumes (context: contextModule.Context, head: RequestHead): string | undefined {
+  const { lastEventId, resumes } = context.headerNames
+  return rawHeaders.findHeader(head.headers, lastEventId) === undefined ? undefined : rawHeaders.findHeader(head.headers, resumes)
+}
+
 function isAccepted (context: contextModule.Context, kind: routing.document.RequestKind, outputTokens: number): boolean {
   const sinceStopMs = context.sinceStopMs()
   return sinceStopMs === undefined || routing.plannedStop.isAcceptedDuringStop({ sinceStopMs, graceMs: context.graceMs(), kind, outputTokens })
@@ -112,6 +119,7 @@
       outputTokens: expectedTokens(context, head, tokens?.output ?? 0),
       cappedTokens: tokens === undefined ? match.organisation?.plainTokens ?? 0 : tokens.prompt + tokens.output,
       promptSegments: headerNames.parsePromptSegments(rawHeaders.findHeader(head.headers, context.headerNames.promptParts)),
+      resumes: readResumes(context, head),
       limitMs: head.arrivedMs + Math.min(match.route.timeoutMs, remainingMs),
       resubmitted: remainingMs < RESUBMITTED_SHARE * context.maxRemainingMs(match.route.name, remainingMs)
     })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -259,7 +259,7 @@
   }
 
   private handleTargetChange ({ id, era, revision, target }: routing.targetRegistry.VersionedTarget, source: string): void {
-    this.log.change('target learnt', { target: id, era, revision, state: peerReports.stateOf(target), service: target?.service, source })
+    this.log.change('target learnt', { target: id, era, revision, state: peerReports.stateOf(target), service: target?.service, version: target?.version, source })
     this.refreshTargets()
     if (target === undefined || target.leaving) this.reports?.changed()
   }
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -11,6 +11,8 @@
   /** Time until the deadline of the caller, ms. */
   readonly remainingMs: string
   readonly lastEventId: string
+  /** In a request that resumes a stream: the request id of the attempt that brought its first event. */
+  readonly resumes: string
   /** The caller's key; never forwarded to targets. */
   readonly key: string
   /** The organisation that the key belongs to, sent to targets. */
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -55,7 +55,7 @@
 export class RequestTask {
   private readonly excludedTargets = new Set<string>()
   /** Targets in the order in which they were tried. */
-  private readonly triedTargets: string[] = []
+  private readonly triedTargets: routing.targetRegistry.Target[] = []
   private readonly evidence: requestEvidence.RequestEvidence
   private readonly isRetryable: boolean
   private readonly deadlineTimer: NodeJS.Timeout
@@ -123,7 +123,9 @@
       returned: request.resubmitted,
       trait: this.refusedTrait,
       sends: this.sends,
-      path: this.triedTargets,
+      path: this.triedTargets.map(({ id }) => id),
+      versions: this.triedTargets.map(({ version }) => version),
+      resumes: request.resumes,
       ...this.figures,
       firstEventMs,
       lastEvent: this.lastId,
@@ -220,7 +222,7 @@
   private send (target: routing.targetRegistry.Target): void {
     const { context, request, body } = this.options
     this.target = target
-    this.triedTargets.push(target.id)
+    this.triedTargets.push(target)
     this.isSent = false
     this.awaitsFirstEvent = true
     this.exchange = attemptModule.startAttempt({
--- a/packages/gateway/tests/endless-responses.test.ts
+++ b/packages/gateway/tests/endless-responses.test.ts
@@ -59,7 +59,7 @@
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   servers = [...servers, server]
   const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`
-  fixture.gateway.applyTarget({ id: 'i-1', era: 1, revision: 1, target: { id: 'i-1', service: 'stock', address, availabilityZone: 'casa-a', slots: 6, leaving: false } }, 'test')
+  fixture.gateway.applyTarget({ id: 'i-1', era: 1, revision: 1, target: { id: 'i-1', service: 'stock', address, availabilityZone: 'casa-a', version: 'v1', slots: 6, leaving: false } }, 'test')
   return { sentBytes: () => sentBytes, closed }
 }
 
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -11,6 +11,7 @@
   requestId: 'request-id',
   remainingMs: 'remaining-ms',
   lastEventId: 'last-event-id',
+  resumes: 'resumes',
   key: 'key',
   organisation: 'organisation',
   expectedTarget: 'expected-target',
@@ -164,7 +165,7 @@
   gateway.adopt(document, 'test')
   for (const [index, address] of addresses.entries()) {
     const id = `i-${index + 1}`
-    gateway.applyTarget({ id, era: 1, revision: index + 1, target: { id, service: 'stock', address, availabilityZone: 'casa-a', slots: 6, leaving: false } }, 'test')
+    gateway.applyTarget({ id, era: 1, revision: index + 1, target: { id, service: 'stock', address, availabilityZone: 'casa-a', version: 'v1', slots: 6, leaving: false } }, 'test')
   }
   return {
     gateway,
--- a/packages/gateway/tests/limited-fleet.test.ts
+++ b/packages/gateway/tests/limited-fleet.test.ts
@@ -112,7 +112,7 @@
   /** When each daemon was told of the limit of a target. */
   const toldMs = new Map<string, number>()
   const targets = Array.from({ length: scenario.targets }, (_, index): routing.targetRegistry.Target => ({
-    id: `i-${index}`, service: 'support', address: `10.9.0.${index}:80`, availabilityZone: 'casa-a', slots: scenario.slots, leaving: false
+    id: `i-${index}`, service: 'support', address: `10.9.0.${index}:80`, availabilityZone: 'casa-a', version: 'v1', slots: scenario.slots, leaving: false
   }))
   const indexOf = ({ id }: routing.targetRegistry.Target): number => Number(id.slice(2))
   const limitAt = (target: number, atMs: number): number | undefined => atMs < LIMITED_FROM_MS ? undefined : scenario.limitOf(target, atMs - LIMITED_FROM_MS)
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -113,7 +113,7 @@
     const fixtures = [await fixtureModule.openFixture(1), await fixtureModule.openFixture(1)]
     const [source, follower] = fixtures
     if (source === undefined || follower === undefined) throw new Error('A fixture is missing.')
-    const target = { id: 'i-9', service: 'stock', address: '127.0.0.1:9', availabilityZone: 'casa-a', slots: 2, leaving: false }
+    const target = { id: 'i-9', service: 'stock', address: '127.0.0.1:9', availabilityZone: 'casa-a', version: 'v1', slots: 2, leaving: false }
     const [atStart, moved] = [{ startedMs: 5, sequence: 1 }, { startedMs: 5, sequence: 2 }]
     for (const { gateway } of fixtures) gateway.applyStoreTarget({ id: 'i-9', ...own, report: atStart, target })
     const syncs = await Promise.all(fixtures.map((fixture) => gatewayPackage.stateSync.openStateSync({ gateway: fixture.gateway, address: fixture.peerAddress })))
--- a/packages/gateway/tests/report-size.test.ts
+++ b/packages/gateway/tests/report-size.test.ts
@@ -36,7 +36,7 @@
     for (const { registry } of fleet.members) {
       for (let revision = 1; revision <= 30; revision += 1) {
         const id = `i-${String(revision).padStart(10, '0')}`
-        registry.apply({ id, era: 1, revision, report: { startedMs: 1_764_841_234_567, sequence: 100 + revision }, target: { id, service: 'stock', address: '10.9.0.1:80', availabilityZone: 'casa-a', slots: 6, leaving: true } }, fleet.now())
+        registry.apply({ id, era: 1, revision, report: { startedMs: 1_764_841_234_567, sequence: 100 + revision }, target: { id, service: 'stock', address: '10.9.0.1:80', availabilityZone: 'casa-a', version: 'v1', slots: 6, leaving: true } }, fleet.now())
       }
     }
     fleet.simulate(5_000, fleetModule.CONNECTED)
@@ -68,7 +68,7 @@
 suite('a target that leaves is in the next report to the cell and in every listing', () => {
   const { registry, writer } = fleetModule.createMember('10.0.0.1:7600', () => 0)
   const reported = (withListing: boolean, nowMs: number): number => writer.writeForCell(withListing, nowMs).leavingTargets.length
-  registry.apply({ id: 'i-1', era: 1, revision: 7, target: { id: 'i-1', service: 'stock', address: '10.9.0.1:80', availabilityZone: 'casa-a', slots: 6, leaving: true } }, 0)
+  registry.apply({ id: 'i-1', era: 1, revision: 7, target: { id: 'i-1', service: 'stock', address: '10.9.0.1:80', availabilityZone: 'casa-a', version: 'v1', slots: 6, leaving: true } }, 0)
   assert.equal([reported(false, 0), reported(false, 70), reported(true, 140), reported(false, 210), reported(true, 280)], [1, 0, 1, 0, 1])
   assert.is(writer.writeForFleet(280).leavingTargets.length, 1)
 })
--- a/packages/gateway/tests/requests.test.ts
+++ b/packages/gateway/tests/requests.test.ts
@@ -256,7 +256,7 @@
   const routes = fixtureModule.DOCUMENT.routes.map((route) => ({ ...route, timeoutMs: LONG_TIMEOUT_MS, targetLatencyMs: LONG_TIMEOUT_MS }))
   fixture.gateway.adopt({ ...fixtureModule.DOCUMENT, version: 2, routes, services: [{ name: 'stock', connections: 1_000, engine: undefined }] }, 'test')
   const server = await openUnreachableServer()
-  const target = { id: 'i-unreachable', service: 'stock', address: server.address, availabilityZone: 'casa-a', slots: 24, leaving: false }
+  const target = { id: 'i-unreachable', service: 'stock', address: server.address, availabilityZone: 'casa-a', version: 'v1', slots: 24, leaving: false }
   fixture.gateway.applyTarget({ id: target.id, era: 1, revision: 50, target }, 'test')
   const inFlight = new Map<string, number>()
   let maxInFlight = 0
--- a/packages/routing/src/target-registry.ts
+++ b/packages/routing/src/target-registry.ts
@@ -19,6 +19,8 @@
   readonly service: string
   readonly address: string
   readonly availabilityZone: string
+  /** Version of its software; a stream can go on only at the version that began it. */
+  readonly version: string
   readonly slots: number
   readonly leaving: boolean
 }
--- a/packages/routing/tests/fixtures.ts
+++ b/packages/routing/tests/fixtures.ts
@@ -28,7 +28,7 @@
 }
 
 export function targetOf (id: string, service: string, slots: number): routing.targetRegistry.Target {
-  return { id, service, address: `10.0.0.1:${8_000 + Number(id.replace(/\D/g, ''))}`, availabilityZone: 'casa-a', slots, leaving: false }
+  return { id, service, address: `10.0.0.1:${8_000 + Number(id.replace(/\D/g, ''))}`, availabilityZone: 'casa-a', version: 'v1', slots, leaving: false }
 }
 
 export function requestOf (id: number, changes: Partial<routing.poolEvent.PlacementRequest> = {}): routing.poolEvent.PlacementRequest {
--- a/packages/routing/tests/fleet-simulation.ts
+++ b/packages/routing/tests/fleet-simulation.ts
@@ -76,7 +76,7 @@
 export function simulateFleet (options: Options): Result {
   const source = generator.xoroshiro128plus(options.seed)
   const random = (): number => distribution.uniformFloat64(source)
-  const targets = options.engines.map((_, index) => ({ id: `i-${index}`, service: 'support', address: `10.0.0.${index}:80`, availabilityZone: 'a', slots: 12, leaving: false }))
+  const targets = options.engines.map((_, index) => ({ id: `i-${index}`, service: 'support', address: `10.0.0.${index}:80`, availabilityZone: 'a', version: 'v1', slots: 12, leaving: false }))
   const pools = Array.from({ length: options.daemons }, () => new routing.pool.Pool({ service: SERVICE, random }))
   const outcomes = new Map<string, Outcome>()
   const arrivals = new Map<number, { readonly kind: Kind, readonly arrivedMs: number }>()
