Show that streams go on at other versions than their own, listed as red

Cause, suspected: retries within an answer and requests with `Last-Event-Id` go to any target. Change: the simulated fleet gets daemons that are killed; 11 scenarios of streams that break off and are resumed, with the users' bounds for ORDER and LOST, and two streams that must be refused.

--- /dev/null
+++ b/packages/gateway/tests/resumed-fleet.test.ts
@@ -0,0 +1,273 @@
+/**
+ * Streams that break off and are resumed while targets of several software versions serve, at a simulated fleet of daemons.
+ */
+import type * as routing from '@persimmonhatch/routing'
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as fixture from './fixture.js'
+import * as rawHeaders from '../src/raw-headers.js'
+import * as servingFleet from './serving-fleet.js'
+
+const suite = uvu.suite('resumed fleet')
+
+const MS_PER_S = 1_000
+const ARRIVAL_STEP_MS = 20
+const EVENTS = 12
+const EVENT_INTERVAL_MS = 100
+const DOWN_MS = 1_000
+
+/** The users' bounds: streams with events of two versions, and the share of resumed streams that go on relative to that of new ones that begin. */
+const MAX_MIXED = 2
+const MIN_GOING_ON_SHARE = 0.5
+
+/** Time for which a daemon must have been up to be judged, ms. */
+const STABLE_MS = 3_000
+
+const ROUTE: routing.document.Route = {
+  name: 'generate',
+  host: 'shop.example',
+  prefix: '/generate/',
+  kind: 'stream',
+  resumable: true,
+  timeoutMs: 12_000,
+  targetLatencyMs: 800,
+  attempts: 3,
+  priority: 0,
+  shares: [{ service: 'support', weight: 1 }],
+  anonymous: true
+}
+
+const DOCUMENT: routing.document.RoutingDocument = {
+  ...fixture.DOCUMENT,
+  routes: [ROUTE],
+  services: [{ name: 'support', connections: 600, engine: { slots: 12, memoryTokens: 700_000, tokensPerEvent: 6 } }],
+  organisations: []
+}
+
+/** A target of a software version that joins and leaves at times since the first request. */
+interface VersionedTarget {
+  readonly version: string
+  readonly joinsMs?: number
+  readonly leavesMs?: number
+}
+
+interface Scenario {
+  readonly daemons: number
+  readonly targets: readonly VersionedTarget[]
+  readonly perS: number
+  readonly durationMs?: number
+  /** Share of the responses of targets that break off. */
+  readonly breakShare?: number
+  /** Daemons that are killed at times since the first request. */
+  readonly kills?: readonly (readonly [atMs: number, daemons: readonly number[]])[]
+  /** Share of the reports between daemons that are lost. */
+  readonly reportLoss?: number
+  /** Daemons that can't reach the others from 2 s to 5 s. */
+  readonly cut?: readonly number[]
+  /** Maximum time after which a caller resumes its stream, ms. */
+  readonly resumeAfterMs?: number
+}
+
+/** A stream as its caller sees it, over all of its requests. */
+class Stream {
+  readonly bodies: string[] = []
+  resumesAtMs: number | undefined
+  tries = 1
+
+  constructor (readonly firstRequest: string, public reply: servingFleet.Reply) {}
+}
+
+interface Resumption {
+  readonly eventsBefore: number
+  readonly stream: Stream
+  readonly reply: servingFleet.Reply
+  readonly isJudged: boolean
+}
+
+interface Result {
+  readonly streams: readonly Stream[]
+  readonly mixed: number
+  readonly begunShare: number
+  readonly resumed: number
+  readonly goneOnShare: number
+}
+
+function lastIdOf (bodies: readonly string[]): number {
+  return Math.max(0, ...[...bodies.join('').matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id)))
+}
+
+function targetsOf (bodies: readonly string[]): readonly string[] {
+  return [...new Set([...bodies.join('').matchAll(/^data: (\S+)$/gm)].map(([, target]) => target ?? ''))]
+}
+
+function play (scenario: Scenario, seed: number): Result {
+  const { daemons, durationMs = 10_000, breakShare = 0, resumeAfterMs = 400 } = scenario
+  const versionOf = new Map(scenario.targets.map(({ version }, index) => [`i-${index}`, version]))
+  const targetOf = (index: number, leaving: boolean): routing.targetRegistry.Target => ({
+    id: `i-${index}`, service: 'support', address: `10.9.0.${index}:80`, availabilityZone: 'casa-a', version: versionOf.get(`i-${index}`) ?? '', slots: 12, leaving
+  })
+  const fleet: servingFleet.ServingFleet = servingFleet.createServingFleet({
+    daemons,
+    document: DOCUMENT,
+    targets: scenario.targets.flatMap(({ joinsMs }, index) => joinsMs === undefined ? [targetOf(index, false)] : []),
+    seed,
+    respond: ({ headers }) => {
+      const lastId = Number(rawHeaders.findHeader(headers, 'last-event-id') ?? 0)
+      const breakAfter = fleet.random() < breakShare ? 1 + Math.floor(fleet.random() * EVENTS) : Infinity
+      const ids = Array.from({ length: EVENTS - lastId }, (_, index) => lastId + 1 + index).slice(0, breakAfter)
+      const events = ids.map((id, index) => [id, 60 + index * EVENT_INTERVAL_MS] as const)
+      return { headMs: 60, headers: [], events, endMs: 70 + ids.length * EVENT_INTERVAL_MS, breaks: breakAfter < EVENTS - lastId }
+    }
+  })
+  const startMs = fleet.now()
+  const sinceMs = (): number => fleet.now() - startMs
+  const upSinceMs = new Map<number, number>()
+  const streams: Stream[] = []
+  const resumptions: Resumption[] = []
+  const readyTargets = (version: string | undefined): number => scenario.targets.filter(({ version: other, joinsMs = -Infinity, leavesMs = Infinity }) => other === version && joinsMs <= sinceMs() && leavesMs > sinceMs()).length
+  const liveDaemon = (): number => {
+    const live = Array.from({ length: daemons }, (_, daemon) => daemon).filter((daemon) => fleet.isUp(daemon))
+    return live[Math.floor(fleet.random() * live.length)] ?? 0
+  }
+  fleet.setReach((from, to) => {
+    const isCutTime = sinceMs() >= 2_000 && sinceMs() < 5_000
+    return fleet.random() >= (scenario.reportLoss ?? 0) && (!isCutTime || scenario.cut?.includes(from) === scenario.cut?.includes(to))
+  })
+
+  function changeTargets (): void {
+    for (const [index, { joinsMs, leavesMs }] of scenario.targets.entries()) {
+      if (joinsMs === sinceMs()) fleet.register(targetOf(index, false))
+      if (leavesMs === sinceMs()) fleet.register(targetOf(index, true))
+    }
+    for (const [atMs, killed] of scenario.kills ?? []) {
+      if (atMs === sinceMs()) for (const daemon of killed) fleet.kill(daemon)
+      if (atMs + DOWN_MS !== sinceMs()) continue
+      for (const daemon of killed) {
+        fleet.restart(daemon)
+        upSinceMs.set(daemon, sinceMs())
+      }
+    }
+  }
+
+  function resume (stream: Stream): void {
+    const daemon = liveDaemon()
+    const eventsBefore = lastIdOf(stream.bodies)
+    const version = versionOf.get(targetsOf(stream.bodies)[0] ?? '')
+    stream.tries += 1
+    stream.resumesAtMs = undefined
+    stream.reply = fleet.request(daemon, '/generate/7', ['tokens', '700,72', 'remaining-ms', '9000', 'last-event-id', String(eventsBefore), 'resumes', stream.firstRequest])
+    const isStable = sinceMs() - (upSinceMs.get(daemon) ?? -Infinity) > STABLE_MS && !(scenario.cut?.includes(daemon) === true && sinceMs() < 8_000)
+    resumptions.push({ eventsBefore, stream, reply: stream.reply, isJudged: isStable && readyTargets(version) >= 2 })
+  }
+
+  function follow (stream: Stream): void {
+    if (stream.resumesAtMs !== undefined) {
+      if (stream.resumesAtMs <= sinceMs()) resume(stream)
+      return
+    }
+    if (stream.reply.end() === undefined || stream.bodies.at(-1) === stream.reply.body()) return
+    if (stream.reply.status() === 200) stream.bodies.push(stream.reply.body())
+    const isBroken = stream.reply.end() === 'cut' || stream.reply.status() !== 200
+    if (isBroken && lastIdOf(stream.bodies) > 0 && stream.tries < 3) stream.resumesAtMs = sinceMs() + fleet.random() * resumeAfterMs
+  }
+
+  let owed = 0
+  for (; sinceMs() < durationMs + 4_000; fleet.advance(ARRIVAL_STEP_MS)) {
+    changeTargets()
+    for (owed += scenario.perS * ARRIVAL_STEP_MS / MS_PER_S; owed >= 1 && sinceMs() < durationMs; owed -= 1) {
+      const firstRequest = `s-${streams.length}`
+      streams.push(new Stream(firstRequest, fleet.request(liveDaemon(), '/generate/7', ['request-id', firstRequest, 'tokens', '700,72', 'remaining-ms', '12000'])))
+    }
+    for (const stream of streams) follow(stream)
+  }
+  const judged = resumptions.filter(({ isJudged }) => isJudged)
+  const versionsOf = ({ bodies }: Stream): number => new Set(targetsOf(bodies).map((target) => versionOf.get(target))).size
+  return {
+    streams,
+    mixed: streams.filter((stream) => versionsOf(stream) > 1).length,
+    begunShare: streams.filter(({ bodies, reply }) => lastIdOf([...bodies, reply.body()]) > 0).length / streams.length,
+    resumed: judged.length,
+    goneOnShare: judged.length === 0 ? 1 : judged.filter(({ reply, eventsBefore }) => lastIdOf([reply.body()]) > eventsBefore || reply.end() === 'complete').length / judged.length
+  }
+}
+
+function serving (version: string, count: number, times: Omit<VersionedTarget, 'version'> = {}): readonly VersionedTarget[] {
+  return Array.from({ length: count }, () => ({ version, ...times }))
+}
+
+const TWO_VERSIONS = [...serving('v1', 4), ...serving('v2', 4)]
+
+/** Targets of one version that are replaced one after the other by those of another. */
+const RELEASE = [
+  ...Array.from({ length: 6 }, (_, index) => ({ version: 'v1', leavesMs: 2_000 + index * 1_000 })),
+  ...serving('v1', 2),
+  ...Array.from({ length: 6 }, (_, index) => ({ version: 'v2', joinsMs: 1_600 + index * 1_000 }))
+]
+
+const SMALL = { daemons: 9, targets: TWO_VERSIONS, perS: 50 }
+const LARGE = { daemons: 87, targets: [...serving('v1', 30), ...serving('v2', 33)], perS: 300, durationMs: 6_000 }
+
+const KILLED_SMALL = [[3_000, [0, 4, 7]], [7_000, [2, 5]]] as const
+const KILLED_LARGE = [[2_500, Array.from({ length: 29 }, (_, index) => index * 3)]] as const
+
+const SCENARIOS: readonly (readonly [description: string, scenario: Scenario])[] = [
+  ['responses that break off', { ...SMALL, breakShare: 0.3 }],
+  ['killed daemons', { ...SMALL, kills: KILLED_SMALL }],
+  ['killed daemons and responses that break off', { ...SMALL, breakShare: 0.2, kills: KILLED_SMALL }],
+  ['three versions', { ...SMALL, targets: [...serving('v1', 3), ...serving('v2', 3), ...serving('v3', 2)], breakShare: 0.1, kills: KILLED_SMALL }],
+  ['a release in steps', { ...SMALL, targets: RELEASE, breakShare: 0.1, kills: KILLED_SMALL }],
+  ['callers that take seconds to resume', { ...SMALL, kills: KILLED_SMALL, resumeAfterMs: 4_000 }],
+  ['lost reports', { ...SMALL, kills: KILLED_SMALL, breakShare: 0.1, reportLoss: 0.2 }],
+  ['daemons that are cut off and then killed', { ...SMALL, cut: [0, 4, 7], kills: [[4_500, [0, 4, 7]]] }],
+  ['killed daemons at 87 daemons', { ...LARGE, kills: KILLED_LARGE }],
+  ['responses that break off at 87 daemons', { ...LARGE, breakShare: 0.3 }],
+  ['one version', { ...SMALL, targets: serving('v1', 8), breakShare: 0.1, kills: KILLED_SMALL }]
+]
+
+for (const [description, scenario] of SCENARIOS) {
+  let result: Result | undefined
+
+  suite(`streams go on only at the version that began them: ${description}`, () => {
+    const { mixed, streams } = result ??= play(scenario, 23)
+    assert.ok(mixed <= MAX_MIXED, `${mixed} of ${streams.length} streams have events of two versions`)
+  })
+
+  suite(`resumed streams go on nearly as often as new ones begin: ${description}`, () => {
+    const { goneOnShare, begunShare, resumed } = result ??= play(scenario, 23)
+    assert.ok(goneOnShare >= MIN_GOING_ON_SHARE * begunShare, `${goneOnShare} of ${resumed} resumed streams, ${begunShare} of new ones`)
+  })
+}
+
+const REFUSED: readonly (readonly [description: string, versions: readonly string[], first: string])[] = [
+  ['nobody is known to have begun', ['v1', 'v2'], 's-unknown'],
+  ['a version began that has no target any more', ['v1', 'v2'], 's-0']
+]
+
+for (const [description, versions, first] of REFUSED) {
+  suite(`a stream that ${description} is refused as not run`, () => {
+    let received = 0
+    const targetOf = (version: string, index: number, leaving = false): routing.targetRegistry.Target => ({
+      id: `i-${index}`, service: 'support', address: `10.9.0.${index}:80`, availabilityZone: 'casa-a', version, slots: 12, leaving
+    })
+    const fleet = servingFleet.createServingFleet({
+      daemons: 9,
+      document: DOCUMENT,
+      targets: versions.slice(0, 1).map((version, index) => targetOf(version, index)),
+      seed: 23,
+      respond: () => {
+        received += 1
+        return { headMs: 60, headers: [], events: [[1, 60], [2, 100]], endMs: 150, breaks: true }
+      }
+    })
+    fleet.request(0, '/generate/7', ['request-id', 's-0', 'tokens', '700,72', 'remaining-ms', '12000'])
+    fleet.advance(1_000)
+    for (const [index, version] of versions.entries()) if (index > 0) fleet.register(targetOf(version, index))
+    fleet.register(targetOf('v1', 0, true))
+    received = 0
+    const reply = fleet.request(5, '/generate/7', ['tokens', '700,72', 'remaining-ms', '11000', 'last-event-id', '2', 'resumes', first])
+    fleet.advance(2_000)
+    assert.equal([reply.status(), received], [503, 0])
+  })
+}
+
+suite.run()
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -77,6 +77,9 @@
   /** Sets which daemons reach each other. */
   readonly setReach: (reaches: (from: number, to: number) => boolean) => void
   readonly restart: (daemon: number) => void
+  /** Closes the connections of a daemon's callers and stops it until it is restarted. */
+  readonly kill: (daemon: number) => void
+  readonly isUp: (daemon: number) => boolean
   /** Registers a target's state at every daemon. */
   readonly register: (target: routing.targetRegistry.Target, startedMs?: number) => void
 }
@@ -130,6 +133,8 @@
   const registered = new Map<string, routing.targetRegistry.VersionedTarget>()
   const table = routing.routeTable.createRouteTable(document)
   const contexts = new Map<number, contextModule.Context>()
+  /** Responses that have not ended, by daemon. */
+  const open = new Map<CallerResponse, number>()
 
   function schedule (afterMs: number, run: () => void): void {
     const step = Math.floor(nowMs / STEP_MS) + Math.max(1, Math.ceil(afterMs / STEP_MS))
@@ -230,16 +235,19 @@
       const step = Math.floor(nowMs / STEP_MS)
       for (const run of scheduled.get(step) ?? []) run()
       scheduled.delete(step)
-      if (nowMs % REPORT_MS === 0) fleet.simulate(REPORT_MS, reaches)
+      if (nowMs % REPORT_MS === 0) fleet.simulate(REPORT_MS, (from, to) => contexts.has(from) && contexts.has(to) && reaches(from, to))
       if (nowMs % TICK_MS === 0) for (const { pools } of fleet.members) pools.tick()
       if (nowMs % REFRESH_MS === 0) for (const daemon of contexts.keys()) refresh(daemon)
     }
   }
 
   function request (daemon: number, path: string, headers: readonly string[] = []): Reply {
-    const context = contexts.get(daemon) ?? createContext(daemon)
+    const context = contexts.get(daemon)
+    if (context === undefined) throw new Error(`Daemon ${daemon} is down; send the request to another one.`)
     const sentMs = nowMs
     const outgoing = new CallerResponse()
+    open.set(outgoing, daemon)
+    outgoing.once('close', () => { open.delete(outgoing) })
     const named = rawHeaders.findHeader(headers, 'request-id') === undefined ? ['request-id', `r-${nextRequest}`] : []
     nextRequest += 1
     const admitted = admission.admit(context, { method: 'POST', path, headers: ['host', 'shop.example', 'key', 'k-1', ...named, ...headers], arrivedMs: nowMs })
@@ -248,6 +256,11 @@
     return { daemon, sentMs, status: () => outgoing.status, headers: () => outgoing.headers, body: () => outgoing.body, end: () => outgoing.ended }
   }
 
+  function kill (daemon: number): void {
+    contexts.delete(daemon)
+    for (const [outgoing, owner] of [...open]) if (owner === daemon) outgoing.destroy()
+  }
+
   for (const target of options.targets) register(target)
   for (let daemon = 0; daemon < daemons; daemon += 1) start(daemon)
   advance(SETTLING_MS)
@@ -258,7 +271,10 @@
     request,
     advance,
     setReach: (next) => { reaches = next },
+    kill,
+    isUp: (daemon) => contexts.has(daemon),
     restart: (daemon) => {
+      kill(daemon)
       fleet.restart(daemon)
       start(daemon)
     },
