Let streams go on only at the software version that began them

Cause: targets had no version in placement. A retry within a response went to any target, and a request with `Last-Event-Id` did too, as no daemon kept what had begun a stream. Class: state of a caller's exchange that only one daemon holds, while the next request comes to any daemon.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -35,6 +35,8 @@
   readonly limitMs: number
   /** The attempt whose stream this request resumes, as the caller names it; undefined if it resumes none. */
   readonly resumes: string | undefined
+  /** Software version of the targets that may get the request; undefined for any. */
+  readonly version: string | undefined
   /** Whether the caller has sent the request again, as it states less remaining time than others start with. */
   readonly resubmitted: boolean
 }
@@ -120,6 +122,7 @@
       cappedTokens: tokens === undefined ? match.organisation?.plainTokens ?? 0 : tokens.prompt + tokens.output,
       promptSegments: headerNames.parsePromptSegments(rawHeaders.findHeader(head.headers, context.headerNames.promptParts)),
       resumes: readResumes(context, head),
+      version: undefined,
       limitMs: head.arrivedMs + Math.min(match.route.timeoutMs, remainingMs),
       resubmitted: remainingMs < RESUBMITTED_SHARE * context.maxRemainingMs(match.route.name, remainingMs)
     })
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -8,6 +8,7 @@
 import type * as eventLog from './event-log.js'
 import type * as metrics from './metrics.js'
 import type * as servicePools from './service-pools.js'
+import type * as streamDirectory from './stream-directory.js'
 import type * as targetClient from './target-client.js'
 
 /** Shared state and dependencies. */
@@ -23,6 +24,7 @@
   readonly budget: routing.retryBudget.RetryBudget
   readonly suspects: routing.suspects.Suspects
   readonly targetLimits: routing.targetLimits.TargetLimits
+  readonly streams: Pick<streamDirectory.StreamDirectory, 'record' | 'find'>
   /** Called when limits of targets have changed. */
   readonly onLimitsChanged: (targets: readonly string[], source: string) => void
   /** Whether this daemon may try a request with a refused trait. */
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -9,6 +9,7 @@
 import * as endpoint from './endpoint.js'
 import * as refusal from './refusal.js'
 import * as requestTask from './request-task.js'
+import * as resumption from './resumption.js'
 
 /** Maximum size of a head that is parsed, bytes; the document's own limit is checked afterwards. */
 const MAX_HEAD_BYTES = 131_072
@@ -35,6 +36,8 @@
 const RETRY_AFTER_MS: Readonly<Partial<Record<refusal.Reason, number>>> = {
   'no-document': NO_DOCUMENT_RETRY_MS,
   'no-target': NO_DOCUMENT_RETRY_MS,
+  'version-gone': NO_DOCUMENT_RETRY_MS,
+  'unknown-stream': NO_DOCUMENT_RETRY_MS,
   stopping: STOPPING_RETRY_MS
 }
 
@@ -114,15 +117,21 @@
       readBody(incoming, context.limits().bodyBytes, () => { refuse(outgoing, head, admitted.error) }, refuseBody)
       return
     }
-    const request = admitted.value
-    context.budget.countRequest(request.service, context.now())
-    const admit = (body: Buffer | undefined): void => {
-      if (outgoing.destroyed) return
+    context.budget.countRequest(admitted.value.service, context.now())
+    const start = (request: admission.AdmittedRequest, body: Buffer | undefined): void => {
       const admission = request.organisation === undefined ? undefined : context.caps.admit(request.organisation.name, request.cappedTokens, context.now())
       if (admission?.kind === 'over-cap') refuse(outgoing, head, 'over-cap', admission.retryAfterMs, admission.figures)
       else new requestTask.RequestTask({ context, request, body, outgoing, done }).start()
     }
-    readBody(incoming, context.limits().bodyBytes, (body) => { afterPendingEvents(() => { admit(body) }) }, refuseBody)
+    const bind = (body: Buffer | undefined): void => {
+      if (outgoing.destroyed) return
+      resumption.bindToStream(context, admitted.value, (bound) => {
+        if (outgoing.destroyed) return
+        if (bound.isOk()) start(bound.value, body)
+        else refuse(outgoing, head, bound.error, RETRY_AFTER_MS[bound.error], { resumes: admitted.value.resumes })
+      })
+    }
+    readBody(incoming, context.limits().bodyBytes, (body) => { afterPendingEvents(() => { bind(body) }) }, refuseBody)
   }
 
   const server = http.createServer({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import * as peerReports from './peer-reports.js'
 import * as peerTable from './peer-table.js'
 import * as servicePools from './service-pools.js'
+import * as streamDirectory from './stream-directory.js'
 import * as targetClient from './target-client.js'
 
 /** Settings of a gateway. Times are ms. */
@@ -76,6 +77,8 @@
   private readonly registry = routing.targetRegistry.createTargetRegistry()
   private readonly suspects = new routing.suspects.Suspects((refused, isRefused) => { this.logSuspect(refused, isRefused) })
   private readonly targetLimits = routing.targetLimits.createTargetLimits((target) => this.registry.startOf(target))
+  private readonly streams = routing.streamVersions.createStreamVersions()
+  private readonly streamDirectory: streamDirectory.StreamDirectory
   private readonly peers: peerTable.PeerTable
   private readonly caps: routing.tokenCap.TokenCaps
   private readonly budget: routing.retryBudget.RetryBudget
@@ -89,6 +92,7 @@
   private document: routing.document.RoutingDocument | undefined
   private table: routing.routeTable.RouteTable | undefined
   private reports: peerReports.PeerReports | undefined
+  private port: peerPort.PeerPort | undefined
   private front: frontServer.FrontServer | undefined
   private stoppingMs: number | undefined
   private closed = false
@@ -117,6 +121,7 @@
       limitOf: this.targetLimits.limitOf,
       changed: () => { this.reports?.changed() }
     })
+    this.streamDirectory = this.createStreamDirectory()
     this.context = this.createContext()
   }
 
@@ -127,8 +132,11 @@
     const port = await peerPort.openPeerPort({
       address: peerAddress,
       onReport: (report) => { this.reports?.handle(report) },
+      onQuestion: (question) => { this.streamDirectory.handleQuestion(question) },
+      onAnswer: (answer) => { this.streamDirectory.handleAnswer(answer) },
       countMalformed: () => { this.metrics.count('peer_messages_malformed_total') }
     })
+    this.port = port
     this.reports = this.createReports(port)
     this.front = await frontServer.openFrontServer(this.context, frontAddress)
     this.lastTickMs = this.now()
@@ -332,6 +340,20 @@
     this.reports?.changed()
   }
 
+  private createStreamDirectory (): streamDirectory.StreamDirectory {
+    return streamDirectory.createStreamDirectory({
+      address: this.options.peerAddress,
+      now: () => this.now(),
+      streams: this.streams,
+      metrics: this.metrics,
+      askedPeers: () => this.peers.askedPeers(this.now()),
+      ask: (addresses, question) => { this.port?.ask(addresses, question) },
+      answer: (address, answer) => { this.port?.answer(address, answer) },
+      schedule: (delayMs, run) => { setTimeout(run, delayMs) },
+      changed: () => { this.reports?.changed() }
+    })
+  }
+
   private createContext (): contextModule.Context {
     return {
       now: () => this.now(),
@@ -345,6 +367,7 @@
       budget: this.budget,
       suspects: this.suspects,
       targetLimits: this.targetLimits,
+      streams: this.streamDirectory,
       onLimitsChanged: (targets, source) => { this.handleLimitChanges(targets, source) },
       isArbiterOf: (trait) => this.peers.isArbiterOf(trait, this.now()),
       table: () => this.table,
@@ -372,6 +395,7 @@
       caps: this.caps,
       suspects: this.suspects,
       targetLimits: this.targetLimits,
+      streams: this.streams,
       onLimitsChanged: (targets, source) => { this.handleLimitChanges(targets, source) },
       registry: this.registry,
       log: this.log,
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as routing from '@persimmonhatch/routing'
+import type * as streamDirectory from './stream-directory.js'
 
 /** A member as reported by a peer, with the time since its last report. */
 export type Member = readonly [address: string, frontAddress: string, ready: boolean, ageMs: number]
@@ -35,6 +36,8 @@
   readonly complete: boolean
   readonly leavingTargets: readonly LeavingTarget[]
   readonly suspects: routing.suspects.SuspectReport
+  /** Streams of the sender that have begun since its last report to the cell. */
+  readonly streams: routing.streamVersions.StreamReport
   /** Limits that targets have named, those learned recently in each report and others in turn. */
   readonly limits: readonly LimitRow[]
   /** Peers from which or about which the sender has received reports recently; empty in most reports. */
@@ -48,7 +51,7 @@
   readonly targets: readonly routing.targetRegistry.VersionedTarget[]
 }
 
-const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], suspects: {}, limits: [], members: [] }
+const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], suspects: {}, limits: [], streams: {}, members: [] }
 
 const STARTED_RADIX = 36
 
@@ -127,7 +130,27 @@
   const report = { ...EMPTY_FIELDS, ...message } as Partial<Report>
   const isComplete = typeof report.from === 'string' && typeof report.incarnation === 'string' && typeof report.sequence === 'number' &&
     typeof report.pools === 'object' && typeof report.usedTokens === 'object' && Array.isArray(report.members) &&
-    Array.isArray(report.leavingTargets) && typeof report.suspects === 'object' && Array.isArray(report.limits) &&
+    Array.isArray(report.leavingTargets) && typeof report.suspects === 'object' && Array.isArray(report.limits) && typeof report.streams === 'object' &&
     Array.isArray(report.targetsPosition)
   return isComplete ? report as Report : undefined
 }
+
+function isQuestion (message: unknown): message is streamDirectory.StreamQuestion {
+  if (typeof message !== 'object' || message === null) return false
+  const question = message as Partial<streamDirectory.StreamQuestion>
+  return typeof question.from === 'string' && typeof question.requestId === 'string'
+}
+
+/** Returns the question in a message; undefined if it is malformed. */
+export function parseStreamQuestion (message: unknown): streamDirectory.StreamQuestion | undefined {
+  return isQuestion(message) ? message : undefined
+}
+
+/** Returns the answer in a message; undefined if it is malformed. */
+export function parseStreamAnswer (message: unknown): streamDirectory.StreamAnswer | undefined {
+  if (!isQuestion(message)) return undefined
+  const answer: streamDirectory.StreamAnswer = message
+  const { beginning } = answer
+  const isComplete = beginning === undefined || (typeof beginning.requestId === 'string' && typeof beginning.service === 'string' && typeof beginning.version === 'string')
+  return isComplete ? answer : undefined
+}
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -59,7 +59,7 @@
  * ```
  */
 export function createPeerReports (options: Options): PeerReports {
-  const { caps, now, peers, pools, registry, suspects, targetLimits } = options
+  const { caps, now, peers, pools, registry, streams, suspects, targetLimits } = options
   let closed = false
   /** Whether changes are being collected, so that a report will be sent soon. */
   let collecting = true
@@ -128,6 +128,7 @@
     tokenReports.apply(report, nowMs)
     suspects.applyReport(report.suspects, report.scope, nowMs)
     applyLimits(report, nowMs)
+    streams.applyReport(report.streams, nowMs)
     applyLeavingTargets(report)
     if (report.scope === 'cell') pools.applyPeerLoads(report.from, report.pools)
   }
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -63,6 +63,9 @@
   readonly atMs: number
 }
 
+/** Number of members of another cell that are asked for what the cell knows. */
+const ASKED_PER_CELL = 2
+
 /** Maximum number of unresponsive endpoints that are sent a report at once. */
 const MAX_UNRESPONSIVE_TRIED = 3
 
@@ -149,6 +152,14 @@
     return position < 0 ? undefined : String(position)
   }
 
+  /** Returns the reachable peers of the own cell and a few members of each other cell, other ones each time. */
+  askedPeers (nowMs: number): readonly string[] {
+    const remote = new Set(this.reachableRemoteMembers(nowMs).map(([address]) => address))
+    const { isSingleCell, division } = this.divide(nowMs)
+    const others = isSingleCell ? [] : division.otherCells.flatMap((members) => this.pickConsecutive(members.filter((address) => remote.has(address)), ASKED_PER_CELL))
+    return [...this.reachablePeers(nowMs).map(({ report }) => report.from), ...others]
+  }
+
   /** Returns the members of the own cell that have reported recently. */
   reachablePeers (nowMs: number): readonly Peer[] {
     const { isSingleCell, cellMembers } = this.divide(nowMs)
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -7,7 +7,7 @@
 /** Why the gateway responds instead of a target. */
 export type Reason =
   | 'no-document' | 'unknown-route' | 'unknown-key' | 'headers-too-large' | 'body-too-large'
-  | 'over-cap' | 'overloaded' | 'no-target' | 'suspect' | 'stopping'
+  | 'over-cap' | 'overloaded' | 'no-target' | 'version-gone' | 'unknown-stream' | 'suspect' | 'stopping'
   | 'rejected' | 'unreachable' | 'broken' | 'timed-out-unsent' | 'timed-out'
 
 interface RefusalTemplate {
@@ -26,6 +26,8 @@
   'over-cap': { status: 429, message: 'The organisation has used up its token cap.', remedy: 'Retry after the time in Retry-After, or request a higher cap.' },
   overloaded: { status: 503, message: 'More requests are waiting than can be served in time.', remedy: 'Retry after the time in Retry-After.' },
   'no-target': { status: 503, message: 'No target of the service is available.', remedy: 'Retry after the time in Retry-After; check that targets are registered.' },
+  'version-gone': { status: 503, message: 'No target of the software version that began this stream is available.', remedy: 'Send the request again without the id of the last event, to begin a new stream.' },
+  'unknown-stream': { status: 503, message: 'No daemon knows which software version began this stream.', remedy: 'Send the request again without the id of the last event, to begin a new stream.' },
   suspect: { status: 503, message: 'Requests with this content, or with a segment of its prompt, have crashed several targets.', remedy: 'Change the content; it is refused for a while.' },
   stopping: { status: 503, message: 'This daemon is stopping.', remedy: 'Use another address.' },
   rejected: { status: 503, message: 'The target had no free slot and has not run the request.', remedy: 'Retry after the time in Retry-After.' },
--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -16,6 +16,7 @@
   readonly caps: routing.tokenCap.TokenCaps
   readonly suspects: routing.suspects.Suspects
   readonly targetLimits: routing.targetLimits.TargetLimits
+  readonly streams: routing.streamVersions.StreamVersions
   readonly registry: routing.targetRegistry.TargetRegistry
   readonly isReady: () => boolean
   readonly documentVersion: () => number
@@ -40,6 +41,9 @@
 /** Maximum number of rows of each kind of evidence in a report, which bounds its size when many targets fail at once. */
 const MAX_EVIDENCE_ROWS = 32
 
+/** Maximum number of streams in a report; the others are in the next ones. */
+const MAX_STREAM_ROWS = 256
+
 /** Maximum number of limits in a report. */
 const MAX_LIMIT_ROWS = 16
 
@@ -52,7 +56,7 @@
  * ```
  */
 export function createReportWriter (options: Options): ReportWriter {
-  const { caps, peers, pools, registry, suspects, targetLimits } = options
+  const { caps, peers, pools, registry, streams, suspects, targetLimits } = options
   let sequence = 0
   /** Tokens that members of the cell have reported, by organisation. */
   const reportedTokens = new Map<string, number>()
@@ -66,7 +70,7 @@
     return registry.versionedTargets().filter((versioned) => versioned.target?.leaving === true).map(peerMessages.toLeavingTarget)
   }
 
-  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'suspects' | 'limits' | 'members'>): peerMessages.Report {
+  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'suspects' | 'limits' | 'streams' | 'members'>): peerMessages.Report {
     sequence += 1
     const { era, revision } = registry.position()
     return {
@@ -122,6 +126,7 @@
         leavingTargets: leavingTargetsForCell(withListing),
         suspects: ownEvidence(withListing, nowMs),
         limits: limits({ sources: ['own'], sinceMs: lastCellReportMs, withOthers: withListing }),
+        streams: streams.takeUnreported(MAX_STREAM_ROWS),
         members: withListing ? peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS) : []
       })
       lastCellReportMs = nowMs
@@ -134,6 +139,7 @@
       leavingTargets: leavingTargets(),
       suspects: suspects.select({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withAllRefused: true, maxRows: MAX_EVIDENCE_ROWS }, nowMs),
       limits: limits({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withOthers: true }),
+      streams: {},
       members: peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS)
     }),
     countCellTokens: (organisation, tokens) => { reportedTokens.set(organisation, tokens + (reportedTokens.get(organisation) ?? 0)) }
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -70,9 +70,12 @@
   /** Whether a target may have begun to run the request. */
   private mayHaveRun = false
   private lastId: number | undefined
+  /** Software version that began the stream; undefined before its first event. */
+  private version: string | undefined
   private lastEventMs = 0
   private firstEventMs: number | undefined
   private isSent = false
+  private hasBegun = false
   private awaitsFirstEvent = true
   private refusedTrait: string | undefined
 
@@ -80,6 +83,7 @@
     const { context, request, body } = options
     const { kind, resumable } = request.route
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
+    this.version = request.version
     this.isRetryable = kind === 'idempotent' || (kind === 'stream' && resumable)
     this.deadlineTimer = setTimeout(() => { this.onDeadline() }, Math.max(0, request.limitMs - context.now()))
   }
@@ -196,6 +200,7 @@
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
       promptSegments: request.promptSegments,
+      version: this.version,
       excludedTargets: this.excludedTargets,
       isRetry
     }, {
@@ -271,12 +276,22 @@
       if (context.stopping()) headers.push('Connection', 'close')
       outgoing.writeHead(head.status, headers)
     }
+    this.recordBeginning()
     for (const event of events) this.lastId = event.id ?? this.lastId
     const canContinue = outgoing.write(events.length === 1 ? events[0]?.bytes : Buffer.concat(events.map((event) => event.bytes)))
     if (!canContinue) outgoing.once('drain', () => { this.exchange?.resume() })
     return canContinue
   }
 
+  /** Records the version of the stream when its first events are forwarded, so that it goes on only there. */
+  private recordBeginning (): void {
+    const { context, request } = this.options
+    if (this.hasBegun || this.target === undefined) return
+    this.hasBegun = true
+    this.version ??= this.target.version
+    if (request.route.resumable) context.streams.record({ requestId: request.resumes ?? request.requestId, service: request.service, version: this.version })
+  }
+
   /** Acquires a retry if the route, the remaining time and the fleet's budget allow one. */
   private acquireRetry (): boolean {
     const { context, request } = this.options
--- /dev/null
+++ b/packages/gateway/src/resumption.ts
@@ -0,0 +1,31 @@
+/**
+ * Binds a request that resumes a stream to the service and the version that began the stream.
+ *
+ * @module
+ */
+import * as neverthrow from 'neverthrow'
+import type * as admission from './admission.js'
+import type * as contextModule from './context.js'
+import type * as refusal from './refusal.js'
+
+/**
+ * Calls `done` with the request as it may be placed, or with the reason to refuse it. A version is never guessed, since
+ * events of two versions don't fit together.
+ *
+ * @example
+ * ```ts
+ * bindToStream(context, request, (bound) => { if (bound.isOk()) start(bound.value) })
+ * ```
+ */
+export function bindToStream (context: contextModule.Context, request: admission.AdmittedRequest, done: (bound: neverthrow.Result<admission.AdmittedRequest, refusal.Reason>) => void): void {
+  const { resumes, route } = request
+  if (resumes === undefined || !route.resumable) {
+    done(neverthrow.ok(request))
+    return
+  }
+  context.streams.find(resumes, (beginning) => {
+    if (beginning === undefined) done(neverthrow.err('unknown-stream'))
+    else if (!route.shares.some(({ service }) => service === beginning.service)) done(neverthrow.err('version-gone'))
+    else done(neverthrow.ok({ ...request, service: beginning.service, version: beginning.version }))
+  })
+}
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -1,3 +1,4 @@
+import * as dgram from 'node:dgram'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as gatewayPackage from '@persimmonhatch/gateway'
@@ -139,4 +140,33 @@
   await fixture.close()
 })
 
+suite('a peer that asks for the version of a stream gets an answer', async () => {
+  const fixture = await fixtureModule.openFixture(1)
+  fixture.script((arrival, response) => {
+    fixtureModule.beginStream(arrival, response)
+    response.end('id: 1\ndata: a\n\n')
+  })
+  await fixture.call('/generate/7', { headers: { 'request-id': 'begun' } })
+  const socket = dgram.createSocket('udp4')
+  await new Promise<void>((resolve) => { socket.bind(0, '127.0.0.1', resolve) })
+  const answers: unknown[] = []
+  const from = `127.0.0.1:${socket.address().port}`
+  for (const requestId of ['begun', 'unknown']) {
+    const received = new Promise<void>((resolve) => {
+      socket.once('message', (bytes) => {
+        answers.push((JSON.parse(bytes.toString()) as { readonly params: unknown }).params)
+        resolve()
+      })
+    })
+    await fixtureModule.sendDatagram(fixture.peerAddress, JSON.stringify({ jsonrpc: '2.0', method: 'find-stream', params: { from, requestId } }))
+    await received
+  }
+  socket.close()
+  assert.equal(answers, [
+    { from: fixture.peerAddress, requestId: 'begun', beginning: { requestId: 'begun', service: 'stock', version: 'v1' } },
+    { from: fixture.peerAddress, requestId: 'unknown' }
+  ])
+  await fixture.close()
+})
+
 suite.run()
--- a/packages/gateway/tests/requests.test.ts
+++ b/packages/gateway/tests/requests.test.ts
@@ -289,4 +289,47 @@
   assert.is((await fixture.call('/read/7')).status, 404)
 })
 
+/** Registers the second target with another version of its software. */
+function changeVersion (): void {
+  const target = fixture.gateway.sharedState().targets.find(({ id }) => id === 'i-2')?.target
+  if (target !== undefined) fixture.gateway.applyTarget({ id: 'i-2', era: 1, revision: 50, target: { ...target, version: 'v2' } }, 'test')
+}
+
+suite('a stream that breaks off is not continued at another version', async () => {
+  changeVersion()
+  fixture.script((arrival, response) => {
+    fixtureModule.beginStream(arrival, response)
+    response.write('id: 1\ndata: a\n\n')
+    setTimeout(() => { response.socket?.destroy() }, 20)
+  })
+  const reply = await fixture.call('/generate/7')
+  assert.equal([reply.status, reply.isComplete], [200, false])
+  assert.is(new Set(fixture.arrivals.map(({ target }) => target)).size, 1)
+})
+
+suite('a stream that its caller resumes goes on at the version that began it', async () => {
+  changeVersion()
+  for (let stream = 0; stream < 8; stream += 1) {
+    fixture.script((arrival, response) => {
+      fixtureModule.beginStream(arrival, response)
+      response.write('id: 1\ndata: a\n\n')
+      setTimeout(() => { response.socket?.destroy() }, 10)
+    })
+    await fixture.call('/generate/7', { headers: { 'request-id': `begun-${stream}` } })
+    const began = fixture.arrivals[0]?.target
+    fixture.script((arrival, response) => {
+      fixtureModule.beginStream(arrival, response)
+      response.end('id: 2\ndata: b\n\n')
+    })
+    const reply = await fixture.call('/generate/7', { headers: { 'last-event-id': '1', resumes: `begun-${stream}` } })
+    assert.equal([reply.status, reply.isComplete, fixture.arrivals.map(({ target }) => target)], [200, true, [began]])
+  }
+})
+
+suite('a resumed stream that no daemon knows is refused as not run', async () => {
+  const reply = await fixture.call('/generate/7', { headers: { 'last-event-id': '1', resumes: 'unknown' } })
+  assert.equal([reply.status, fixture.arrivals.length], [503, 0])
+  assert.ok(Number(reply.headers['retry-after']) > 0)
+})
+
 suite.run()
--- a/packages/routing/src/pool-event.ts
+++ b/packages/routing/src/pool-event.ts
@@ -21,6 +21,8 @@
   readonly outputTokens: number
   /** Prompt segments in order; the last one is specific to the request or its session. */
   readonly promptSegments: readonly string[]
+  /** Software version of the only targets that may get the request; undefined for any. */
+  readonly version: string | undefined
   /** Targets at which the request has failed. */
   readonly excludedTargets: ReadonlySet<string>
   /** Whether the request is sent again after a failure; a retry is placed ahead of all others. */
@@ -52,7 +54,7 @@
   | { readonly kind: 'tick' }
 
 /** Why a request is refused. */
-export type RefusalReason = 'no-target' | 'overloaded'
+export type RefusalReason = 'no-target' | 'version-gone' | 'overloaded'
 
 /** The figures behind a decision, for logs. */
 export interface Figures {
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -51,6 +51,9 @@
 
 const MS_PER_S = 1_000
 
+/** Rank of retries and resumed streams, which lose what was generated if they are refused. */
+const FIRST_RANK = -1
+
 /** Maximum expected wait in the figures, ms. */
 const MAX_REPORTED_WAIT_MS = 1_000_000
 
@@ -88,6 +91,10 @@
   readonly ahead: number
 }
 
+function isOfVersion ({ target }: targetRecord.TargetRecord, version: string | undefined): boolean {
+  return version === undefined || target.version === version
+}
+
 type Decisions = Generator<poolEvent.PoolDecision, void>
 
 /**
@@ -277,7 +284,7 @@
 
   private chooseTarget (request: poolEvent.PlacementRequest, snapshot: PoolSnapshot, assigned: ReadonlyMap<targetRecord.TargetRecord, number>): targetRecord.TargetRecord | undefined {
     const { candidates, nowMs } = snapshot
-    const eligible = candidates.filter(({ record }) => !request.excludedTargets.has(record.target.id))
+    const eligible = candidates.filter(({ record }) => !request.excludedTargets.has(record.target.id) && isOfVersion(record, request.version))
     const notEjected = eligible.filter(({ isEjected }) => !isEjected)
     const usable = (notEjected.length > 0 ? notEjected : eligible).filter(({ record, freeSlots, allowedSends }) => (request.isRetry ? allowedSends : freeSlots) > (assigned.get(record) ?? 0))
     const capable = usable.filter((candidate) => this.canFinish(candidate, request, nowMs))
@@ -316,7 +323,7 @@
 
   private orderedQueue (snapshot: PoolSnapshot): readonly (readonly [request: poolEvent.PlacementRequest, rank: number])[] {
     return this.queue
-      .map((request) => [request, request.isRetry ? -1 : this.rankOf(request, snapshot)] as const)
+      .map((request) => [request, request.isRetry || request.version !== undefined ? FIRST_RANK : this.rankOf(request, snapshot)] as const)
       .sort(([a, rankA], [b, rankB]) => rankA - rankB || a.arrivedMs - b.arrivedMs)
   }
 
@@ -349,8 +356,9 @@
         record.begin(request.id, request.promptTokens, request.promptSegments, nowMs)
         this.placements.set(request.id, record)
         yield { kind: 'dispatch', id: request.id, target: record.target, figures }
-      } else if (snapshot.candidates.length === 0) {
-        yield { kind: 'refuse', id: request.id, reason: 'no-target', retryAfterMs: waitingOrder.retryAfterMs(request, 0, this.options.random(), nowMs), figures }
+      } else if (!snapshot.candidates.some((candidate) => isOfVersion(candidate.record, request.version))) {
+        const reason = snapshot.candidates.length === 0 ? 'no-target' : 'version-gone'
+        yield { kind: 'refuse', id: request.id, reason, retryAfterMs: waitingOrder.retryAfterMs(request, 0, this.options.random(), nowMs), figures }
       } else if (this.mustRefuse(request, position, snapshot)) {
         yield { kind: 'refuse', id: request.id, reason: 'overloaded', retryAfterMs: waitingOrder.retryAfterMs(request, this.slotWaitMs(position.ahead, snapshot), this.options.random(), nowMs), figures }
       } else {
--- /dev/null
+++ b/packages/routing/src/stream-versions.ts
@@ -0,0 +1,102 @@
+/**
+ * Records at which software version each stream began, so that it goes on only there.
+ *
+ * @module
+ */
+
+/** The beginning of a stream. */
+export interface StreamBeginning {
+  /** Request id of the attempt that brought the stream's first event. */
+  readonly requestId: string
+  readonly service: string
+  readonly version: string
+}
+
+/** Request ids of streams by the version at which they began, by service. */
+export type StreamReport = Readonly<Record<string, Readonly<Record<string, readonly string[]>>>>
+
+/** The beginnings of streams. */
+export interface StreamVersions {
+  /** Records the beginning of a stream of this daemon. */
+  readonly record: (beginning: StreamBeginning, nowMs: number) => void
+  /** Records the beginnings that a peer has reported. */
+  readonly applyReport: (report: StreamReport, nowMs: number) => void
+  readonly find: (requestId: string, nowMs: number) => StreamBeginning | undefined
+  /** Removes and returns up to `maxRows` beginnings of this daemon that no report had yet, the oldest first. */
+  readonly takeUnreported: (maxRows: number) => StreamReport
+}
+
+/** Time after its beginning in which a stream may be resumed, ms. */
+const RETENTION_MS = 60_000
+
+/** Maximum number of recorded streams, which bounds the memory. */
+const MAX_STREAMS = 20_000
+
+/** Maximum length of a request id that is recorded, characters. */
+const MAX_ID_LENGTH = 64
+
+interface RecordedBeginning {
+  readonly beginning: StreamBeginning
+  readonly recordedMs: number
+}
+
+/**
+ * Creates the records.
+ *
+ * @example
+ * ```ts
+ * streams.record({ requestId: 'r-1', service: 'support', version: 'v1.2' }, nowMs)
+ * streams.find('r-1', nowMs)?.version // 'v1.2'
+ * ```
+ */
+export function createStreamVersions (): StreamVersions {
+  const recorded = new Map<string, RecordedBeginning>()
+  let unreported: readonly StreamBeginning[] = []
+
+  function evict (nowMs: number): void {
+    for (const [requestId, { recordedMs }] of recorded) {
+      if (recorded.size <= MAX_STREAMS && nowMs - recordedMs <= RETENTION_MS) return
+      recorded.delete(requestId)
+    }
+  }
+
+  /** Returns whether the beginning was not known. */
+  function add (beginning: StreamBeginning, nowMs: number): boolean {
+    const { requestId } = beginning
+    if (requestId === '' || requestId.length > MAX_ID_LENGTH || recorded.has(requestId)) return false
+    recorded.set(requestId, { beginning, recordedMs: nowMs })
+    evict(nowMs)
+    return true
+  }
+
+  function find (requestId: string, nowMs: number): StreamBeginning | undefined {
+    const found = recorded.get(requestId)
+    return found === undefined || nowMs - found.recordedMs > RETENTION_MS ? undefined : found.beginning
+  }
+
+  function applyReport (report: StreamReport, nowMs: number): void {
+    for (const [service, versions] of Object.entries(report)) {
+      for (const [version, requestIds] of Object.entries(versions)) {
+        for (const requestId of requestIds) add({ requestId, service, version }, nowMs)
+      }
+    }
+  }
+
+  function takeUnreported (maxRows: number): StreamReport {
+    const report: Record<string, Record<string, string[]>> = {}
+    for (const { requestId, service, version } of unreported.slice(0, maxRows)) {
+      const versions = report[service] ??= {}
+      const requestIds = versions[version] ??= []
+      requestIds.push(requestId)
+    }
+    unreported = unreported.slice(maxRows)
+    return report
+  }
+
+  return {
+    record: (beginning, nowMs) => { if (add(beginning, nowMs)) unreported = [...unreported, beginning] },
+    applyReport,
+    find,
+    takeUnreported
+  }
+}
--- a/packages/routing/tests/fixtures.ts
+++ b/packages/routing/tests/fixtures.ts
@@ -42,6 +42,7 @@
     promptTokens: 1_000,
     outputTokens: 200,
     promptSegments: [],
+    version: undefined,
     excludedTargets: new Set(),
     isRetry: false,
     ...changes
--- a/packages/routing/tests/pool.test.ts
+++ b/packages/routing/tests/pool.test.ts
@@ -214,4 +214,24 @@
   assert.ok(decision?.kind === 'dispatch' && decision.target.id === 'i-2')
 })
 
+const VERSIONED = [fixtures.targetOf('i-1', 'support', 1), { ...fixtures.targetOf('i-2', 'support', 12), version: 'v2' }]
+
+suite('a resumed stream waits for a slot at its version, also as a retry, and is placed before others', () => {
+  const pool = poolOf(fixtures.ENGINE, VERSIONED)
+  const [first] = arrive(pool, fixtures.requestOf(1, { version: 'v1' }))
+  assert.ok(first?.kind === 'dispatch' && first.target.id === 'i-1')
+  assert.equal(arrive(pool, fixtures.requestOf(2, { version: 'v1' })), [])
+  const [other] = arrive(pool, fixtures.requestOf(3))
+  assert.ok(other?.kind === 'dispatch' && other.target.id === 'i-2')
+  const [next] = drain(pool, { kind: 'ended', id: 1, outcome: 'answered' }, 100)
+  assert.ok(next?.kind === 'dispatch' && next.id === 2 && next.target.id === 'i-1')
+  assert.equal(arrive(pool, fixtures.requestOf(4, { version: 'v1', isRetry: true, excludedTargets: new Set(['i-1']) })), [])
+})
+
+suite('a resumed stream whose version has no target is refused at once', () => {
+  const pool = poolOf(fixtures.ENGINE, VERSIONED)
+  const [decision] = arrive(pool, fixtures.requestOf(1, { version: 'v3' }))
+  assert.ok(decision?.kind === 'refuse' && decision.reason === 'version-gone')
+})
+
 suite.run()
