Keep the limits of targets whose entries lapse for a while

Not seen by callers; found by reading. Cause: limits of targets without an entry were forgotten at once, and entries lapse while the store is unavailable and come back within two seconds, so every daemon that had been told would send freely again until the next response. Change: a limit is forgotten when its target has had no entry for 60 s. A target that starts again under its id is told apart by its start, as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -311,7 +311,7 @@
     this.pools.setFleet(live, members)
     this.caps.setReachableShare(live / members)
     this.refreshTargets()
-    this.targetLimits.retain(new Set(this.registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id])))
+    this.targetLimits.retain(new Set(this.registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id])), nowMs)
     this.clients.retain(new Set(this.registry.versionedTargets().flatMap((versioned) => versioned.target === undefined ? [] : [versioned.target.address])))
     this.logReach(live, members)
     this.metrics.gauge('peers_live', live - 1)
--- a/packages/routing/src/target-limits.ts
+++ b/packages/routing/src/target-limits.ts
@@ -51,10 +51,13 @@
   readonly limitOf: (target: string) => number | undefined
   readonly limitedCount: () => number
   readonly select: (selection: Selection) => readonly LimitStatement[]
-  /** Forgets the statements about targets that are not in the set. */
-  readonly retain: (targets: ReadonlySet<string>) => void
+  /** Forgets the statements about targets that have long been missing in the set. */
+  readonly retain: (targets: ReadonlySet<string>, nowMs: number) => void
 }
 
+/** Time after which the limit of a target without an entry is forgotten, ms: entries lapse while the store is unavailable, and come back. */
+const ABSENT_RETENTION_MS = 60_000
+
 interface LearnedStatement {
   readonly statement: LimitStatement
   readonly source: Source
@@ -82,6 +85,7 @@
  */
 export function createTargetLimits (startOf: (target: string) => number): TargetLimits {
   const learned = new Map<string, LearnedStatement>()
+  const absentSinceMs = new Map<string, number>()
   /** Position of the next of the other statements that is selected. */
   let nextOther = 0
 
@@ -122,8 +126,18 @@
     return [...recent, ...added].map(({ statement }) => statement)
   }
 
-  function retain (targets: ReadonlySet<string>): void {
-    for (const target of learned.keys()) if (!targets.has(target)) learned.delete(target)
+  function retain (targets: ReadonlySet<string>, nowMs: number): void {
+    for (const target of learned.keys()) {
+      const sinceMs = absentSinceMs.get(target) ?? nowMs
+      if (targets.has(target)) {
+        absentSinceMs.delete(target)
+      } else if (nowMs - sinceMs > ABSENT_RETENTION_MS) {
+        absentSinceMs.delete(target)
+        learned.delete(target)
+      } else {
+        absentSinceMs.set(target, sinceMs)
+      }
+    }
   }
 
   const limitedCount = (): number => [...learned.keys()].filter((target) => limitOf(target) !== undefined).length
--- a/packages/routing/tests/target-limits.test.ts
+++ b/packages/routing/tests/target-limits.test.ts
@@ -65,6 +65,19 @@
   assert.is(limits.limitOf(TARGET), 3)
 })
 
+suite('a limit outlasts the absence of the entry of its target, as entries lapse while the store is unavailable', () => {
+  const limits = createLimits()
+  observe(limits, 2)
+  for (let nowMs = 0; nowMs <= 50_000; nowMs += 10_000) limits.retain(new Set(), nowMs)
+  assert.is(limits.limitOf(TARGET), 2)
+  limits.retain(new Set([TARGET]), 55_000)
+  limits.retain(new Set(), 60_000)
+  limits.retain(new Set(), 110_000)
+  assert.is(limits.limitOf(TARGET), 2)
+  limits.retain(new Set(), 130_000)
+  assert.is(limits.limitOf(TARGET), undefined)
+})
+
 suite('daemons that get the same statements in any order agree', () => {
   const statement = fc.record({
     target: fc.constant(TARGET),
