--- a/packages/gateway/tests/report-size.test.ts
+++ b/packages/gateway/tests/report-size.test.ts
@@ -65,6 +65,23 @@
   })
 }
 
+for (const size of [9, 87]) {
+  suite(`seventeen streams a second at each of ${size} daemons add little to the reports`, () => {
+    const fleet = fleetModule.createFleet(size, size)
+    fleet.simulate(5_000, fleetModule.CONNECTED)
+    fleet.simulate(5_000, fleetModule.CONNECTED)
+    const quietBytes = fleet.mean().bytes
+    fleet.simulate(5_000, fleetModule.CONNECTED, () => {
+      for (const [index, { streams }] of fleet.members.entries()) {
+        for (let stream = 0; stream < 17; stream += 1) streams.record({ requestId: `${fleet.now()}-${index}-${stream}`.padEnd(16, '0'), service: 'support', version: 'v1' }, fleet.now())
+      }
+    })
+    const addedBytes = fleet.mean().bytes - quietBytes
+    // The limit of all control traffic is 20 KB/s per daemon (letter 1).
+    assert.ok(addedBytes <= 20_000, `${addedBytes} bytes`)
+  })
+}
+
 suite('a target that leaves is in the next report to the cell and in every listing', () => {
   const { registry, writer } = fleetModule.createMember('10.0.0.1:7600', () => 0)
   const reported = (withListing: boolean, nowMs: number): number => writer.writeForCell(withListing, nowMs).leavingTargets.length
