Play frozen and restarted daemons in the tests of limits

Cause: the tests of limits did not play daemons that are frozen while a limit falls, nor all daemons restarting at once. Change: the simulated fleet can freeze daemons; four more scenarios at 9 and 87 daemons. While frozen, a daemon's open requests still end in this fixture, unlike on a real VM.

--- a/packages/gateway/tests/limited-fleet.test.ts
+++ b/packages/gateway/tests/limited-fleet.test.ts
@@ -36,6 +36,10 @@
   readonly loadAt?: (sinceMs: number) => number
   /** Share of the daemons that can't reach the others from 2 s to 8 s. */
   readonly cutShare?: number
+  /** Share of the daemons that are frozen from 2 s to 6 s. */
+  readonly frozenShare?: number
+  /** Time at which all daemons are restarted, ms. */
+  readonly allRestartMs?: number
   /** Interval at which the next daemon is restarted, ms. */
   readonly restartEachMs?: number
   /** Share of the targets' responses that break after their first event. */
@@ -118,6 +122,11 @@
   const endMs = LIMITED_FROM_MS + (scenario.durationMs ?? 14_000)
   let owed = 0
   let nextRestart = 0
+  const all = Array.from({ length: scenario.daemons }, (_, daemon) => daemon)
+  const restart = (daemon: number): void => {
+    fleet.restart(daemon)
+    for (const { id } of targets) toldMs.delete(`${daemon} ${id}`)
+  }
   const isCut = (daemon: number): boolean => daemon < (scenario.cutShare ?? 0) * scenario.daemons
   fleet.setReach((from, to) => {
     const sinceMs = fleet.now() - LIMITED_FROM_MS
@@ -126,14 +135,16 @@
   while (fleet.now() < endMs) {
     const sinceMs = fleet.now() - LIMITED_FROM_MS
     if (sinceMs === scenario.targetsRestartMs) for (const target of targets.filter((_, index) => limitAt(index, fleet.now()) !== undefined)) fleet.register(target, fleet.now())
+    const isFrozenTime = sinceMs >= 2_000 && sinceMs < 6_000
+    fleet.freeze(isFrozenTime ? all.filter((daemon) => daemon < (scenario.frozenShare ?? 0) * scenario.daemons) : [])
+    if (sinceMs === scenario.allRestartMs) for (const daemon of all) restart(daemon)
     if (scenario.restartEachMs !== undefined && sinceMs >= 0 && sinceMs % scenario.restartEachMs === 0) {
-      const daemon = nextRestart % scenario.daemons
-      fleet.restart(daemon)
-      for (const { id } of targets) toldMs.delete(`${daemon} ${id}`)
+      restart(nextRestart % scenario.daemons)
       nextRestart += 1
     }
+    const running = all.filter((daemon) => fleet.isUp(daemon))
     for (owed += scenario.perS * (scenario.loadAt?.(sinceMs) ?? 1) * ARRIVAL_STEP_MS / MS_PER_S; owed >= 1; owed -= 1) {
-      replies.push(fleet.request(Math.floor(fleet.random() * scenario.daemons), '/generate/7', ['tokens', '700,18', 'remaining-ms', '12000']))
+      replies.push(fleet.request(running[Math.floor(fleet.random() * running.length)] ?? 0, '/generate/7', ['tokens', '700,18', 'remaining-ms', '12000']))
     }
     fleet.advance(ARRIVAL_STEP_MS)
   }
@@ -184,6 +195,10 @@
   ['streams that break off', { ...SMALL, breakShare: 0.2, limitOf: onlyBelow(3, 2.8) }],
   ['a third of 9 daemons cut off', { ...SMALL, cutShare: 0.34, limitOf: onlyBelow(2, 2.8) }],
   ['a third of 87 daemons cut off', { ...LARGE, cutShare: 0.34, limitOf: onlyBelow(6, 2.8) }],
+  ['a third of 9 daemons frozen while the limits fall', { ...SMALL, frozenShare: 0.34, limitOf: (target, sinceMs) => target < 2 ? (sinceMs < 4_000 ? 8 : 0.5) : undefined }],
+  ['a third of 87 daemons frozen while the limits fall', { ...LARGE, frozenShare: 0.34, limitOf: (target, sinceMs) => target < 6 ? (sinceMs < 4_000 ? 8 : 0.5) : undefined }],
+  ['all of 9 daemons restarted at once', { ...SMALL, allRestartMs: 5_000, limitOf: onlyBelow(3, 1.5) }],
+  ['all of 87 daemons restarted at once', { ...LARGE, allRestartMs: 5_000, limitOf: onlyBelow(6, 1.5) }],
   ['daemons that restart in turn', { ...SMALL, restartEachMs: 700, limitOf: onlyBelow(2, 2.8) }],
   ['targets that restart under their ids', { ...SMALL, targetsRestartMs: 7_000, limitOf: onlyBelow(2, 2.8) }]
 ]
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -100,6 +100,8 @@
   /** Closes the connections of a daemon's callers and stops it until it is restarted. */
   readonly kill: (daemon: number) => void
   readonly isUp: (daemon: number) => boolean
+  /** Freezes the daemons: they neither decide nor send or receive reports until others are frozen. */
+  readonly freeze: (daemons: readonly number[]) => void
   /** Registers a target's state at every daemon. */
   readonly register: (target: routing.targetRegistry.Target, startedMs?: number) => void
 }
@@ -153,6 +155,7 @@
   const registered = new Map<string, routing.targetRegistry.VersionedTarget>()
   const table = routing.routeTable.createRouteTable(document)
   const contexts = new Map<number, contextModule.Context>()
+  let frozen: ReadonlySet<number> = new Set()
   const directories = new Map<number, streamDirectory.StreamDirectory>()
   /** Responses that have not ended, by daemon. */
   const open = new Map<CallerResponse, number>()
@@ -251,6 +254,8 @@
     }
   }
 
+  const isRunning = (daemon: number): boolean => contexts.has(daemon) && !frozen.has(daemon)
+
   function refresh (daemon: number): void {
     const { peers, pools } = memberOf(daemon)
     pools.setFleet(peers.liveCount(nowMs), peers.memberCount(nowMs))
@@ -279,9 +284,9 @@
       const step = Math.floor(nowMs / STEP_MS)
       for (const run of scheduled.get(step) ?? []) run()
       scheduled.delete(step)
-      if (nowMs % REPORT_MS === 0) fleet.simulate(REPORT_MS, (from, to) => contexts.has(from) && contexts.has(to) && reaches(from, to))
-      if (nowMs % TICK_MS === 0) for (const { pools } of fleet.members) pools.tick()
-      if (nowMs % REFRESH_MS === 0) for (const daemon of contexts.keys()) refresh(daemon)
+      if (nowMs % REPORT_MS === 0) fleet.simulate(REPORT_MS, (from, to) => isRunning(from) && isRunning(to) && reaches(from, to))
+      if (nowMs % TICK_MS === 0) for (const [daemon, { pools }] of fleet.members.entries()) if (isRunning(daemon)) pools.tick()
+      if (nowMs % REFRESH_MS === 0) for (const daemon of contexts.keys()) if (isRunning(daemon)) refresh(daemon)
     }
   }
 
@@ -325,7 +330,8 @@
     advance,
     setReach: (next) => { reaches = next },
     kill,
-    isUp: (daemon) => contexts.has(daemon),
+    isUp: isRunning,
+    freeze: (next) => { frozen = new Set(next) },
     restart: (daemon) => {
       kill(daemon)
       fleet.restart(daemon)
