Add examples to the parsers of questions about streams

Cause: the house style asks for an example on each public function, and a reading of the whole change found two without.

--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -141,12 +141,26 @@
   return typeof question.from === 'string' && typeof question.requestId === 'string'
 }
 
-/** Returns the question in a message; undefined if it is malformed. */
+/**
+ * Returns the question in a message; undefined if it is malformed.
+ *
+ * @example
+ * ```ts
+ * parseStreamQuestion({ from: '10.1.0.25:7600', requestId: 'r-1' })
+ * ```
+ */
 export function parseStreamQuestion (message: unknown): streamDirectory.StreamQuestion | undefined {
   return isQuestion(message) ? message : undefined
 }
 
-/** Returns the answer in a message; undefined if it is malformed. */
+/**
+ * Returns the answer in a message; undefined if it is malformed.
+ *
+ * @example
+ * ```ts
+ * parseStreamAnswer({ from: '10.1.0.25:7600', requestId: 'r-1', beginning })
+ * ```
+ */
 export function parseStreamAnswer (message: unknown): streamDirectory.StreamAnswer | undefined {
   if (!isQuestion(message)) return undefined
   const answer: streamDirectory.StreamAnswer = message
