--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import * as servicePools from './service-pools.js'
 import * as streamDirectory from './stream-directory.js'
 import * as targetClient from './target-client.js'
+import * as versionLag from './version-lag.js'
 
 /** Settings of a gateway. Times are ms. */
 export interface Options {
@@ -78,6 +79,7 @@
   private readonly suspects = new routing.suspects.Suspects((refused, isRefused) => { this.logSuspect(refused, isRefused) })
   private readonly targetLimits = routing.targetLimits.createTargetLimits((target) => this.registry.startOf(target))
   private readonly streams = routing.streamVersions.createStreamVersions()
+  private readonly versionLag = versionLag.createVersionLag()
   private readonly streamDirectory: streamDirectory.StreamDirectory
   private readonly peers: peerTable.PeerTable
   private readonly caps: routing.tokenCap.TokenCaps
@@ -156,7 +158,9 @@
   adopt (newDocument: routing.document.RoutingDocument, source: string): void {
     if (this.document !== undefined && newDocument.version <= this.document.version) return
     const { version, routes, organisations } = newDocument
-    this.log.change('document adopted', { version, before: this.document?.version, source, routes: routes.length, organisations: organisations.length })
+    const lagMs = this.versionLag.adopt(version, this.now())
+    if (lagMs !== undefined) this.metrics.observe('document_lag_ms', lagMs)
+    this.log.change('document adopted', { version, before: this.document?.version, source, lagMs: lagMs === undefined ? undefined : Math.round(lagMs), routes: routes.length, organisations: organisations.length })
     this.metrics.gauge('document_version', version)
     this.document = newDocument
     this.table = routing.routeTable.createRouteTable(newDocument)
@@ -402,6 +406,7 @@
       metrics: this.metrics,
       isReady: () => this.isReady(),
       documentVersion: () => this.document?.version ?? 0,
+      onDocumentVersion: (version) => { this.versionLag.hear(version, this.now()) },
       applyTarget: (versioned, source) => { this.applyTarget(versioned, source) }
     })
   }
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -19,6 +19,8 @@
   readonly metrics: metricsModule.Metrics
   /** Called when limits of targets have changed. */
   readonly onLimitsChanged: (targets: readonly string[], source: string) => void
+  /** Called with the version of the document in each report. */
+  readonly onDocumentVersion: (version: number) => void
   readonly applyTarget: (versioned: routing.targetRegistry.VersionedTarget, source: string) => void
 }
 
@@ -125,6 +127,7 @@
     const acceptance = peers.accept(report, nowMs)
     if (acceptance === 'old') return
     if (acceptance === 'new') options.log.change('peer heard', { peer: report.from, incarnation: report.incarnation, documentVersion: report.documentVersion })
+    options.onDocumentVersion(report.documentVersion)
     tokenReports.apply(report, nowMs)
     suspects.applyReport(report.suspects, report.scope, nowMs)
     applyLimits(report, nowMs)
