--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -215,12 +215,13 @@
     return { document: this.document, targetsPosition: this.registry.position(), targets: this.registry.versionedTargets() }
   }
 
-  /** Returns a peer that holds the targets as of a later position, and that position. */
-  peerWithLaterTargets (): { readonly from: string, readonly position: routing.targetRegistry.Position } | undefined {
+  /** Returns the endpoints of the peers that hold the targets as of a later position, and the first one's position. */
+  peersWithLaterTargets (): { readonly endpoints: readonly string[], readonly position: routing.targetRegistry.Position | undefined } {
     const ownPosition = this.registry.position()
-    return this.peers.recentPeers(this.now())
+    const ahead = this.peers.recentPeers(this.now())
       .map(({ report: { from, targetsPosition: [era, revision] } }) => ({ from, position: { era, revision } }))
-      .find(({ position }) => routing.targetRegistry.isLater(position, ownPosition))
+      .filter(({ position }) => routing.targetRegistry.isLater(position, ownPosition))
+    return { endpoints: ahead.map(({ from }) => from), position: ahead[0]?.position }
   }
 
   /** Returns the position of the store up to which the changes of targets are applied. */
@@ -240,10 +241,10 @@
     return this.peers.reachablePeers(this.now()).map((peer) => peer.report.from)
   }
 
-  /** Returns the endpoint of a peer with a newer document. */
-  peerWithNewerDocument (): string | undefined {
+  /** Returns the endpoints of the peers with a newer document, the most recently heard first. */
+  peersWithNewerDocument (): readonly string[] {
     const version = this.document?.version ?? 0
-    return this.peers.recentPeers(this.now()).find((peer) => peer.report.documentVersion > version)?.report.from
+    return this.peers.recentPeers(this.now()).filter((peer) => peer.report.documentVersion > version).map((peer) => peer.report.from)
   }
 
   /** Stops gracefully within the grace period; settles when the process may exit. */
--- a/packages/gateway/src/state-sync.ts
+++ b/packages/gateway/src/state-sync.ts
@@ -16,8 +16,6 @@
 
 const CHECK_INTERVAL_MS = 150
 
-/** Minimum time between two queries, ms. */
-const MIN_QUERY_INTERVAL_MS = 600
 const QUERY_TIMEOUT_MS = 800
 
 /** Gateway and address of this daemon. */
@@ -45,8 +43,7 @@
  */
 export async function openStateSync (options: Options): Promise<StateSync> {
   const { gateway } = options
-  let lastQueryMs = -Infinity
-  let isQuerying = false
+  const queries = routing.peerQueries.createPeerQueries()
   /** Position of the targets that peers hold and this daemon does not, and since when. */
   let expected: { readonly position: routing.targetRegistry.Position, readonly sinceMs: number } | undefined
 
@@ -55,28 +52,27 @@
     gateway.applySharedState(await response.body.json() as peerMessages.SharedState, peer)
   }
 
-  /** Returns a peer that holds later targets, once the store had time to deliver them here as well. */
-  function peerAheadOfStore (nowMs: number): string | undefined {
+  /** Returns the peers that hold later targets, once the store had time to deliver them here as well. */
+  function peersAheadOfStore (nowMs: number): readonly string[] {
     const ownPosition = gateway.targetsPosition()
     if (expected !== undefined && !routing.targetRegistry.isLater(expected.position, ownPosition)) expected = undefined
-    const peer = gateway.peerWithLaterTargets()
-    if (peer === undefined) return undefined
-    expected ??= { position: peer.position, sinceMs: nowMs }
-    return ownPosition.revision === 0 || nowMs - expected.sinceMs > MAX_STORE_LAG_MS ? peer.from : undefined
+    const { endpoints, position } = gateway.peersWithLaterTargets()
+    if (position === undefined) return []
+    expected ??= { position, sinceMs: nowMs }
+    return ownPosition.revision === 0 || nowMs - expected.sinceMs > MAX_STORE_LAG_MS ? endpoints : []
   }
 
   function queryWhenDue (): void {
     const nowMs = performance.now()
-    if (isQuerying || nowMs - lastQueryMs < MIN_QUERY_INTERVAL_MS) return
-    const peer = gateway.peerWithNewerDocument() ?? peerAheadOfStore(nowMs)
+    const withDocument = gateway.peersWithNewerDocument()
+    const peer = queries.next(withDocument.length > 0 ? withDocument : peersAheadOfStore(nowMs), nowMs)
     if (peer === undefined) return
-    isQuerying = true
-    lastQueryMs = nowMs
     gateway.metrics.count('peer_questions_total')
-    query(peer).catch((error: unknown) => {
+    query(peer).then(() => { queries.end(peer, true, performance.now()) }, (error: unknown) => {
+      queries.end(peer, false, performance.now())
       gateway.metrics.count('peer_questions_failed_total')
       gateway.log.change('peer did not answer', { peer, detail: String(error) })
-    }).finally(() => { isQuerying = false })
+    })
   }
 
   const client = new undici.Agent({ connect: { timeout: QUERY_TIMEOUT_MS }, connections: 1 })
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,7 @@
 export * as cell from './cell.js'
 export * as document from './document.js'
 export * as engineEstimate from './engine-estimate.js'
+export * as peerQueries from './peer-queries.js'
 export * as plannedStop from './planned-stop.js'
 export * as pool from './pool.js'
 export * as poolEvent from './pool-event.js'
