--- a/packages/gateway/src/state-sync.ts
+++ b/packages/gateway/src/state-sync.ts
@@ -48,7 +48,8 @@
   let expected: { readonly position: routing.targetRegistry.Position, readonly sinceMs: number } | undefined
 
   async function query (peer: string): Promise<void> {
-    const response = await client.request({ origin: `http://${peer}`, path: SHARED_STATE_PATH, method: 'GET', signal: AbortSignal.timeout(QUERY_TIMEOUT_MS) })
+    // Queries are rare, and a connection that was kept from the last one may have gone silent.
+    const response = await client.request({ origin: `http://${peer}`, path: SHARED_STATE_PATH, method: 'GET', reset: true, signal: AbortSignal.timeout(QUERY_TIMEOUT_MS) })
     gateway.applySharedState(await response.body.json() as peerMessages.SharedState, peer)
   }
 
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -1,4 +1,6 @@
 import * as dgram from 'node:dgram'
+import * as http from 'node:http'
+import type * as net from 'node:net'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as gatewayPackage from '@persimmonhatch/gateway'
@@ -91,6 +93,34 @@
   for (const fixture of [source, follower]) await fixture.close()
 })
 
+suite('documents of a peer are adopted although connections to it carry nothing after their first response', async () => {
+  const fixture = await fixtureModule.openFixture(1)
+  const answered = new WeakSet<net.Socket>()
+  let version = 2
+  const peer = http.createServer((incoming, response) => {
+    if (answered.has(incoming.socket)) return
+    answered.add(incoming.socket)
+    const state: gatewayPackage.peerMessages.SharedState = { document: { ...fixtureModule.DOCUMENT, version }, targetsPosition: { era: 0, revision: 0 }, targets: [] }
+    response.end(JSON.stringify(state))
+  })
+  await new Promise<void>((resolve) => { peer.listen(0, '127.0.0.1', resolve) })
+  const from = `127.0.0.1:${(peer.address() as net.AddressInfo).port}`
+  const sync = await gatewayPackage.stateSync.openStateSync({ gateway: fixture.gateway, address: fixture.peerAddress })
+  for (let sequence = 1; version <= 4; version += 1) {
+    const isAdopted = (): boolean => fixture.gateway.sharedState().document?.version === version
+    while (!isAdopted()) {
+      await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ from, sequence, documentVersion: version }))
+      sequence += 1
+      await fixtureModule.wait(20)
+    }
+  }
+  assert.not.match(fixture.gateway.metrics.text(), 'peer_questions_failed_total')
+  sync.close()
+  peer.closeAllConnections()
+  peer.close()
+  await fixture.close()
+})
+
 suite('a daemon with the same state as its peers queries none of them', async () => {
   const fixtures = [await fixtureModule.openFixture(1), await fixtureModule.openFixture(1)]
   const [first, second] = fixtures
