Log which target could not be connected to

A target that could not be connected to was counted without its name, so logs could not show which paths a daemon had lost (RECOVER). 'target unreachable' names it, within the limit of lines about requests.

--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -324,7 +324,7 @@
       context.metrics.count('target_failures_total', { service: request.service, end: outcome.kind })
     }
     switch (outcome.kind) {
-      case 'unreachable': this.onUnreachable(); break
+      case 'unreachable': this.onUnreachable(outcome.message); break
       case 'rejected': this.onRejected(outcome.status); break
       case 'answered': this.onAnswered(outcome.head, outcome.body); break
       case 'streamed': this.onStreamed(); break
@@ -332,7 +332,9 @@
     }
   }
 
-  private onUnreachable (): void {
+  private onUnreachable (detail: string): void {
+    const { context, request } = this.options
+    context.log.request('target unreachable', { request: request.requestId, target: this.target?.id, detail })
     this.endPlacement({ kind: 'ended', outcome: 'unreachable' })
     this.unreachableAttempts += 1
     // Nothing was sent, so no retry of the budget limits how many requests are placed again; they wait for a free slot.
