Show that daemons cut off from targets serve few callers, listed as red

A simulated fleet of nine daemons plays cuts that hang, are refused, or spare open connections, of one, five or eight daemons, all targets or some, twice in a row, beside a dead target and restarts.

--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -25,6 +25,12 @@
 const REPORT_MS = 200
 const DATAGRAM_MS = 10
 
+/** Time after which a connection attempt is given up, ms. */
+const CONNECT_TIMEOUT_MS = 300
+
+/** Time for which an idle connection is kept, ms. */
+const KEPT_MS = 4_000
+
 /** Time in which the fleet exchanges reports before it serves, ms. */
 const SETTLING_MS = 4_000
 
@@ -55,6 +61,12 @@
   readonly headers: rawHeaders.RawHeaders
 }
 
+/**
+ * Path of a daemon to a target. `hang`: nothing arrives, new connections are not answered. `refuse`: open connections are reset, new ones
+ * refused. `no-new`: open connections work, new ones are not answered.
+ */
+export type Path = 'up' | 'hang' | 'refuse' | 'no-new'
+
 /** What a target sends, with times since the arrival of the request. */
 export interface TargetResponse {
   readonly headMs: number
@@ -96,6 +108,8 @@
   readonly advance: (durationMs: number) => void
   /** Sets which daemons reach each other. */
   readonly setReach: (reaches: (from: number, to: number) => boolean) => void
+  /** Sets the path of each daemon to each target, by its id. */
+  readonly setPaths: (pathOf: (daemon: number, target: string) => Path) => void
   readonly restart: (daemon: number) => void
   /** Closes the connections of a daemon's callers and stops it until it is restarted. */
   readonly kill: (daemon: number) => void
@@ -156,6 +170,9 @@
   const table = routing.routeTable.createRouteTable(document)
   const contexts = new Map<number, contextModule.Context>()
   let frozen: ReadonlySet<number> = new Set()
+  let pathOf: (daemon: number, target: string) => Path = () => 'up'
+  /** When connections of a daemon to a target became idle. */
+  const idleSinceMs = new Map<string, readonly number[]>()
   const directories = new Map<number, streamDirectory.StreamDirectory>()
   /** Responses that have not ended, by daemon. */
   const open = new Map<CallerResponse, number>()
@@ -167,31 +184,53 @@
     else others.push(run)
   }
 
+  /** Takes an idle connection; returns whether there was one. */
+  function takeIdle (daemon: number, target: string): boolean {
+    const usable = (idleSinceMs.get(`${daemon} ${target}`) ?? []).filter((sinceMs) => nowMs - sinceMs < KEPT_MS)
+    idleSinceMs.set(`${daemon} ${target}`, usable.slice(0, -1))
+    return usable.length > 0 && pathOf(daemon, target) !== 'refuse'
+  }
+
+  function keepIdle (daemon: number, target: string): void {
+    idleSinceMs.set(`${daemon} ${target}`, [...idleSinceMs.get(`${daemon} ${target}`) ?? [], nowMs])
+  }
+
+  function exchange (daemon: number, target: routing.targetRegistry.Target, headers: rawHeaders.RawHeaders, listener: targetClient.Listener): targetClient.Exchange {
+    let isOpen = true
+    const isUp = (): boolean => { const path = pathOf(daemon, target.id); return path === 'up' || path === 'no-new' }
+    const later = (afterMs: number, run: () => void): void => schedule(afterMs, () => { if (isOpen && isUp()) run() })
+    const arrival = { atMs: nowMs, daemon, target, headers }
+    listener.sent()
+    if (isUp()) {
+      const { headMs, status = 200, headers: responseHeaders, events: streamed = [], endMs, breaks = false } = options.respond(arrival)
+      const type = streamed.length > 0 ? ['content-type', 'text/event-stream'] : []
+      const echoed = ['request-id', rawHeaders.findHeader(headers, 'request-id') ?? '', ...status === 200 ? ['proof', target.id] : []]
+      later(headMs, () => {
+        options.onHead?.(arrival, responseHeaders, nowMs)
+        listener.head({ status, headers: [...echoed, ...type, ...responseHeaders] })
+      })
+      for (const [id, atMs] of streamed) later(atMs, () => { listener.data(Buffer.from(`id: ${id}\ndata: ${target.id}\n\n`)) })
+      later(endMs, () => {
+        isOpen = false
+        if (breaks) {
+          listener.failed('broken', 'the connection was reset')
+        } else {
+          keepIdle(daemon, target.id)
+          listener.end()
+        }
+      })
+    }
+    return { abort: () => { isOpen = false }, pause: () => {}, resume: () => {} }
+  }
+
   function clientsOf (daemon: number): targetClient.TargetClients {
     return {
       send: (request, listener) => {
         const target = [...registered.values()].find((versioned) => versioned.target?.address === request.address)?.target
+        const path = target === undefined ? 'refuse' : pathOf(daemon, target.id)
+        if (target !== undefined && (path === 'up' || takeIdle(daemon, target.id))) return exchange(daemon, target, request.headers, listener)
         let isOpen = true
-        const later = (afterMs: number, run: () => void): void => schedule(afterMs, () => { if (isOpen) run() })
-        if (target === undefined) {
-          later(0, () => { listener.failed('unreachable', 'nothing listens there') })
-        } else {
-          listener.sent()
-          const arrival = { atMs: nowMs, daemon, target, headers: request.headers }
-          const { headMs, status = 200, headers, events: streamed = [], endMs, breaks = false } = options.respond(arrival)
-          const type = streamed.length > 0 ? ['content-type', 'text/event-stream'] : []
-          const echoed = ['request-id', rawHeaders.findHeader(request.headers, 'request-id') ?? '', ...status === 200 ? ['proof', target.id] : []]
-          later(headMs, () => {
-            options.onHead?.(arrival, headers, nowMs)
-            listener.head({ status, headers: [...echoed, ...type, ...headers] })
-          })
-          for (const [id, atMs] of streamed) later(atMs, () => { listener.data(Buffer.from(`id: ${id}\ndata: ${target.id}\n\n`)) })
-          later(endMs, () => {
-            isOpen = false
-            if (breaks) listener.failed('broken', 'the connection was reset')
-            else listener.end()
-          })
-        }
+        schedule(path === 'refuse' ? 0 : CONNECT_TIMEOUT_MS, () => { if (isOpen) listener.failed('unreachable', 'no connection') })
         return { abort: () => { isOpen = false }, pause: () => {}, resume: () => {} }
       },
       retain: () => {},
@@ -329,6 +368,7 @@
     request,
     advance,
     setReach: (next) => { reaches = next },
+    setPaths: (next) => { pathOf = next },
     kill,
     isUp: isRunning,
     freeze: (next) => { frozen = new Set(next) },
