Reach targets through peers where a daemon has lost its own paths

Callers of daemons that were cut off from all targets got 503 after 1.2 s: four connection attempts of 0.3 s, anew for each request, as nothing remembered that it is the daemon that is cut off, and there was no way through the peers that reach the targets. Class: a decision from one observer's view about what others share.

Change: a target that can't be connected to is lost for this daemon, which reports it to its cell; requests to it go through a peer that has not lost it (HTTP CONNECT on the peer port, for registered targets and known hosts only, never onward). The daemon keeps the request and all decisions; only its connection is carried, so at most once, budgets, limits and cancellation are as before. Lost paths are probed every 0.4 s by the daemon itself; when one is lost or a target with requests in flight is silent, the others in use are probed too. A daemon that is cut off leaves new callers to the others if a third of the cell reaches targets.

Ruled out: a peer that takes over whole requests (each must be handed on and counted once); leaving callers to others alone (a refused first try counts as failed, and directory answers are kept up to 3 s).

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -37,6 +37,8 @@
   readonly context: contextModule.Context
   readonly request: admission.AdmittedRequest
   readonly target: routing.targetRegistry.Target
+  /** Endpoint of the peer that carries the connection to the target; undefined for a direct one. */
+  readonly via: string | undefined
   readonly body: Buffer | undefined
   readonly sink: StreamSink
   readonly onSent: () => void
@@ -185,6 +187,7 @@
 
   const exchange = context.clients.send({
     address: target.address,
+    via: options.via,
     method: request.head.method,
     path: request.head.path,
     headers: requestHeaders(options),
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -11,6 +11,14 @@
 import type * as streamDirectory from './stream-directory.js'
 import type * as targetClient from './target-client.js'
 
+/** Paths to targets. */
+export interface Paths {
+  /** Returns the endpoint of the peer through which a request reaches a target; undefined for the direct path. */
+  readonly choose: (target: string) => string | undefined
+  /** Records that no connection could be opened, directly or through a peer. */
+  readonly recordUnreachable: (target: string, via: string | undefined) => void
+}
+
 /** Shared state and dependencies. */
 export interface Context {
   readonly now: () => number
@@ -25,6 +33,7 @@
   readonly suspects: routing.suspects.Suspects
   readonly targetLimits: routing.targetLimits.TargetLimits
   readonly streams: Pick<streamDirectory.StreamDirectory, 'record' | 'find'>
+  readonly paths: Paths
   /** Called when limits of targets have changed. */
   readonly onLimitsChanged: (targets: readonly string[], source: string) => void
   /** Whether this daemon may try a request with a refused trait. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import * as servicePools from './service-pools.js'
 import * as streamDirectory from './stream-directory.js'
 import * as targetClient from './target-client.js'
+import * as targetRoutes from './target-routes.js'
 import * as versionLag from './version-lag.js'
 
 /** Settings of a gateway. Times are ms. */
@@ -86,6 +87,7 @@
   private readonly budget: routing.retryBudget.RetryBudget
   private tolerances: Tolerances
   private readonly clients: targetClient.TargetClients
+  readonly routes: targetRoutes.TargetRoutes
   private readonly pools: servicePools.ServicePools
   private readonly context: contextModule.Context
   private readonly timers: NodeJS.Timeout[] = []
@@ -116,11 +118,22 @@
       connectionLimit: (address) => this.connectionLimit(address),
       countConnection: () => { this.metrics.count('target_connections_total') }
     })
+    this.routes = targetRoutes.createTargetRoutes({
+      now: () => this.now(),
+      random: Math.random,
+      registry: this.registry,
+      peers: this.peers,
+      clients: this.clients,
+      log: this.log,
+      metrics: this.metrics,
+      changed: () => { this.reports?.changed() }
+    })
     this.pools = servicePools.createServicePools({
       now: () => this.now(),
       random: Math.random,
       registry: this.registry,
       limitOf: this.targetLimits.limitOf,
+      onSilent: this.routes.paths.suspect,
       changed: () => { this.reports?.changed() }
     })
     this.streamDirectory = this.createStreamDirectory()
@@ -198,10 +211,14 @@
     return this.document !== undefined && this.stoppingMs === undefined && this.registry.versionedTargets().some((versioned) => versioned.target !== undefined)
   }
 
+  private isAdvertised (): boolean {
+    return this.isReady() && !this.routes.isLeftToPeers()
+  }
+
   /** Returns the front addresses that callers should use. */
   addresses (): readonly string[] {
     const others = this.peers.frontAddresses(this.now())
-    return this.isReady() || others.length === 0 ? [this.options.frontAddress, ...others] : others
+    return this.isAdvertised() || others.length === 0 ? [this.options.frontAddress, ...others] : others
   }
 
   /** Returns up to `maxAddresses` front addresses for the callers of an availability zone; every daemon returns the same ones. */
@@ -288,6 +305,7 @@
     if (delayMs >= LOGGED_DELAY_MS) this.log.change('event loop delayed', { delayMs, open: this.openRequests() })
     this.lastTickMs = nowMs
     this.pools.tick()
+    this.routes.probe()
   }
 
   private daemons (): number {
@@ -317,6 +335,7 @@
     this.caps.setReachableShare(live / members)
     this.refreshTargets()
     this.targetLimits.retain(new Set(this.registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id])), nowMs)
+    this.routes.retain()
     this.clients.retain(new Set(this.registry.versionedTargets().flatMap((versioned) => versioned.target === undefined ? [] : [versioned.target.address])))
     this.logReach(live, members)
     this.metrics.gauge('peers_live', live - 1)
@@ -373,6 +392,7 @@
       suspects: this.suspects,
       targetLimits: this.targetLimits,
       streams: this.streamDirectory,
+      paths: this.routes,
       onLimitsChanged: (targets, source) => { this.handleLimitChanges(targets, source) },
       isArbiterOf: (trait) => this.peers.isArbiterOf(trait, this.now()),
       table: () => this.table,
@@ -403,9 +423,10 @@
       streams: this.streams,
       onLimitsChanged: (targets, source) => { this.handleLimitChanges(targets, source) },
       registry: this.registry,
+      paths: this.routes.paths,
       log: this.log,
       metrics: this.metrics,
-      isReady: () => this.isReady(),
+      isReady: () => this.isAdvertised(),
       documentVersion: () => this.document?.version ?? 0,
       onDocumentVersion: (version) => { this.versionLag.hear(version, this.now()) },
       applyTarget: (versioned, source) => { this.applyTarget(versioned, source) }
--- a/packages/gateway/src/http-endpoint.ts
+++ b/packages/gateway/src/http-endpoint.ts
@@ -4,11 +4,14 @@
  * @module
  */
 import * as nodeServer from '@hono/node-server'
+import type * as http from 'node:http'
 import type * as hono from 'hono'
 import * as endpoint from './endpoint.js'
 
 /** A running listener. */
 export interface HttpEndpoint {
+  /** Node.js' server, for methods that have no response of their own. */
+  readonly server: http.Server
   readonly close: () => void
 }
 
@@ -23,7 +26,7 @@
 export async function openHttpEndpoint (address: string, app: hono.Hono): Promise<HttpEndpoint> {
   const { host, port } = endpoint.parseEndpoint(address)
   return await new Promise((resolve, reject) => {
-    const server = nodeServer.serve({ fetch: app.fetch, hostname: host, port }, () => resolve({ close: () => { server.close() } }))
+    const server = nodeServer.serve({ fetch: app.fetch, hostname: host, port }, () => resolve({ server: server as http.Server, close: () => { server.close() } }))
     server.once('error', reject)
   })
 }
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -40,6 +40,8 @@
   readonly streams: routing.streamVersions.StreamReport
   /** Limits that targets have named, those learned recently in each report and others in turn. */
   readonly limits: readonly LimitRow[]
+  /** Targets to which the sender's direct paths are lost. */
+  readonly lostTargets: readonly string[]
   /** Peers from which or about which the sender has received reports recently; empty in most reports. */
   readonly members: readonly Member[]
 }
@@ -51,7 +53,7 @@
   readonly targets: readonly routing.targetRegistry.VersionedTarget[]
 }
 
-const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], suspects: {}, limits: [], streams: {}, members: [] }
+const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
 
 const STARTED_RADIX = 36
 
@@ -130,7 +132,7 @@
   const report = { ...EMPTY_FIELDS, ...message } as Partial<Report>
   const isComplete = typeof report.from === 'string' && typeof report.incarnation === 'string' && typeof report.sequence === 'number' &&
     typeof report.pools === 'object' && typeof report.usedTokens === 'object' && Array.isArray(report.members) &&
-    Array.isArray(report.leavingTargets) && typeof report.suspects === 'object' && Array.isArray(report.limits) && typeof report.streams === 'object' &&
+    Array.isArray(report.leavingTargets) && typeof report.suspects === 'object' && Array.isArray(report.limits) && Array.isArray(report.lostTargets) && typeof report.streams === 'object' &&
     Array.isArray(report.targetsPosition)
   return isComplete ? report as Report : undefined
 }
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -133,7 +133,9 @@
     applyLimits(report, nowMs)
     streams.applyReport(report.streams, nowMs)
     applyLeavingTargets(report)
-    if (report.scope === 'cell') pools.applyPeerLoads(report.from, report.pools)
+    if (report.scope !== 'cell') return
+    pools.applyPeerLoads(report.from, report.pools)
+    options.paths.applyReport(report.from, report.lostTargets)
   }
 
   return {
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import * as routing from '@persimmonhatch/routing'
+import * as endpoint from './endpoint.js'
 import type * as peerMessages from './peer-messages.js'
 
 /** Time without a report after which a member of the own cell is not advertised to callers and its share of the caps is reserved for it, ms. */
@@ -109,6 +110,11 @@
     if (address !== this.localAddress && !this.discovered.has(address)) this.discovered.set(address, nowMs)
   }
 
+  /** Returns whether an endpoint on a host is known. */
+  knowsHost (host: string): boolean {
+    return [...this.discovered.keys()].some((address) => endpoint.parseEndpoint(address).host === host)
+  }
+
   /** Returns the recipients of reports. The reachable members of this cell share the members of each other cell in turn. */
   recipients (nowMs: number): Recipients {
     const { isSingleCell, division } = this.divide(nowMs)
--- /dev/null
+++ b/packages/gateway/src/relay-server.ts
@@ -0,0 +1,102 @@
+/**
+ * Carries connections of peers that are cut off from targets, as the method CONNECT of HTTP/1.1 describes. Bytes are passed on
+ * unchanged in both directions, so the peer keeps its request and all decisions about it.
+ *
+ * @module
+ */
+import type * as http from 'node:http'
+import * as net from 'node:net'
+import * as endpoint from './endpoint.js'
+
+/** Time limit for connecting to the target, ms. */
+const CONNECT_TIMEOUT_MS = 300
+
+/** Maximum number of connections that are carried at once, which leaves most descriptors to this daemon's own callers. */
+const MAX_RELAYED = 600
+
+const FORBIDDEN = '403 Forbidden'
+const BAD_GATEWAY = '502 Bad Gateway'
+const UNAVAILABLE = '503 Service Unavailable'
+
+/** Decisions of the relay and its counter. */
+export interface Options {
+  /** Whether a host is that of a known peer. */
+  readonly isPeer: (host: string) => boolean
+  /** Whether an address is that of a registered target. */
+  readonly isTarget: (address: string) => boolean
+  /** Whether this daemon's own path to a target is lost; it does not use another relay in turn. */
+  readonly isLost: (address: string) => boolean
+  readonly countResult: (result: 'carried' | 'refused' | 'unreachable') => void
+}
+
+function refuse (socket: net.Socket, status: string): void {
+  socket.end(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`)
+}
+
+/** Joins two connections; the end or failure of one ends the other in the same way. */
+function join (peer: net.Socket, target: net.Socket): void {
+  const reset = (): void => {
+    target.resetAndDestroy()
+    peer.resetAndDestroy()
+  }
+  // A target that was reset together with its last data reports a regular end, without a remote address.
+  target.prependListener('end', () => { if (target.remoteAddress === undefined) reset() })
+  for (const socket of [peer, target]) socket.on('error', reset)
+  // A peer that ends its side has left its exchange, at which the target must stop.
+  peer.once('end', () => { target.destroy() })
+  peer.once('close', () => { target.destroy() })
+  target.once('close', () => { if (!peer.writableEnded) peer.end() })
+  peer.pipe(target)
+  target.pipe(peer)
+}
+
+/**
+ * Serves CONNECT requests of peers on a listener.
+ *
+ * @example
+ * ```ts
+ * serveRelay(server, { isPeer, isTarget, isLost, countResult })
+ * ```
+ */
+export function serveRelay (server: http.Server, options: Options): void {
+  let relayed = 0
+
+  function refusalOf (address: string, host: string): string | undefined {
+    if (!options.isPeer(host) || !options.isTarget(address)) return FORBIDDEN
+    if (options.isLost(address)) return BAD_GATEWAY
+    return relayed >= MAX_RELAYED ? UNAVAILABLE : undefined
+  }
+
+  server.on('connect', (request: http.IncomingMessage, peer: net.Socket) => {
+    const address = request.url ?? ''
+    peer.on('error', () => { peer.destroy() })
+    const refusal = refusalOf(address, peer.remoteAddress ?? '')
+    if (refusal !== undefined) {
+      options.countResult('refused')
+      refuse(peer, refusal)
+      return
+    }
+    relayed += 1
+    peer.setNoDelay(true)
+    const { host, port } = endpoint.parseEndpoint(address)
+    const target = net.connect({ host, port, noDelay: true })
+    const timer = setTimeout(() => { target.destroy(new Error(`timed out after ${CONNECT_TIMEOUT_MS} ms`)) }, CONNECT_TIMEOUT_MS)
+    const fail = (): void => {
+      options.countResult('unreachable')
+      refuse(peer, BAD_GATEWAY)
+    }
+    target.once('error', fail)
+    target.once('close', () => {
+      clearTimeout(timer)
+      relayed -= 1
+    })
+    target.once('connect', () => {
+      clearTimeout(timer)
+      target.off('error', fail)
+      options.countResult('carried')
+      peer.write('HTTP/1.1 200 Connection Established\r\n\r\n')
+      join(peer, target)
+    })
+    peer.once('close', () => { target.destroy() })
+  })
+}
--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -18,6 +18,7 @@
   readonly targetLimits: routing.targetLimits.TargetLimits
   readonly streams: routing.streamVersions.StreamVersions
   readonly registry: routing.targetRegistry.TargetRegistry
+  readonly paths: routing.targetPaths.TargetPaths
   readonly isReady: () => boolean
   readonly documentVersion: () => number
 }
@@ -56,7 +57,7 @@
  * ```
  */
 export function createReportWriter (options: Options): ReportWriter {
-  const { caps, peers, pools, registry, streams, suspects, targetLimits } = options
+  const { caps, paths, peers, pools, registry, streams, suspects, targetLimits } = options
   let sequence = 0
   /** Tokens that members of the cell have reported, by organisation. */
   const reportedTokens = new Map<string, number>()
@@ -70,7 +71,7 @@
     return registry.versionedTargets().filter((versioned) => versioned.target?.leaving === true).map(peerMessages.toLeavingTarget)
   }
 
-  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'suspects' | 'limits' | 'streams' | 'members'>): peerMessages.Report {
+  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'suspects' | 'limits' | 'streams' | 'lostTargets' | 'members'>): peerMessages.Report {
     sequence += 1
     const { era, revision } = registry.position()
     return {
@@ -127,6 +128,7 @@
         suspects: ownEvidence(withListing, nowMs),
         limits: limits({ sources: ['own'], sinceMs: lastCellReportMs, withOthers: withListing }),
         streams: streams.takeUnreported(MAX_STREAM_ROWS),
+        lostTargets: paths.lost(),
         members: withListing ? peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS) : []
       })
       lastCellReportMs = nowMs
@@ -140,6 +142,7 @@
       suspects: suspects.select({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withAllRefused: true, maxRows: MAX_EVIDENCE_ROWS }, nowMs),
       limits: limits({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withOthers: true }),
       streams: {},
+      lostTargets: [],
       members: peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS)
     }),
     countCellTokens: (organisation, tokens) => { reportedTokens.set(organisation, tokens + (reportedTokens.get(organisation) ?? 0)) }
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -38,6 +38,9 @@
 /** Maximum number of attempts at unreachable targets; they send nothing and use no retry of the budget. */
 const MAX_UNREACHABLE_ATTEMPTS = 4
 
+/** Maximum number of peers through which a request tries to reach targets. */
+const MAX_RELAY_ATTEMPTS = 3
+
 const REJECTED_RETRY_MS = 500
 const OK = 200
 const REDIRECTION = 300
@@ -67,6 +70,9 @@
   private figures: routing.poolEvent.Figures | undefined
   private sends = 0
   private unreachableAttempts = 0
+  private relayAttempts = 0
+  /** The peer that carries the connection to the target; undefined for a direct one. */
+  private via: string | undefined
   /** Whether a target may have begun to run the request. */
   private mayHaveRun = false
   private lastId: number | undefined
@@ -128,6 +134,7 @@
       trait: this.refusedTrait,
       sends: this.sends,
       path: this.triedTargets.map(({ id }) => id),
+      via: this.via,
       versions: this.triedTargets.map(({ version }) => version),
       resumes: request.resumes,
       ...this.figures,
@@ -225,15 +232,23 @@
   }
 
   private send (target: routing.targetRegistry.Target): void {
-    const { context, request, body } = this.options
     this.target = target
     this.triedTargets.push(target)
+    this.connect(target, this.options.context.paths.choose(target.id))
+  }
+
+  /** Sends the request over a path to the target. */
+  private connect (target: routing.targetRegistry.Target, via: string | undefined): void {
+    const { context, request, body } = this.options
+    this.via = via
+    if (via !== undefined) this.relayAttempts += 1
     this.isSent = false
     this.awaitsFirstEvent = true
     this.exchange = attemptModule.startAttempt({
       context,
       request,
       target,
+      via,
       body,
       sink: { lastId: () => this.lastId, push: (head, events) => this.push(head, events) },
       onSent: () => { this.onSent() },
@@ -334,7 +349,15 @@
 
   private onUnreachable (detail: string): void {
     const { context, request } = this.options
-    context.log.request('target unreachable', { request: request.requestId, target: this.target?.id, detail })
+    context.log.request('target unreachable', { request: request.requestId, target: this.target?.id, via: this.via, detail })
+    if (this.target !== undefined) {
+      context.paths.recordUnreachable(this.target.id, this.via)
+      const via = this.relayAttempts < MAX_RELAY_ATTEMPTS ? context.paths.choose(this.target.id) : undefined
+      if (via !== undefined) {
+        this.connect(this.target, via)
+        return
+      }
+    }
     this.endPlacement({ kind: 'ended', outcome: 'unreachable' })
     this.unreachableAttempts += 1
     // Nothing was sent, so no retry of the budget limits how many requests are placed again; they wait for a free slot.
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -52,6 +52,8 @@
   readonly random: () => number
   readonly registry: routing.targetRegistry.TargetRegistry
   readonly limitOf: routing.cell.LimitLookup
+  /** Called repeatedly while a target with requests in flight sends nothing. */
+  readonly onSilent?: (target: string) => void
   /** Called when the load to report to peers has changed. */
   readonly changed: () => void
 }
@@ -59,6 +61,10 @@
 /** Time without data from a target with requests in flight, after which it is stalled and retryable requests leave it, ms. */
 const STALL_MS = 1_000
 
+/** Time without data from a target with requests in flight, after which the path to it is probed, ms: an engine may take longer to begin. */
+const ENGINE_SILENCE_MS = 1_000
+const PLAIN_SILENCE_MS = 400
+
 /**
  * Creates the pools, which are empty until a document is adopted.
  *
@@ -70,6 +76,7 @@
 export function createServicePools (options: Options): ServicePools {
   const pools = new Map<string, routing.pool.Pool>()
   const services = new Map<string, string>()
+  const silenceMs = new Map<string, number>()
   const listeners = new Map<number, PlacementListener>()
   let nextId = 1
 
@@ -91,6 +98,7 @@
       const serialized = JSON.stringify(service)
       if (services.get(service.name) === serialized) continue
       services.set(service.name, serialized)
+      silenceMs.set(service.name, service.engine === undefined ? PLAIN_SILENCE_MS : ENGINE_SILENCE_MS)
       pools.set(service.name, new routing.pool.Pool({ service, random: options.random }))
     }
   }
@@ -118,6 +126,7 @@
   function tick (): void {
     for (const [service, pool] of pools) {
       if (pool.waiting > 0) handle(service, { kind: 'tick' })
+      for (const target of pool.silentTargets(silenceMs.get(service) ?? ENGINE_SILENCE_MS, options.now())) options.onSilent?.(target)
       for (const id of pool.stalledRequests(STALL_MS, options.now())) listeners.get(id)?.onStalled()
     }
   }
--- a/packages/gateway/src/state-sync.ts
+++ b/packages/gateway/src/state-sync.ts
@@ -80,6 +80,7 @@
   const app = new hono.Hono()
   app.get(SHARED_STATE_PATH, (context) => context.json(gateway.sharedState()))
   const endpoint = await httpEndpoint.openHttpEndpoint(options.address, app)
+  gateway.routes.serveRelay(endpoint.server)
   const timer = setInterval(queryWhenDue, CHECK_INTERVAL_MS)
   return {
     close: () => {
--- a/packages/gateway/src/target-client.ts
+++ b/packages/gateway/src/target-client.ts
@@ -3,26 +3,18 @@
  *
  * @module
  */
-import * as net from 'node:net'
-import * as undici from 'undici'
-import * as endpoint from './endpoint.js'
+import type * as net from 'node:net'
+import type * as undici from 'undici'
+import * as pathPools from './path-pools.js'
 import type * as rawHeaders from './raw-headers.js'
 import * as receivedBytes from './received-bytes.js'
-
-/** Timeout for a new connection to a target, ms; a reachable target accepts within a few milliseconds. */
-const CONNECT_TIMEOUT_MS = 300
-
-/** Idle time after which a connection is closed if the target states no timeout, ms. */
-const KEEP_ALIVE_MS = 4_000
-
-/** Margin before the target's own idle timeout in which the connection is no longer used, ms. */
-const KEEP_ALIVE_MARGIN_MS = 1_000
-
-const MAX_KEEP_ALIVE_MS = 30_000
+import * as targetConnector from './target-connector.js'
 
 /** One request to a target. */
 export interface TargetRequest {
   readonly address: string
+  /** Endpoint of the peer that carries the connection; undefined for a direct one. */
+  readonly via?: string | undefined
   readonly method: string
   readonly path: string
   readonly headers: rawHeaders.RawHeaders
@@ -59,6 +51,10 @@
 /** Connections to all targets. */
 export interface TargetClients {
   readonly send: (request: TargetRequest, listener: Listener) => Exchange
+  /** Returns whether a direct connection to an address can be opened. */
+  readonly probe: (address: string) => Promise<boolean>
+  /** Uses new direct connections to an address for later requests; those in progress keep theirs. */
+  readonly renew: (address: string) => void
   /** Closes the pools of addresses that are not in the set. */
   readonly retain: (addresses: ReadonlySet<string>) => void
   readonly close: () => Promise<void>
@@ -70,22 +66,6 @@
   readonly countConnection: (address: string) => void
 }
 
-/** Connecting failed; nothing was sent. */
-class ConnectFailure extends Error {
-  constructor (address: string, cause: string) {
-    super(`Could not connect to ${address}: ${cause}. Check that the target is running there.`)
-    this.name = 'ConnectFailure'
-  }
-}
-
-/**
- * Changes the code of a reset. undici treats ECONNRESET as the regular end of a response without a length, so
- * that a truncated response would appear complete.
- */
-function markReset (error: NodeJS.ErrnoException): void {
-  if (error.code === 'ECONNRESET') error.code = 'ERR_TARGET_RESET'
-}
-
 /** Detects whether the connection whose end is being reported was reset. */
 interface ResetDetector {
   readonly watch: (socket: net.Socket) => void
@@ -110,51 +90,6 @@
   }
 }
 
-/** Called with each new connection. */
-type Watchers = readonly ((socket: net.Socket) => void)[]
-
-function connectTo (address: string, watchers: Watchers): undici.buildConnector.connector {
-  const { host, port } = endpoint.parseEndpoint(address)
-  return (_, callback) => {
-    const socket = net.connect({ host, port, noDelay: true })
-    const timer = setTimeout(() => { socket.destroy(new ConnectFailure(address, `timed out after ${CONNECT_TIMEOUT_MS} ms`)) }, CONNECT_TIMEOUT_MS)
-    const fail = (error: Error): void => {
-      clearTimeout(timer)
-      callback(error instanceof ConnectFailure ? error : new ConnectFailure(address, error.message), null)
-    }
-    socket.once('error', fail)
-    socket.once('connect', () => {
-      clearTimeout(timer)
-      socket.off('error', fail)
-      socket.on('error', markReset)
-      for (const watch of watchers) watch(socket)
-      callback(null, socket)
-    })
-  }
-}
-
-function createPool (address: string, connections: number, watchers: Watchers): undici.Pool {
-  return new undici.Pool(`http://${address}`, {
-    connect: connectTo(address, watchers),
-    connections,
-    pipelining: 1,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    keepAliveTimeout: KEEP_ALIVE_MS,
-    keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
-    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS
-  })
-}
-
-/** Closes the pools of addresses that are not in the set. */
-function closeOthers (pools: Map<string, undici.Pool>, addresses: ReadonlySet<string>): void {
-  for (const [address, pool] of pools) {
-    if (addresses.has(address)) continue
-    pools.delete(address)
-    pool.close().catch(() => { /* The pool is already closed. */ })
-  }
-}
-
 /**
  * Opens the clients of all targets. The caller must close them.
  *
@@ -165,18 +100,9 @@
  * ```
  */
 export function openTargetClients (options: Options): TargetClients {
-  const pools = new Map<string, undici.Pool>()
   const resetDetector = createResetDetector()
   const monitor = receivedBytes.openMonitor()
-
-  function poolOf (address: string): undici.Pool {
-    const existing = pools.get(address)
-    if (existing !== undefined) return existing
-    const pool = createPool(address, options.connectionLimit(address), [resetDetector.watch, monitor.watch])
-    pool.on('connect', () => { options.countConnection(address) })
-    pools.set(address, pool)
-    return pool
-  }
+  const pools = pathPools.createPathPools({ ...options, watchers: [resetDetector.watch, monitor.watch] })
 
   function send (request: TargetRequest, listener: Listener): Exchange {
     let controller: undici.Dispatcher.DispatchController | undefined
@@ -194,7 +120,7 @@
       listener.failed(kind, message)
     }
 
-    poolOf(request.address).dispatch({
+    pools.poolOf(request.address, request.via).dispatch({
       method: request.method as undici.Dispatcher.HttpMethod,
       path: request.path,
       headers: request.headers as string[],
@@ -242,10 +168,12 @@
 
   return {
     send,
-    retain: (addresses) => { closeOthers(pools, addresses) },
+    probe: targetConnector.probeAddress,
+    renew: pools.renew,
+    retain: pools.retain,
     close: async () => {
       monitor.close()
-      await Promise.all([...pools.values()].map((pool) => pool.destroy()))
+      await pools.destroy()
     }
   }
 }
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -22,6 +22,7 @@
   readonly targetLimits: routing.targetLimits.TargetLimits
   readonly streams: routing.streamVersions.StreamVersions
   readonly pools: servicePools.ServicePools
+  readonly paths: routing.targetPaths.TargetPaths
 }
 
 export interface Fleet {
@@ -43,7 +44,8 @@
   const registry = routing.targetRegistry.createTargetRegistry()
   const targetLimits = routing.targetLimits.createTargetLimits((target) => registry.startOf(target))
   const streams = routing.streamVersions.createStreamVersions()
-  const pools = servicePools.createServicePools({ now, random, registry, limitOf: targetLimits.limitOf, changed: () => {} })
+  const paths = routing.targetPaths.createTargetPaths({ random, onChange: () => {} })
+  const pools = servicePools.createServicePools({ now, random, registry, limitOf: targetLimits.limitOf, onSilent: paths.suspect, changed: () => {} })
   const writer = gatewayPackage.reportWriter.createReportWriter({
     sender: { from: address, incarnation, frontAddress: address.replace('7600', '80') },
     peers,
@@ -53,10 +55,11 @@
     targetLimits,
     streams,
     registry,
+    paths,
     isReady: () => true,
     documentVersion: () => 1
   })
-  return { address, peers, writer, caps, suspects, registry, targetLimits, streams, pools, reportedTokens: gatewayPackage.reportedTokens.createReportedTokens({ caps, countCellTokens: writer.countCellTokens, cellOf: (peer, nowMs) => peers.cellOf(peer, nowMs), intervalMs: (nowMs) => peers.fleetIntervalMs(nowMs) }) }
+  return { address, peers, writer, caps, suspects, registry, targetLimits, streams, pools, paths, reportedTokens: gatewayPackage.reportedTokens.createReportedTokens({ caps, countCellTokens: writer.countCellTokens, cellOf: (peer, nowMs) => peers.cellOf(peer, nowMs), intervalMs: (nowMs) => peers.fleetIntervalMs(nowMs) }) }
 }
 
 /** Creates a fleet in which every daemon knows the first `seeds` members at the start; `clock` is the time of its pools, by default that of the reports. */
@@ -85,7 +88,9 @@
       const changed = report.limits.map(gatewayPackage.peerMessages.limitStatementOf).filter((statement) => member.targetLimits.apply(statement, report.scope, nowMs))
       if (changed.length > 0) refreshTargets(member, nowMs)
       member.streams.applyReport(report.streams, nowMs)
-      if (report.scope === 'cell') member.pools.applyPeerLoads(report.from, report.pools)
+      if (report.scope !== 'cell') continue
+      member.pools.applyPeerLoads(report.from, report.pools)
+      member.paths.applyReport(report.from, report.lostTargets)
     }
   }
 
--- /dev/null
+++ b/packages/gateway/tests/relay.test.ts
@@ -0,0 +1,182 @@
+/**
+ * Connections to targets that a peer carries, over loopback.
+ */
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as relayServer from '../src/relay-server.js'
+import * as targetClient from '../src/target-client.js'
+
+const suite = uvu.suite('relay')
+
+interface Setup {
+  readonly address: string
+  readonly via: string
+  readonly targetSockets: readonly net.Socket[]
+  readonly results: readonly string[]
+  readonly clients: targetClient.TargetClients
+  readonly close: () => void
+}
+
+type Respond = (incoming: http.IncomingMessage, response: http.ServerResponse) => void
+
+async function listen (server: net.Server): Promise<string> {
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  return `127.0.0.1:${(server.address() as net.AddressInfo).port}`
+}
+
+async function setUp (respond: Respond, decisions: Partial<relayServer.Options> = {}): Promise<Setup> {
+  const targetSockets: net.Socket[] = []
+  const results: string[] = []
+  const target = http.createServer(respond).on('connection', (socket) => { targetSockets.push(socket) })
+  const relay = http.createServer()
+  relayServer.serveRelay(relay, { isPeer: () => true, isTarget: () => true, isLost: () => false, countResult: (result) => { results.push(result) }, ...decisions })
+  const address = await listen(target)
+  const via = await listen(relay)
+  const clients = targetClient.openTargetClients({ connectionLimit: () => 4, countConnection: () => {} })
+  return {
+    address,
+    via,
+    targetSockets,
+    results,
+    clients,
+    close: () => {
+      for (const server of [target, relay]) {
+        server.closeAllConnections()
+        server.close()
+      }
+      clients.close().catch((error: unknown) => { throw error })
+    }
+  }
+}
+
+interface Ended { readonly kind: 'end' | targetClient.FailureKind, readonly status: number, readonly body: string }
+
+interface Sent {
+  readonly exchange: targetClient.Exchange
+  readonly ended: Promise<Ended>
+  readonly body: () => string
+}
+
+function send ({ clients, address, via }: Setup, path = '/'): Sent {
+  let status = 0
+  let body = ''
+  let exchange: targetClient.Exchange | undefined
+  const ended = new Promise<Ended>((resolve) => {
+    exchange = clients.send({ address, via, method: 'POST', path, headers: [], body: Buffer.from('question') }, {
+      sent: () => {},
+      head: (head) => { status = head.status },
+      data: (chunk) => { body += chunk.toString() },
+      end: () => { resolve({ kind: 'end', status, body }) },
+      failed: (kind) => { resolve({ kind, status, body }) }
+    })
+  })
+  if (exchange === undefined) throw new Error('The request was not sent.')
+  return { exchange, ended, body: () => body }
+}
+
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 5))
+}
+
+suite('a request and its response pass unchanged, and the connection is kept for the next', async () => {
+  const setup = await setUp((incoming, response) => {
+    incoming.on('data', (chunk: Buffer) => { response.write(chunk) }).on('end', () => { response.end(' and answer') })
+  })
+  for (let index = 0; index < 3; index += 1) {
+    assert.equal(await send(setup).ended, { kind: 'end', status: 200, body: 'question and answer' })
+    // The client frees a connection only after it has reported the end of the response.
+    await new Promise((resolve) => setImmediate(resolve))
+  }
+  assert.is(setup.targetSockets.length, 1)
+  assert.equal(setup.results, ['carried'])
+  setup.close()
+})
+
+suite('parts of a stream arrive while the target is still sending', async () => {
+  let finish = (): void => {}
+  const setup = await setUp((_, response) => {
+    response.write('first')
+    finish = () => { response.end('last') }
+  })
+  const sent = send(setup)
+  await until(() => sent.body() === 'first')
+  finish()
+  assert.is((await sent.ended).body, 'firstlast')
+  setup.close()
+})
+
+suite('the connection to the target closes when the exchange is aborted', async () => {
+  const setup = await setUp((_, response) => { response.write('first') })
+  const sent = send(setup)
+  await until(() => sent.body() === 'first')
+  sent.exchange.abort()
+  await until(() => setup.targetSockets.every((socket) => socket.destroyed))
+  setup.close()
+})
+
+suite('a response without a length that is reset does not look complete', async () => {
+  const setup = await setUp((incoming) => {
+    incoming.socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => { incoming.socket.resetAndDestroy() })
+  })
+  assert.is((await send(setup).ended).kind, 'broken')
+  setup.close()
+})
+
+suite('a response without a length that ends with its connection is complete', async () => {
+  const setup = await setUp((incoming) => { incoming.socket.end('HTTP/1.1 200 OK\r\n\r\nwhole') })
+  assert.equal(await send(setup).ended, { kind: 'end', status: 200, body: 'whole' })
+  setup.close()
+})
+
+suite('a peer that ends after the request was sent leaves open whether it has run', async () => {
+  let relayed: net.Socket | undefined
+  const setup = await setUp(() => { relayed?.destroy() })
+  const proxy = net.createServer((socket) => {
+    relayed = socket
+    const [host = '', port = ''] = setup.via.split(':')
+    const onward = net.connect(Number(port), host)
+    socket.on('error', () => { onward.destroy() }).pipe(onward).on('error', () => { socket.destroy() }).pipe(socket)
+  })
+  const via = await listen(proxy)
+  assert.is((await send({ ...setup, via }).ended).kind, 'broken')
+  proxy.close()
+  setup.close()
+})
+
+const REFUSED: readonly (readonly [description: string, decisions: Partial<relayServer.Options>])[] = [
+  ['a host that is no peer', { isPeer: () => false }],
+  ['an address that is no target', { isTarget: () => false }],
+  ['a target that the peer has lost itself', { isLost: () => true }]
+]
+
+for (const [description, decisions] of REFUSED) {
+  suite(`nothing is sent and the target gets no connection: ${description}`, async () => {
+    const setup = await setUp(() => {}, decisions)
+    assert.is((await send(setup).ended).kind, 'unreachable')
+    assert.equal([setup.targetSockets.length, setup.results], [0, ['refused']])
+    setup.close()
+  })
+}
+
+suite('nothing is sent when the peer cannot connect to the target', async () => {
+  const setup = await setUp(() => {})
+  const gone = net.createServer()
+  const address = await listen(gone)
+  await new Promise((resolve) => { gone.close(resolve) })
+  assert.is((await send({ ...setup, address }).ended).kind, 'unreachable')
+  assert.equal(setup.results, ['unreachable'])
+  setup.close()
+})
+
+suite('nothing is sent when the peer is down', async () => {
+  const setup = await setUp(() => {})
+  const gone = net.createServer()
+  const via = await listen(gone)
+  await new Promise((resolve) => { gone.close(resolve) })
+  assert.is((await send({ ...setup, via }).ended).kind, 'unreachable')
+  setup.close()
+})
+
+suite.run()
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -172,6 +172,8 @@
   let frozen: ReadonlySet<number> = new Set()
   let pathOf: (daemon: number, target: string) => Path = () => 'up'
   /** When connections of a daemon to a target became idle. */
+  /** Functions that reset the exchanges in progress, and the daemon over whose path each goes. */
+  const carried = new Map<() => void, number>()
   const idleSinceMs = new Map<string, readonly number[]>()
   const directories = new Map<number, streamDirectory.StreamDirectory>()
   /** Responses that have not ended, by daemon. */
@@ -195,8 +197,14 @@
     idleSinceMs.set(`${daemon} ${target}`, [...idleSinceMs.get(`${daemon} ${target}`) ?? [], nowMs])
   }
 
+  /** Plays an exchange over the path of `daemon`, which is a peer of the request's daemon if it carries the connection. */
   function exchange (daemon: number, target: routing.targetRegistry.Target, headers: rawHeaders.RawHeaders, listener: targetClient.Listener): targetClient.Exchange {
     let isOpen = true
+    const reset = (): void => {
+      isOpen = false
+      listener.failed('broken', 'the connection was reset')
+    }
+    carried.set(reset, daemon)
     const isUp = (): boolean => { const path = pathOf(daemon, target.id); return path === 'up' || path === 'no-new' }
     const later = (afterMs: number, run: () => void): void => schedule(afterMs, () => { if (isOpen && isUp()) run() })
     const arrival = { atMs: nowMs, daemon, target, headers }
@@ -212,6 +220,7 @@
       for (const [id, atMs] of streamed) later(atMs, () => { listener.data(Buffer.from(`id: ${id}\ndata: ${target.id}\n\n`)) })
       later(endMs, () => {
         isOpen = false
+        carried.delete(reset)
         if (breaks) {
           listener.failed('broken', 'the connection was reset')
         } else {
@@ -220,19 +229,26 @@
         }
       })
     }
-    return { abort: () => { isOpen = false }, pause: () => {}, resume: () => {} }
+    return { abort: () => { isOpen = false; carried.delete(reset) }, pause: () => {}, resume: () => {} }
   }
 
   function clientsOf (daemon: number): targetClient.TargetClients {
     return {
       send: (request, listener) => {
         const target = [...registered.values()].find((versioned) => versioned.target?.address === request.address)?.target
-        const path = target === undefined ? 'refuse' : pathOf(daemon, target.id)
-        if (target !== undefined && (path === 'up' || takeIdle(daemon, target.id))) return exchange(daemon, target, request.headers, listener)
+        const relay = request.via === undefined ? daemon : fleet.members.findIndex(({ address }) => address === request.via)
+        const { paths } = memberOf(relay)
+        if (target !== undefined && paths.isLost(target.id)) idleSinceMs.delete(`${relay} ${target.id}`)
+        const isRefused = target === undefined || (relay !== daemon && paths.isLost(target.id))
+        const isRelayed = relay === daemon || (isRunning(relay) && reaches(daemon, relay))
+        const path = isRefused ? 'refuse' : pathOf(relay, target.id)
+        if (!isRefused && isRelayed && (path === 'up' || takeIdle(relay, target.id))) return exchange(relay, target, request.headers, listener)
         let isOpen = true
         schedule(path === 'refuse' ? 0 : CONNECT_TIMEOUT_MS, () => { if (isOpen) listener.failed('unreachable', 'no connection') })
         return { abort: () => { isOpen = false }, pause: () => {}, resume: () => {} }
       },
+      probe: async () => true,
+      renew: () => {},
       retain: () => {},
       close: async () => {}
     }
@@ -265,7 +281,7 @@
   }
 
   function createContext (daemon: number): contextModule.Context {
-    const { peers, pools, caps, suspects, targetLimits } = memberOf(daemon)
+    const { peers, pools, caps, suspects, targetLimits, paths } = memberOf(daemon)
     const streams = createDirectory(daemon)
     directories.set(daemon, streams)
     return {
@@ -281,6 +297,10 @@
       suspects,
       targetLimits,
       streams,
+      paths: {
+        choose: (target) => paths.choose(target, () => peers.reachablePeers(nowMs).map(({ report }) => report.from), nowMs),
+        recordUnreachable: (target, via) => { paths.recordUnreachable(target, via, nowMs) }
+      },
       onLimitsChanged: () => { refresh(daemon) },
       isArbiterOf: (trait) => peers.isArbiterOf(trait, nowMs),
       table: () => table,
@@ -295,6 +315,13 @@
 
   const isRunning = (daemon: number): boolean => contexts.has(daemon) && !frozen.has(daemon)
 
+  function probe (daemon: number, target: string): void {
+    const { paths } = memberOf(daemon)
+    const path = pathOf(daemon, target)
+    const end = (isReached: boolean): void => schedule(path === 'up' || path === 'refuse' ? 0 : CONNECT_TIMEOUT_MS, () => { paths.endProbe(target, isReached, nowMs) })
+    end(path === 'up')
+  }
+
   function refresh (daemon: number): void {
     const { peers, pools } = memberOf(daemon)
     pools.setFleet(peers.liveCount(nowMs), peers.memberCount(nowMs))
@@ -324,7 +351,13 @@
       for (const run of scheduled.get(step) ?? []) run()
       scheduled.delete(step)
       if (nowMs % REPORT_MS === 0) fleet.simulate(REPORT_MS, (from, to) => isRunning(from) && isRunning(to) && reaches(from, to))
-      if (nowMs % TICK_MS === 0) for (const [daemon, { pools }] of fleet.members.entries()) if (isRunning(daemon)) pools.tick()
+      if (nowMs % TICK_MS === 0) {
+        for (const [daemon, { pools, paths }] of fleet.members.entries()) {
+          if (!isRunning(daemon)) continue
+          pools.tick()
+          for (const target of paths.takeDueProbes(nowMs)) probe(daemon, target)
+        }
+      }
       if (nowMs % REFRESH_MS === 0) for (const daemon of contexts.keys()) if (isRunning(daemon)) refresh(daemon)
     }
   }
@@ -356,6 +389,11 @@
   function kill (daemon: number): void {
     contexts.delete(daemon)
     for (const [outgoing, owner] of [...open]) if (owner === daemon) outgoing.destroy()
+    for (const [reset, over] of [...carried]) {
+      if (over !== daemon) continue
+      carried.delete(reset)
+      reset()
+    }
   }
 
   for (const target of options.targets) register(target)
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -151,6 +151,11 @@
     return [...this.records.values()].filter((record) => record.isStalled(stallMs, nowMs)).flatMap((record) => record.ownRequestIds)
   }
 
+  /** Returns the targets that have requests in flight and have sent nothing for `silenceMs`. */
+  silentTargets (silenceMs: number, nowMs: number): readonly string[] {
+    return [...this.records].filter(([, record]) => record.isStalled(silenceMs, nowMs)).map(([id]) => id)
+  }
+
   private apply (event: poolEvent.PoolEvent, nowMs: number): void {
     switch (event.kind) {
       case 'arrived': this.queue = [...this.queue, event.request]; break
