Give each slot of brittle targets an owner

Change: while responses say so, each daemon uses only the slots that it owns, by its position in its cell and a hash of the target; retries too, and nothing is queued at the target. Each daemon learns it from its own responses, as all of them say so.

Ruled out: a budget of rejections for each daemon (below one at 87 daemons); the target's own load as a second bound (its last response says that it is full while the slot that it frees is this daemon's).

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -101,6 +101,14 @@
   }
 }
 
+/** Applies the load of the target, and whether targets of its service are brittle: only a success shows that they are not. */
+function applyLoad ({ context, request, target }: Options, head: targetClient.ResponseHead): void {
+  const load = headerNames.parseLoad(rawHeaders.findHeader(head.headers, context.headerNames.load))
+  if (load !== undefined) context.pools.applyReportedLoad(request.service, target.id, load)
+  const isBrittle = rawHeaders.findHeader(head.headers, context.headerNames.brittle) !== undefined
+  if (isBrittle ? head.status !== MISDIRECTED_REQUEST : isSuccess(head)) context.pools.applyBrittleness(request.service, isBrittle)
+}
+
 function isRejection ({ context }: Options, head: targetClient.ResponseHead): boolean {
   return rawHeaders.findHeader(head.headers, context.headerNames.notRun) !== undefined || head.status === MISDIRECTED_REQUEST
 }
@@ -145,8 +153,7 @@
     }
     head = response
     limitObserver.head(response)
-    const load = headerNames.parseLoad(rawHeaders.findHeader(response.headers, context.headerNames.load))
-    if (load !== undefined) context.pools.applyReportedLoad(request.service, target.id, load)
+    applyLoad(options, response)
   }
 
   function handleEvents (response: targetClient.ResponseHead, chunk: Buffer): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -133,6 +133,7 @@
       random: Math.random,
       registry: this.registry,
       limitOf: this.targetLimits.limitOf,
+      onBrittle: (service, isBrittle) => { this.log.change(isBrittle ? 'targets brittle' : 'targets no longer brittle', { service }) },
       onSilent: this.routes.paths.suspect,
       changed: () => { this.reports?.changed() }
     })
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -27,6 +27,8 @@
   readonly load: string
   /** Requests per second that a target in need accepts from all senders. */
   readonly requestLimit: string
+  /** Present in the responses of targets that fall over when they have to reject many requests. */
+  readonly brittle: string
   /** Prompt tokens and maximum output tokens. */
   readonly tokens: string
   /** The caller's estimate of the output tokens. */
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -54,6 +54,8 @@
   /** Segment whose targets the daemon's cell uses. */
   readonly segment: routing.cell.RingSegment
   readonly position: routing.rateShare.RingPosition
+  /** Position among the members of the daemon's cell. */
+  readonly cellPosition: routing.rateShare.RingPosition
 }
 
 interface CachedDivision {
@@ -148,7 +150,8 @@
     const { isSingleCell, division } = this.divide(nowMs)
     // An isolated daemon keeps its position, since the others keep counting it until they miss it for long.
     if (this.position === undefined || this.liveCount(nowMs) * 2 > this.memberCount(nowMs)) this.position = division.position
-    return { segment: isSingleCell ? routing.cell.WHOLE_RING : division.segment, position: this.position }
+    const cellPosition = { index: division.ownCell.indexOf(this.localAddress), members: division.ownCell.length }
+    return { segment: isSingleCell ? routing.cell.WHOLE_RING : division.segment, position: this.position, cellPosition }
   }
 
   /** Returns a name for the cell of a member of another cell. */
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -32,6 +32,8 @@
   readonly requestPlacement: (service: string, request: PlacementOptions, listener: PlacementListener) => void
   readonly handlePlacementEvent: (placement: Placement, event: PlacementEvent) => void
   readonly applyReportedLoad: (service: string, target: string, load: { readonly running: number, readonly waiting: number, readonly slots: number }) => void
+  /** Applies whether the targets of a service say that they fall over when they have to reject many requests. */
+  readonly applyBrittleness: (service: string, isBrittle: boolean) => void
   readonly applyPeerLoads: (peer: string, loads: Readonly<Record<string, routing.poolEvent.PeerLoad>>) => void
   readonly setFleet: (reachable: number, daemons: number) => void
   readonly tick: () => void
@@ -54,6 +56,8 @@
   readonly limitOf: routing.cell.LimitLookup
   /** Called repeatedly while a target with requests in flight sends nothing. */
   readonly onSilent?: (target: string) => void
+  /** Called when the targets of a service begin or cease to say that they are brittle. */
+  readonly onBrittle?: (service: string, isBrittle: boolean) => void
   /** Called when the load to report to peers has changed. */
   readonly changed: () => void
 }
@@ -76,6 +80,7 @@
 export function createServicePools (options: Options): ServicePools {
   const pools = new Map<string, routing.pool.Pool>()
   const services = new Map<string, string>()
+  const brittle = new Set<string>()
   const silenceMs = new Map<string, number>()
   const listeners = new Map<number, PlacementListener>()
   let nextId = 1
@@ -100,13 +105,14 @@
       services.set(service.name, serialized)
       silenceMs.set(service.name, service.engine === undefined ? PLAIN_SILENCE_MS : ENGINE_SILENCE_MS)
       pools.set(service.name, new routing.pool.Pool({ service, random: options.random }))
+      if (brittle.has(service.name)) handle(service.name, { kind: 'brittle', isBrittle: true })
     }
   }
 
-  function refreshTargets ({ segment, position }: peerTable.RingPlace, nowMs: number): void {
+  function refreshTargets ({ segment, position, cellPosition }: peerTable.RingPlace, nowMs: number): void {
     for (const service of pools.keys()) {
       const targets = options.registry.usable(service, nowMs)
-      handle(service, { kind: 'targets', targetShares: routing.cell.limitTargets(targets, routing.cell.assignTargets(targets, segment), options.limitOf, position) })
+      handle(service, { kind: 'targets', targetShares: routing.cell.limitTargets(targets, routing.cell.assignTargets(targets, segment), options.limitOf, position), cellPosition })
     }
   }
 
@@ -138,6 +144,13 @@
     handlePlacementEvent,
     tick,
     applyReportedLoad: (service, target, load) => { handle(service, { kind: 'load-reported', target, ...load }) },
+    applyBrittleness: (service, isBrittle) => {
+      if (brittle.has(service) === isBrittle) return
+      if (isBrittle) brittle.add(service)
+      else brittle.delete(service)
+      options.onBrittle?.(service, isBrittle)
+      handle(service, { kind: 'brittle', isBrittle })
+    },
     applyPeerLoads: (peer, loads) => {
       for (const service of pools.keys()) handle(service, { kind: 'peer-load', peer, load: loads[service] ?? { targets: {}, waiting: [] } })
     },
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -19,6 +19,7 @@
   notRun: 'not-run',
   load: 'load',
   requestLimit: 'request-limit',
+  brittle: 'brittle',
   tokens: 'tokens',
   lengthHint: 'length-hint',
   promptParts: 'prompt-parts',
--- a/packages/routing/src/pool-event.ts
+++ b/packages/routing/src/pool-event.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as cell from './cell.js'
+import type * as rateShare from './rate-share.js'
 import type * as targetRegistry from './target-registry.js'
 
 /** A request to be placed at a target. */
@@ -48,7 +49,9 @@
   | { readonly kind: 'next-event', readonly id: number, readonly intervalMs: number }
   | { readonly kind: 'ended', readonly id: number, readonly outcome: RequestOutcome }
   | { readonly kind: 'load-reported', readonly target: string, readonly running: number, readonly waiting: number, readonly slots: number }
-  | { readonly kind: 'targets', readonly targetShares: readonly cell.TargetShare[] }
+  | { readonly kind: 'targets', readonly targetShares: readonly cell.TargetShare[], readonly cellPosition?: rateShare.RingPosition }
+  /** Whether the targets of the service fall over when they have to reject many requests. */
+  | { readonly kind: 'brittle', readonly isBrittle: boolean }
   | { readonly kind: 'peer-load', readonly peer: string, readonly load: PeerLoad }
   | { readonly kind: 'fleet', readonly reachable: number, readonly daemons: number }
   | { readonly kind: 'tick' }
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -7,9 +7,10 @@
  *
  * @module
  */
-import type * as cell from './cell.js'
 import type * as document from './document.js'
 import type * as poolEvent from './pool-event.js'
+import type * as rateShare from './rate-share.js'
+import * as slotShare from './slot-share.js'
 import * as targetRecord from './target-record.js'
 import * as waitingOrder from './waiting-order.js'
 
@@ -113,6 +114,8 @@
   private queue: readonly poolEvent.PlacementRequest[] = []
   private fleet = { reachable: 1, daemons: 1 }
   private serviceTimeMs: number
+  private isBrittle = false
+  private cellPosition: rateShare.RingPosition = { index: 0, members: 1 }
 
   constructor (private readonly options: Options) {
     this.serviceTimeMs = options.service.engine === undefined ? INITIAL_PLAIN_SERVICE_TIME_MS : INITIAL_SERVICE_TIME_MS
@@ -163,11 +166,12 @@
         this.queue = this.queue.filter((request) => request.id !== event.id)
         this.end(event.id, 'cancelled', nowMs)
         break
-      case 'first-event': this.placements.get(event.id)?.recordFirstEvent(event.id, nowMs); break
-      case 'next-event': this.placements.get(event.id)?.recordNextEvent(event.intervalMs, this.options.service.engine?.tokensPerEvent ?? 1, nowMs); break
+      case 'first-event':
+      case 'next-event': this.recordEvent(event, nowMs); break
       case 'ended': this.end(event.id, event.outcome, nowMs); break
       case 'load-reported': this.records.get(event.target)?.applyReportedLoad(event.running + event.waiting, nowMs); break
-      case 'targets': this.setTargets(event.targetShares, nowMs); break
+      case 'targets': this.setTargets(event, nowMs); break
+      case 'brittle': this.isBrittle = event.isBrittle; break
       case 'peer-load': this.applyPeerLoad(event.peer, event.load, nowMs); break
       case 'fleet': this.fleet = event; break
       case 'tick': break
@@ -179,7 +183,14 @@
     for (const [id, record] of this.records) record.applyPeerLoad(peer, load.targets[id], nowMs)
   }
 
-  private setTargets (targetShares: readonly cell.TargetShare[], nowMs: number): void {
+  private recordEvent (event: Extract<poolEvent.PoolEvent, { readonly kind: 'first-event' | 'next-event' }>, nowMs: number): void {
+    const record = this.placements.get(event.id)
+    if (event.kind === 'first-event') record?.recordFirstEvent(event.id, nowMs)
+    else record?.recordNextEvent(event.intervalMs, this.options.service.engine?.tokensPerEvent ?? 1, nowMs)
+  }
+
+  private setTargets ({ targetShares, cellPosition }: Extract<poolEvent.PoolEvent, { readonly kind: 'targets' }>, nowMs: number): void {
+    this.cellPosition = cellPosition ?? this.cellPosition
     const listedIds = new Set(targetShares.map(({ target }) => target.id))
     for (const [id, record] of this.records) {
       if (listedIds.has(id)) continue
@@ -226,13 +237,20 @@
     return record.share === 1 ? this.concurrencyLimit(record) : Math.max(MIN_CONCURRENCY_LIMIT, Math.round(record.share * this.concurrencyLimit(record)))
   }
 
+  private ownSlots ({ target, share }: targetRecord.TargetRecord): number {
+    return slotShare.ownSlots({ target: target.id, slots: share * target.slots }, this.cellPosition)
+  }
+
   private freeSlotsAt (record: targetRecord.TargetRecord, nowMs: number): number {
+    if (this.isBrittle) return Math.max(0, this.ownSlots(record) - record.ownRequestIds.length)
     const availableByReports = this.cellConcurrencyLimit(record) - record.peerReportedOccupancy(nowMs)
     return Math.max(0, Math.min(availableByReports, this.concurrencyLimit(record) - record.targetReportedOccupancy(nowMs)))
   }
 
   /** Returns the slots that a target fills with the requests that its rate allows. */
-  private usableSlots ({ target, share, limit }: targetRecord.TargetRecord): number {
+  private usableSlots (record: targetRecord.TargetRecord): number {
+    const { target, share, limit } = record
+    if (this.isBrittle) return this.ownSlots(record)
     return share * Math.min(target.slots, (limit?.requestsPerS ?? Infinity) * this.serviceTimeMs / MS_PER_S)
   }
 
@@ -291,7 +309,7 @@
     const { candidates, nowMs } = snapshot
     const eligible = candidates.filter(({ record }) => !request.excludedTargets.has(record.target.id) && isOfVersion(record, request.version))
     const notEjected = eligible.filter(({ isEjected }) => !isEjected)
-    const usable = (notEjected.length > 0 ? notEjected : eligible).filter(({ record, freeSlots, allowedSends }) => (request.isRetry ? allowedSends : freeSlots) > (assigned.get(record) ?? 0))
+    const usable = (notEjected.length > 0 ? notEjected : eligible).filter(({ record, freeSlots, allowedSends }) => (request.isRetry && !this.isBrittle ? allowedSends : freeSlots) > (assigned.get(record) ?? 0))
     const capable = usable.filter((candidate) => this.canFinish(candidate, request, nowMs))
     const unconfirmed = capable.find(({ record }) => record.isLimitUnconfirmed(nowMs))
     if (unconfirmed !== undefined) return unconfirmed.record
@@ -334,6 +352,8 @@
 
   private aheadAtPeers (request: poolEvent.PlacementRequest, rank: number, nowMs: number): number {
     let ahead = 0
+    // Slots that this daemon owns are not shared with the requests of peers.
+    if (this.isBrittle) return ahead
     for (const queue of this.peerQueues.values()) ahead += waitingOrder.aheadAtPeer(request, rank, queue, nowMs)
     return ahead
   }
