--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -93,6 +93,27 @@
   for (const fixture of [source, follower]) await fixture.close()
 })
 
+suite('a request reaches a target through a peer while the own path is lost, and directly once a probe has found it again', async () => {
+  const source = await fixtureModule.openFixture(1)
+  const follower = await fixtureModule.openFixture(0, { ...fixtureModule.DOCUMENT, version: 0, routes: [] })
+  const syncs = [
+    await gatewayPackage.stateSync.openStateSync({ gateway: source.gateway, address: source.peerAddress }),
+    await gatewayPackage.stateSync.openStateSync({ gateway: follower.gateway, address: follower.peerAddress })
+  ]
+  follower.gateway.addPeer(source.peerAddress)
+  await until(() => follower.gateway.isReady() && follower.gateway.sharedState().document?.version === 1 && follower.gateway.reachablePeers().length === 1)
+  const { paths } = follower.gateway.routes
+  paths.recordUnreachable('i-1', undefined, performance.now())
+  assert.is((await follower.call('/read/7')).status, 200)
+  assert.match(source.gateway.metrics.text(), 'relayed_connections_total{result="carried"} 1')
+  await until(() => !paths.isLost('i-1'))
+  assert.is((await follower.call('/read/7')).status, 200)
+  assert.match(source.gateway.metrics.text(), 'relayed_connections_total{result="carried"} 1')
+  assert.is(source.arrivals.length, 2)
+  for (const sync of syncs) sync.close()
+  for (const fixture of [source, follower]) await fixture.close()
+})
+
 suite('documents of a peer are adopted although connections to it carry nothing after their first response', async () => {
   const fixture = await fixtureModule.openFixture(1)
   const answered = new WeakSet<net.Socket>()
