Keep the requests of a service whose settings a new version changes

A version that changes a service, such as its number of connections, replaced the service's pool: waiting requests got no decision until their deadline, running ones were no longer counted, and all that was learned of the targets was lost. Class: state that belongs to requests was tied to settings.

Change: the pool adopts the changed service. This also removes the special case that told the new pool that its targets are brittle.

Ruled out: moving requests from the old pool to the new one (placements at targets and estimates would have to move too).

--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -104,8 +104,9 @@
       if (services.get(service.name) === serialized) continue
       services.set(service.name, serialized)
       silenceMs.set(service.name, service.engine === undefined ? PLAIN_SILENCE_MS : ENGINE_SILENCE_MS)
-      pools.set(service.name, new routing.pool.Pool({ service, random: options.random }))
-      if (brittle.has(service.name)) handle(service.name, { kind: 'brittle', isBrittle: true })
+      const pool = pools.get(service.name)
+      if (pool === undefined) pools.set(service.name, new routing.pool.Pool({ service, random: options.random }))
+      else pool.adopt(service)
     }
   }
 
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -113,11 +113,13 @@
   private readonly peerQueues = new Map<string, waitingOrder.PeerQueue>()
   private queue: readonly poolEvent.PlacementRequest[] = []
   private fleet = { reachable: 1, daemons: 1 }
+  private service: document.Service
   private serviceTimeMs: number
   private isBrittle = false
   private cellPosition: rateShare.RingPosition = { index: 0, members: 1 }
 
   constructor (private readonly options: Options) {
+    this.service = options.service
     this.serviceTimeMs = options.service.engine === undefined ? INITIAL_PLAIN_SERVICE_TIME_MS : INITIAL_SERVICE_TIME_MS
   }
 
@@ -126,6 +128,11 @@
     return this.queue.length
   }
 
+  /** Applies changed settings of the service; requests that wait or are at targets stay. */
+  adopt (service: document.Service): void {
+    this.service = service
+  }
+
   * handle (event: poolEvent.PoolEvent, nowMs: number): Decisions {
     this.apply(event, nowMs)
     if (event.kind === 'next-event' || event.kind === 'first-event' || event.kind === 'load-reported') return
@@ -186,7 +193,7 @@
   private recordEvent (event: Extract<poolEvent.PoolEvent, { readonly kind: 'first-event' | 'next-event' }>, nowMs: number): void {
     const record = this.placements.get(event.id)
     if (event.kind === 'first-event') record?.recordFirstEvent(event.id, nowMs)
-    else record?.recordNextEvent(event.intervalMs, this.options.service.engine?.tokensPerEvent ?? 1, nowMs)
+    else record?.recordNextEvent(event.intervalMs, this.service.engine?.tokensPerEvent ?? 1, nowMs)
   }
 
   private setTargets ({ targetShares, cellPosition }: Extract<poolEvent.PoolEvent, { readonly kind: 'targets' }>, nowMs: number): void {
@@ -226,7 +233,7 @@
   /** Returns the maximum number of requests at a target from all daemons. */
   private concurrencyLimit (record: targetRecord.TargetRecord): number {
     const { slots } = record.target
-    return this.options.service.engine === undefined ? slots : slots + Math.floor(ENGINE_QUEUE_SHARE * slots)
+    return this.service.engine === undefined ? slots : slots + Math.floor(ENGINE_QUEUE_SHARE * slots)
   }
 
   /** Returns the maximum number of requests at a target from this daemon and the peers whose reports it receives. */
@@ -280,7 +287,7 @@
 
   /** Returns the expected time from dispatch to the first event, or to a plain response, at the fastest target. */
   private expectedFirstMs (request: poolEvent.PlacementRequest, snapshot: PoolSnapshot): number {
-    if (this.options.service.engine === undefined) return EXPECTED_PLAIN_RESPONSE_MS
+    if (this.service.engine === undefined) return EXPECTED_PLAIN_RESPONSE_MS
     return snapshot.fastest?.estimate.firstEventMs(request.promptTokens) ?? 0
   }
 
@@ -293,7 +300,7 @@
     // The random term spreads requests of several daemons over targets with equal scores.
     const penaltyMs = FAILURE_PENALTY_MS * record.failureShare + this.options.random()
     const contention = 1 + inFlight / record.target.slots
-    if (this.options.service.engine === undefined) return record.responseMs * contention + penaltyMs
+    if (this.service.engine === undefined) return record.responseMs * contention + penaltyMs
     const prefillTokens = record.hasCachedPrompt(request.promptSegments, nowMs) ? 0 : request.promptTokens
     const firstEventMs = record.estimate.firstEventMs(record.pendingPrefillTokens() + prefillTokens)
     return firstEventMs + GENERATION_WEIGHT * record.estimate.generationMs(request.outputTokens) * contention + penaltyMs
@@ -301,7 +308,7 @@
 
   /** Returns whether the target is expected to finish the generation before the deadline. */
   private canFinish (candidate: Candidate, request: poolEvent.PlacementRequest, nowMs: number): boolean {
-    if (this.options.service.engine === undefined) return true
+    if (this.service.engine === undefined) return true
     return candidate.record.estimate.generationMs(request.outputTokens) < MAX_GENERATION_SHARE * (request.limitMs - nowMs)
   }
 
