Keep what a pool knows of its targets in the pool

Read as a newcomer: whether targets are brittle was held by the pool and by the set of pools, the time after which a target counts as silent was derived from the service outside the pool, and target-paths published a question that only itself asks. No decision changes.

--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -65,10 +65,6 @@
 /** Time without data from a target with requests in flight, after which it is stalled and retryable requests leave it, ms. */
 const STALL_MS = 1_000
 
-/** Time without data from a target with requests in flight, after which the path to it is probed, ms: an engine may take longer to begin. */
-const ENGINE_SILENCE_MS = 1_000
-const PLAIN_SILENCE_MS = 400
-
 /**
  * Creates the pools, which are empty until a document is adopted.
  *
@@ -80,8 +76,6 @@
 export function createServicePools (options: Options): ServicePools {
   const pools = new Map<string, routing.pool.Pool>()
   const services = new Map<string, string>()
-  const brittle = new Set<string>()
-  const silenceMs = new Map<string, number>()
   const listeners = new Map<number, PlacementListener>()
   let nextId = 1
 
@@ -103,7 +97,6 @@
       const serialized = JSON.stringify(service)
       if (services.get(service.name) === serialized) continue
       services.set(service.name, serialized)
-      silenceMs.set(service.name, service.engine === undefined ? PLAIN_SILENCE_MS : ENGINE_SILENCE_MS)
       const pool = pools.get(service.name)
       if (pool === undefined) pools.set(service.name, new routing.pool.Pool({ service, random: options.random }))
       else pool.adopt(service)
@@ -133,7 +126,7 @@
   function tick (): void {
     for (const [service, pool] of pools) {
       if (pool.waiting > 0) handle(service, { kind: 'tick' })
-      for (const target of pool.silentTargets(silenceMs.get(service) ?? ENGINE_SILENCE_MS, options.now())) options.onSilent?.(target)
+      for (const target of pool.silentTargets(options.now())) options.onSilent?.(target)
       for (const id of pool.stalledRequests(STALL_MS, options.now())) listeners.get(id)?.onStalled()
     }
   }
@@ -146,9 +139,7 @@
     tick,
     applyReportedLoad: (service, target, load) => { handle(service, { kind: 'load-reported', target, ...load }) },
     applyBrittleness: (service, isBrittle) => {
-      if (brittle.has(service) === isBrittle) return
-      if (isBrittle) brittle.add(service)
-      else brittle.delete(service)
+      if (pools.get(service)?.isBrittle === isBrittle) return
       options.onBrittle?.(service, isBrittle)
       handle(service, { kind: 'brittle', isBrittle })
     },
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -50,6 +50,10 @@
 /** Weight of a new sample in the moving average of service times. */
 const SMOOTHING_FACTOR = 0.1
 
+/** Time without data from a target with requests in flight after which it counts as silent, ms: an engine may take longer to begin. */
+const ENGINE_SILENCE_MS = 1_000
+const PLAIN_SILENCE_MS = 400
+
 const MS_PER_S = 1_000
 
 /** Rank of retries and resumed streams, which lose what was generated if they are refused. */
@@ -115,7 +119,7 @@
   private fleet = { reachable: 1, daemons: 1 }
   private service: document.Service
   private serviceTimeMs: number
-  private isBrittle = false
+  private hasBrittleTargets = false
   private cellPosition: rateShare.RingPosition = { index: 0, members: 1 }
 
   constructor (private readonly options: Options) {
@@ -161,8 +165,14 @@
     return [...this.records.values()].filter((record) => record.isStalled(stallMs, nowMs)).flatMap((record) => record.ownRequestIds)
   }
 
-  /** Returns the targets that have requests in flight and have sent nothing for `silenceMs`. */
-  silentTargets (silenceMs: number, nowMs: number): readonly string[] {
+  /** Whether the targets say that they fall over when they have to reject many requests. */
+  get isBrittle (): boolean {
+    return this.hasBrittleTargets
+  }
+
+  /** Returns the targets that have requests in flight and have sent nothing for longer than is usual. */
+  silentTargets (nowMs: number): readonly string[] {
+    const silenceMs = this.service.engine === undefined ? PLAIN_SILENCE_MS : ENGINE_SILENCE_MS
     return [...this.records].filter(([, record]) => record.isStalled(silenceMs, nowMs)).map(([id]) => id)
   }
 
@@ -178,7 +188,7 @@
       case 'ended': this.end(event.id, event.outcome, nowMs); break
       case 'load-reported': this.records.get(event.target)?.applyReportedLoad(event.running + event.waiting, nowMs); break
       case 'targets': this.setTargets(event, nowMs); break
-      case 'brittle': this.isBrittle = event.isBrittle; break
+      case 'brittle': this.hasBrittleTargets = event.isBrittle; break
       case 'peer-load': this.applyPeerLoad(event.peer, event.load, nowMs); break
       case 'fleet': this.fleet = event; break
       case 'tick': break
--- a/packages/routing/src/target-paths.ts
+++ b/packages/routing/src/target-paths.ts
@@ -45,8 +45,6 @@
   readonly isCutOff: (peers: readonly string[], nowMs: number) => boolean
   /** Applies the lost paths of a peer. */
   readonly applyReport: (peer: string, lost: readonly string[]) => void
-  /** Returns whether a peer has lost its path to a target. */
-  readonly isLostAt: (peer: string, target: string) => boolean
   /** Forgets the targets that are not in the set. */
   readonly retain: (targets: ReadonlySet<string>) => void
 }
@@ -145,7 +143,6 @@
     lost: () => [...lost],
     isCutOff,
     applyReport: (peer, targets) => { lostAtPeers.set(peer, new Set(targets)) },
-    isLostAt,
     retain
   }
 }
