Say once what the tests of peers and relays set up

Two tests of peers opened the same two daemons, and two of relays differed in which end is down: a function and a case table. The checks are the same; the one for a peer that is down now also counts that the target got no connection.

--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -79,29 +79,39 @@
   await fixture.close()
 })
 
-suite('a daemon without a store gets document and targets from a peer', async () => {
+interface Followed {
+  readonly source: fixtureModule.Fixture
+  readonly follower: fixtureModule.Fixture
+  readonly close: () => Promise<void>
+}
+
+/** Opens a daemon with a target, and one without a store that has got document and targets from it. */
+async function openFollowed (): Promise<Followed> {
   const source = await fixtureModule.openFixture(1)
   const follower = await fixtureModule.openFixture(0, { ...fixtureModule.DOCUMENT, version: 0, routes: [] })
-  const syncs = [
-    await gatewayPackage.stateSync.openStateSync({ gateway: source.gateway, address: source.peerAddress }),
-    await gatewayPackage.stateSync.openStateSync({ gateway: follower.gateway, address: follower.peerAddress })
-  ]
+  const fixtures = [source, follower]
+  const syncs = await Promise.all(fixtures.map(({ gateway, peerAddress }) => gatewayPackage.stateSync.openStateSync({ gateway, address: peerAddress })))
   follower.gateway.addPeer(source.peerAddress)
   await until(() => follower.gateway.isReady() && follower.gateway.sharedState().document?.version === 1)
+  return {
+    source,
+    follower,
+    close: async () => {
+      for (const sync of syncs) sync.close()
+      for (const fixture of fixtures) await fixture.close()
+    }
+  }
+}
+
+suite('a daemon without a store gets document and targets from a peer', async () => {
+  const { follower, close } = await openFollowed()
   assert.is((await follower.call('/read/7')).status, 200)
-  for (const sync of syncs) sync.close()
-  for (const fixture of [source, follower]) await fixture.close()
+  await close()
 })
 
 suite('a request reaches a target through a peer while the own path is lost, and directly once a probe has found it again', async () => {
-  const source = await fixtureModule.openFixture(1)
-  const follower = await fixtureModule.openFixture(0, { ...fixtureModule.DOCUMENT, version: 0, routes: [] })
-  const syncs = [
-    await gatewayPackage.stateSync.openStateSync({ gateway: source.gateway, address: source.peerAddress }),
-    await gatewayPackage.stateSync.openStateSync({ gateway: follower.gateway, address: follower.peerAddress })
-  ]
-  follower.gateway.addPeer(source.peerAddress)
-  await until(() => follower.gateway.isReady() && follower.gateway.sharedState().document?.version === 1 && follower.gateway.reachablePeers().length === 1)
+  const { source, follower, close } = await openFollowed()
+  await until(() => follower.gateway.reachablePeers().length === 1)
   const { paths } = follower.gateway.routes
   paths.recordUnreachable('i-1', undefined, performance.now())
   assert.is((await follower.call('/read/7')).status, 200)
@@ -110,8 +120,7 @@
   assert.is((await follower.call('/read/7')).status, 200)
   assert.match(source.gateway.metrics.text(), 'relayed_connections_total{result="carried"} 1')
   assert.is(source.arrivals.length, 2)
-  for (const sync of syncs) sync.close()
-  for (const fixture of [source, follower]) await fixture.close()
+  await close()
 })
 
 suite('documents of a peer are adopted although connections to it carry nothing after their first response', async () => {
--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -160,23 +160,19 @@
   })
 }
 
-suite('nothing is sent when the peer cannot connect to the target', async () => {
-  const setup = await setUp(() => {})
-  const gone = net.createServer()
-  const address = await listen(gone)
-  await new Promise((resolve) => { gone.close(resolve) })
-  assert.is((await send({ ...setup, address }).ended).kind, 'unreachable')
-  assert.equal(setup.results, ['unreachable'])
-  setup.close()
-})
-
-suite('nothing is sent when the peer is down', async () => {
-  const setup = await setUp(() => {})
-  const gone = net.createServer()
-  const via = await listen(gone)
-  await new Promise((resolve) => { gone.close(resolve) })
-  assert.is((await send({ ...setup, via }).ended).kind, 'unreachable')
-  setup.close()
-})
+/** Which end is down, and what the relay counts. */
+const DOWN: readonly (readonly [end: 'address' | 'via', results: readonly string[]])[] = [['address', ['unreachable']], ['via', []]]
+
+for (const [end, results] of DOWN) {
+  suite(`nothing is sent when the ${end === 'via' ? 'peer' : 'target'} is down`, async () => {
+    const setup = await setUp(() => {})
+    const gone = net.createServer()
+    const address = await listen(gone)
+    await new Promise((resolve) => { gone.close(resolve) })
+    assert.is((await send({ ...setup, [end]: address }).ended).kind, 'unreachable')
+    assert.equal([setup.targetSockets.length, setup.results], [0, results])
+    setup.close()
+  })
+}
 
 suite.run()
