Play simulated links apart, with resets, short cuts and targets that join

Links are a fixture of their own now; they reset. The brittle targets' fall resets what is open there, too, which is stricter. New cases of cut-fleet: cuts and resets of 0.8 s each 3 s, and targets that join during a cut. No source of the program changes.

--- a/packages/gateway/tests/brittle-fleet.test.ts
+++ b/packages/gateway/tests/brittle-fleet.test.ts
@@ -70,7 +70,6 @@
       return { headMs: waitMs + 60, headers: said, events: [[1, waitMs + 60], [2, waitMs + SERVICE_MS]], endMs: waitMs + SERVICE_MS }
     }
   })
-  fleet.setPaths((_, target) => fleet.now() < (states.get(target)?.downUntilMs ?? 0) ? 'refuse' : 'up')
   const replies: servingFleet.Reply[] = []
   const startMs = fleet.now()
   brittleFromMs = startMs + STABLE_MS
@@ -79,6 +78,7 @@
     for (due += scenario.perS * scenario.loadAt(fleet.now() - startMs) * ARRIVAL_STEP_MS / MS_PER_S; due >= 1; due -= 1) {
       replies.push(fleet.request(Math.floor(fleet.random() * scenario.daemons), '/generate/7', ['tokens', '700,18', 'remaining-ms', '12000']))
     }
+    fleet.setPaths((_, target) => fleet.now() < (states.get(target)?.downUntilMs ?? 0) ? 'refuse' : 'up')
     fleet.advance(ARRIVAL_STEP_MS)
   }
   fleet.advance(SERVICE_MS + DOWN_MS)
--- a/packages/gateway/tests/cut-fleet.test.ts
+++ b/packages/gateway/tests/cut-fleet.test.ts
@@ -7,6 +7,7 @@
 import * as rawHeaders from '../src/raw-headers.js'
 import * as fixture from './fixture.js'
 import * as servingFleet from './serving-fleet.js'
+import type * as simulatedLinks from './simulated-links.js'
 
 const DAEMONS = 9
 const TARGETS = 8
@@ -28,7 +29,7 @@
 
 interface Scenario {
   /** Path of a daemon to a target, by time since the start of the cut. */
-  readonly pathOf: (daemon: number, target: number, sinceMs: number) => servingFleet.Path
+  readonly pathOf: (daemon: number, target: number, sinceMs: number) => simulatedLinks.Path
   readonly isCutOff: (daemon: number) => boolean
   /** Called in each step. */
   readonly eachStep?: (fleet: servingFleet.ServingFleet, sinceMs: number) => void
@@ -134,6 +135,17 @@
   ['three of four targets of each service', { isCutOff: isMinority, pathOf: (daemon, target) => isMinority(daemon) && target % 4 !== 0 ? 'hang' : 'up' }],
   ['two cuts in a row, of different daemons', { isCutOff: (daemon) => daemon >= 3, pathOf: (daemon, _, sinceMs) => (sinceMs < 6_000 ? daemon >= 6 : daemon >= 3 && daemon < 6) ? 'hang' : 'up' }],
   ['with a target that nobody reaches', { isCutOff: isMinority, pathOf: (daemon, target) => isMinority(daemon) || target === 5 ? 'hang' : 'up' }],
+  ['cuts of 0.8 s, each 3 s', { isCutOff: isMinority, pathOf: (daemon, _, sinceMs) => isMinority(daemon) && sinceMs % 3_000 < 800 ? 'hang' : 'up' }],
+  ['resets of 0.8 s, each 3 s', { isCutOff: isMinority, pathOf: (daemon, _, sinceMs) => isMinority(daemon) && sinceMs % 3_000 < 800 ? 'refuse' : 'up' }],
+  ['with targets that join during the cut', {
+    isCutOff: isMinority,
+    pathOf: (daemon) => isMinority(daemon) ? 'hang' : 'up',
+    eachStep: (fleet, sinceMs) => {
+      if (sinceMs % 2_000 !== 1_000) return
+      const index = TARGETS + Math.floor(sinceMs / 2_000)
+      fleet.register({ id: `i-${index}`, service: index % 2 === 0 ? 'support' : 'stock', address: `10.9.0.${index}:80`, availabilityZone: 'casa-a', version: 'v1', slots: SLOTS, leaving: false }, fleet.now())
+    }
+  }],
   ['with daemons that are restarted one after the other', {
     isCutOff: isMinority,
     pathOf: (daemon) => isMinority(daemon) ? 'hang' : 'up',
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -15,9 +15,9 @@
 import * as requestTask from '../src/request-task.js'
 import * as resumption from '../src/resumption.js'
 import * as streamDirectory from '../src/stream-directory.js'
-import type * as targetClient from '../src/target-client.js'
 import * as fixture from './fixture.js'
 import * as fleetModule from './fleet.js'
+import * as simulatedLinks from './simulated-links.js'
 
 const STEP_MS = 10
 const TICK_MS = 30
@@ -25,12 +25,6 @@
 const REPORT_MS = 200
 const DATAGRAM_MS = 10
 
-/** Time after which a connection attempt is given up, ms. */
-const CONNECT_TIMEOUT_MS = 300
-
-/** Time for which an idle connection is kept, ms. */
-const KEPT_MS = 4_000
-
 /** Time in which the fleet exchanges reports before it serves, ms. */
 const SETTLING_MS = 4_000
 
@@ -53,32 +47,6 @@
   return { ...fixture.DOCUMENT, routes: [ROUTE], services: [{ name: 'support', connections: 600, engine: { slots, memoryTokens: 700_000, tokensPerEvent: 6 } }], organisations: [] }
 }
 
-/** A request as a target received it. */
-export interface Arrival {
-  readonly atMs: number
-  readonly daemon: number
-  readonly target: routing.targetRegistry.Target
-  readonly headers: rawHeaders.RawHeaders
-}
-
-/**
- * Path of a daemon to a target. `hang`: nothing arrives, new connections are not answered. `refuse`: open connections are reset, new ones
- * refused. `no-new`: open connections work, new ones are not answered.
- */
-export type Path = 'up' | 'hang' | 'refuse' | 'no-new'
-
-/** What a target sends, with times since the arrival of the request. */
-export interface TargetResponse {
-  readonly headMs: number
-  readonly status?: number
-  readonly headers: readonly string[]
-  /** Ids of events and when each is sent; the response is a stream if there are any. */
-  readonly events?: readonly (readonly [id: number, atMs: number])[]
-  readonly endMs: number
-  /** Whether the connection breaks at `endMs`. */
-  readonly breaks?: boolean
-}
-
 /** A response as its caller received it. */
 export interface Reply {
   readonly daemon: number
@@ -95,9 +63,9 @@
   readonly document: routing.document.RoutingDocument
   readonly targets: readonly routing.targetRegistry.Target[]
   readonly seed: number
-  readonly respond: (arrival: Arrival) => TargetResponse
+  readonly respond: simulatedLinks.Options['respond']
   /** Called when a daemon has received the head of a target's response. */
-  readonly onHead?: (arrival: Arrival, headers: readonly string[], nowMs: number) => void
+  readonly onHead?: simulatedLinks.Options['onHead']
 }
 
 export interface ServingFleet {
@@ -109,7 +77,7 @@
   /** Sets which daemons reach each other. */
   readonly setReach: (reaches: (from: number, to: number) => boolean) => void
   /** Sets the path of each daemon to each target, by its id. */
-  readonly setPaths: (pathOf: (daemon: number, target: string) => Path) => void
+  readonly setPaths: simulatedLinks.SimulatedLinks['setPaths']
   readonly restart: (daemon: number) => void
   /** Closes the connections of a daemon's callers and stops it until it is restarted. */
   readonly kill: (daemon: number) => void
@@ -170,11 +138,6 @@
   const table = routing.routeTable.createRouteTable(document)
   const contexts = new Map<number, contextModule.Context>()
   let frozen: ReadonlySet<number> = new Set()
-  let pathOf: (daemon: number, target: string) => Path = () => 'up'
-  /** When connections of a daemon to a target became idle. */
-  /** Functions that reset the exchanges in progress, and the daemon over whose path each goes. */
-  const carried = new Map<() => void, number>()
-  const idleSinceMs = new Map<string, readonly number[]>()
   const directories = new Map<number, streamDirectory.StreamDirectory>()
   /** Responses that have not ended, by daemon. */
   const open = new Map<CallerResponse, number>()
@@ -186,80 +149,22 @@
     else others.push(run)
   }
 
-  /** Takes an idle connection; returns whether there was one. */
-  function takeIdle (daemon: number, target: string): boolean {
-    const usable = (idleSinceMs.get(`${daemon} ${target}`) ?? []).filter((sinceMs) => nowMs - sinceMs < KEPT_MS)
-    idleSinceMs.set(`${daemon} ${target}`, usable.slice(0, -1))
-    return usable.length > 0 && pathOf(daemon, target) !== 'refuse'
-  }
-
-  function keepIdle (daemon: number, target: string): void {
-    idleSinceMs.set(`${daemon} ${target}`, [...idleSinceMs.get(`${daemon} ${target}`) ?? [], nowMs])
-  }
-
-  /** Plays an exchange over the path of `daemon`, which is a peer of the request's daemon if it carries the connection. */
-  function exchange (daemon: number, target: routing.targetRegistry.Target, headers: rawHeaders.RawHeaders, listener: targetClient.Listener): targetClient.Exchange {
-    let isOpen = true
-    const reset = (): void => {
-      isOpen = false
-      listener.failed('broken', 'the connection was reset')
-    }
-    carried.set(reset, daemon)
-    const isUp = (): boolean => { const path = pathOf(daemon, target.id); return path === 'up' || path === 'no-new' }
-    const later = (afterMs: number, run: () => void): void => schedule(afterMs, () => { if (isOpen && isUp()) run() })
-    const arrival = { atMs: nowMs, daemon, target, headers }
-    listener.sent()
-    if (isUp()) {
-      const { headMs, status = 200, headers: responseHeaders, events: streamed = [], endMs, breaks = false } = options.respond(arrival)
-      const type = streamed.length > 0 ? ['content-type', 'text/event-stream'] : []
-      const echoed = ['request-id', rawHeaders.findHeader(headers, 'request-id') ?? '', ...status === 200 ? ['proof', target.id] : []]
-      later(headMs, () => {
-        options.onHead?.(arrival, responseHeaders, nowMs)
-        listener.head({ status, headers: [...echoed, ...type, ...responseHeaders] })
-      })
-      for (const [id, atMs] of streamed) later(atMs, () => { listener.data(Buffer.from(`id: ${id}\ndata: ${target.id}\n\n`)) })
-      later(endMs, () => {
-        isOpen = false
-        carried.delete(reset)
-        if (breaks) {
-          listener.failed('broken', 'the connection was reset')
-        } else {
-          keepIdle(daemon, target.id)
-          listener.end()
-        }
-      })
-    }
-    return { abort: () => { isOpen = false; carried.delete(reset) }, pause: () => {}, resume: () => {} }
-  }
-
-  function clientsOf (daemon: number): targetClient.TargetClients {
-    return {
-      send: (request, listener) => {
-        const target = [...registered.values()].find((versioned) => versioned.target?.address === request.address)?.target
-        const relay = request.via === undefined ? daemon : fleet.members.findIndex(({ address }) => address === request.via)
-        const { paths } = memberOf(relay)
-        if (target !== undefined && paths.isLost(target.id)) idleSinceMs.delete(`${relay} ${target.id}`)
-        const isRefused = target === undefined || (relay !== daemon && paths.isLost(target.id))
-        const isRelayed = relay === daemon || (isRunning(relay) && reaches(daemon, relay))
-        const path = isRefused ? 'refuse' : pathOf(relay, target.id)
-        if (!isRefused && isRelayed && (path === 'up' || takeIdle(relay, target.id))) return exchange(relay, target, request.headers, listener)
-        let isOpen = true
-        schedule(path === 'refuse' ? 0 : CONNECT_TIMEOUT_MS, () => { if (isOpen) listener.failed('unreachable', 'no connection') })
-        return { abort: () => { isOpen = false }, pause: () => {}, resume: () => {} }
-      },
-      probe: async () => true,
-      renew: () => {},
-      retain: () => {},
-      close: async () => {}
-    }
-  }
-
   function memberOf (daemon: number): fleetModule.Member {
     const member = fleet.members[daemon]
     if (member === undefined) throw new Error(`The fleet has no daemon ${daemon}; use a number below ${daemons}.`)
     return member
   }
 
+  const links = simulatedLinks.createSimulatedLinks({
+    now,
+    schedule,
+    members: fleet.members,
+    targetAt: (address) => [...registered.values()].find((versioned) => versioned.target?.address === address)?.target,
+    canCarry: (daemon, relay) => isRunning(relay) && reaches(daemon, relay),
+    respond: options.respond,
+    onHead: options.onHead
+  })
+
   function createDirectory (daemon: number): streamDirectory.StreamDirectory {
     const { address, peers, streams } = memberOf(daemon)
     const sendTo = (peer: string, handle: (directory: streamDirectory.StreamDirectory) => void): void => schedule(DATAGRAM_MS, () => {
@@ -290,7 +195,7 @@
       headerNames: fixture.HEADER_NAMES,
       log: { request: () => {}, change: () => {} },
       metrics: metrics.createMetrics(),
-      clients: clientsOf(daemon),
+      clients: links.clientsOf(daemon),
       pools,
       caps,
       budget: routing.retryBudget.createRetryBudget({ ratio: 0.2, allowance: 200, windowMs: 10_000 }),
@@ -315,13 +220,6 @@
 
   const isRunning = (daemon: number): boolean => contexts.has(daemon) && !frozen.has(daemon)
 
-  function probe (daemon: number, target: string): void {
-    const { paths } = memberOf(daemon)
-    const path = pathOf(daemon, target)
-    const end = (isReached: boolean): void => schedule(path === 'up' || path === 'refuse' ? 0 : CONNECT_TIMEOUT_MS, () => { paths.endProbe(target, isReached, nowMs) })
-    end(path === 'up')
-  }
-
   function refresh (daemon: number): void {
     const { peers, pools } = memberOf(daemon)
     pools.setFleet(peers.liveCount(nowMs), peers.memberCount(nowMs))
@@ -355,7 +253,7 @@
         for (const [daemon, { pools, paths }] of fleet.members.entries()) {
           if (!isRunning(daemon)) continue
           pools.tick()
-          for (const target of paths.takeDueProbes(nowMs)) probe(daemon, target)
+          for (const target of paths.takeDueProbes(nowMs)) links.probe(daemon, target)
         }
       }
       if (nowMs % REFRESH_MS === 0) for (const daemon of contexts.keys()) if (isRunning(daemon)) refresh(daemon)
@@ -389,11 +287,7 @@
   function kill (daemon: number): void {
     contexts.delete(daemon)
     for (const [outgoing, owner] of [...open]) if (owner === daemon) outgoing.destroy()
-    for (const [reset, over] of [...carried]) {
-      if (over !== daemon) continue
-      carried.delete(reset)
-      reset()
-    }
+    links.resetWhere((over) => over === daemon)
   }
 
   for (const target of options.targets) register(target)
@@ -406,7 +300,7 @@
     request,
     advance,
     setReach: (next) => { reaches = next },
-    setPaths: (next) => { pathOf = next },
+    setPaths: links.setPaths,
     kill,
     isUp: isRunning,
     freeze: (next) => { frozen = new Set(next) },
