Store what a fleet must know after the loss of all daemons

A fleet of 87 that started again admitted 5,125,500 tokens in 8 s where 4,892,000 are allowed.

Cause: the versions of streams and the levels of caps lived in the memory of daemons alone. Each new process took half of a burst and the whole rate for itself until it had heard of the others.

Change: one daemon writes the versions in service when they change; one daemon of each cell writes the beginnings of streams while several versions can have begun them, and low levels of caps every 2 s. A resumed stream that nobody knows goes on if only one version can have begun it, or if the store has its beginning.

Ruled out: listing the rarer version only (an unrecorded stream would be taken for one of the other), records of each daemon (nine times the calls).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,8 +15,9 @@
 import * as peerPort from './peer-port.js'
 import * as peerReports from './peer-reports.js'
 import * as peerTable from './peer-table.js'
+import type * as recordStore from './record-store.js'
 import * as servicePools from './service-pools.js'
-import * as streamDirectory from './stream-directory.js'
+import * as streamRecords from './stream-records.js'
 import * as targetClient from './target-client.js'
 import * as targetRoutes from './target-routes.js'
 
@@ -28,6 +29,10 @@
   readonly peerAddress: string
   readonly headerNames: headerNames.HeaderNames
   readonly tolerances: Tolerances
+  /** Records that outlive all daemons; without them, a fleet that has lost all daemons starts anew. */
+  readonly records?: recordStore.RecordStore
+  /** Whether the fleet starts for the first time. */
+  readonly isFirstStart?: boolean
 }
 
 /** Settings that may change while the process runs. */
@@ -77,9 +82,9 @@
   private readonly registry = routing.targetRegistry.createTargetRegistry()
   private readonly suspects = new routing.suspects.Suspects((refused, isRefused) => { this.logSuspect(refused, isRefused) })
   private readonly targetLimits = routing.targetLimits.createTargetLimits((target) => this.registry.startOf(target))
-  private readonly streams = routing.streamVersions.createStreamVersions()
+  private readonly incarnation = crypto.randomBytes(INCARNATION_BYTES).toString('hex')
   private readonly inForce: documentInForce.DocumentInForce
-  private readonly streamDirectory: streamDirectory.StreamDirectory
+  private readonly streamRecords: streamRecords.StreamRecords
   private readonly peers: peerTable.PeerTable
   private readonly caps: routing.tokenCap.TokenCaps
   private readonly budget: routing.retryBudget.RetryBudget
@@ -134,7 +139,7 @@
       onSilent: this.routes.paths.suspect,
       changed: () => { this.reports?.changed() }
     })
-    this.streamDirectory = this.createStreamDirectory()
+    this.streamRecords = this.createStreamRecords()
     this.context = this.createContext()
   }
 
@@ -145,8 +150,8 @@
     const port = await peerPort.openPeerPort({
       address: peerAddress,
       onReport: (report) => { this.reports?.handle(report) },
-      onQuestion: (question) => { this.streamDirectory.handleQuestion(question) },
-      onAnswer: (answer) => { this.streamDirectory.handleAnswer(answer) },
+      onQuestion: (question) => { this.streamRecords.directory.handleQuestion(question) },
+      onAnswer: (answer) => { this.streamRecords.directory.handleAnswer(answer) },
       countMalformed: () => { this.metrics.count('peer_messages_malformed_total') }
     })
     this.port = port
@@ -191,9 +196,15 @@
     this.registry.applyListing(listing, this.now())
     const { era, revision, targets, isProvisional } = listing
     this.log.change('targets listed', { targets: targets.length, era, revision, isProvisional })
+    this.streamRecords.observe(this.registry.versionedTargets())
     this.refreshTargets()
   }
 
+  /** Records that the store has just answered, so that what is known of it is current. */
+  recordStoreContact (): void {
+    this.streamRecords.recordStoreContact()
+  }
+
   addPeer (address: string): void {
     this.peers.discover(address, this.now())
   }
@@ -281,6 +292,7 @@
 
   private handleTargetChange ({ id, era, revision, target }: routing.targetRegistry.VersionedTarget, source: string): void {
     this.log.change('target learnt', { target: id, era, revision, state: peerReports.stateOf(target), service: target?.service, version: target?.version, source })
+    this.streamRecords.observe(this.registry.versionedTargets())
     this.refreshTargets()
     if (target === undefined || target.leaving) this.reports?.changed()
   }
@@ -323,11 +335,12 @@
     const live = this.peers.liveCount(nowMs)
     const members = this.peers.memberCount(nowMs)
     this.pools.setFleet(live, members)
-    this.caps.setReachableShare(live / members)
+    this.caps.setReach(this.peers.reach(nowMs))
     this.refreshTargets()
     this.targetLimits.retain(new Set(this.registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id])), nowMs)
     this.routes.retain()
     this.clients.retain(new Set(this.registry.versionedTargets().flatMap((versioned) => versioned.target === undefined ? [] : [versioned.target.address])))
+    this.streamRecords.tick()
     this.logReach(live, members)
     this.metrics.gauge('peers_live', live - 1)
     this.metrics.gauge('peers_in_cell', this.peers.reachablePeers(nowMs).length)
@@ -355,16 +368,20 @@
     this.reports?.changed()
   }
 
-  private createStreamDirectory (): streamDirectory.StreamDirectory {
-    return streamDirectory.createStreamDirectory({
+  private createStreamRecords (): streamRecords.StreamRecords {
+    return streamRecords.createStreamRecords({
       address: this.options.peerAddress,
+      incarnation: this.incarnation,
+      isFirstStart: this.options.isFirstStart === true,
+      records: this.options.records,
       now: () => this.now(),
-      streams: this.streams,
+      unixNow: Date.now,
+      peers: this.peers,
+      caps: this.caps,
+      log: this.log,
       metrics: this.metrics,
-      askedPeers: () => this.peers.askedPeers(this.now()),
       ask: (addresses, question) => { this.port?.ask(addresses, question) },
       answer: (address, answer) => { this.port?.answer(address, answer) },
-      schedule: (delayMs, run) => { setTimeout(run, delayMs) },
       changed: () => { this.reports?.changed() }
     })
   }
@@ -382,7 +399,7 @@
       budget: this.budget,
       suspects: this.suspects,
       targetLimits: this.targetLimits,
-      streams: this.streamDirectory,
+      streams: this.streamRecords.directory,
       paths: this.routes,
       onLimitsChanged: (targets, source) => { this.handleLimitChanges(targets, source) },
       isArbiterOf: (trait) => this.peers.isArbiterOf(trait, this.now()),
@@ -403,7 +420,7 @@
   private createReports (port: peerPort.PeerPort): peerReports.PeerReports {
     const { peerAddress, frontAddress } = this.options
     return peerReports.createPeerReports({
-      sender: { from: peerAddress, incarnation: crypto.randomBytes(INCARNATION_BYTES).toString('hex'), frontAddress },
+      sender: { from: peerAddress, incarnation: this.incarnation, frontAddress },
       now: () => this.now(),
       port,
       peers: this.peers,
@@ -411,7 +428,7 @@
       caps: this.caps,
       suspects: this.suspects,
       targetLimits: this.targetLimits,
-      streams: this.streams,
+      streams: this.streamRecords.streams,
       onLimitsChanged: (targets, source) => { this.handleLimitChanges(targets, source) },
       registry: this.registry,
       paths: this.routes.paths,
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -190,6 +190,12 @@
     return 1 + [...this.members.values()].filter((member) => nowMs - member.lastSeenMs < MEMBER_RETENTION_MS).length
   }
 
+  /** Returns how many of the daemons are live, also counting endpoints that were discovered recently and have not reported yet. */
+  reach (nowMs: number): routing.tokenCap.Reach {
+    const { ownCell, otherCells } = this.divide(nowMs).division
+    return { live: this.liveCount(nowMs), members: Math.max(this.memberCount(nowMs), ownCell.length + otherCells.flat().length) }
+  }
+
   /** Returns the front addresses of peers that accept requests. */
   frontAddresses (nowMs: number): readonly string[] {
     const live = [...this.reachablePeers(nowMs).map(({ report }) => report), ...this.reachableRemoteMembers(nowMs).map(([, member]) => member)]
@@ -212,6 +218,11 @@
     return routing.cell.selectMember([this.localAddress, ...live], name) === this.localAddress
   }
 
+  /** Returns whether this daemon is the one of the live members of its cell that decides about a name. */
+  isCellArbiterOf (name: string, nowMs: number): boolean {
+    return routing.cell.selectMember([this.localAddress, ...this.reachablePeers(nowMs).map(({ report }) => report.from)], name) === this.localAddress
+  }
+
   private remoteTimeoutMs (nowMs: number): number {
     return MISSED_LISTINGS * this.fleetIntervalMs(nowMs)
   }
--- a/packages/gateway/src/resumption.ts
+++ b/packages/gateway/src/resumption.ts
@@ -23,7 +23,9 @@
     done(neverthrow.ok(request))
     return
   }
-  context.streams.find(resumes, (beginning) => {
+  const services = new Set(context.table()?.resumableServices)
+  const service = services.size === 1 ? [...services][0] : undefined
+  context.streams.find({ requestId: resumes, service }, (beginning) => {
     if (beginning === undefined) done(neverthrow.err('unknown-stream'))
     else if (!route.shares.some(({ service }) => service === beginning.service)) done(neverthrow.err('version-gone'))
     else done(neverthrow.ok({ ...request, service: beginning.service, version: beginning.version }))
--- a/packages/gateway/src/stream-directory.ts
+++ b/packages/gateway/src/stream-directory.ts
@@ -1,6 +1,7 @@
 /**
  * Finds the version at which a stream began. The members of a cell report the beginnings of their streams to each
- * other; a daemon that has no record of a stream asks its cell and members of the other cells.
+ * other; a daemon that has no record of a stream asks its cell and members of the other cells. If nobody has one, only
+ * one version may have been in service while the stream can have begun.
  *
  * @module
  */
@@ -21,11 +22,18 @@
   readonly beginning?: routing.streamVersions.StreamBeginning | undefined
 }
 
+/** A stream to find. */
+export interface SoughtStream {
+  readonly requestId: string
+  /** The only service that can have begun it; undefined if there are several. */
+  readonly service: string | undefined
+}
+
 /** Finds and records the beginnings of streams. */
 export interface StreamDirectory {
   readonly record: (beginning: routing.streamVersions.StreamBeginning) => void
   /** Calls `done` once, immediately if this daemon has a record; undefined if no daemon is known to have one. */
-  readonly find: (requestId: string, done: (beginning: routing.streamVersions.StreamBeginning | undefined) => void) => void
+  readonly find: (stream: SoughtStream, done: (beginning: routing.streamVersions.StreamBeginning | undefined) => void) => void
   readonly handleQuestion: (question: StreamQuestion) => void
   readonly handleAnswer: (answer: StreamAnswer) => void
 }
@@ -45,6 +53,12 @@
   readonly schedule: (delayMs: number, run: () => void) => void
   /** Called when there are new beginnings to report. */
   readonly changed: () => void
+  /** Returns the only version of a service that can have begun a stream; undefined if that is not certain. */
+  readonly onlyVersionOf: (service: string) => string | undefined
+  /** Calls `done` once this daemon has loaded what the fleet has stored. */
+  readonly afterLoading: (done: () => void) => void
+  /** Calls `done` once this daemon has loaded again what the fleet has stored. */
+  readonly reload: (done: () => void) => void
 }
 
 /** Interval at which the question is repeated, as datagrams are lost, ms. */
@@ -52,7 +66,7 @@
 
 const MAX_ASKS = 3
 
-interface Search {
+interface Search extends SoughtStream {
   readonly done: (beginning: routing.streamVersions.StreamBeginning | undefined) => void
   /** Peers that have not answered yet. */
   readonly awaited: Set<string>
@@ -63,50 +77,73 @@
  *
  * @example
  * ```ts
- * directory.find('r-1', (beginning) => { if (beginning === undefined) refuse('unknown-stream') })
+ * directory.find({ requestId: 'r-1', service: 'support' }, (beginning) => { if (beginning === undefined) refuse('unknown-stream') })
  * ```
  */
 export function createStreamDirectory (options: Options): StreamDirectory {
   const { address, now, streams, metrics } = options
   const searches = new Map<string, readonly Search[]>()
 
-  function end (search: Search, requestId: string, beginning: routing.streamVersions.StreamBeginning | undefined): void {
+  function inferBeginning ({ requestId, service }: SoughtStream): routing.streamVersions.StreamBeginning | undefined {
+    const version = service === undefined ? undefined : options.onlyVersionOf(service)
+    return service === undefined || version === undefined ? undefined : { requestId, service, version }
+  }
+
+  function end (search: Search, answered: routing.streamVersions.StreamBeginning | undefined): void {
+    const { requestId, done } = search
     const others = searches.get(requestId) ?? []
     if (!others.includes(search)) return
     searches.set(requestId, others.filter((other) => other !== search))
     if (others.length === 1) searches.delete(requestId)
-    metrics.count('stream_lookups_total', { result: beginning === undefined ? 'unknown' : 'peer' })
-    search.done(beginning)
+    const beginning = answered ?? inferBeginning(search)
+    if (beginning !== undefined) {
+      metrics.count('stream_lookups_total', { result: answered === undefined ? 'only-version' : 'peer' })
+      done(beginning)
+      return
+    }
+    options.reload(() => {
+      const stored = streams.find(requestId, now())
+      metrics.count('stream_lookups_total', { result: stored === undefined ? 'unknown' : 'stored' })
+      done(stored)
+    })
   }
 
-  function ask (search: Search, requestId: string, asks: number): void {
+  function ask (search: Search, asks: number): void {
+    const { requestId } = search
     if (searches.get(requestId)?.includes(search) !== true) return
     const peers = asks < MAX_ASKS ? options.askedPeers() : []
     if (peers.length === 0) {
-      end(search, requestId, undefined)
+      end(search, undefined)
       return
     }
     for (const peer of peers) search.awaited.add(peer)
     options.ask(peers, { from: address, requestId })
-    options.schedule(ASK_INTERVAL_MS, () => { ask(search, requestId, asks + 1) })
+    options.schedule(ASK_INTERVAL_MS, () => { ask(search, asks + 1) })
   }
 
-  function find (requestId: string, done: Search['done']): void {
+  function findOwn (requestId: string, done: Search['done']): boolean {
     const beginning = streams.find(requestId, now())
-    if (beginning !== undefined) {
-      metrics.count('stream_lookups_total', { result: 'own' })
-      done(beginning)
-      return
-    }
-    const search = { done, awaited: new Set<string>() }
-    searches.set(requestId, [...searches.get(requestId) ?? [], search])
-    ask(search, requestId, 0)
+    if (beginning === undefined) return false
+    metrics.count('stream_lookups_total', { result: 'own' })
+    done(beginning)
+    return true
+  }
+
+  function find (stream: SoughtStream, done: Search['done']): void {
+    const { requestId } = stream
+    if (findOwn(requestId, done)) return
+    options.afterLoading(() => {
+      if (findOwn(requestId, done)) return
+      const search = { ...stream, done, awaited: new Set<string>() }
+      searches.set(requestId, [...searches.get(requestId) ?? [], search])
+      ask(search, 0)
+    })
   }
 
   function handleAnswer ({ from, requestId, beginning }: StreamAnswer): void {
     for (const search of searches.get(requestId) ?? []) {
       search.awaited.delete(from)
-      if (beginning !== undefined || search.awaited.size === 0) end(search, requestId, beginning)
+      if (beginning !== undefined || search.awaited.size === 0) end(search, beginning)
     }
   }
 
--- a/packages/routing/src/route-table.ts
+++ b/packages/routing/src/route-table.ts
@@ -13,6 +13,8 @@
   readonly findOrganisation: (key: string) => document.Organisation | undefined
   /** Whether requests need a key; those of anonymous routes never do. */
   readonly requiresKey: boolean
+  /** Services of the routes whose streams may be resumed. */
+  readonly resumableServices: ReadonlySet<string>
 }
 
 function findLongestPrefix (routes: ReadonlyMap<string, document.Route>, path: string): document.Route | undefined {
@@ -42,6 +44,7 @@
   return {
     version: source.version,
     requiresKey: source.organisations.length > 0,
+    resumableServices: new Set(source.routes.filter(({ resumable }) => resumable).flatMap(({ shares }) => shares.map(({ service }) => service))),
     findOrganisation: (key) => organisations.get(key),
     findRoute: (host, path) => {
       const routes = hosts.get(host.toLowerCase().replace(/:\d+$/, ''))
--- a/packages/routing/src/stream-versions.ts
+++ b/packages/routing/src/stream-versions.ts
@@ -21,6 +21,8 @@
   readonly record: (beginning: StreamBeginning, nowMs: number) => void
   /** Records the beginnings that a peer has reported. */
   readonly applyReport: (report: StreamReport, nowMs: number) => void
+  /** Records beginnings that were stored before this daemon started. */
+  readonly restore: (report: StreamReport, nowMs: number) => void
   readonly find: (requestId: string, nowMs: number) => StreamBeginning | undefined
   /** Removes and returns up to `maxRows` beginnings of this daemon that no report had yet, the oldest first. */
   readonly takeUnreported: (maxRows: number) => StreamReport
@@ -41,7 +43,25 @@
 }
 
 /**
- * Creates the records.
+ * Groups beginnings by service and version.
+ *
+ * @example
+ * ```ts
+ * toStreamReport([{ requestId: 'r-1', service: 'support', version: 'v1.2' }]) // { support: { 'v1.2': ['r-1'] } }
+ * ```
+ */
+export function toStreamReport (beginnings: readonly StreamBeginning[]): StreamReport {
+  const report: Record<string, Record<string, string[]>> = {}
+  for (const { requestId, service, version } of beginnings) {
+    const versions = report[service] ??= {}
+    const requestIds = versions[version] ??= []
+    requestIds.push(requestId)
+  }
+  return report
+}
+
+/**
+ * Creates the records. `onBeginning` is called for each new beginning of this daemon and of the peers that report to it.
  *
  * @example
  * ```ts
@@ -49,7 +69,7 @@
  * streams.find('r-1', nowMs)?.version // 'v1.2'
  * ```
  */
-export function createStreamVersions (): StreamVersions {
+export function createStreamVersions (onBeginning: (beginning: StreamBeginning) => void = () => {}): StreamVersions {
   const recorded = new Map<string, RecordedBeginning>()
   let unreported: readonly StreamBeginning[] = []
 
@@ -74,28 +94,33 @@
     return found === undefined || nowMs - found.recordedMs > RETENTION_MS ? undefined : found.beginning
   }
 
-  function applyReport (report: StreamReport, nowMs: number): void {
+  function addAll (report: StreamReport, nowMs: number, onAdded: (beginning: StreamBeginning) => void): void {
     for (const [service, versions] of Object.entries(report)) {
       for (const [version, requestIds] of Object.entries(versions)) {
-        for (const requestId of requestIds) add({ requestId, service, version }, nowMs)
+        for (const requestId of requestIds) {
+          const beginning = { requestId, service, version }
+          if (add(beginning, nowMs)) onAdded(beginning)
+        }
       }
     }
   }
 
   function takeUnreported (maxRows: number): StreamReport {
-    const report: Record<string, Record<string, string[]>> = {}
-    for (const { requestId, service, version } of unreported.slice(0, maxRows)) {
-      const versions = report[service] ??= {}
-      const requestIds = versions[version] ??= []
-      requestIds.push(requestId)
-    }
+    const taken = unreported.slice(0, maxRows)
     unreported = unreported.slice(maxRows)
-    return report
+    return toStreamReport(taken)
+  }
+
+  function record (beginning: StreamBeginning, nowMs: number): void {
+    if (!add(beginning, nowMs)) return
+    unreported = [...unreported, beginning]
+    onBeginning(beginning)
   }
 
   return {
-    record: (beginning, nowMs) => { if (add(beginning, nowMs)) unreported = [...unreported, beginning] },
-    applyReport,
+    record,
+    applyReport: (report, nowMs) => { addAll(report, nowMs, onBeginning) },
+    restore: (report, nowMs) => { addAll(report, nowMs, () => {}) },
     find,
     takeUnreported
   }
--- a/packages/routing/src/token-cap.ts
+++ b/packages/routing/src/token-cap.ts
@@ -15,6 +15,12 @@
 /** Share of the burst that a process starts with, because it has no record of earlier use. */
 const INITIAL_LEVEL_SHARE = 0.5
 
+/** Share of the daemons that must have been reachable once for a daemon to use all that is left of a cap. */
+const MIN_REACHABLE_SHARE = 0.5
+
+/** Share of its capacity below which the level of a bucket is stored, so that a restarted fleet goes on from it. */
+const LOW_LEVEL_SHARE = 0.5
+
 /** Tolerances of the caps. */
 export interface Options {
   /** Tokens above the configured burst that operators tolerate because reports between daemons lag. */
@@ -46,10 +52,28 @@
   readonly refund: (organisation: string, tokens: number, nowMs: number) => void
   /** Deducts tokens that a peer reports as admitted; refunds them if the number is negative. */
   readonly applyReported: (organisation: string, tokens: number, nowMs: number) => void
-  /** Sets the share of all daemons that are reachable, this one included. */
-  readonly setReachableShare: (share: number) => void
+  /** Sets how many of the daemons are reachable, this one included. */
+  readonly setReach: (reach: Reach) => void
   /** Returns the tokens admitted here since the start minus refunds, by organisation. */
   readonly used: () => ReadonlyMap<string, number>
+  /** Returns the levels of the buckets that are less than half full, by organisation. */
+  readonly lowLevels: (nowMs: number) => Readonly<Record<string, number>>
+  /** Lowers the levels to what the fleet had left before all of its daemons were lost. */
+  readonly restore: (stored: StoredLevels, nowMs: number) => void
+}
+
+/** Number of daemons that are reachable, and of all that are known, this one included in both. */
+export interface Reach {
+  readonly live: number
+  readonly members: number
+}
+
+/** What the fleet had left of its caps before all daemons were lost. */
+export interface StoredLevels {
+  /** Tokens, by organisation; those whose bucket was at least half full are missing. */
+  readonly levels: Readonly<Record<string, number>>
+  /** Time since then in which the buckets have refilled, ms. */
+  readonly ageMs: number
 }
 
 interface Bucket {
@@ -58,6 +82,12 @@
   readonly refilledAtMs: number
 }
 
+/** Returns the bucket with the share of its rate that has been added since. */
+function refill ({ cap, level, refilledAtMs }: Bucket, { capacity, share }: { readonly capacity: number, readonly share: number }, nowMs: number): Bucket {
+  const refilledTokens = Math.max(0, nowMs - refilledAtMs) * cap.tokensPerS * share / MS_PER_S
+  return { cap, level: Math.min(capacity, level + refilledTokens), refilledAtMs: nowMs }
+}
+
 /**
  * Creates token caps without organisations.
  *
@@ -73,26 +103,21 @@
   const buckets = new Map<string, Bucket>()
   const usedTokens = new Map<string, number>()
   let reachableShare = 1
+  /** Whether most of the fleet has not been reachable since the start, so that nothing is known of what it uses. */
+  let isStarting = true
 
-  function capacityOf (cap: document.Cap): number {
-    return cap.burst + options.toleratedTokens
-  }
+  const capacityOf = (cap: document.Cap): number => cap.burst + options.toleratedTokens
 
-  function refilled (bucket: Bucket, nowMs: number): Bucket {
-    const refilledTokens = Math.max(0, nowMs - bucket.refilledAtMs) * bucket.cap.tokensPerS * reachableShare / MS_PER_S
-    return { cap: bucket.cap, level: Math.min(capacityOf(bucket.cap), bucket.level + refilledTokens), refilledAtMs: nowMs }
-  }
+  const refilled = (bucket: Bucket, nowMs: number): Bucket => refill(bucket, { capacity: capacityOf(bucket.cap), share: reachableShare }, nowMs)
 
-  function initialBucket (cap: document.Cap, nowMs: number): Bucket {
-    return { cap, level: cap.burst * INITIAL_LEVEL_SHARE + options.toleratedTokens / 2, refilledAtMs: nowMs }
-  }
+  const initialLevel = (cap: document.Cap): number => cap.burst * INITIAL_LEVEL_SHARE + options.toleratedTokens / 2
 
   function adopt (organisations: readonly document.Organisation[], nowMs: number): void {
     const capped = new Map(organisations.flatMap((organisation) => organisation.cap === undefined ? [] : [[organisation.name, organisation.cap] as const]))
     for (const name of [...buckets.keys()]) if (!capped.has(name)) buckets.delete(name)
     for (const [name, cap] of capped) {
       const bucket = buckets.get(name)
-      if (bucket === undefined) buckets.set(name, initialBucket(cap, nowMs))
+      if (bucket === undefined) buckets.set(name, { cap, level: initialLevel(cap), refilledAtMs: nowMs })
       else buckets.set(name, { cap, level: Math.min(refilled(bucket, nowMs).level, capacityOf(cap)), refilledAtMs: nowMs })
     }
   }
@@ -111,9 +136,15 @@
     usedTokens.set(organisation, (usedTokens.get(organisation) ?? 0) + tokens)
   }
 
+  /** Returns the tokens that may be used: after the start, the peers that are not reachable yet use their own shares of the initial level. */
+  function usableLevel (bucket: Bucket, nowMs: number): number {
+    const reserved = isStarting ? initialLevel(bucket.cap) * (1 - reachableShare) : 0
+    return refilled(bucket, nowMs).level - reserved
+  }
+
   function admit (organisation: string, tokens: number, nowMs: number): Admission {
     const bucket = buckets.get(organisation)
-    const levelTokens = bucket === undefined ? Infinity : refilled(bucket, nowMs).level
+    const levelTokens = bucket === undefined ? Infinity : usableLevel(bucket, nowMs)
     if (bucket !== undefined && tokens > levelTokens) {
       const { tokensPerS } = bucket.cap
       return {
@@ -126,13 +157,38 @@
     return { kind: 'admitted' }
   }
 
+  function setReach ({ live, members }: Reach): void {
+    reachableShare = Math.min(1, Math.max(0, live / members))
+    if (reachableShare > MIN_REACHABLE_SHARE) isStarting = false
+  }
+
+  function lowLevels (nowMs: number): Readonly<Record<string, number>> {
+    return Object.fromEntries([...buckets].flatMap(([name, bucket]) => {
+      const { level } = refilled(bucket, nowMs)
+      return level < LOW_LEVEL_SHARE * capacityOf(bucket.cap) ? [[name, Math.round(level)] as const] : []
+    }))
+  }
+
+  function restore ({ levels, ageMs }: StoredLevels, nowMs: number): void {
+    for (const [name, storedLevel] of Object.entries(levels)) {
+      const bucket = buckets.get(name)
+      if (bucket === undefined) continue
+      const { cap } = bucket
+      const refilledLevel = storedLevel + Math.max(0, ageMs) * cap.tokensPerS / MS_PER_S
+      const current = refilled(bucket, nowMs)
+      buckets.set(name, { ...current, level: Math.min(current.level, refilledLevel) })
+    }
+  }
+
   return {
     configure: (next) => { options = next },
     adopt,
     admit,
     refund: (organisation, tokens, nowMs) => { consume(organisation, -tokens, nowMs) },
     applyReported: deduct,
-    setReachableShare: (share) => { reachableShare = Math.min(1, Math.max(0, share)) },
-    used: () => usedTokens
+    setReach,
+    used: () => usedTokens,
+    lowLevels,
+    restore
   }
 }
