Send nothing to targets that say in their answers that they leave

Cause: whether a target leaves came from its entry alone.

Change: the header closes the target for the start that said so, whatever its entry says, until its next start. Peers hear of it in the next report, other cells with the next listing; a peer that carries connections opens none to it. The registry answers whether a target leaves; what targets say of themselves is applied in one place (target-states.ts).

Ruled out: closing relayed connections that are open at the peer (their daemon reads the header itself and shares the peer's cell, so both know within one report).

Through a real gateway: requests.test.ts, a success, a failure, a rejection and a stream.

The planned stop moved to graceful-stop.ts, unchanged.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -48,6 +48,9 @@
 
 const MISDIRECTED_REQUEST = 421
 const OK = 200
+
+/** Value of the header of a target that leaves. */
+const LEAVING = '1'
 const REDIRECTION = 300
 
 /** Maximum size of a response that is held until it is complete, bytes. */
@@ -82,13 +85,14 @@
   return undefined
 }
 
-/** Observes the limit of requests that the target names in its response. */
-interface LimitObserver {
+/** Observes what a target says of itself in a response. */
+interface ResponseObserver {
   readonly sent: () => void
   readonly head: (head: targetClient.ResponseHead) => void
 }
 
-function createLimitObserver ({ context, target }: Options): LimitObserver {
+/** Observes the limit of requests that the target names in its response. */
+function createLimitObserver ({ context, target }: Options): ResponseObserver {
   let known: routing.targetLimits.LimitStatement | undefined
   return {
     sent: () => { known = context.targetLimits.statementOf(target.id) },
@@ -101,6 +105,18 @@
   }
 }
 
+/** Observes whether the target says that it leaves. The start that says so is the one that was known when the request was sent. */
+function createDepartureObserver ({ context, target }: Options): ResponseObserver {
+  let startedMs = 0
+  return {
+    sent: () => { startedMs = context.targets.startOf(target.id) },
+    head: (head) => {
+      if (head.status === MISDIRECTED_REQUEST || rawHeaders.findHeader(head.headers, context.headerNames.leaving) !== LEAVING) return
+      context.targets.depart({ id: target.id, startedMs }, 'response')
+    }
+  }
+}
+
 /** Applies the load of the target, and whether targets of its service are brittle: only a success shows that they are not. */
 function applyLoad ({ context, request, target }: Options, head: targetClient.ResponseHead): void {
   const load = headerNames.parseLoad(rawHeaders.findHeader(head.headers, context.headerNames.load))
@@ -129,7 +145,7 @@
   const { context, request, target, sink } = options
   const chunks: Buffer[] = []
   const splitter = streamEvents.createEventSplitter()
-  const limitObserver = createLimitObserver(options)
+  const observers = [createLimitObserver(options), createDepartureObserver(options)]
   let head: targetClient.ResponseHead | undefined
   let heldBytes = 0
   let finished = false
@@ -152,7 +168,7 @@
       return
     }
     head = response
-    limitObserver.head(response)
+    for (const observer of observers) observer.head(response)
     applyLoad(options, response)
   }
 
@@ -201,7 +217,7 @@
     body: options.body
   }, {
     sent: () => {
-      limitObserver.sent()
+      for (const observer of observers) observer.sent()
       options.onSent()
     },
     head: handleHead,
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -19,6 +19,14 @@
   readonly recordUnreachable: (target: string, via: string | undefined) => void
 }
 
+/** What targets say of themselves in their responses. */
+export interface TargetStates {
+  /** Returns the start that a target has registered, Unix ms; 0 if it has registered none. */
+  readonly startOf: (target: string) => number
+  /** Records that a target leaves. */
+  readonly depart: (departure: routing.targetRegistry.Departure, source: string) => void
+}
+
 /** Shared state and dependencies. */
 export interface Context {
   readonly now: () => number
@@ -34,6 +42,7 @@
   readonly targetLimits: routing.targetLimits.TargetLimits
   readonly streams: Pick<streamDirectory.StreamDirectory, 'record' | 'find'>
   readonly paths: Paths
+  readonly targets: TargetStates
   /** Called when limits of targets have changed. */
   readonly onLimitsChanged: (targets: readonly string[], source: string) => void
   /** Whether this daemon may try a request with a refused trait. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import * as documentInForce from './document-in-force.js'
 import * as eventLog from './event-log.js'
 import * as frontServer from './front-server.js'
+import * as gracefulStop from './graceful-stop.js'
 import type * as peerMessages from './peer-messages.js'
 import * as metricsModule from './metrics.js'
 import * as peerPort from './peer-port.js'
@@ -20,6 +21,7 @@
 import * as streamRecords from './stream-records.js'
 import * as targetClient from './target-client.js'
 import * as targetRoutes from './target-routes.js'
+import * as targetStates from './target-states.js'
 
 /** Settings of a gateway. Times are ms. */
 export interface Options {
@@ -52,14 +54,6 @@
 /** Interval at which targets and the state of the fleet are refreshed, ms. */
 const REFRESH_MS = 100
 
-/** Minimum time from the start of a planned stop to the closing of the listener, for callers with cached addresses, ms. */
-const MIN_STOP_MS = 5_000
-
-/** Margin before the end of the grace period, ms. */
-const GRACE_MARGIN_MS = 500
-
-const STOP_POLL_MS = 50
-
 /** Share of a target's connections that all daemons together may use. */
 const CONNECTION_SHARE = 0.85
 const MIN_CONNECTIONS = 2
@@ -78,8 +72,11 @@
  */
 export class Gateway {
   readonly metrics = metricsModule.createMetrics()
+  private readonly now = (): number => performance.now()
   readonly log: eventLog.EventLog
   private readonly registry = routing.targetRegistry.createTargetRegistry()
+  /** Returns the position of the store up to which the changes of targets are applied. */
+  readonly targetsPosition = this.registry.position
   private readonly suspects = new routing.suspects.Suspects((refused, isRefused) => { this.logSuspect(refused, isRefused) })
   private readonly targetLimits = routing.targetLimits.createTargetLimits((target) => this.registry.startOf(target))
   private readonly incarnation = crypto.randomBytes(INCARNATION_BYTES).toString('hex')
@@ -91,6 +88,7 @@
   private tolerances: Tolerances
   private readonly clients: targetClient.TargetClients
   readonly routes: targetRoutes.TargetRoutes
+  private readonly targetStates: targetStates.TargetStates
   private readonly pools: servicePools.ServicePools
   private readonly context: contextModule.Context
   private readonly timers: NodeJS.Timeout[] = []
@@ -99,7 +97,7 @@
   private reports: peerReports.PeerReports | undefined
   private port: peerPort.PeerPort | undefined
   private front: frontServer.FrontServer | undefined
-  private stoppingMs: number | undefined
+  private readonly gracefulStop: gracefulStop.GracefulStop
   private closed = false
   private lastTickMs = 0
   private isIsolated = false
@@ -107,11 +105,11 @@
   constructor (private readonly options: Options) {
     this.log = eventLog.openEventLog({
       fields: { daemon: options.name },
-      now: () => this.now(),
+      now: this.now,
       output: process.stdout,
       countDropped: (lines) => { this.metrics.count('log_lines_dropped_total', {}, lines) }
     })
-    this.inForce = documentInForce.createDocumentInForce({ now: () => this.now(), log: this.log, metrics: this.metrics })
+    this.inForce = documentInForce.createDocumentInForce({ now: this.now, log: this.log, metrics: this.metrics })
     this.peers = new peerTable.PeerTable(options.peerAddress, Math.random)
     this.tolerances = options.tolerances
     this.caps = routing.tokenCap.createTokenCaps(options.tolerances.tokenCaps)
@@ -121,7 +119,7 @@
       countConnection: () => { this.metrics.count('target_connections_total') }
     })
     this.routes = targetRoutes.createTargetRoutes({
-      now: () => this.now(),
+      now: this.now,
       random: Math.random,
       registry: this.registry,
       peers: this.peers,
@@ -131,7 +129,7 @@
       changed: () => { this.reports?.changed() }
     })
     this.pools = servicePools.createServicePools({
-      now: () => this.now(),
+      now: this.now,
       random: Math.random,
       registry: this.registry,
       limitOf: this.targetLimits.limitOf,
@@ -139,6 +137,24 @@
       onSilent: this.routes.paths.suspect,
       changed: () => { this.reports?.changed() }
     })
+    this.targetStates = targetStates.createTargetStates({
+      registry: this.registry,
+      limits: this.targetLimits,
+      log: this.log,
+      metrics: this.metrics,
+      changed: () => {
+        this.refreshTargets()
+        this.reports?.changed()
+      }
+    })
+    this.gracefulStop = gracefulStop.createGracefulStop({
+      now: this.now,
+      graceMs: () => this.tolerances.graceMs,
+      openRequests: () => this.openRequests(),
+      closeListener: () => { this.front?.close() },
+      onBegin: () => { this.reports?.changed() },
+      log: this.log
+    })
     this.streamRecords = this.createStreamRecords()
     this.context = this.createContext()
   }
@@ -210,7 +226,7 @@
   }
 
   isReady (): boolean {
-    return this.inForce.document() !== undefined && this.stoppingMs === undefined && this.registry.versionedTargets().some((versioned) => versioned.target !== undefined)
+    return this.inForce.document() !== undefined && this.gracefulStop.sinceMs() === undefined && this.registry.versionedTargets().some((versioned) => versioned.target !== undefined)
   }
 
   private isAdvertised (): boolean {
@@ -243,11 +259,6 @@
     return { endpoints: ahead.map(({ from }) => from), position: ahead[0]?.position }
   }
 
-  /** Returns the position of the store up to which the changes of targets are applied. */
-  targetsPosition (): routing.targetRegistry.Position {
-    return this.registry.position()
-  }
-
   /** Applies the state of a peer. */
   applySharedState (state: peerMessages.SharedState, peer: string): void {
     if (state.document !== undefined) this.adopt(state.document, peer)
@@ -268,15 +279,8 @@
 
   /** Stops gracefully within the grace period; settles when the process may exit. */
   async stop (): Promise<void> {
-    if (this.stoppingMs !== undefined) return
-    const stopStartMs = this.now()
-    this.stoppingMs = stopStartMs
-    this.log.change('stop begun', { open: this.openRequests() })
-    this.reports?.changed()
-    while (this.now() < stopStartMs + MIN_STOP_MS) await delay()
-    this.front?.close()
-    while (this.openRequests() > 0 && this.now() < stopStartMs + this.tolerances.graceMs - GRACE_MARGIN_MS) await delay()
-    this.log.change('stopped', { open: this.openRequests(), afterMs: Math.round(this.now() - stopStartMs) })
+    if (this.gracefulStop.sinceMs() !== undefined) return
+    await this.gracefulStop.run()
     await this.close()
   }
 
@@ -297,10 +301,6 @@
     if (target === undefined || target.leaving) this.reports?.changed()
   }
 
-  private now (): number {
-    return performance.now()
-  }
-
   private tick (): void {
     const nowMs = this.now()
     const delayMs = Math.max(0, Math.round(nowMs - this.lastTickMs - TICK_MS))
@@ -362,19 +362,13 @@
     this.reports?.changed()
   }
 
-  private handleLimitChanges (targets: readonly string[], source: string): void {
-    for (const target of targets) this.log.change('target limit changed', { target, requestsPerS: this.targetLimits.limitOf(target), source })
-    this.refreshTargets()
-    this.reports?.changed()
-  }
-
   private createStreamRecords (): streamRecords.StreamRecords {
     return streamRecords.createStreamRecords({
       address: this.options.peerAddress,
       incarnation: this.incarnation,
       isFirstStart: this.options.isFirstStart === true,
       records: this.options.records,
-      now: () => this.now(),
+      now: this.now,
       unixNow: Date.now,
       peers: this.peers,
       caps: this.caps,
@@ -388,7 +382,7 @@
 
   private createContext (): contextModule.Context {
     return {
-      now: () => this.now(),
+      now: this.now,
       random: Math.random,
       headerNames: this.options.headerNames,
       log: this.log,
@@ -401,13 +395,14 @@
       targetLimits: this.targetLimits,
       streams: this.streamRecords.directory,
       paths: this.routes,
-      onLimitsChanged: (targets, source) => { this.handleLimitChanges(targets, source) },
+      targets: this.targetStates,
+      onLimitsChanged: this.targetStates.limitsChanged,
       isArbiterOf: (trait) => this.peers.isArbiterOf(trait, this.now()),
       table: this.inForce.table,
       limits: this.inForce.limits,
       daemons: () => this.daemons(),
-      stopping: () => this.stoppingMs !== undefined,
-      sinceStopMs: () => this.stoppingMs === undefined ? undefined : this.now() - this.stoppingMs,
+      stopping: () => this.gracefulStop.sinceMs() !== undefined,
+      sinceStopMs: this.gracefulStop.sinceMs,
       graceMs: () => this.tolerances.graceMs,
       maxRemainingMs: (route, remainingMs) => {
         const maximum = Math.max(remainingMs, this.maxRemainingMs.get(route) ?? 0)
@@ -421,7 +416,7 @@
     const { peerAddress, frontAddress } = this.options
     return peerReports.createPeerReports({
       sender: { from: peerAddress, incarnation: this.incarnation, frontAddress },
-      now: () => this.now(),
+      now: this.now,
       port,
       peers: this.peers,
       pools: this.pools,
@@ -429,7 +424,7 @@
       suspects: this.suspects,
       targetLimits: this.targetLimits,
       streams: this.streamRecords.streams,
-      onLimitsChanged: (targets, source) => { this.handleLimitChanges(targets, source) },
+      onLimitsChanged: this.targetStates.limitsChanged,
       registry: this.registry,
       paths: this.routes.paths,
       log: this.log,
@@ -437,11 +432,8 @@
       isReady: () => this.isAdvertised(),
       documentVersion: this.inForce.version,
       onDocumentVersion: this.inForce.hear,
-      applyTarget: (versioned, source) => { this.applyTarget(versioned, source) }
+      applyTarget: (versioned, source) => { this.applyTarget(versioned, source) },
+      applyDeparture: this.targetStates.depart
     })
   }
 }
-
-function delay (): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS))
-}
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -29,6 +29,8 @@
   readonly requestLimit: string
   /** Present in the responses of targets that fall over when they have to reject many requests. */
   readonly brittle: string
+  /** Has the value 1 in the responses of a target that leaves. */
+  readonly leaving: string
   /** Prompt tokens and maximum output tokens. */
   readonly tokens: string
   /** The caller's estimate of the output tokens. */
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -15,6 +15,9 @@
 /** A target's limit of requests per second, null for none; `started` is in ms, base 36. */
 export type LimitRow = readonly [target: string, started: string, revision: number, requestsPerS: number | null]
 
+/** A target that has said in a response that it leaves, and its start in ms, base 36. */
+export type DepartureRow = readonly [target: string, started: string]
+
 /** Load and state of a daemon, sent to its peers several times a second. */
 export interface Report {
   /** Endpoint of the sender's peer port, as `host:port`. */
@@ -35,6 +38,8 @@
   /** Whether `usedTokens` has every organisation that has used tokens; otherwise it has those whose totals have changed since the last report. */
   readonly complete: boolean
   readonly leavingTargets: readonly LeavingTarget[]
+  /** Targets that leave though their entries don't show it, new ones in each report and all of them with a listing. */
+  readonly departures: readonly DepartureRow[]
   readonly suspects: routing.suspects.SuspectReport
   /** Streams of the sender that have begun since its last report to the cell. */
   readonly streams: routing.streamVersions.StreamReport
@@ -53,7 +58,7 @@
   readonly targets: readonly routing.targetRegistry.VersionedTarget[]
 }
 
-const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
+const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], departures: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
 
 const STARTED_RADIX = 36
 
@@ -81,6 +86,30 @@
   return started === undefined || sequence === undefined ? undefined : { startedMs: parseInt(started, STARTED_RADIX), sequence }
 }
 
+/**
+ * Returns a departure for a report.
+ *
+ * @example
+ * ```ts
+ * toDepartureRow({ id: 'i-1', startedMs: 1_764_841_234_567 })
+ * ```
+ */
+export function toDepartureRow ({ id, startedMs }: routing.targetRegistry.Departure): DepartureRow {
+  return [id, startedMs.toString(STARTED_RADIX)]
+}
+
+/**
+ * Returns the departure in a row of a report.
+ *
+ * @example
+ * ```ts
+ * departureOf(['i-1', 'mis1g9x3'])
+ * ```
+ */
+export function departureOf ([id, started]: DepartureRow): routing.targetRegistry.Departure {
+  return { id, startedMs: parseInt(started, STARTED_RADIX) }
+}
+
 /**
  * Returns a statement about a limit for a report.
  *
@@ -132,7 +161,7 @@
   const report = { ...EMPTY_FIELDS, ...message } as Partial<Report>
   const isComplete = typeof report.from === 'string' && typeof report.incarnation === 'string' && typeof report.sequence === 'number' &&
     typeof report.pools === 'object' && typeof report.usedTokens === 'object' && Array.isArray(report.members) &&
-    Array.isArray(report.leavingTargets) && typeof report.suspects === 'object' && Array.isArray(report.limits) && Array.isArray(report.lostTargets) && typeof report.streams === 'object' &&
+    Array.isArray(report.leavingTargets) && Array.isArray(report.departures) && typeof report.suspects === 'object' && Array.isArray(report.limits) && Array.isArray(report.lostTargets) && typeof report.streams === 'object' &&
     Array.isArray(report.targetsPosition)
   return isComplete ? report as Report : undefined
 }
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -22,6 +22,7 @@
   /** Called with the version of the document in each report. */
   readonly onDocumentVersion: (version: number) => void
   readonly applyTarget: (versioned: routing.targetRegistry.VersionedTarget, source: string) => void
+  readonly applyDeparture: (departure: routing.targetRegistry.Departure, source: string) => void
 }
 
 /** Reports to and from peers. */
@@ -133,6 +134,7 @@
     applyLimits(report, nowMs)
     streams.applyReport(report.streams, nowMs)
     applyLeavingTargets(report)
+    for (const row of report.departures) options.applyDeparture(peerMessages.departureOf(row), report.from)
     if (report.scope !== 'cell') return
     pools.applyPeerLoads(report.from, report.pools)
     options.paths.applyReport(report.from, report.lostTargets)
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -24,8 +24,8 @@
   readonly isPeer: (host: string) => boolean
   /** Whether an address is that of a registered target. */
   readonly isTarget: (address: string) => boolean
-  /** Whether this daemon's own path to a target is lost; it does not use another relay in turn. */
-  readonly isLost: (address: string) => boolean
+  /** Whether no new connections to a target may be opened: this daemon's own path is lost, or the target leaves. */
+  readonly isClosed: (address: string) => boolean
   readonly countResult: (result: 'carried' | 'refused' | 'unreachable') => void
 }
 
@@ -55,7 +55,7 @@
  *
  * @example
  * ```ts
- * serveRelay(server, { isPeer, isTarget, isLost, countResult })
+ * serveRelay(server, { isPeer, isTarget, isClosed, countResult })
  * ```
  */
 export function serveRelay (server: http.Server, options: Options): void {
@@ -63,7 +63,7 @@
 
   function refusalOf (address: string, host: string): string | undefined {
     if (!options.isPeer(host) || !options.isTarget(address)) return FORBIDDEN
-    if (options.isLost(address)) return BAD_GATEWAY
+    if (options.isClosed(address)) return BAD_GATEWAY
     return relayed >= MAX_RELAYED ? UNAVAILABLE : undefined
   }
 
--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -39,6 +39,9 @@
 /** Number of listings in which evidence about crashes is repeated, in case a report is lost. */
 const EVIDENCE_REPETITIONS = 3
 
+/** Maximum number of departures in a report. */
+const MAX_DEPARTURE_ROWS = 60
+
 /** Maximum number of rows of each kind of evidence in a report, which bounds its size when many targets fail at once. */
 const MAX_EVIDENCE_ROWS = 32
 
@@ -48,6 +51,16 @@
 /** Maximum number of limits in a report. */
 const MAX_LIMIT_ROWS = 16
 
+/** Returns a function that selects the rows which its last call was not given, or all of them. */
+function createNewRows<Row extends readonly unknown[]> (): (rows: readonly Row[], withAll: boolean) => readonly Row[] {
+  let known: ReadonlySet<string> = new Set()
+  return (rows, withAll) => {
+    const selected = withAll ? rows : rows.filter((row) => !known.has(row.join()))
+    known = new Set(rows.map((row) => row.join()))
+    return selected
+  }
+}
+
 /**
  * Creates the writer of one daemon's reports.
  *
@@ -64,14 +77,18 @@
   /** Totals in the reports that were sent to the cell, by organisation. */
   const sentTokens = new Map<string, number>()
   let lastCellReportMs = -Infinity
-  /** Leaving targets in the last report to the cell, at their positions. */
-  let sentLeaving: ReadonlySet<string> = new Set()
+  const newLeavingTargets = createNewRows<peerMessages.LeavingTarget>()
+  const newDepartures = createNewRows<peerMessages.DepartureRow>()
 
   function leavingTargets (): peerMessages.Report['leavingTargets'] {
     return registry.versionedTargets().filter((versioned) => versioned.target?.leaving === true).map(peerMessages.toLeavingTarget)
   }
 
-  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'suspects' | 'limits' | 'streams' | 'lostTargets' | 'members'>): peerMessages.Report {
+  function departures (): peerMessages.Report['departures'] {
+    return registry.departures().slice(0, MAX_DEPARTURE_ROWS).map(peerMessages.toDepartureRow)
+  }
+
+  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'departures' | 'suspects' | 'limits' | 'streams' | 'lostTargets' | 'members'>): peerMessages.Report {
     sequence += 1
     const { era, revision } = registry.position()
     return {
@@ -97,13 +114,6 @@
     return Object.fromEntries(tokens)
   }
 
-  function leavingTargetsForCell (withListing: boolean): peerMessages.Report['leavingTargets'] {
-    const leaving = leavingTargets()
-    const changed = leaving.filter((target) => !sentLeaving.has(target.join()))
-    sentLeaving = new Set(leaving.map((target) => target.join()))
-    return withListing ? leaving : changed
-  }
-
   /** Returns this daemon's evidence since its last report, or, with a listing, also earlier one. */
   function ownEvidence (withListing: boolean, nowMs: number): peerMessages.Report['suspects'] {
     const sinceMs = withListing ? listingsSince(nowMs) : lastCellReportMs
@@ -124,7 +134,8 @@
         pools: pools.loads(),
         usedTokens: withListing ? Object.fromEntries(caps.used()) : changedTokens(),
         complete: withListing,
-        leavingTargets: leavingTargetsForCell(withListing),
+        leavingTargets: newLeavingTargets(leavingTargets(), withListing),
+        departures: newDepartures(departures(), withListing),
         suspects: ownEvidence(withListing, nowMs),
         limits: limits({ sources: ['own'], sinceMs: lastCellReportMs, withOthers: withListing }),
         streams: streams.takeUnreported(MAX_STREAM_ROWS),
@@ -139,6 +150,7 @@
       usedTokens: cellTokens(),
       complete: true,
       leavingTargets: leavingTargets(),
+      departures: departures(),
       suspects: suspects.select({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withAllRefused: true, maxRows: MAX_EVIDENCE_ROWS }, nowMs),
       limits: limits({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withOthers: true }),
       streams: {},
--- a/packages/gateway/src/target-routes.ts
+++ b/packages/gateway/src/target-routes.ts
@@ -104,7 +104,10 @@
       relayServer.serveRelay(server, {
         isPeer: (host) => peers.knowsHost(host),
         isTarget: (address) => targetAt(address) !== undefined,
-        isLost: (address) => paths.isLost(targetAt(address) ?? ''),
+        isClosed: (address) => {
+          const target = targetAt(address) ?? ''
+          return paths.isLost(target) || registry.isLeaving(target)
+        },
         countResult: (result) => { metrics.count('relayed_connections_total', { result }) }
       })
     }
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -20,6 +20,7 @@
   load: 'load',
   requestLimit: 'request-limit',
   brittle: 'brittle',
+  leaving: 'leaving',
   tokens: 'tokens',
   lengthHint: 'length-hint',
   promptParts: 'prompt-parts',
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -91,6 +91,8 @@
       const changed = report.limits.map(gatewayPackage.peerMessages.limitStatementOf).filter((statement) => member.targetLimits.apply(statement, report.scope, nowMs))
       if (changed.length > 0) refreshTargets(member, nowMs)
       member.streams.applyReport(report.streams, nowMs)
+      const departed = report.departures.filter((row) => member.registry.depart(gatewayPackage.peerMessages.departureOf(row)))
+      if (departed.length > 0) refreshTargets(member, nowMs)
       if (report.scope !== 'cell') continue
       member.pools.applyPeerLoads(report.from, report.pools)
       member.paths.applyReport(report.from, report.lostTargets)
--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -31,7 +31,7 @@
   const results: string[] = []
   const target = http.createServer(respond).on('connection', (socket) => { targetSockets.push(socket) })
   const relay = http.createServer()
-  relayServer.serveRelay(relay, { isPeer: () => true, isTarget: () => true, isLost: () => false, countResult: (result) => { results.push(result) }, ...decisions })
+  relayServer.serveRelay(relay, { isPeer: () => true, isTarget: () => true, isClosed: () => false, countResult: (result) => { results.push(result) }, ...decisions })
   const address = await listen(target)
   const via = await listen(relay)
   const clients = targetClient.openTargetClients({ connectionLimit: () => 4, countConnection: () => {} })
@@ -148,7 +148,7 @@
 const REFUSED: readonly (readonly [description: string, decisions: Partial<relayServer.Options>])[] = [
   ['a host that is no peer', { isPeer: () => false }],
   ['an address that is no target', { isTarget: () => false }],
-  ['a target that the peer has lost itself', { isLost: () => true }]
+  ['a target that is closed at the peer', { isClosed: () => true }]
 ]
 
 for (const [description, decisions] of REFUSED) {
--- a/packages/gateway/tests/requests.test.ts
+++ b/packages/gateway/tests/requests.test.ts
@@ -1,3 +1,4 @@
+import type * as http from 'node:http'
 import * as net from 'node:net'
 import * as workerThreads from 'node:worker_threads'
 import * as assert from 'uvu/assert'
@@ -204,6 +205,34 @@
   assert.ok(fixture.arrivals.every((arrival) => arrival.target !== leaving?.id))
 })
 
+const LEAVING_RESPONSES: readonly (readonly [what: string, respond: (arrival: fixtureModule.Arrival, response: http.ServerResponse) => void])[] = [
+  ['a success', (arrival, response) => {
+    response.setHeader('leaving', '1')
+    fixtureModule.respondComplete(arrival, response)
+  }],
+  ['a failure', (_, response) => { response.writeHead(500, { leaving: '1' }).end() }],
+  ['a rejection', (_, response) => { response.writeHead(503, { leaving: '1', 'not-run': '1' }).end() }],
+  ['a stream', (arrival, response) => {
+    response.setHeader('leaving', '1')
+    fixtureModule.beginStream(arrival, response)
+    response.end('id: 1\ndata: a\n\n')
+  }]
+]
+
+for (const [what, respond] of LEAVING_RESPONSES) {
+  suite(`a target whose entry stays ready gets no new requests once it says in ${what} that it leaves`, async () => {
+    let leaving: string | undefined
+    fixture.script((arrival, response) => {
+      leaving ??= arrival.target
+      if (arrival.target === leaving) respond(arrival, response)
+      else fixtureModule.respondComplete(arrival, response)
+    })
+    await fixture.call('/write/7', { method: 'POST' })
+    for (let call = 0; call < 12; call += 1) assert.is((await fixture.call('/write/7', { method: 'POST' })).status, 200)
+    assert.is(fixture.arrivals.filter(({ target }) => target === leaving).length, 1)
+  })
+}
+
 suite('a caller that still sends its body when a stopping daemon refuses the request gets the response and no reset', async () => {
   const stopped = fixture.gateway.stop()
   // A stopping daemon accepts every request for 2.7 s.
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -220,6 +220,10 @@
         choose: (target) => paths.choose(target, () => peers.reachablePeers(nowMs).map(({ report }) => report.from), nowMs),
         recordUnreachable: (target, via) => { paths.recordUnreachable(target, via, nowMs) }
       },
+      targets: {
+        startOf: memberOf(daemon).registry.startOf,
+        depart: (departure) => { if (memberOf(daemon).registry.depart(departure)) refresh(daemon) }
+      },
       onLimitsChanged: () => { refresh(daemon) },
       isArbiterOf: (trait) => peers.isArbiterOf(trait, nowMs),
       table: () => table,
--- a/packages/routing/src/target-registry.ts
+++ b/packages/routing/src/target-registry.ts
@@ -44,6 +44,13 @@
   readonly target: Target | undefined
 }
 
+/** Says that a target leaves, in one of its responses rather than in its entry. */
+export interface Departure {
+  readonly id: string
+  /** Start of the target that leaves, Unix ms; 0 if its entry states none. */
+  readonly startedMs: number
+}
+
 /** A listing of all targets. */
 export interface TargetListing extends Position {
   readonly targets: readonly VersionedTarget[]
@@ -57,6 +64,9 @@
 /** Time for which a target is used as a last resort after its entry was removed, ms. */
 const LAST_RESORT_TARGET_MS = 1_200
 
+/** Maximum number of recorded departures, which bounds the memory. */
+const MAX_DEPARTURES = 2_000
+
 /** The targets of all services. */
 export interface TargetRegistry {
   /** Applies a state from a peer unless it is outdated; returns whether it was applied. */
@@ -68,6 +78,12 @@
   /** Returns the targets that may receive new requests. */
   readonly usable: (service: string, nowMs: number) => readonly Target[]
   readonly versionedTargets: () => readonly VersionedTarget[]
+  /** Records that a target leaves, whatever its entry says until its next start; returns whether this was not known. */
+  readonly depart: (departure: Departure) => boolean
+  /** Returns whether the current start of a target is known to leave, by its responses or its entry. */
+  readonly isLeaving: (id: string) => boolean
+  /** Returns the departures of targets whose entries don't show them. */
+  readonly departures: () => readonly Departure[]
   /** Returns the start that a target has reported, Unix ms; 0 if it has reported none. */
   readonly startOf: (id: string) => number
   /** Returns the position of the store up to which all changes are applied. */
@@ -126,6 +142,8 @@
  */
 export function createTargetRegistry (): TargetRegistry {
   const entries = new Map<string, RegistryEntry>()
+  /** Starts of the targets whose responses have said that they leave, by id. */
+  const departed = new Map<string, number>()
   let applied = INITIAL_POSITION
 
   function advanceTo ({ era, revision }: Position): void {
@@ -157,17 +175,45 @@
     }
   }
 
+  const startOf = (id: string): number => entries.get(id)?.versioned.report?.startedMs ?? 0
+
+  const hasDeparted = (id: string): boolean => (departed.get(id) ?? -Infinity) >= startOf(id)
+
+  function depart ({ id, startedMs }: Departure): boolean {
+    if (startedMs <= (departed.get(id) ?? -Infinity)) return false
+    departed.delete(id)
+    departed.set(id, startedMs)
+    const oldest = departed.keys().next().value
+    if (departed.size > MAX_DEPARTURES && oldest !== undefined) departed.delete(oldest)
+    return hasDeparted(id)
+  }
+
+  function departures (): readonly Departure[] {
+    return [...departed].flatMap(([id, startedMs]) => hasDeparted(id) && entries.get(id)?.versioned.target?.leaving === false ? [{ id, startedMs }] : [])
+  }
+
   function usable (service: string, nowMs: number): readonly Target[] {
     const ready: Target[] = []
     const lastResort: Target[] = []
     for (const { versioned, lastTarget, removedAtMs } of entries.values()) {
+      if (hasDeparted(versioned.id)) continue
       if (versioned.target?.service === service && !versioned.target.leaving) ready.push(versioned.target)
       else if (versioned.target === undefined && lastTarget?.service === service && nowMs - removedAtMs < LAST_RESORT_TARGET_MS) lastResort.push(lastTarget)
     }
     return ready.length > 0 ? ready : lastResort
   }
 
-  const startOf = (id: string): number => entries.get(id)?.versioned.report?.startedMs ?? 0
-
-  return { apply, applyChange, applyListing, usable, advanceTo, startOf, position: () => applied, versionedTargets: () => [...entries.values()].map((entry) => entry.versioned) }
+  return {
+    apply,
+    applyChange,
+    applyListing,
+    usable,
+    depart,
+    departures,
+    isLeaving: (id) => hasDeparted(id) || entries.get(id)?.versioned.target?.leaving === true,
+    advanceTo,
+    startOf,
+    position: () => applied,
+    versionedTargets: () => [...entries.values()].map((entry) => entry.versioned)
+  }
 }
