Go on from what was left of each cap after the loss of all daemons

Cause: only levels below half of a burst were stored, so any other organisation began with half, while the callers of all daemons came back at once.

--- a/packages/gateway/src/lasting-writer.ts
+++ b/packages/gateway/src/lasting-writer.ts
@@ -1,6 +1,6 @@
 /**
  * Stores what the fleet must still know after it has lost all of its daemons at once: which software versions served,
- * which streams began while there were several, and which caps were nearly used up. One daemon of each cell writes.
+ * which streams began while there were several, and what is left of the caps. One daemon of each cell writes.
  *
  * @module
  */
@@ -40,6 +40,9 @@
 /** Minimum interval of the records of streams, ms; a stream that began later is lost with the fleet. */
 const STREAMS_INTERVAL_MS = 150
 
+/** Interval of the records of caps while nothing uses them, ms. */
+const UNCHANGED_LEVELS_INTERVAL_MS = 20_000
+
 /** Interval at which the history is written again if it has changed meanwhile, ms. */
 const HISTORY_INTERVAL_MS = 1_000
 
@@ -56,6 +59,29 @@
   readonly atMs: number
 }
 
+/** Beginnings of streams that may have to be stored, numbered in the order in which they were noted. */
+interface RecentBeginnings {
+  readonly add: (beginning: routing.streamVersions.StreamBeginning, nowMs: number) => void
+  readonly from: (sequence: number) => readonly NotedBeginning[]
+  readonly forget: (nowMs: number) => void
+}
+
+function createRecentBeginnings (): RecentBeginnings {
+  let noted: readonly NotedBeginning[] = []
+  let nextSequence = 0
+  return {
+    add: (beginning, nowMs) => {
+      noted = [...noted, { sequence: nextSequence, beginning, atMs: nowMs }]
+      nextSequence += 1
+    },
+    from: (first) => noted.filter(({ sequence }) => sequence >= first),
+    forget: (nowMs) => {
+      if (noted[0] === undefined || (nowMs - noted[0].atMs < NOTED_MS && noted.length <= MAX_NOTED)) return
+      noted = noted.slice(-MAX_NOTED).filter(({ atMs }) => nowMs - atMs < NOTED_MS)
+    }
+  }
+}
+
 /**
  * Creates the writer of a daemon that has written nothing yet.
  *
@@ -67,8 +93,7 @@
  */
 export function createLastingWriter (options: Options): LastingWriter {
   const { records, incarnation, now, unixNow, history, caps, log, metrics } = options
-  let noted: readonly NotedBeginning[] = []
-  let nextSequence = 0
+  const recent = createRecentBeginnings()
   /** Sequence number of the next beginning to write, and the record that takes it. */
   let nextWritten = 0
   let openRecord: readonly routing.streamVersions.StreamBeginning[] = []
@@ -79,6 +104,8 @@
   let lastLevelsMs = -Infinity
   let lastHistoryMs = -Infinity
   let storedHistory = ''
+  let storedLevels = '{}'
+  let storedLevelsMs = -Infinity
 
   /** Returns the function to call at the end of a write, which in turn calls `onWritten` if it has succeeded. */
   function beginWrite (kind: string, onWritten: () => void): recordStore.Done<void> {
@@ -92,9 +119,10 @@
   }
 
   function writeHistory (nowMs: number): boolean {
-    const own = JSON.stringify(history.merge(undefined, unixNow()).services)
-    if (own === storedHistory || nowMs - lastHistoryMs < HISTORY_INTERVAL_MS || !options.writesForFleet()) return false
+    if (nowMs - lastHistoryMs < HISTORY_INTERVAL_MS || !options.writesForFleet()) return false
     lastHistoryMs = nowMs
+    const own = JSON.stringify(history.merge(undefined, unixNow()).services)
+    if (own === storedHistory) return false
     const next = (current: string | undefined): string => JSON.stringify(history.merge(lastingRecords.parseHistoryRecord(current), unixNow()))
     records.replace(lastingRecords.HISTORY_RECORD, next, beginWrite('history', () => { storedHistory = own }))
     return true
@@ -102,7 +130,7 @@
 
   function writeStreams (nowMs: number): boolean {
     if (nowMs - lastStreamsMs < STREAMS_INTERVAL_MS) return false
-    const unwritten = noted.filter(({ sequence }) => sequence >= nextWritten)
+    const unwritten = recent.from(nextWritten)
     if (unwritten.length === 0 || !options.writesForCell()) return false
     lastStreamsMs = nowMs
     if (openRecord.length >= MAX_STREAMS_PER_RECORD) {
@@ -122,25 +150,19 @@
   function writeLevels (nowMs: number): void {
     if (nowMs - lastLevelsMs < lastingRecords.LEVELS_INTERVAL_MS || !options.writesForCell()) return
     lastLevelsMs = nowMs
-    const levels = caps.lowLevels(nowMs)
-    if (Object.keys(levels).length === 0) return
+    const levels = caps.levels(nowMs)
+    const serialized = JSON.stringify(levels)
+    if (serialized === storedLevels && nowMs - storedLevelsMs < UNCHANGED_LEVELS_INTERVAL_MS) return
     const record: lastingRecords.CellRecord = { storedMs: unixNow(), levels }
-    records.keep(lastingRecords.levelsRecord(incarnation), JSON.stringify(record), beginWrite('levels', () => {}))
-  }
-
-  function forgetNoted (nowMs: number): void {
-    if (noted[0] === undefined || (nowMs - noted[0].atMs < NOTED_MS && noted.length <= MAX_NOTED)) return
-    noted = noted.slice(-MAX_NOTED).filter(({ atMs }) => nowMs - atMs < NOTED_MS)
-  }
-
-  function note (beginning: routing.streamVersions.StreamBeginning): void {
-    noted = [...noted, { sequence: nextSequence, beginning, atMs: now() }]
-    nextSequence += 1
+    records.keep(lastingRecords.levelsRecord(incarnation), JSON.stringify(record), beginWrite('levels', () => {
+      storedLevels = serialized
+      storedLevelsMs = nowMs
+    }))
   }
 
   function tick (): void {
     const nowMs = now()
-    forgetNoted(nowMs)
+    recent.forget(nowMs)
     const hasSeveral = history.hasSeveral(unixNow())
     // Streams that began before the second version are not stored yet.
     if (hasSeveral && !hadSeveral) nextWritten = 0
@@ -150,5 +172,5 @@
     writeLevels(nowMs)
   }
 
-  return { note, tick }
+  return { note: (beginning) => { recent.add(beginning, now()) }, tick }
 }
--- a/packages/routing/src/token-cap.ts
+++ b/packages/routing/src/token-cap.ts
@@ -18,9 +18,6 @@
 /** Share of the daemons that must have been reachable once for a daemon to use all that is left of a cap. */
 const MIN_REACHABLE_SHARE = 0.5
 
-/** Share of its capacity below which the level of a bucket is stored, so that a restarted fleet goes on from it. */
-const LOW_LEVEL_SHARE = 0.5
-
 /** Tolerances of the caps. */
 export interface Options {
   /** Tokens above the configured burst that operators tolerate because reports between daemons lag. */
@@ -56,9 +53,9 @@
   readonly setReach: (reach: Reach) => void
   /** Returns the tokens admitted here since the start minus refunds, by organisation. */
   readonly used: () => ReadonlyMap<string, number>
-  /** Returns the levels of the buckets that are less than half full, by organisation. */
-  readonly lowLevels: (nowMs: number) => Readonly<Record<string, number>>
-  /** Lowers the levels to what the fleet had left before all of its daemons were lost. */
+  /** Returns the levels of the buckets, by organisation. */
+  readonly levels: (nowMs: number) => Readonly<Record<string, number>>
+  /** Applies what the fleet had left before this process started. */
   readonly restore: (stored: StoredLevels, nowMs: number) => void
 }
 
@@ -68,24 +65,37 @@
   readonly members: number
 }
 
-/** What the fleet had left of its caps before all daemons were lost. */
+/** What the fleet had left of its caps, as one daemon has stored it. */
 export interface StoredLevels {
-  /** Tokens, by organisation; those whose bucket was at least half full are missing. */
+  /** Tokens, by organisation. */
   readonly levels: Readonly<Record<string, number>>
   /** Time since then in which the buckets have refilled, ms. */
   readonly ageMs: number
 }
 
+interface StoredLevel {
+  readonly level: number
+  readonly storedAtMs: number
+}
+
 interface Bucket {
   readonly cap: document.Cap
   readonly level: number
+  /** Level at the start of the process. */
+  readonly startLevel: number
   readonly refilledAtMs: number
 }
 
 /** Returns the bucket with the share of its rate that has been added since. */
-function refill ({ cap, level, refilledAtMs }: Bucket, { capacity, share }: { readonly capacity: number, readonly share: number }, nowMs: number): Bucket {
+function refill (bucket: Bucket, { capacity, share }: { readonly capacity: number, readonly share: number }, nowMs: number): Bucket {
+  const { cap, level, refilledAtMs } = bucket
   const refilledTokens = Math.max(0, nowMs - refilledAtMs) * cap.tokensPerS * share / MS_PER_S
-  return { cap, level: Math.min(capacity, level + refilledTokens), refilledAtMs: nowMs }
+  return { ...bucket, level: Math.min(capacity, level + refilledTokens), refilledAtMs: nowMs }
+}
+
+/** Returns the lowest level among those stored, with what has been added since; undefined if none is stored. */
+function levelOf (stored: readonly StoredLevel[], { tokensPerS }: document.Cap, nowMs: number): number | undefined {
+  return stored.length === 0 ? undefined : Math.min(...stored.map(({ level, storedAtMs }) => level + Math.max(0, nowMs - storedAtMs) * tokensPerS / MS_PER_S))
 }
 
 /**
@@ -102,6 +112,8 @@
   let options = initial
   const buckets = new Map<string, Bucket>()
   const usedTokens = new Map<string, number>()
+  /** What the fleet had left before this process started, by organisation. */
+  const stored = new Map<string, readonly StoredLevel[]>()
   let reachableShare = 1
   /** Whether most of the fleet has not been reachable since the start, so that nothing is known of what it uses. */
   let isStarting = true
@@ -110,15 +122,18 @@
 
   const refilled = (bucket: Bucket, nowMs: number): Bucket => refill(bucket, { capacity: capacityOf(bucket.cap), share: reachableShare }, nowMs)
 
-  const initialLevel = (cap: document.Cap): number => cap.burst * INITIAL_LEVEL_SHARE + options.toleratedTokens / 2
+  function startLevel (name: string, cap: document.Cap, nowMs: number): number {
+    const level = levelOf(stored.get(name) ?? [], cap, nowMs) ?? cap.burst * INITIAL_LEVEL_SHARE + options.toleratedTokens / 2
+    return Math.min(capacityOf(cap), level)
+  }
 
   function adopt (organisations: readonly document.Organisation[], nowMs: number): void {
     const capped = new Map(organisations.flatMap((organisation) => organisation.cap === undefined ? [] : [[organisation.name, organisation.cap] as const]))
     for (const name of [...buckets.keys()]) if (!capped.has(name)) buckets.delete(name)
     for (const [name, cap] of capped) {
       const bucket = buckets.get(name)
-      if (bucket === undefined) buckets.set(name, { cap, level: initialLevel(cap), refilledAtMs: nowMs })
-      else buckets.set(name, { cap, level: Math.min(refilled(bucket, nowMs).level, capacityOf(cap)), refilledAtMs: nowMs })
+      const level = bucket === undefined ? startLevel(name, cap, nowMs) : Math.min(refilled(bucket, nowMs).level, capacityOf(cap))
+      buckets.set(name, { cap, level, startLevel: bucket?.startLevel ?? level, refilledAtMs: nowMs })
     }
   }
 
@@ -136,9 +151,9 @@
     usedTokens.set(organisation, (usedTokens.get(organisation) ?? 0) + tokens)
   }
 
-  /** Returns the tokens that may be used: after the start, the peers that are not reachable yet use their own shares of the initial level. */
+  /** Returns the tokens that may be used: after the start, the peers that are not reachable yet use their own shares of what there was. */
   function usableLevel (bucket: Bucket, nowMs: number): number {
-    const reserved = isStarting ? initialLevel(bucket.cap) * (1 - reachableShare) : 0
+    const reserved = isStarting ? Math.max(0, bucket.startLevel) * (1 - reachableShare) : 0
     return refilled(bucket, nowMs).level - reserved
   }
 
@@ -162,21 +177,18 @@
     if (reachableShare > MIN_REACHABLE_SHARE) isStarting = false
   }
 
-  function lowLevels (nowMs: number): Readonly<Record<string, number>> {
-    return Object.fromEntries([...buckets].flatMap(([name, bucket]) => {
-      const { level } = refilled(bucket, nowMs)
-      return level < LOW_LEVEL_SHARE * capacityOf(bucket.cap) ? [[name, Math.round(level)] as const] : []
-    }))
+  function levels (nowMs: number): Readonly<Record<string, number>> {
+    return Object.fromEntries([...buckets].map(([name, bucket]) => [name, Math.round(refilled(bucket, nowMs).level)]))
   }
 
-  function restore ({ levels, ageMs }: StoredLevels, nowMs: number): void {
-    for (const [name, storedLevel] of Object.entries(levels)) {
+  function restore ({ levels: storedLevels, ageMs }: StoredLevels, nowMs: number): void {
+    for (const [name, level] of Object.entries(storedLevels)) {
+      stored.set(name, [...stored.get(name) ?? [], { level, storedAtMs: nowMs - Math.max(0, ageMs) }])
       const bucket = buckets.get(name)
       if (bucket === undefined) continue
-      const { cap } = bucket
-      const refilledLevel = storedLevel + Math.max(0, ageMs) * cap.tokensPerS / MS_PER_S
       const current = refilled(bucket, nowMs)
-      buckets.set(name, { ...current, level: Math.min(current.level, refilledLevel) })
+      const restoredLevel = startLevel(name, bucket.cap, nowMs)
+      buckets.set(name, { ...current, level: current.level + restoredLevel - current.startLevel, startLevel: restoredLevel })
     }
   }
 
@@ -188,7 +200,7 @@
     applyReported: deduct,
     setReach,
     used: () => usedTokens,
-    lowLevels,
+    levels,
     restore
   }
 }
