Send nothing to targets that ask for a pause until it ends

Cause: Retry-After of a target was not read; a rejection counted as full slots for 150 ms.

Change: the pause closes the target for this daemon at once, for retries too. The return is spread by up to a fifth of the pause, and then the requests in flight double every 250 ms. If all targets pause, callers are told when the first comes back, and wait only if they can be served in time. A pause belongs to the VM that was told: if a peer carried the connection, the pause is reported and closes the target there, and at daemons whose connections are carried. It is not spread further, as one VM's share was meant. A value that is no number of seconds is logged and ignored; two minutes are the most.

Every reason not to use a target is now listed in obstacle.ts; refusals log how many targets have which.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -47,6 +47,7 @@
 }
 
 const MISDIRECTED_REQUEST = 421
+const SERVICE_UNAVAILABLE = 503
 const OK = 200
 
 /** Value of the header of a target that leaves. */
@@ -117,6 +118,15 @@
   }
 }
 
+/** Observes the pause that the target asks for. */
+function observePause ({ context, target, via }: Options, head: targetClient.ResponseHead): void {
+  const retryAfter = rawHeaders.findHeader(head.headers, 'retry-after')
+  if (head.status !== SERVICE_UNAVAILABLE || retryAfter === undefined) return
+  const durationMs = headerNames.parseRetryAfterMs(retryAfter)
+  if (durationMs === undefined) context.targets.ignorePause(target.id, retryAfter)
+  else context.targets.pause(target.id, durationMs, via)
+}
+
 /** Applies the load of the target, and whether targets of its service are brittle: only a success shows that they are not. */
 function applyLoad ({ context, request, target }: Options, head: targetClient.ResponseHead): void {
   const load = headerNames.parseLoad(rawHeaders.findHeader(head.headers, context.headerNames.load))
@@ -169,6 +179,7 @@
     }
     head = response
     for (const observer of observers) observer.head(response)
+    observePause(options, response)
     applyLoad(options, response)
   }
 
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -25,6 +25,12 @@
   readonly startOf: (target: string) => number
   /** Records that a target leaves. */
   readonly depart: (departure: routing.targetRegistry.Departure, source: string) => void
+  /** Records that a target wants no requests for a time, which it told this daemon or the peer that carried the connection. */
+  readonly pause: (target: string, durationMs: number, via: string | undefined) => void
+  /** Whether requests may be sent to a target, which may have changed since it was chosen. */
+  readonly isOpen: (target: string) => boolean
+  /** Records that a target asked for a pause that is no time. */
+  readonly ignorePause: (target: string, retryAfter: string) => void
 }
 
 /** Shared state and dependencies. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
  */
 import * as crypto from 'node:crypto'
 import * as routing from '@persimmonhatch/routing'
+import * as connectionLimit from './connection-limit.js'
 import type * as contextModule from './context.js'
 import type * as headerNames from './header-names.js'
 import * as documentInForce from './document-in-force.js'
@@ -54,10 +55,6 @@
 /** Interval at which targets and the state of the fleet are refreshed, ms. */
 const REFRESH_MS = 100
 
-/** Share of a target's connections that all daemons together may use. */
-const CONNECTION_SHARE = 0.85
-const MIN_CONNECTIONS = 2
-
 const INCARNATION_BYTES = 6
 
 /**
@@ -78,6 +75,7 @@
   /** Returns the position of the store up to which the changes of targets are applied. */
   readonly targetsPosition = this.registry.position
   private readonly suspects = new routing.suspects.Suspects((refused, isRefused) => { this.logSuspect(refused, isRefused) })
+  private readonly targetPauses = routing.targetPauses.createTargetPauses(Math.random)
   private readonly targetLimits = routing.targetLimits.createTargetLimits((target) => this.registry.startOf(target))
   private readonly incarnation = crypto.randomBytes(INCARNATION_BYTES).toString('hex')
   private readonly inForce: documentInForce.DocumentInForce
@@ -115,13 +113,14 @@
     this.caps = routing.tokenCap.createTokenCaps(options.tolerances.tokenCaps)
     this.budget = routing.retryBudget.createRetryBudget(options.tolerances.retryBudget)
     this.clients = targetClient.openTargetClients({
-      connectionLimit: (address) => this.connectionLimit(address),
+      connectionLimit: (address) => connectionLimit.connectionLimit(address, { targets: this.registry.versionedTargets(), services: this.inForce.document()?.services ?? [], daemons: this.daemons() }),
       countConnection: () => { this.metrics.count('target_connections_total') }
     })
     this.routes = targetRoutes.createTargetRoutes({
       now: this.now,
       random: Math.random,
       registry: this.registry,
+      pauses: this.targetPauses,
       peers: this.peers,
       clients: this.clients,
       log: this.log,
@@ -133,6 +132,7 @@
       random: Math.random,
       registry: this.registry,
       limitOf: this.targetLimits.limitOf,
+      pauses: this.targetPauses,
       onBrittle: (service, isBrittle) => { this.log.change(isBrittle ? 'targets brittle' : 'targets no longer brittle', { service }) },
       onSilent: this.routes.paths.suspect,
       changed: () => { this.reports?.changed() }
@@ -140,6 +140,10 @@
     this.targetStates = targetStates.createTargetStates({
       registry: this.registry,
       limits: this.targetLimits,
+      pauses: this.targetPauses,
+      address: options.peerAddress,
+      now: this.now,
+      isLost: this.routes.paths.isLost,
       log: this.log,
       metrics: this.metrics,
       changed: () => {
@@ -324,12 +328,6 @@
     this.pools.refreshTargets(this.peers.place(nowMs), nowMs)
   }
 
-  private connectionLimit (address: string): number {
-    const target = this.registry.versionedTargets().find((versioned) => versioned.target?.address === address)?.target
-    const service = this.inForce.document()?.services.find((service) => service.name === target?.service)
-    return Math.max(MIN_CONNECTIONS, Math.floor((service?.connections ?? 0) * CONNECTION_SHARE / this.daemons()))
-  }
-
   private refresh (): void {
     const nowMs = this.now()
     const live = this.peers.liveCount(nowMs)
@@ -423,8 +421,9 @@
       caps: this.caps,
       suspects: this.suspects,
       targetLimits: this.targetLimits,
+      targetPauses: this.targetPauses,
       streams: this.streamRecords.streams,
-      onLimitsChanged: this.targetStates.limitsChanged,
+      targetStates: this.targetStates,
       registry: this.registry,
       paths: this.routes.paths,
       log: this.log,
@@ -432,8 +431,7 @@
       isReady: () => this.isAdvertised(),
       documentVersion: this.inForce.version,
       onDocumentVersion: this.inForce.hear,
-      applyTarget: (versioned, source) => { this.applyTarget(versioned, source) },
-      applyDeparture: this.targetStates.depart
+      applyTarget: (versioned, source) => { this.applyTarget(versioned, source) }
     })
   }
 }
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -41,6 +41,8 @@
   readonly reserved: ReadonlySet<string>
 }
 
+const MS_PER_S = 1_000
+
 /** Prompt and output tokens of a request. */
 export interface TokenUse {
   readonly prompt: number
@@ -93,6 +95,18 @@
   return match === null ? undefined : { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]) }
 }
 
+/**
+ * Parses the time in Retry-After, ms; returns undefined if it is not a number of seconds.
+ *
+ * @example
+ * ```ts
+ * parseRetryAfterMs('4.5') // 4500
+ * ```
+ */
+export function parseRetryAfterMs (text: string): number | undefined {
+  return /^\d{1,15}(\.\d{1,9})?$/.test(text) ? Number(text) * MS_PER_S : undefined
+}
+
 /**
  * Parses a target's limit of requests per second; returns undefined if it is missing or malformed.
  *
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -18,6 +18,9 @@
 /** A target that has said in a response that it leaves, and its start in ms, base 36. */
 export type DepartureRow = readonly [target: string, started: string]
 
+/** A pause that a target asks for, what is left of it, and the endpoint of the daemon that was told. */
+export type PauseRow = readonly [target: string, remainingMs: number, told: string]
+
 /** Load and state of a daemon, sent to its peers several times a second. */
 export interface Report {
   /** Endpoint of the sender's peer port, as `host:port`. */
@@ -40,6 +43,8 @@
   readonly leavingTargets: readonly LeavingTarget[]
   /** Targets that leave though their entries don't show it, new ones in each report and all of them with a listing. */
   readonly departures: readonly DepartureRow[]
+  /** Pauses that concern VMs which carry connections or have theirs carried. */
+  readonly pauses: readonly PauseRow[]
   readonly suspects: routing.suspects.SuspectReport
   /** Streams of the sender that have begun since its last report to the cell. */
   readonly streams: routing.streamVersions.StreamReport
@@ -58,7 +63,10 @@
   readonly targets: readonly routing.targetRegistry.VersionedTarget[]
 }
 
-const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], departures: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
+const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], departures: [], pauses: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
+
+const LIST_FIELDS = ['members', 'leavingTargets', 'departures', 'pauses', 'limits', 'lostTargets'] as const
+const OBJECT_FIELDS = ['pools', 'usedTokens', 'suspects', 'streams'] as const
 
 const STARTED_RADIX = 36
 
@@ -158,11 +166,10 @@
  */
 export function parseReport (message: unknown): Report | undefined {
   if (typeof message !== 'object' || message === null) return undefined
-  const report = { ...EMPTY_FIELDS, ...message } as Partial<Report>
+  const report: Partial<Report> = { ...EMPTY_FIELDS, ...message }
   const isComplete = typeof report.from === 'string' && typeof report.incarnation === 'string' && typeof report.sequence === 'number' &&
-    typeof report.pools === 'object' && typeof report.usedTokens === 'object' && Array.isArray(report.members) &&
-    Array.isArray(report.leavingTargets) && Array.isArray(report.departures) && typeof report.suspects === 'object' && Array.isArray(report.limits) && Array.isArray(report.lostTargets) && typeof report.streams === 'object' &&
-    Array.isArray(report.targetsPosition)
+    Array.isArray(report.targetsPosition) && LIST_FIELDS.every((field) => Array.isArray(report[field])) &&
+    OBJECT_FIELDS.every((field) => typeof report[field] === 'object' && report[field] !== null)
   return isComplete ? report as Report : undefined
 }
 
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -10,6 +10,8 @@
 import type * as peerPort from './peer-port.js'
 import * as reportWriter from './report-writer.js'
 import * as reportedTokens from './reported-tokens.js'
+import * as targetRows from './target-rows.js'
+import type * as targetStates from './target-states.js'
 
 /** Sources and destinations of reports. */
 export interface Options extends reportWriter.Options {
@@ -17,12 +19,10 @@
   readonly port: peerPort.PeerPort
   readonly log: eventLog.EventLog
   readonly metrics: metricsModule.Metrics
-  /** Called when limits of targets have changed. */
-  readonly onLimitsChanged: (targets: readonly string[], source: string) => void
+  readonly targetStates: Pick<targetStates.TargetStates, 'depart' | 'applyPause' | 'limitsChanged'>
   /** Called with the version of the document in each report. */
   readonly onDocumentVersion: (version: number) => void
   readonly applyTarget: (versioned: routing.targetRegistry.VersionedTarget, source: string) => void
-  readonly applyDeparture: (departure: routing.targetRegistry.Departure, source: string) => void
 }
 
 /** Reports to and from peers. */
@@ -62,7 +62,7 @@
  * ```
  */
 export function createPeerReports (options: Options): PeerReports {
-  const { caps, now, peers, pools, registry, streams, suspects, targetLimits } = options
+  const { caps, now, peers, pools, streams, suspects, targetLimits } = options
   let closed = false
   /** Whether changes are being collected, so that a report will be sent soon. */
   let collecting = true
@@ -108,19 +108,9 @@
     timer = setTimeout(send, intervals().collectMs)
   }
 
-  function applyLeavingTargets (report: peerMessages.Report): void {
-    if (report.leavingTargets.length === 0) return
-    const versionedTargets = new Map(registry.versionedTargets().map((versioned) => [versioned.id, versioned]))
-    for (const leavingTarget of report.leavingTargets) {
-      const [id, era, revision] = leavingTarget
-      const target = versionedTargets.get(id)?.target
-      if (target !== undefined) options.applyTarget({ id, era, revision, report: peerMessages.selfReportOf(leavingTarget), target: { ...target, leaving: true } }, report.from)
-    }
-  }
-
   function applyLimits (report: peerMessages.Report, nowMs: number): void {
     const changed = report.limits.map(peerMessages.limitStatementOf).filter((statement) => targetLimits.apply(statement, report.scope, nowMs))
-    if (changed.length > 0) options.onLimitsChanged(changed.map(({ target }) => target), report.from)
+    if (changed.length > 0) options.targetStates.limitsChanged(changed.map(({ target }) => target), report.from)
   }
 
   function handle (report: peerMessages.Report): void {
@@ -133,8 +123,7 @@
     suspects.applyReport(report.suspects, report.scope, nowMs)
     applyLimits(report, nowMs)
     streams.applyReport(report.streams, nowMs)
-    applyLeavingTargets(report)
-    for (const row of report.departures) options.applyDeparture(peerMessages.departureOf(row), report.from)
+    targetRows.applyTargetRows(report, options)
     if (report.scope !== 'cell') return
     pools.applyPeerLoads(report.from, report.pools)
     options.paths.applyReport(report.from, report.lostTargets)
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -7,7 +7,7 @@
 /** Why the gateway responds instead of a target. */
 export type Reason =
   | 'no-document' | 'unknown-route' | 'unknown-key' | 'headers-too-large' | 'body-too-large'
-  | 'over-cap' | 'overloaded' | 'no-target' | 'version-gone' | 'unknown-stream' | 'suspect' | 'stopping'
+  | 'over-cap' | 'overloaded' | 'paused' | 'no-target' | 'version-gone' | 'unknown-stream' | 'suspect' | 'stopping'
   | 'rejected' | 'unreachable' | 'broken' | 'timed-out-unsent' | 'timed-out'
 
 interface RefusalTemplate {
@@ -25,6 +25,7 @@
   'body-too-large': { status: 413, message: 'The body is larger than allowed.', remedy: 'Send a shorter body.' },
   'over-cap': { status: 429, message: 'The organisation has used up its token cap.', remedy: 'Retry after the time in Retry-After, or request a higher cap.' },
   overloaded: { status: 503, message: 'More requests are waiting than can be served in time.', remedy: 'Retry after the time in Retry-After.' },
+  paused: { status: 503, message: 'All targets of the service have asked for a pause.', remedy: 'Retry after the time in Retry-After.' },
   'no-target': { status: 503, message: 'No target of the service is available.', remedy: 'Retry after the time in Retry-After; check that targets are registered.' },
   'version-gone': { status: 503, message: 'No target of the software version that began this stream is available.', remedy: 'Send the request again without the id of the last event, to begin a new stream.' },
   'unknown-stream': { status: 503, message: 'No daemon knows which software version began this stream.', remedy: 'Send the request again without the id of the last event, to begin a new stream.' },
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -24,7 +24,7 @@
   readonly isPeer: (host: string) => boolean
   /** Whether an address is that of a registered target. */
   readonly isTarget: (address: string) => boolean
-  /** Whether no new connections to a target may be opened: this daemon's own path is lost, or the target leaves. */
+  /** Whether no new connections to a target may be opened: this daemon's own path is lost, or the target leaves or pauses. */
   readonly isClosed: (address: string) => boolean
   readonly countResult: (result: 'carried' | 'refused' | 'unreachable') => void
 }
--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -7,6 +7,7 @@
 import * as peerMessages from './peer-messages.js'
 import type * as peerTable from './peer-table.js'
 import type * as servicePools from './service-pools.js'
+import * as targetRows from './target-rows.js'
 
 /** Sources of the reports. */
 export interface Options {
@@ -19,6 +20,7 @@
   readonly streams: routing.streamVersions.StreamVersions
   readonly registry: routing.targetRegistry.TargetRegistry
   readonly paths: routing.targetPaths.TargetPaths
+  readonly targetPauses: routing.targetPauses.TargetPauses
   readonly isReady: () => boolean
   readonly documentVersion: () => number
 }
@@ -39,9 +41,6 @@
 /** Number of listings in which evidence about crashes is repeated, in case a report is lost. */
 const EVIDENCE_REPETITIONS = 3
 
-/** Maximum number of departures in a report. */
-const MAX_DEPARTURE_ROWS = 60
-
 /** Maximum number of rows of each kind of evidence in a report, which bounds its size when many targets fail at once. */
 const MAX_EVIDENCE_ROWS = 32
 
@@ -51,16 +50,6 @@
 /** Maximum number of limits in a report. */
 const MAX_LIMIT_ROWS = 16
 
-/** Returns a function that selects the rows which its last call was not given, or all of them. */
-function createNewRows<Row extends readonly unknown[]> (): (rows: readonly Row[], withAll: boolean) => readonly Row[] {
-  let known: ReadonlySet<string> = new Set()
-  return (rows, withAll) => {
-    const selected = withAll ? rows : rows.filter((row) => !known.has(row.join()))
-    known = new Set(rows.map((row) => row.join()))
-    return selected
-  }
-}
-
 /**
  * Creates the writer of one daemon's reports.
  *
@@ -77,18 +66,9 @@
   /** Totals in the reports that were sent to the cell, by organisation. */
   const sentTokens = new Map<string, number>()
   let lastCellReportMs = -Infinity
-  const newLeavingTargets = createNewRows<peerMessages.LeavingTarget>()
-  const newDepartures = createNewRows<peerMessages.DepartureRow>()
-
-  function leavingTargets (): peerMessages.Report['leavingTargets'] {
-    return registry.versionedTargets().filter((versioned) => versioned.target?.leaving === true).map(peerMessages.toLeavingTarget)
-  }
-
-  function departures (): peerMessages.Report['departures'] {
-    return registry.departures().slice(0, MAX_DEPARTURE_ROWS).map(peerMessages.toDepartureRow)
-  }
+  const targetRowWriter = targetRows.createTargetRowWriter(options)
 
-  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'departures' | 'suspects' | 'limits' | 'streams' | 'lostTargets' | 'members'>): peerMessages.Report {
+  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'departures' | 'pauses' | 'suspects' | 'limits' | 'streams' | 'lostTargets' | 'members'>): peerMessages.Report {
     sequence += 1
     const { era, revision } = registry.position()
     return {
@@ -134,8 +114,7 @@
         pools: pools.loads(),
         usedTokens: withListing ? Object.fromEntries(caps.used()) : changedTokens(),
         complete: withListing,
-        leavingTargets: newLeavingTargets(leavingTargets(), withListing),
-        departures: newDepartures(departures(), withListing),
+        ...targetRowWriter.forCell(withListing, nowMs),
         suspects: ownEvidence(withListing, nowMs),
         limits: limits({ sources: ['own'], sinceMs: lastCellReportMs, withOthers: withListing }),
         streams: streams.takeUnreported(MAX_STREAM_ROWS),
@@ -149,8 +128,7 @@
       pools: {},
       usedTokens: cellTokens(),
       complete: true,
-      leavingTargets: leavingTargets(),
-      departures: departures(),
+      ...targetRowWriter.forFleet(),
       suspects: suspects.select({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withAllRefused: true, maxRows: MAX_EVIDENCE_ROWS }, nowMs),
       limits: limits({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withOthers: true }),
       streams: {},
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -331,7 +331,7 @@
     context.log.request('target unreachable', { request: request.requestId, target: this.target?.id, via: this.via, detail })
     if (this.target !== undefined) {
       context.paths.recordUnreachable(this.target.id, this.via)
-      const via = this.relayAttempts < MAX_RELAY_ATTEMPTS ? context.paths.choose(this.target.id) : undefined
+      const via = this.relayAttempts < MAX_RELAY_ATTEMPTS && context.targets.isOpen(this.target.id) ? context.paths.choose(this.target.id) : undefined
       if (via !== undefined) {
         this.connect(this.target, via)
         return
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -39,6 +39,8 @@
   readonly tick: () => void
   readonly loads: () => Readonly<Record<string, routing.poolEvent.PeerLoad>>
   readonly waiting: () => number
+  /** Returns the number of targets that get no requests, by service and reason. */
+  readonly obstacles: () => readonly (readonly [service: string, counts: Readonly<Partial<Record<routing.obstacle.Obstacle, number>>>])[]
 }
 
 /** What happens to a request in a pool. */
@@ -54,6 +56,7 @@
   readonly random: () => number
   readonly registry: routing.targetRegistry.TargetRegistry
   readonly limitOf: routing.cell.LimitLookup
+  readonly pauses?: routing.targetPauses.TargetPauses
   /** Called repeatedly while a target with requests in flight sends nothing. */
   readonly onSilent?: (target: string) => void
   /** Called when the targets of a service begin or cease to say that they are brittle. */
@@ -98,7 +101,7 @@
       if (services.get(service.name) === serialized) continue
       services.set(service.name, serialized)
       const pool = pools.get(service.name)
-      if (pool === undefined) pools.set(service.name, new routing.pool.Pool({ service, random: options.random }))
+      if (pool === undefined) pools.set(service.name, new routing.pool.Pool({ service, random: options.random, pauses: options.pauses }))
       else pool.adopt(service)
     }
   }
@@ -148,6 +151,7 @@
     },
     setFleet: (reachable, daemons) => { for (const service of pools.keys()) handle(service, { kind: 'fleet', reachable, daemons }) },
     loads: () => Object.fromEntries([...pools].map(([service, pool]) => [service, pool.load(options.now())])),
+    obstacles: () => [...pools].map(([service, pool]) => [service, pool.obstacles(options.now())] as const),
     waiting: () => [...pools.values()].reduce((sum, pool) => sum + pool.waiting, 0)
   }
 }
--- a/packages/gateway/src/target-routes.ts
+++ b/packages/gateway/src/target-routes.ts
@@ -20,6 +20,7 @@
   readonly now: () => number
   readonly random: () => number
   readonly registry: routing.targetRegistry.TargetRegistry
+  readonly pauses: Pick<routing.targetPauses.TargetPauses, 'untilMs'>
   readonly peers: peerTable.PeerTable
   readonly clients: Pick<targetClient.TargetClients, 'probe' | 'renew'>
   readonly log: eventLog.EventLog
@@ -106,7 +107,7 @@
         isTarget: (address) => targetAt(address) !== undefined,
         isClosed: (address) => {
           const target = targetAt(address) ?? ''
-          return paths.isLost(target) || registry.isLeaving(target)
+          return paths.isLost(target) || registry.isLeaving(target) || options.pauses.untilMs(target, now()) > 0
         },
         countResult: (result) => { metrics.count('relayed_connections_total', { result }) }
       })
--- a/packages/gateway/tests/fleet.ts
+++ b/packages/gateway/tests/fleet.ts
@@ -23,6 +23,7 @@
   readonly streams: routing.streamVersions.StreamVersions
   /** Calls a function for each new beginning of a stream. */
   readonly onBeginning: (listener: (beginning: routing.streamVersions.StreamBeginning) => void) => void
+  readonly pauses: routing.targetPauses.TargetPauses
   readonly pools: servicePools.ServicePools
   readonly paths: routing.targetPaths.TargetPaths
 }
@@ -48,7 +49,8 @@
   let noteBeginning: (beginning: routing.streamVersions.StreamBeginning) => void = () => {}
   const streams = routing.streamVersions.createStreamVersions((beginning) => { noteBeginning(beginning) })
   const paths = routing.targetPaths.createTargetPaths({ random, onChange: () => {} })
-  const pools = servicePools.createServicePools({ now, random, registry, limitOf: targetLimits.limitOf, onSilent: paths.suspect, changed: () => {} })
+  const pauses = routing.targetPauses.createTargetPauses(random)
+  const pools = servicePools.createServicePools({ now, random, registry, pauses, limitOf: targetLimits.limitOf, onSilent: paths.suspect, changed: () => {} })
   const writer = gatewayPackage.reportWriter.createReportWriter({
     sender: { from: address, incarnation, frontAddress: address.replace('7600', '80') },
     peers,
@@ -56,13 +58,14 @@
     caps,
     suspects,
     targetLimits,
+    targetPauses: pauses,
     streams,
     registry,
     paths,
     isReady: () => true,
     documentVersion: () => 1
   })
-  return { address, peers, writer, caps, suspects, registry, targetLimits, streams, onBeginning: (listener) => { noteBeginning = listener }, pools, paths, reportedTokens: gatewayPackage.reportedTokens.createReportedTokens({ caps, countCellTokens: writer.countCellTokens, cellOf: (peer, nowMs) => peers.cellOf(peer, nowMs), intervalMs: (nowMs) => peers.fleetIntervalMs(nowMs) }) }
+  return { address, peers, writer, caps, suspects, registry, targetLimits, streams, onBeginning: (listener) => { noteBeginning = listener }, pauses, pools, paths, reportedTokens: gatewayPackage.reportedTokens.createReportedTokens({ caps, countCellTokens: writer.countCellTokens, cellOf: (peer, nowMs) => peers.cellOf(peer, nowMs), intervalMs: (nowMs) => peers.fleetIntervalMs(nowMs) }) }
 }
 
 /** Creates a fleet in which every daemon knows the first `seeds` members at the start; `clock` is the time of its pools, by default that of the reports. */
@@ -93,6 +96,9 @@
       member.streams.applyReport(report.streams, nowMs)
       const departed = report.departures.filter((row) => member.registry.depart(gatewayPackage.peerMessages.departureOf(row)))
       if (departed.length > 0) refreshTargets(member, nowMs)
+      for (const [target, durationMs, told] of report.pauses) {
+        if (told === member.address || member.paths.isLost(target)) member.pauses.record({ target, durationMs, told }, nowMs)
+      }
       if (report.scope !== 'cell') continue
       member.pools.applyPeerLoads(report.from, report.pools)
       member.paths.applyReport(report.from, report.lostTargets)
--- a/packages/gateway/tests/requests.test.ts
+++ b/packages/gateway/tests/requests.test.ts
@@ -233,6 +233,25 @@
   })
 }
 
+for (const retryAfter of ['20', '0.9']) {
+  suite(`a target that answers 503 with Retry-After: ${retryAfter} gets no request until then`, async () => {
+    let pausing: string | undefined
+    let pausedMs = Infinity
+    fixture.script((arrival, response) => {
+      pausing ??= arrival.target
+      if (arrival.target !== pausing) {
+        fixtureModule.respondComplete(arrival, response)
+        return
+      }
+      pausedMs = Math.min(pausedMs, performance.now())
+      response.writeHead(503, { 'retry-after': retryAfter, 'not-run': '1' }).end()
+    })
+    await fixture.call('/write/7', { method: 'POST' })
+    for (let call = 0; call < 12; call += 1) assert.is((await fixture.call('/write/7', { method: 'POST' })).status, 200)
+    if (performance.now() - pausedMs < Number(retryAfter) * 1_000) assert.is(fixture.arrivals.filter(({ target }) => target === pausing).length, 1)
+  })
+}
+
 suite('a caller that still sends its body when a stopping daemon refuses the request gets the response and no reset', async () => {
   const stopped = fixture.gateway.stop()
   // A stopping daemon accepts every request for 2.7 s.
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -222,7 +222,10 @@
       },
       targets: {
         startOf: memberOf(daemon).registry.startOf,
-        depart: (departure) => { if (memberOf(daemon).registry.depart(departure)) refresh(daemon) }
+        depart: (departure) => { if (memberOf(daemon).registry.depart(departure)) refresh(daemon) },
+        pause: (target, durationMs, via) => { memberOf(daemon).pauses.record({ target, durationMs, told: via ?? memberOf(daemon).address }, nowMs) },
+        isOpen: (target) => !memberOf(daemon).registry.isLeaving(target) && memberOf(daemon).pauses.untilMs(target, nowMs) === 0,
+        ignorePause: () => {}
       },
       onLimitsChanged: () => { refresh(daemon) },
       isArbiterOf: (trait) => peers.isArbiterOf(trait, nowMs),
--- a/packages/gateway/tests/simulated-links.ts
+++ b/packages/gateway/tests/simulated-links.ts
@@ -143,7 +143,7 @@
     if (target === undefined) return fail(0, listener)
     const relay = request.via === undefined ? daemon : options.members.findIndex(({ address }) => address === request.via)
     const isLost = memberOf(relay).paths.isLost(target.id)
-    if (relay !== daemon && (isLost || memberOf(relay).registry.isLeaving(target.id))) return fail(0, listener)
+    if (relay !== daemon && (isLost || memberOf(relay).registry.isLeaving(target.id) || memberOf(relay).pauses.untilMs(target.id, now()) > 0)) return fail(0, listener)
     // A daemon does not use the connections that it has kept on a lost path.
     if (isLost) idleSinceMs.delete(linkOf(relay, target.id))
     const path = pathOf(relay, target.id)
--- a/packages/routing/src/pool-event.ts
+++ b/packages/routing/src/pool-event.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as cell from './cell.js'
+import type * as obstacle from './obstacle.js'
 import type * as rateShare from './rate-share.js'
 import type * as targetRegistry from './target-registry.js'
 
@@ -57,7 +58,7 @@
   | { readonly kind: 'tick' }
 
 /** Why a request is refused. */
-export type RefusalReason = 'no-target' | 'version-gone' | 'overloaded'
+export type RefusalReason = 'no-target' | 'version-gone' | 'overloaded' | 'paused'
 
 /** The figures behind a decision, for logs. */
 export interface Figures {
@@ -69,6 +70,8 @@
   readonly expectedWaitMs: number
   /** Daemons whose reports the decision is based on, this one included. */
   readonly heardDaemons: number
+  /** Targets that get no requests, by the reason; only in refusals. */
+  readonly obstacles?: Readonly<Partial<Record<obstacle.Obstacle, number>>>
 }
 
 /** A decision of a pool. */
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -8,9 +8,11 @@
  * @module
  */
 import type * as document from './document.js'
+import * as obstacle from './obstacle.js'
 import type * as poolEvent from './pool-event.js'
 import type * as rateShare from './rate-share.js'
 import * as slotShare from './slot-share.js'
+import type * as targetPauses from './target-pauses.js'
 import * as targetRecord from './target-record.js'
 import * as waitingOrder from './waiting-order.js'
 
@@ -18,6 +20,8 @@
 export interface Options {
   readonly service: document.Service
   readonly random: () => number
+  /** Pauses that targets have asked for; without them, there are none. */
+  readonly pauses?: Pick<targetPauses.TargetPauses, 'untilMs' | 'maxInFlight'> | undefined
 }
 
 /** Weight of the generation time relative to the time to the first event when targets are scored. */
@@ -68,8 +72,10 @@
   readonly isEjected: boolean
   readonly inFlight: number
   readonly freeSlots: number
-  /** Requests that the limit of the target's request rate allows this daemon to send. */
+  /** Requests that this daemon may send, by the limit of the target's request rate and the pause that it asks for. */
   readonly allowedSends: number
+  /** Time until the pause that the target asks for ends, ms; 0 if it asks for none. */
+  readonly pauseMs: number
 }
 
 /** State of the targets at one moment, used for placement. */
@@ -81,6 +87,8 @@
   /** Slots that may be used; a limited target has only those that its request rate fills. */
   readonly slots: number
   readonly sendLimit: SendLimit | undefined
+  /** Time until the first pause ends if all targets have asked for one, ms; 0 otherwise. */
+  readonly pauseMs: number
 }
 
 /** What this daemon may send while all usable targets are limited. */
@@ -170,6 +178,11 @@
     return this.hasBrittleTargets
   }
 
+  /** Returns the number of targets that get no requests, by the reason. */
+  obstacles (nowMs: number): Readonly<Partial<Record<obstacle.Obstacle, number>>> {
+    return this.countObstacles(this.snapshot(nowMs))
+  }
+
   /** Returns the targets that have requests in flight and have sent nothing for longer than is usual. */
   silentTargets (nowMs: number): readonly string[] {
     const silenceMs = this.service.engine === undefined ? PLAIN_SILENCE_MS : ENGINE_SILENCE_MS
@@ -287,12 +300,16 @@
     let slots = 0
     for (const record of this.records.values()) {
       if (record.isRemoved) continue
-      const allowedSends = record.allowedSends(nowMs)
-      candidates.push({ record, isEjected: record.isEjected(nowMs), inFlight: record.occupancy(nowMs), freeSlots: Math.min(allowedSends, this.freeSlotsAt(record, nowMs)), allowedSends })
-      slots += this.usableSlots(record)
+      const { id } = record.target
+      const { pauses } = this.options
+      const allowedSends = Math.max(0, Math.min(record.allowedSends(nowMs), (pauses?.maxInFlight(id, nowMs) ?? Infinity) - record.ownRequestIds.length))
+      const pauseMs = Math.max(0, (pauses?.untilMs(id, nowMs) ?? 0) - nowMs)
+      candidates.push({ record, isEjected: record.isEjected(nowMs), inFlight: record.occupancy(nowMs), freeSlots: Math.min(allowedSends, this.freeSlotsAt(record, nowMs)), allowedSends, pauseMs })
+      if (pauseMs === 0) slots += this.usableSlots(record)
       if (fastest === undefined || record.estimate.firstEventMs(0) < fastest.estimate.firstEventMs(0)) fastest = record
     }
-    return { nowMs, candidates, fastest, slots, sendLimit: this.sendLimit(candidates, nowMs) }
+    const pauseMs = candidates.length === 0 ? 0 : Math.min(...candidates.map((candidate) => candidate.pauseMs))
+    return { nowMs, candidates, fastest, slots, sendLimit: this.sendLimit(candidates, nowMs), pauseMs }
   }
 
   /** Returns the expected time from dispatch to the first event, or to a plain response, at the fastest target. */
@@ -344,7 +361,8 @@
   }
 
   private expectedWaitMs ({ ahead, aheadHere }: QueuePosition, snapshot: PoolSnapshot): number {
-    const { sendLimit } = snapshot
+    const { sendLimit, pauseMs } = snapshot
+    if (pauseMs > 0) return pauseMs
     if (sendLimit === undefined) return this.slotWaitMs(ahead, snapshot)
     const sendWaitMs = sendLimit.requestsPerS === 0 ? Infinity : sendLimit.waitMs + aheadHere / sendLimit.requestsPerS * MS_PER_S
     return Math.max(sendWaitMs, this.slotWaitMs(ahead, snapshot))
@@ -361,6 +379,14 @@
     }
   }
 
+  private countObstacles ({ candidates }: PoolSnapshot): Readonly<Partial<Record<obstacle.Obstacle, number>>> {
+    const removed = [...this.records.values()].filter(({ isRemoved }) => isRemoved)
+    return obstacle.countObstacles([
+      ...candidates.map((candidate) => ({ ...candidate, isRemoved: false })),
+      ...removed.map(() => ({ isRemoved: true, isEjected: false, pauseMs: 0, allowedSends: 0, freeSlots: 0 }))
+    ])
+  }
+
   private orderedQueue (snapshot: PoolSnapshot): readonly (readonly [request: poolEvent.PlacementRequest, rank: number])[] {
     return this.queue
       .map((request) => [request, request.isRetry || request.version !== undefined ? FIRST_RANK : this.rankOf(request, snapshot)] as const)
@@ -400,9 +426,11 @@
         yield { kind: 'dispatch', id: request.id, target: record.target, figures }
       } else if (!snapshot.candidates.some((candidate) => isOfVersion(candidate.record, request.version))) {
         const reason = snapshot.candidates.length === 0 ? 'no-target' : 'version-gone'
-        yield { kind: 'refuse', id: request.id, reason, retryAfterMs: waitingOrder.retryAfterMs(request, 0, this.options.random(), nowMs), figures }
+        yield { kind: 'refuse', id: request.id, reason, retryAfterMs: waitingOrder.retryAfterMs(request, 0, this.options.random(), nowMs), figures: { ...figures, obstacles: this.countObstacles(snapshot) } }
       } else if (this.mustRefuse(request, position, snapshot)) {
-        yield { kind: 'refuse', id: request.id, reason: 'overloaded', retryAfterMs: waitingOrder.retryAfterMs(request, this.slotWaitMs(position.ahead, snapshot), this.options.random(), nowMs), figures }
+        const { pauseMs } = snapshot
+        const retryAfterMs = waitingOrder.retryAfterMs(request, pauseMs > 0 ? pauseMs : this.slotWaitMs(position.ahead, snapshot), this.options.random(), nowMs)
+        yield { kind: 'refuse', id: request.id, reason: pauseMs > 0 ? 'paused' : 'overloaded', retryAfterMs, figures: { ...figures, obstacles: this.countObstacles(snapshot) } }
       } else {
         stillWaiting.push(request)
       }
