--- a/packages/gateway/src/lasting-records.ts
+++ b/packages/gateway/src/lasting-records.ts
@@ -7,11 +7,16 @@
 
 /** What one daemon stores for its cell. */
 export interface CellRecord {
+  /** Format of the record; fields that are not known are ignored. */
+  readonly format: number
   readonly storedMs: number
   readonly streams?: routing.streamVersions.StreamReport
   readonly levels?: Readonly<Record<string, number>>
 }
 
+/** Format of the records that this build writes. */
+export const RECORD_FORMAT = 1
+
 /** Record of the versions in service, which all daemons share. */
 export const HISTORY_RECORD = 'versions'
 
--- a/packages/gateway/src/lasting-writer.ts
+++ b/packages/gateway/src/lasting-writer.ts
@@ -139,7 +139,7 @@
     }
     const added = unwritten.slice(0, MAX_STREAMS_PER_RECORD - openRecord.length)
     const next = [...openRecord, ...added.map(({ beginning }) => beginning)]
-    const record: lastingRecords.CellRecord = { storedMs: unixNow(), streams: routing.streamVersions.toStreamReport(next) }
+    const record: lastingRecords.CellRecord = { format: lastingRecords.RECORD_FORMAT, storedMs: unixNow(), streams: routing.streamVersions.toStreamReport(next) }
     records.keep(lastingRecords.streamsRecord(incarnation, recordNumber), JSON.stringify(record), beginWrite('streams', () => {
       openRecord = next
       nextWritten = 1 + (added.at(-1)?.sequence ?? 0)
@@ -153,7 +153,7 @@
     const levels = caps.levels(nowMs)
     const serialized = JSON.stringify(levels)
     if (serialized === storedLevels && nowMs - storedLevelsMs < UNCHANGED_LEVELS_INTERVAL_MS) return
-    const record: lastingRecords.CellRecord = { storedMs: unixNow(), levels }
+    const record: lastingRecords.CellRecord = { format: lastingRecords.RECORD_FORMAT, storedMs: unixNow(), levels }
     records.keep(lastingRecords.levelsRecord(incarnation), JSON.stringify(record), beginWrite('levels', () => {
       storedLevels = serialized
       storedLevelsMs = nowMs
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -23,6 +23,8 @@
 
 /** Load and state of a daemon, sent to its peers several times a second. */
 export interface Report {
+  /** Format of the message; builds before the first numbered one send none. */
+  readonly format?: number
   /** Endpoint of the sender's peer port, as `host:port`. */
   readonly from: string
   /** Unique for every start of the process. */
@@ -63,6 +65,12 @@
   readonly targets: readonly routing.targetRegistry.VersionedTarget[]
 }
 
+/**
+ * Format of reports. It rises when a field is added or changes. A build ignores fields that it does not know, and takes
+ * missing ones as empty, so that builds of different formats run side by side.
+ */
+export const REPORT_FORMAT = 2
+
 const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], departures: [], pauses: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
 
 const LIST_FIELDS = ['members', 'leavingTargets', 'departures', 'pauses', 'limits', 'lostTargets'] as const
@@ -151,12 +159,12 @@
  * ```
  */
 export function toMessage (report: Report): object {
-  return Object.fromEntries(Object.entries(report).filter(([name, value]) => !(name in EMPTY_FIELDS) || Object.keys(value as object).length > 0))
+  return Object.fromEntries(Object.entries({ ...report, format: REPORT_FORMAT }).filter(([name, value]) => !(name in EMPTY_FIELDS) || Object.keys(value as object).length > 0))
 }
 
 /**
- * Returns the report in a message; undefined if it is malformed. Peers of the same release send complete reports,
- * so only the top level is checked.
+ * Returns the report in a message; undefined if it is malformed. Only the top level is checked; the port drops a message
+ * whose rows can't be handled.
  *
  * @example
  * ```ts
