Check everything in the messages of peers before it is used

One malformed message could end every daemon of a fleet: a member whose address has no port entered the table of peers, the next report to it threw in a timer, and listings spread the member to others.

Cause: only the top level of reports was checked.

Ruled out: catching the error where reports are sent (the state would stay poisoned and be spread).

Headers of targets, event streams and heads of callers held before.

--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as routing from '@persimmonhatch/routing'
+import * as reportChecks from './report-checks.js'
 import type * as streamDirectory from './stream-directory.js'
 
 /** A member as reported by a peer, with the time since its last report. */
@@ -73,8 +74,36 @@
 
 const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], departures: [], pauses: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
 
-const LIST_FIELDS = ['members', 'leavingTargets', 'departures', 'pauses', 'limits', 'lostTargets'] as const
-const OBJECT_FIELDS = ['pools', 'usedTokens', 'suspects', 'streams'] as const
+const { either, fieldsOf, isAmount, isEndpoint, isFlag, isNull, isNumber, isStart, isText, listOf, mapOf, optional, rowOf } = reportChecks
+
+/** Rows of either length; a target without a report of its own has the shorter one. */
+const isLeavingTarget = either(rowOf([isText, isAmount, isAmount]), rowOf([isText, isAmount, isAmount, isStart, isAmount]))
+
+const isReport = fieldsOf({
+  from: isEndpoint,
+  incarnation: isText,
+  sequence: isAmount,
+  scope: (value) => value === 'cell' || value === 'fleet',
+  frontAddress: isEndpoint,
+  ready: isFlag,
+  documentVersion: isAmount,
+  targetsPosition: rowOf([isAmount, isAmount]),
+  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])) })),
+  usedTokens: mapOf(isNumber),
+  complete: isFlag,
+  leavingTargets: listOf(isLeavingTarget),
+  departures: listOf(rowOf([isText, isStart])),
+  pauses: listOf(rowOf([isText, isAmount, isEndpoint])),
+  suspects: fieldsOf({
+    crashes: optional(listOf(rowOf([isText, isAmount, isAmount, isText], isText))),
+    answered: optional(listOf(rowOf([isText, isAmount]))),
+    refused: optional(listOf(rowOf([isText, isAmount, isAmount])))
+  }),
+  streams: mapOf(mapOf(listOf(isText))),
+  limits: listOf(rowOf([isText, isStart, isAmount, either(isAmount, isNull)])),
+  lostTargets: listOf(isText),
+  members: listOf(rowOf([isEndpoint, isEndpoint, isFlag, isAmount]))
+})
 
 const STARTED_RADIX = 36
 
@@ -163,8 +192,7 @@
 }
 
 /**
- * Returns the report in a message; undefined if it is malformed. Only the top level is checked; the port drops a message
- * whose rows can't be handled.
+ * Returns the report in a message; undefined if anything in it is malformed.
  *
  * @example
  * ```ts
@@ -174,18 +202,12 @@
  */
 export function parseReport (message: unknown): Report | undefined {
   if (typeof message !== 'object' || message === null) return undefined
-  const report: Partial<Report> = { ...EMPTY_FIELDS, ...message }
-  const isComplete = typeof report.from === 'string' && typeof report.incarnation === 'string' && typeof report.sequence === 'number' &&
-    Array.isArray(report.targetsPosition) && LIST_FIELDS.every((field) => Array.isArray(report[field])) &&
-    OBJECT_FIELDS.every((field) => typeof report[field] === 'object' && report[field] !== null)
-  return isComplete ? report as Report : undefined
+  const report = { ...EMPTY_FIELDS, ...message }
+  return isReport(report) ? report as unknown as Report : undefined
 }
 
-function isQuestion (message: unknown): message is streamDirectory.StreamQuestion {
-  if (typeof message !== 'object' || message === null) return false
-  const question = message as Partial<streamDirectory.StreamQuestion>
-  return typeof question.from === 'string' && typeof question.requestId === 'string'
-}
+const isStreamQuestion = fieldsOf({ from: isEndpoint, requestId: isText })
+const isStreamAnswer = fieldsOf({ from: isEndpoint, requestId: isText, beginning: optional(fieldsOf({ requestId: isText, service: isText, version: isText })) })
 
 /**
  * Returns the question in a message; undefined if it is malformed.
@@ -196,7 +218,7 @@
  * ```
  */
 export function parseStreamQuestion (message: unknown): streamDirectory.StreamQuestion | undefined {
-  return isQuestion(message) ? message : undefined
+  return isStreamQuestion(message) ? message as streamDirectory.StreamQuestion : undefined
 }
 
 /**
@@ -208,9 +230,5 @@
  * ```
  */
 export function parseStreamAnswer (message: unknown): streamDirectory.StreamAnswer | undefined {
-  if (!isQuestion(message)) return undefined
-  const answer: streamDirectory.StreamAnswer = message
-  const { beginning } = answer
-  const isComplete = beginning === undefined || (typeof beginning.requestId === 'string' && typeof beginning.service === 'string' && typeof beginning.version === 'string')
-  return isComplete ? answer : undefined
+  return isStreamAnswer(message) ? message as streamDirectory.StreamAnswer : undefined
 }
