Do not send a request whose deadline has passed

A process that was paused could place a request in its first tick and send it after its deadline, before the timer of the deadline ran.

Change: the task checks the deadline when it is given a target.

--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -199,6 +199,10 @@
   private onDecision (decision: routing.poolEvent.PoolDecision): void {
     if (this.finished) return
     this.figures = decision.figures
+    if (this.options.context.now() >= this.options.request.limitMs) {
+      this.onDeadline()
+      return
+    }
     if (decision.kind === 'dispatch') {
       this.refusedTrait = this.evidence.refusedTrait()
       if (this.refusedTrait === undefined) this.send(decision.target)
