Play the loss of all daemons in a test file of its own

The scenarios of resumed-fleet.test.ts took 54 s in one process, which comes near the time limit of a test file when the machine is busy.

--- a/packages/gateway/tests/resumed-fleet.test.ts
+++ b/packages/gateway/tests/resumed-fleet.test.ts
@@ -4,248 +4,29 @@
 import type * as routing from '@persimmonhatch/routing'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
-import * as rawHeaders from '../src/raw-headers.js'
+import * as resumingCallers from './resuming-callers.js'
 import * as servingFleet from './serving-fleet.js'
 
 const suite = uvu.suite('resumed fleet')
 
-const MS_PER_S = 1_000
-const ARRIVAL_STEP_MS = 20
-const EVENTS = 12
-const EVENT_INTERVAL_MS = 100
-const DOWN_MS = 1_000
-
-/** The users' bounds: streams with events of two versions, and the share of resumed streams that go on relative to that of new ones that begin. */
-const MAX_MIXED = 2
-const MIN_GOING_ON_SHARE = 0.5
-
-/** Time for which a daemon must have been up to be judged, ms. */
-const STABLE_MS = 3_000
-
-const DOCUMENT = servingFleet.documentOf(12)
-
-/** A target of a software version that joins and leaves at times since the first request. */
-interface VersionedTarget {
-  readonly version: string
-  readonly joinsMs?: number
-  readonly leavesMs?: number
-}
-
-interface Scenario {
-  readonly daemons: number
-  readonly targets: readonly VersionedTarget[]
-  readonly perS: number
-  readonly durationMs?: number
-  /** Share of the responses of targets that break off. */
-  readonly breakShare?: number
-  /** Daemons that are killed at times since the first request. */
-  readonly kills?: readonly (readonly [atMs: number, daemons: readonly number[]])[]
-  /** Share of the reports between daemons that are lost. */
-  readonly reportLoss?: number
-  /** Daemons that can't reach the others from 2 s to 5 s. */
-  readonly cut?: readonly number[]
-  /** Maximum time after which a caller resumes its stream, ms. */
-  readonly resumeAfterMs?: number
-  /** Times at which all daemons are killed. */
-  readonly lossesMs?: readonly number[]
-  /** Time in which the store answers no daemon. */
-  readonly storeAway?: readonly [fromMs: number, untilMs: number]
-  readonly storeLatencyMs?: number
-  /** Minimum share of resumed streams that go on relative to that of new ones that begin. */
-  readonly minGoingOnShare?: number
-}
-
-/** A stream as its caller sees it, over all of its requests. */
-class Stream {
-  readonly bodies: string[] = []
-  resumesAtMs: number | undefined
-  tries = 1
-  /** The reply whose end was handled. */
-  followed: servingFleet.Reply | undefined
-
-  constructor (readonly firstRequest: string, public reply: servingFleet.Reply) {}
-}
-
-interface Resumption {
-  readonly eventsBefore: number
-  readonly stream: Stream
-  readonly reply: servingFleet.Reply
-  readonly isJudged: boolean
-}
-
-interface Result {
-  readonly streams: readonly Stream[]
-  readonly mixed: number
-  readonly begunShare: number
-  readonly resumed: number
-  readonly goneOnShare: number
-}
-
-function lastIdOf (bodies: readonly string[]): number {
-  return Math.max(0, ...[...bodies.join('').matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id)))
-}
-
-function targetsOf (bodies: readonly string[]): readonly string[] {
-  return [...new Set([...bodies.join('').matchAll(/^data: (\S+)$/gm)].map(([, target]) => target ?? ''))]
-}
-
-function play (scenario: Scenario, seed: number): Result {
-  const { daemons, durationMs = 10_000, breakShare = 0, resumeAfterMs = 400, lossesMs = [] } = scenario
-  const versionOf = new Map(scenario.targets.map(({ version }, index) => [`i-${index}`, version]))
-  const targetOf = (index: number, leaving: boolean): routing.targetRegistry.Target => ({
-    id: `i-${index}`, service: 'support', address: `10.9.0.${index}:80`, availabilityZone: 'casa-a', version: versionOf.get(`i-${index}`) ?? '', slots: 12, leaving
-  })
-  const fleet: servingFleet.ServingFleet = servingFleet.createServingFleet({
-    daemons,
-    document: DOCUMENT,
-    targets: scenario.targets.flatMap(({ joinsMs }, index) => joinsMs === undefined ? [targetOf(index, false)] : []),
-    seed,
-    respond: ({ headers }) => {
-      const lastId = Number(rawHeaders.findHeader(headers, 'last-event-id') ?? 0)
-      const breakAfter = fleet.random() < breakShare ? 1 + Math.floor(fleet.random() * EVENTS) : Infinity
-      const ids = Array.from({ length: EVENTS - lastId }, (_, index) => lastId + 1 + index).slice(0, breakAfter)
-      const events = ids.map((id, index) => [id, 60 + index * EVENT_INTERVAL_MS] as const)
-      return { headMs: 60, headers: [], events, endMs: 70 + ids.length * EVENT_INTERVAL_MS, breaks: breakAfter < EVENTS - lastId }
-    }
-  })
-  const startMs = fleet.now()
-  const sinceMs = (): number => fleet.now() - startMs
-  const upSinceMs = new Map<number, number>()
-  const streams: Stream[] = []
-  const resumptions: Resumption[] = []
-  const readyTargets = (version: string | undefined): number => scenario.targets.filter(({ version: other, joinsMs = -Infinity, leavesMs = Infinity }) => other === version && joinsMs <= sinceMs() && leavesMs > sinceMs()).length
-  const kills = [...scenario.kills ?? [], ...lossesMs.map((atMs) => [atMs, Array.from({ length: daemons }, (_, daemon) => daemon)] as const)]
-  const liveDaemon = (): number | undefined => {
-    const live = Array.from({ length: daemons }, (_, daemon) => daemon).filter((daemon) => fleet.isUp(daemon))
-    return live[Math.floor(fleet.random() * live.length)]
-  }
-  fleet.setReach((from, to) => {
-    const isCutTime = sinceMs() >= 2_000 && sinceMs() < 5_000
-    return fleet.random() >= (scenario.reportLoss ?? 0) && (!isCutTime || scenario.cut?.includes(from) === scenario.cut?.includes(to))
-  })
-
-  function changeTargets (): void {
-    for (const [index, { joinsMs, leavesMs }] of scenario.targets.entries()) {
-      if (joinsMs === sinceMs()) fleet.register(targetOf(index, false))
-      if (leavesMs === sinceMs()) fleet.register(targetOf(index, true))
-    }
-    for (const [atMs, killed] of kills) {
-      if (atMs === sinceMs()) for (const daemon of killed) fleet.kill(daemon)
-      if (atMs + DOWN_MS !== sinceMs()) continue
-      for (const daemon of killed) {
-        fleet.restart(daemon)
-        upSinceMs.set(daemon, sinceMs())
-      }
-    }
-  }
-
-  function resume (stream: Stream): void {
-    const daemon = liveDaemon()
-    if (daemon === undefined) return
-    const eventsBefore = lastIdOf(stream.bodies)
-    const version = versionOf.get(targetsOf(stream.bodies)[0] ?? '')
-    stream.tries += 1
-    stream.resumesAtMs = undefined
-    stream.reply = fleet.request(daemon, '/generate/7', ['tokens', '700,72', 'remaining-ms', '9000', 'last-event-id', String(eventsBefore), 'resumes', stream.firstRequest])
-    // After a loss of all, each stream counts once, however often its caller asks again.
-    const isStable = lossesMs.length > 0 ? stream.tries === 2 : sinceMs() - (upSinceMs.get(daemon) ?? -Infinity) > STABLE_MS && !(scenario.cut?.includes(daemon) === true && sinceMs() < 8_000)
-    resumptions.push({ eventsBefore, stream, reply: stream.reply, isJudged: isStable && readyTargets(version) >= 2 })
-  }
-
-  function follow (stream: Stream): void {
-    if (stream.resumesAtMs !== undefined) {
-      if (stream.resumesAtMs <= sinceMs()) resume(stream)
-      return
-    }
-    if (stream.reply.end() === undefined || stream.followed === stream.reply) return
-    stream.followed = stream.reply
-    stream.bodies.push(stream.reply.status() === 200 ? stream.reply.body() : '')
-    const isBroken = stream.reply.end() === 'cut' || stream.reply.status() !== 200
-    if (isBroken && lastIdOf(stream.bodies) > 0 && stream.tries < 3) stream.resumesAtMs = sinceMs() + fleet.random() * resumeAfterMs
-  }
-
-  const [awayFromMs, awayUntilMs] = scenario.storeAway ?? [Infinity, Infinity]
-  fleet.records.setReach(() => sinceMs() < awayFromMs || sinceMs() >= awayUntilMs)
-  if (scenario.storeLatencyMs !== undefined) fleet.records.setLatency(scenario.storeLatencyMs)
-  let owed = 0
-  for (; sinceMs() < durationMs + 4_000; fleet.advance(ARRIVAL_STEP_MS)) {
-    changeTargets()
-    for (owed += scenario.perS * ARRIVAL_STEP_MS / MS_PER_S; owed >= 1 && sinceMs() < durationMs; owed -= 1) {
-      const firstRequest = `s-${streams.length}`
-      const daemon = liveDaemon()
-      if (daemon !== undefined) streams.push(new Stream(firstRequest, fleet.request(daemon, '/generate/7', ['request-id', firstRequest, 'tokens', '700,72', 'remaining-ms', '12000'])))
-    }
-    for (const stream of streams) follow(stream)
-  }
-  const judged = resumptions.filter(({ isJudged }) => isJudged)
-  const versionsOf = ({ bodies }: Stream): number => new Set(targetsOf(bodies).map((target) => versionOf.get(target))).size
-  return {
-    streams,
-    mixed: streams.filter((stream) => versionsOf(stream) > 1).length,
-    begunShare: streams.filter(({ bodies, reply }) => lastIdOf([...bodies, reply.body()]) > 0).length / streams.length,
-    resumed: judged.length,
-    goneOnShare: judged.length === 0 ? 1 : judged.filter(({ reply, eventsBefore }) => reply.status() === 200 && (lastIdOf([reply.body()]) > eventsBefore || reply.end() === 'complete')).length / judged.length
-  }
-}
-
-function serving (version: string, count: number, times: Omit<VersionedTarget, 'version'> = {}): readonly VersionedTarget[] {
-  return Array.from({ length: count }, () => ({ version, ...times }))
-}
-
-const TWO_VERSIONS = [...serving('v1', 4), ...serving('v2', 4)]
-
-/** Targets of one version that are replaced one after the other by those of another. */
-const RELEASE = [
-  ...Array.from({ length: 6 }, (_, index) => ({ version: 'v1', leavesMs: 2_000 + index * 1_000 })),
-  ...serving('v1', 2),
-  ...Array.from({ length: 6 }, (_, index) => ({ version: 'v2', joinsMs: 1_600 + index * 1_000 }))
-]
-
-const SMALL = { daemons: 9, targets: TWO_VERSIONS, perS: 50 }
-const LARGE = { daemons: 87, targets: [...serving('v1', 30), ...serving('v2', 33)], perS: 300, durationMs: 6_000 }
-
 const KILLED_SMALL = [[3_100, [0, 4, 7]], [7_140, [2, 5]]] as const
 const KILLED_LARGE = [[2_580, Array.from({ length: 29 }, (_, index) => index * 3)]] as const
 
-/** All daemons are lost while their callers take some hundred ms longer to come back than the daemons. */
-const LOSS = { lossesMs: [4_140], resumeAfterMs: 1_500, minGoingOnShare: 0.8 }
-
-const SCENARIOS: readonly (readonly [description: string, scenario: Scenario])[] = [
-  ['responses that break off', { ...SMALL, breakShare: 0.3 }],
-  ['killed daemons', { ...SMALL, kills: KILLED_SMALL }],
-  ['killed daemons and responses that break off', { ...SMALL, breakShare: 0.2, kills: KILLED_SMALL }],
-  ['three versions', { ...SMALL, targets: [...serving('v1', 3), ...serving('v2', 3), ...serving('v3', 2)], breakShare: 0.1, kills: KILLED_SMALL }],
-  ['a release in steps', { ...SMALL, targets: RELEASE, breakShare: 0.1, kills: KILLED_SMALL }],
-  ['callers that take seconds to resume', { ...SMALL, kills: KILLED_SMALL, resumeAfterMs: 4_000 }],
-  ['lost reports', { ...SMALL, kills: KILLED_SMALL, breakShare: 0.1, reportLoss: 0.2 }],
-  ['daemons that are cut off and then killed', { ...SMALL, cut: [0, 4, 7], kills: [[4_500, [0, 4, 7]]] }],
-  ['killed daemons at 87 daemons', { ...LARGE, kills: KILLED_LARGE }],
-  ['responses that break off at 87 daemons', { ...LARGE, breakShare: 0.3 }],
-  ['one version', { ...SMALL, targets: serving('v1', 8), breakShare: 0.1, kills: KILLED_SMALL }],
-  ['the loss of all daemons, one version', { ...SMALL, ...LOSS, targets: serving('v1', 8) }],
-  ['the loss of all daemons, two versions', { ...SMALL, ...LOSS }],
-  ['the loss of all daemons twice', { ...SMALL, ...LOSS, lossesMs: [3_140, 6_260] }],
-  ['the loss of all daemons in a release', { ...SMALL, ...LOSS, targets: RELEASE }],
-  ['the loss of all daemons, lost reports and responses that break off', { ...SMALL, ...LOSS, reportLoss: 0.2, breakShare: 0.1, minGoingOnShare: MIN_GOING_ON_SHARE }],
-  ['the loss of all daemons while the store is slow', { ...SMALL, ...LOSS, storeLatencyMs: 200, minGoingOnShare: MIN_GOING_ON_SHARE }],
-  ['the loss of all daemons while the store is away, two versions', { ...SMALL, ...LOSS, storeAway: [2_000, 9_000], minGoingOnShare: 0 }],
-  ['the loss of all daemons at 87 daemons', { ...LARGE, ...LOSS }],
-  ['the loss of all daemons in a release at 195 daemons', { ...LARGE, ...LOSS, daemons: 195, targets: [...serving('v1', 50), ...serving('v2', 49, { joinsMs: 2_000 })] }]
+const SCENARIOS: readonly (readonly [description: string, scenario: resumingCallers.Scenario])[] = [
+  ['responses that break off', { ...resumingCallers.SMALL, breakShare: 0.3 }],
+  ['killed daemons', { ...resumingCallers.SMALL, kills: KILLED_SMALL }],
+  ['killed daemons and responses that break off', { ...resumingCallers.SMALL, breakShare: 0.2, kills: KILLED_SMALL }],
+  ['three versions', { ...resumingCallers.SMALL, targets: [...resumingCallers.serving('v1', 3), ...resumingCallers.serving('v2', 3), ...resumingCallers.serving('v3', 2)], breakShare: 0.1, kills: KILLED_SMALL }],
+  ['a release in steps', { ...resumingCallers.SMALL, targets: resumingCallers.RELEASE, breakShare: 0.1, kills: KILLED_SMALL }],
+  ['callers that take seconds to resume', { ...resumingCallers.SMALL, kills: KILLED_SMALL, resumeAfterMs: 4_000 }],
+  ['lost reports', { ...resumingCallers.SMALL, kills: KILLED_SMALL, breakShare: 0.1, reportLoss: 0.2 }],
+  ['daemons that are cut off and then killed', { ...resumingCallers.SMALL, cut: [0, 4, 7], kills: [[4_500, [0, 4, 7]]] }],
+  ['killed daemons at 87 daemons', { ...resumingCallers.LARGE, kills: KILLED_LARGE }],
+  ['responses that break off at 87 daemons', { ...resumingCallers.LARGE, breakShare: 0.3 }],
+  ['one version', { ...resumingCallers.SMALL, targets: resumingCallers.serving('v1', 8), breakShare: 0.1, kills: KILLED_SMALL }]
 ]
 
-for (const [description, scenario] of SCENARIOS) {
-  let result: Result | undefined
-
-  suite(`streams go on only at the version that began them: ${description}`, () => {
-    const { mixed, streams } = result ??= play(scenario, 23)
-    assert.ok(mixed <= MAX_MIXED, `${mixed} of ${streams.length} streams have events of two versions`)
-  })
-
-  suite(`resumed streams go on nearly as often as new ones begin: ${description}`, () => {
-    const { goneOnShare, begunShare, resumed } = result ??= play(scenario, 23)
-    assert.ok(goneOnShare >= (scenario.minGoingOnShare ?? MIN_GOING_ON_SHARE) * begunShare, `${goneOnShare} of ${resumed} resumed streams, ${begunShare} of new ones`)
-  })
-}
+resumingCallers.addTests(suite, SCENARIOS)
 
 const REFUSED: readonly (readonly [description: string, versions: readonly string[], first: string])[] = [
   ['nobody is known to have begun', ['v1', 'v2'], 's-unknown'],
@@ -260,7 +41,7 @@
     })
     const fleet = servingFleet.createServingFleet({
       daemons: 9,
-      document: DOCUMENT,
+      document: resumingCallers.DOCUMENT,
       targets: versions.slice(0, 1).map((version, index) => targetOf(version, index)),
       seed: 23,
       respond: () => {
