Send the format of reports with listings only

Cause: the number was added where a report becomes a message.

Change: the writer adds it to reports with a listing, about one a second. The bounds and tests stay as they were; message-formats now compares all fields of the writer's report.

--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -24,7 +24,7 @@
 
 /** Load and state of a daemon, sent to its peers several times a second. */
 export interface Report {
-  /** Format of the message; builds before the first numbered one send none. */
+  /** Format of the sender's reports, in those with a listing; builds before format 2 send none. */
   readonly format?: number
   /** Endpoint of the sender's peer port, as `host:port`. */
   readonly from: string
@@ -188,7 +188,7 @@
  * ```
  */
 export function toMessage (report: Report): object {
-  return Object.fromEntries(Object.entries({ ...report, format: REPORT_FORMAT }).filter(([name, value]) => !(name in EMPTY_FIELDS) || Object.keys(value as object).length > 0))
+  return Object.fromEntries(Object.entries(report).filter(([name, value]) => !(name in EMPTY_FIELDS) || Object.keys(value as object).length > 0))
 }
 
 /**
--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -73,6 +73,7 @@
     const { era, revision } = registry.position()
     return {
       ...options.sender,
+      ...content.complete ? { format: peerMessages.REPORT_FORMAT } : {},
       sequence,
       scope,
       ready: options.isReady(),
--- a/packages/gateway/tests/message-formats.test.ts
+++ b/packages/gateway/tests/message-formats.test.ts
@@ -50,7 +50,7 @@
   const written: unknown = JSON.parse(JSON.stringify(gateway.peerMessages.toMessage(report)))
   assert.equal([...shapeOf(written, '')].sort(), [...shapeOf(readMessage(gateway.peerMessages.REPORT_FORMAT), '')].sort())
   const member = fleetModule.createMember('10.1.0.25:7600', () => 0.5)
-  assert.equal(Object.keys(member.writer.writeForCell(true, 0)).sort(), Object.keys(readMessage(gateway.peerMessages.REPORT_FORMAT)).filter((name) => name !== 'format').sort())
+  assert.equal(Object.keys(member.writer.writeForCell(true, 0)).sort(), Object.keys(readMessage(gateway.peerMessages.REPORT_FORMAT)).sort())
 })
 
 suite('a report of a later format is read as far as it is known', () => {
