Limit the log lines about malformed pauses, and drop an unused count

A target that sends a malformed Retry-After with each rejection would have caused a line each; these lines are now among those about requests, whose number is limited. The count of obstacles that nothing used is gone.

--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -39,8 +39,6 @@
   readonly tick: () => void
   readonly loads: () => Readonly<Record<string, routing.poolEvent.PeerLoad>>
   readonly waiting: () => number
-  /** Returns the number of targets that get no requests, by service and reason. */
-  readonly obstacles: () => readonly (readonly [service: string, counts: Readonly<Partial<Record<routing.obstacle.Obstacle, number>>>])[]
 }
 
 /** What happens to a request in a pool. */
@@ -151,7 +149,6 @@
     },
     setFleet: (reachable, daemons) => { for (const service of pools.keys()) handle(service, { kind: 'fleet', reachable, daemons }) },
     loads: () => Object.fromEntries([...pools].map(([service, pool]) => [service, pool.load(options.now())])),
-    obstacles: () => [...pools].map(([service, pool]) => [service, pool.obstacles(options.now())] as const),
     waiting: () => [...pools.values()].reduce((sum, pool) => sum + pool.waiting, 0)
   }
 }
--- a/packages/gateway/src/target-states.ts
+++ b/packages/gateway/src/target-states.ts
@@ -18,7 +18,7 @@
   readonly now: () => number
   /** Whether the direct path to a target is lost, so that peers carry the connections. */
   readonly isLost: (target: string) => boolean
-  readonly log: Pick<eventLog.EventLog, 'change'>
+  readonly log: eventLog.EventLog
   readonly metrics: metricsModule.Metrics
   /** Called when targets must be assigned again and peers must hear of it. */
   readonly changed: () => void
@@ -66,7 +66,7 @@
   }
 
   function ignorePause (target: string, retryAfter: string): void {
-    log.change('target pause malformed', { target, retryAfter: retryAfter.slice(0, MAX_LOGGED_LENGTH) })
+    log.request('target pause malformed', { target, retryAfter: retryAfter.slice(0, MAX_LOGGED_LENGTH) })
     metrics.count('target_pauses_total', { source: 'malformed' })
   }
 
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -178,11 +178,6 @@
     return this.hasBrittleTargets
   }
 
-  /** Returns the number of targets that get no requests, by the reason. */
-  obstacles (nowMs: number): Readonly<Partial<Record<obstacle.Obstacle, number>>> {
-    return this.countObstacles(this.snapshot(nowMs))
-  }
-
   /** Returns the targets that have requests in flight and have sent nothing for longer than is usual. */
   silentTargets (nowMs: number): readonly string[] {
     const silenceMs = this.service.engine === undefined ? PLAIN_SILENCE_MS : ENGINE_SILENCE_MS
