Count a predecessor at a daemon's own address as gone

A daemon that had started again could redirect a caller to itself: its predecessor was still registered in the store, or reported by a peer, so that the identities of the predecessor seemed to have a live owner.

Change: findMember returns such a member as gone, so the caller gets outcome-unknown as at any other daemon. Ruled out: skipping it when seeds are added only (a peer's report has the same effect).

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -133,7 +133,9 @@
     members: () => members(lastMs ?? 0),
     findMember: (incarnation) => {
       if (incarnation === state.localMember.incarnation) return state.localMember.toUpdate(lastMs ?? 0)
-      return state.table.find(incarnation)?.member ?? state.seeds.find(incarnation)
+      const found = state.table.find(incarnation)?.member ?? state.seeds.find(incarnation)
+      // This daemon listens at its address, so a predecessor there has ended, whatever was registered or reported since.
+      return found?.address === options.localMember.address ? { ...found, state: 'gone' } : found
     },
     updates: () => state.store.list(lastMs ?? 0),
     isConfirmed: () => state.confirmation.isConfirmed(lastMs ?? 0)
