Share the load of the fleets whose targets leave or pause

Cause: leaving-fleet and pausing-fleet repeated how requests arrive, which daemons are isolated or cut off, and how the share of the served is counted.

Change: serving-load.ts plays it.

--- a/packages/gateway/tests/leaving-fleet.test.ts
+++ b/packages/gateway/tests/leaving-fleet.test.ts
@@ -6,11 +6,10 @@
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as servingFleet from './serving-fleet.js'
+import * as servingLoad from './serving-load.js'
 
 const suite = uvu.suite('leaving fleet')
 
-const MS_PER_S = 1_000
-const ARRIVAL_STEP_MS = 20
 const SERVICE_MS = 400
 const DURATION_MS = 12_000
 const SEED = 29
@@ -45,12 +44,12 @@
   readonly late: readonly Sent[]
   readonly sent: readonly Sent[]
   readonly servedShare: number
-  /** Share of the refusals that tell the caller when to come back. */
+  /** Replies that refuse the request. */
   readonly refusals: readonly servingFleet.Reply[]
 }
 
 function play (scenario: Scenario): Result {
-  const { daemons, leaving, restarts = [], status = 200, isolated = [], cut = [] } = scenario
+  const { daemons, leaving, restarts = [], status = 200 } = scenario
   const passedOnMs = new Map<string, number>()
   const sent: Sent[] = []
   const late: Sent[] = []
@@ -78,22 +77,18 @@
     }
   })
   startMs = fleet.now()
-  fleet.setReach((from, to) => !isolated.includes(from) && !isolated.includes(to))
-  const replies: servingFleet.Reply[] = []
-  let owed = 0
-  for (; fleet.now() < startMs + DURATION_MS; fleet.advance(ARRIVAL_STEP_MS)) {
-    const sinceMs = fleet.now() - startMs
-    if (sinceMs === MS_PER_S && cut.length > 0) fleet.setPaths((daemon) => cut.includes(daemon) ? 'hang' : 'up')
-    for (const [id, atMs] of restarts) if (atMs === sinceMs) fleet.register(targetOf(id, targets.findIndex((target) => target.id === id)), 1)
-    for (owed += scenario.perS * ARRIVAL_STEP_MS / MS_PER_S; owed >= 1; owed -= 1) {
-      replies.push(fleet.request(Math.floor(fleet.random() * daemons), '/generate/7', ['tokens', '700,18', 'remaining-ms', '12000']))
-    }
-  }
-  fleet.advance(4_000)
+  const { replies, servedShare } = servingLoad.play(fleet, {
+    daemons,
+    perS: scenario.perS,
+    durationMs: DURATION_MS,
+    isolated: scenario.isolated,
+    cut: scenario.cut,
+    onStep: (sinceMs) => { for (const [id, atMs] of restarts) if (atMs === sinceMs) fleet.register(targetOf(id, targets.findIndex((target) => target.id === id)), 1) }
+  })
   return {
     late,
     sent,
-    servedShare: replies.filter((reply) => reply.status() === 200 && reply.end() === 'complete').length / replies.length,
+    servedShare,
     refusals: replies.filter((reply) => reply.status() === 503)
   }
 }
--- a/packages/gateway/tests/pausing-fleet.test.ts
+++ b/packages/gateway/tests/pausing-fleet.test.ts
@@ -5,11 +5,11 @@
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as servingFleet from './serving-fleet.js'
+import * as servingLoad from './serving-load.js'
 
 const suite = uvu.suite('pausing fleet')
 
 const MS_PER_S = 1_000
-const ARRIVAL_STEP_MS = 20
 const SERVICE_MS = 400
 const DURATION_MS = 12_000
 const SEED = 29
@@ -48,7 +48,7 @@
 }
 
 function play (scenario: Scenario): Result {
-  const { daemons, pauses, isolated = [], cut = [], saysNotRun = true, retryAfter = (remainingMs: number) => (remainingMs / MS_PER_S).toFixed(2) } = scenario
+  const { daemons, pauses, saysNotRun = true, retryAfter = (remainingMs: number) => (remainingMs / MS_PER_S).toFixed(2) } = scenario
   const targets = Array.from({ length: scenario.targets }, (_, index): routing.targetRegistry.Target => ({
     id: `i-${index}`, service: 'support', address: `10.9.0.${index}:80`, availabilityZone: 'casa-a', version: 'v1', slots: 8, leaving: false
   }))
@@ -78,19 +78,10 @@
     }
   })
   startMs = fleet.now()
-  fleet.setReach((from, to) => !isolated.includes(from) && !isolated.includes(to))
-  const replies: servingFleet.Reply[] = []
-  let owed = 0
-  for (; fleet.now() < startMs + DURATION_MS; fleet.advance(ARRIVAL_STEP_MS)) {
-    if (fleet.now() - startMs === MS_PER_S && cut.length > 0) fleet.setPaths((daemon) => cut.includes(daemon) ? 'hang' : 'up')
-    for (owed += scenario.perS * ARRIVAL_STEP_MS / MS_PER_S; owed >= 1; owed -= 1) {
-      replies.push(fleet.request(Math.floor(fleet.random() * daemons), '/generate/7', ['tokens', '700,18', 'remaining-ms', '12000']))
-    }
-  }
-  fleet.advance(4_000)
+  const { replies, servedShare } = servingLoad.play(fleet, { daemons, perS: scenario.perS, durationMs: DURATION_MS, isolated: scenario.isolated, cut: scenario.cut })
   return {
     most: Math.max(0, ...counts.values()),
-    servedShare: replies.filter((reply) => reply.status() === 200 && reply.end() === 'complete').length / replies.length,
+    servedShare,
     replies,
     returnsMs: [...returnsMs.values()]
   }
