--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -12,7 +12,7 @@
 const SERVICE = 'stock'
 const REPLICAS = 4
 const WORK_MS = 200
-const CHANNELS = 6
+const CHANNELS = 7
 const STABLE_MS = 3_500
 const DAY_MS = 8_000
 const RESTART_MS = 500
