Say in frames that a target has ended a carried connection

Cause: the relay passed on bytes only, so the end of its process, which closes connections in the regular way, couldn't be told from the end of the answer. The stop of a daemon didn't count what it carried as open either.

Change: bytes of the target travel in frames, and an empty frame says that the target has ended its connection. Anything else fails the exchange. Both sides agree on frames in the headers of CONNECT, so older builds go on working; an answer without a length never counts as complete through an older peer. A planned stop waits for carried connections within the grace period and resets the rest. Idle connections through peers that stop are closed.

Why this works: only the peer that saw the target's regular end can send the empty frame, and it sends it after all bytes.

Ruled out: resets that the relay takes for ends (tested before, pass); a longer stop alone (a kill has no stop).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -154,7 +154,7 @@
     this.gracefulStop = gracefulStop.createGracefulStop({
       now: this.now,
       graceMs: () => this.tolerances.graceMs,
-      openRequests: () => this.openRequests(),
+      openRequests: () => this.openRequests() + this.routes.carried(),
       closeListener: () => { this.front?.close() },
       onBegin: () => { this.reports?.changed() },
       log: this.log
@@ -295,6 +295,7 @@
     for (const timer of this.timers) clearInterval(timer)
     this.reports?.close()
     this.front?.close()
+    this.routes.close()
     await this.clients.close()
   }
 
@@ -337,7 +338,6 @@
     this.refreshTargets()
     this.targetLimits.retain(new Set(this.registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id])), nowMs)
     this.routes.retain()
-    this.clients.retain(new Set(this.registry.versionedTargets().flatMap((versioned) => versioned.target === undefined ? [] : [versioned.target.address])))
     this.streamRecords.tick()
     this.logReach(live, members)
     this.metrics.gauge('peers_live', live - 1)
--- a/packages/gateway/src/path-pools.ts
+++ b/packages/gateway/src/path-pools.ts
@@ -56,8 +56,8 @@
   readonly poolOf: (address: string, via: string | undefined) => undici.Pool
   /** Uses new direct connections to an address for later requests; those in progress keep theirs. */
   readonly renew: (address: string) => void
-  /** Closes the pools of addresses that are not in the set. */
-  readonly retain: (addresses: ReadonlySet<string>) => void
+  /** Closes the pools of addresses, and of peers that carry connections, that are not in the sets. */
+  readonly retain: (addresses: ReadonlySet<string>, peers: ReadonlySet<string>) => void
   readonly destroy: () => Promise<void>
 }
 
@@ -86,7 +86,7 @@
   return {
     poolOf,
     renew: (address) => { closePools(pools, (path) => path.address === address && path.via === undefined) },
-    retain: (addresses) => { closePools(pools, (path) => !addresses.has(path.address)) },
+    retain: (addresses, peers) => { closePools(pools, ({ address, via }) => !addresses.has(address) || (via !== undefined && !peers.has(via))) },
     destroy: async () => { await Promise.all([...pools.values()].map(({ pool }) => pool.destroy())) }
   }
 }
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -7,6 +7,7 @@
 import type * as http from 'node:http'
 import * as net from 'node:net'
 import * as endpoint from './endpoint.js'
+import * as relayFrames from './relay-frames.js'
 
 /** Time limit for connecting to the target, ms. */
 const CONNECT_TIMEOUT_MS = 300
@@ -34,7 +35,7 @@
 }
 
 /** Joins two connections; the end or failure of one ends the other in the same way. */
-function join (peer: net.Socket, target: net.Socket): void {
+function join (peer: net.Socket, target: net.Socket, hasFrames: boolean): void {
   const reset = (): void => {
     target.resetAndDestroy()
     peer.resetAndDestroy()
@@ -45,9 +46,18 @@
   // A peer that ends its side has left its exchange, at which the target must stop.
   peer.once('end', () => { target.destroy() })
   peer.once('close', () => { target.destroy() })
-  target.once('close', () => { if (!peer.writableEnded) peer.end() })
+  target.once('close', () => { if (!target.readableEnded) peer.resetAndDestroy() })
   peer.pipe(target)
-  target.pipe(peer)
+  if (hasFrames) target.pipe(relayFrames.createFrameEncoder()).pipe(peer)
+  else target.pipe(peer)
+}
+
+/** The connections that are carried for peers. */
+export interface Relay {
+  /** Returns the number of connections, those included that are being opened. */
+  readonly open: () => number
+  /** Resets all connections, so that none looks as if its target had ended it. */
+  readonly close: () => void
 }
 
 /**
@@ -55,16 +65,17 @@
  *
  * @example
  * ```ts
- * serveRelay(server, { isPeer, isTarget, isClosed, countResult })
+ * const relay = serveRelay(server, { isPeer, isTarget, isClosed, countResult })
  * ```
  */
-export function serveRelay (server: http.Server, options: Options): void {
-  let relayed = 0
+export function serveRelay (server: http.Server, options: Options): Relay {
+  /** The connections of peers whose target is connected or being connected. */
+  const relayed = new Set<net.Socket>()
 
   function refusalOf (address: string, host: string): string | undefined {
     if (!options.isPeer(host) || !options.isTarget(address)) return FORBIDDEN
     if (options.isClosed(address)) return BAD_GATEWAY
-    return relayed >= MAX_RELAYED ? UNAVAILABLE : undefined
+    return relayed.size >= MAX_RELAYED ? UNAVAILABLE : undefined
   }
 
   server.on('connect', (request: http.IncomingMessage, peer: net.Socket) => {
@@ -76,8 +87,9 @@
       refuse(peer, refusal)
       return
     }
-    relayed += 1
+    relayed.add(peer)
     peer.setNoDelay(true)
+    const hasFrames = request.headers[relayFrames.FRAMES_HEADER] === relayFrames.FRAMES_VERSION
     const { host, port } = endpoint.parseEndpoint(address)
     const target = net.connect({ host, port, noDelay: true })
     const timer = setTimeout(() => { target.destroy(new Error(`timed out after ${CONNECT_TIMEOUT_MS} ms`)) }, CONNECT_TIMEOUT_MS)
@@ -88,15 +100,21 @@
     target.once('error', fail)
     target.once('close', () => {
       clearTimeout(timer)
-      relayed -= 1
+      relayed.delete(peer)
     })
     target.once('connect', () => {
       clearTimeout(timer)
       target.off('error', fail)
       options.countResult('carried')
-      peer.write('HTTP/1.1 200 Connection Established\r\n\r\n')
-      join(peer, target)
+      const frames = hasFrames ? `${relayFrames.FRAMES_HEADER}: ${relayFrames.FRAMES_VERSION}\r\n` : ''
+      peer.write(`HTTP/1.1 200 Connection Established\r\n${frames}\r\n`)
+      join(peer, target, hasFrames)
     })
     peer.once('close', () => { target.destroy() })
   })
+
+  return {
+    open: () => relayed.size,
+    close: () => { for (const peer of relayed) peer.resetAndDestroy() }
+  }
 }
--- a/packages/gateway/src/target-client.ts
+++ b/packages/gateway/src/target-client.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import type * as net from 'node:net'
 import type * as undici from 'undici'
 import * as pathPools from './path-pools.js'
 import type * as rawHeaders from './raw-headers.js'
@@ -55,8 +54,8 @@
   readonly probe: (address: string) => Promise<boolean>
   /** Uses new direct connections to an address for later requests; those in progress keep theirs. */
   readonly renew: (address: string) => void
-  /** Closes the pools of addresses that are not in the set. */
-  readonly retain: (addresses: ReadonlySet<string>) => void
+  /** Closes the pools of addresses, and of peers that carry connections, that are not in the sets. */
+  readonly retain: (addresses: ReadonlySet<string>, peers: ReadonlySet<string>) => void
   readonly close: () => Promise<void>
 }
 
@@ -68,7 +67,7 @@
 
 /** Detects whether the connection whose end is being reported was reset. */
 interface ResetDetector {
-  readonly watch: (socket: net.Socket) => void
+  readonly watch: (connection: targetConnector.Connection) => void
   readonly isReset: () => boolean
 }
 
--- a/packages/gateway/src/target-connector.ts
+++ b/packages/gateway/src/target-connector.ts
@@ -5,8 +5,11 @@
  */
 import * as http from 'node:http'
 import * as net from 'node:net'
+import type * as stream from 'node:stream'
 import type * as undici from 'undici'
 import * as endpoint from './endpoint.js'
+import * as relayFrames from './relay-frames.js'
+import * as relayedConnection from './relayed-connection.js'
 
 /** Timeout for a new connection to a target, ms; a reachable target accepts within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 300
@@ -32,8 +35,11 @@
   if (error.code === 'ECONNRESET') error.code = 'ERR_TARGET_RESET'
 }
 
+/** A connection to a target, direct or through a peer. */
+export type Connection = stream.Duplex & Pick<net.Socket, 'bytesRead' | 'remoteAddress'>
+
 /** Called with each new connection. */
-export type Watchers = readonly ((socket: net.Socket) => void)[]
+export type Watchers = readonly ((connection: Connection) => void)[]
 
 /**
  * Returns a function that connects directly.
@@ -75,11 +81,11 @@
   const { host, port } = endpoint.parseEndpoint(via)
   return (_, callback) => {
     const fail = (cause: string): void => { callback(new ConnectFailure(address, `${cause} through ${via}`), null) }
-    const request = http.request({ host, port, method: 'CONNECT', path: address, agent: false })
+    const request = http.request({ host, port, method: 'CONNECT', path: address, headers: { [relayFrames.FRAMES_HEADER]: relayFrames.FRAMES_VERSION }, agent: false })
     const timer = setTimeout(() => { request.destroy(new Error(`timed out after ${RELAY_TIMEOUT_MS} ms`)) }, RELAY_TIMEOUT_MS)
     request.once('close', () => { clearTimeout(timer) })
     request.once('error', (error) => { fail(error.message) })
-    request.once('connect', (response, socket) => {
+    request.once('connect', (response, socket, head) => {
       clearTimeout(timer)
       if (response.statusCode !== OK) {
         socket.destroy()
@@ -87,9 +93,13 @@
         return
       }
       socket.setNoDelay(true)
-      socket.on('error', markReset)
-      for (const watch of watchers) watch(socket)
-      callback(null, socket)
+      if (head.length > 0) socket.unshift(head)
+      const hasFrames = response.headers[relayFrames.FRAMES_HEADER] === relayFrames.FRAMES_VERSION
+      const connection = new relayedConnection.RelayedConnection(socket, { hasFrames })
+      connection.on('error', markReset)
+      for (const watch of watchers) watch(connection)
+      // undici uses nothing of the connection that a stream doesn't have.
+      callback(null, connection as unknown as net.Socket)
     })
     request.end()
   }
--- a/packages/gateway/src/target-routes.ts
+++ b/packages/gateway/src/target-routes.ts
@@ -22,7 +22,7 @@
   readonly registry: routing.targetRegistry.TargetRegistry
   readonly pauses: Pick<routing.targetPauses.TargetPauses, 'untilMs'>
   readonly peers: peerTable.PeerTable
-  readonly clients: Pick<targetClient.TargetClients, 'probe' | 'renew'>
+  readonly clients: Pick<targetClient.TargetClients, 'probe' | 'renew' | 'retain'>
   readonly log: eventLog.EventLog
   readonly metrics: metricsModule.Metrics
   /** Called when the lost paths to report to peers have changed. */
@@ -34,12 +34,16 @@
   readonly paths: routing.targetPaths.TargetPaths
   /** Starts the probes that are due. */
   readonly probe: () => void
-  /** Forgets targets that are not registered any more. */
+  /** Forgets targets that are not registered any more, and closes idle connections to them and through peers that stop. */
   readonly retain: () => void
   /** Whether callers should use other daemons, since this one serves them only through peers. */
   readonly isLeftToPeers: () => boolean
   /** Carries connections of peers that are cut off from targets. */
   readonly serveRelay: (server: http.Server) => void
+  /** Returns the number of connections that this daemon carries for peers. */
+  readonly carried: () => number
+  /** Resets the connections that this daemon carries for peers. */
+  readonly close: () => void
 }
 
 /**
@@ -53,6 +57,7 @@
  */
 export function createTargetRoutes (options: Options): TargetRoutes {
   const { now, registry, peers, clients, log, metrics } = options
+  let relay: relayServer.Relay | undefined
 
   function addressOf (target: string): string | undefined {
     return registry.versionedTargets().find(({ id }) => id === target)?.target?.address
@@ -87,6 +92,12 @@
     }
   }
 
+  function retain (): void {
+    const targets = registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [{ id, address: target.address }])
+    paths.retain(new Set(targets.map(({ id }) => id)))
+    clients.retain(new Set(targets.map(({ address }) => address)), new Set(relays()))
+  }
+
   return {
     paths,
     choose: (target) => {
@@ -96,13 +107,15 @@
     },
     recordUnreachable: (target, via) => { paths.recordUnreachable(target, via, now()) },
     probe,
-    retain: () => { paths.retain(new Set(registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id]))) },
+    retain,
+    carried: () => relay?.open() ?? 0,
+    close: () => { relay?.close() },
     isLeftToPeers: () => {
       const reaching = relays()
       return paths.isCutOff(reaching, now()) && reaching.length >= MIN_REACHING_SHARE * (1 + peers.reachablePeers(now()).length)
     },
     serveRelay: (server) => {
-      relayServer.serveRelay(server, {
+      relay = relayServer.serveRelay(server, {
         isPeer: (host) => peers.knowsHost(host),
         isTarget: (address) => targetAt(address) !== undefined,
         isClosed: (address) => {
