Check all state from the store and peers, and limit what an error ends

Cause: the check of the address took any digits, and undici.Pool throws for such a port while a request is placed, where nothing catches it.

Change: state-checks.ts checks documents and targets from the store and peers; endpoints have one check. An error while a request is handled ends this request (503 if nothing was sent). A request whose dispatch throws counts as unreachable, reported after its caller holds the exchange. A closed standard output and errors of listeners no longer end the process, and an address that is in use ends the start with a message rather than silently.

Why this works: no decoded value reaches a step that can't use it, and where one does, the error ends with the request that met it.

Ruled out: a check in the adapter alone (peers may run older builds and hand such targets on), and catching alone (the entry would still take requests).

--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -10,6 +10,24 @@
   readonly port: number
 }
 
+const ENDPOINT = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$/
+const MAX_OCTET = 255
+const MAX_PORT = 65_535
+
+/**
+ * Returns whether a value is an IP address and a port, as `host:port`.
+ *
+ * @example
+ * ```ts
+ * isEndpoint('10.1.0.25:99999') // false
+ * ```
+ */
+export function isEndpoint (value: unknown): boolean {
+  const numbers = typeof value === 'string' ? ENDPOINT.exec(value)?.slice(1).map(Number) ?? [] : []
+  const port = numbers.pop() ?? 0
+  return port > 0 && port <= MAX_PORT && numbers.every((octet) => octet <= MAX_OCTET)
+}
+
 /**
  * Parses an address of the form `host:port`.
  *
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -46,6 +46,8 @@
 export function openEventLog (options: Options): EventLog {
   let tokens = BURST_LINES
   let filledMs = options.now()
+  // Standard output fails when its reader is gone; the process goes on without a log.
+  if (options.output.listenerCount('error') === 0) options.output.on('error', () => { options.countDropped(1) })
   const bounded = new stream.Writable({
     decodeStrings: false,
     write: (line: string | Buffer, _, done) => {
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -10,6 +10,7 @@
 import * as refusal from './refusal.js'
 import * as requestTask from './request-task.js'
 import * as resumption from './resumption.js'
+import * as unexpectedErrors from './unexpected-errors.js'
 
 /** Maximum size of a head that is parsed, bytes; the document's own limit is checked afterwards. */
 const MAX_HEAD_BYTES = 131_072
@@ -38,6 +39,7 @@
   'no-target': NO_DOCUMENT_RETRY_MS,
   'version-gone': NO_DOCUMENT_RETRY_MS,
   'unknown-stream': NO_DOCUMENT_RETRY_MS,
+  failed: NO_DOCUMENT_RETRY_MS,
   stopping: STOPPING_RETRY_MS
 }
 
@@ -101,6 +103,16 @@
   }
 
   function handleRequest (incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
+    const head: admission.RequestHead = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.rawHeaders, arrivedMs: context.now() }
+    try {
+      serve(incoming, outgoing, head)
+    } catch (error) {
+      unexpectedErrors.record(context, error, { path: head.path })
+      refuse(outgoing, head, 'failed')
+    }
+  }
+
+  function serve (incoming: http.IncomingMessage, outgoing: http.ServerResponse, head: admission.RequestHead): void {
     open += 1
     let counted = true
     const done = (): void => {
@@ -109,7 +121,6 @@
     }
     outgoing.once('close', done)
     closeWithCaller(incoming, outgoing)
-    const head: admission.RequestHead = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.rawHeaders, arrivedMs: context.now() }
     const admitted = admission.admit(context, head)
     const refuseBody = (): void => { refuse(outgoing, head, 'body-too-large') }
     if (admitted.isErr()) {
@@ -145,6 +156,7 @@
     server.once('error', reject)
     server.listen(port, host, resolve)
   })
+  server.on('error', (error) => { unexpectedErrors.record(context, error, { address }) })
 
   function adoptLimits (): void {
     const limits = context.limits()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 import * as connectionLimit from './connection-limit.js'
 import type * as contextModule from './context.js'
 import type * as headerNames from './header-names.js'
+import * as endpoint from './endpoint.js'
 import * as documentInForce from './document-in-force.js'
 import * as eventLog from './event-log.js'
 import * as frontServer from './front-server.js'
@@ -17,12 +18,14 @@
 import * as peerPort from './peer-port.js'
 import * as peerReports from './peer-reports.js'
 import * as peerTable from './peer-table.js'
+import * as reachLog from './reach-log.js'
 import type * as recordStore from './record-store.js'
 import * as servicePools from './service-pools.js'
 import * as streamRecords from './stream-records.js'
 import * as targetClient from './target-client.js'
 import * as targetRoutes from './target-routes.js'
 import * as targetStates from './target-states.js'
+import * as unexpectedErrors from './unexpected-errors.js'
 
 /** Settings of a gateway. Times are ms. */
 export interface Options {
@@ -57,6 +60,9 @@
 
 const INCARNATION_BYTES = 6
 
+/** Maximum length of an unreadable address in the log, characters. */
+const MAX_LOGGED_LENGTH = 40
+
 /**
  * The gateway of one daemon: its state and the operations on it.
  *
@@ -98,7 +104,7 @@
   private readonly gracefulStop: gracefulStop.GracefulStop
   private closed = false
   private lastTickMs = 0
-  private isIsolated = false
+  private readonly logReach: (live: number, members: number) => void
 
   constructor (private readonly options: Options) {
     this.log = eventLog.openEventLog({
@@ -107,6 +113,7 @@
       output: process.stdout,
       countDropped: (lines) => { this.metrics.count('log_lines_dropped_total', {}, lines) }
     })
+    this.logReach = reachLog.createReachLog(this.log)
     this.inForce = documentInForce.createDocumentInForce({ now: this.now, log: this.log, metrics: this.metrics })
     this.peers = new peerTable.PeerTable(options.peerAddress, Math.random)
     this.tolerances = options.tolerances
@@ -172,7 +179,8 @@
       onReport: (report) => { this.reports?.handle(report) },
       onQuestion: (question) => { this.streamRecords.directory.handleQuestion(question) },
       onAnswer: (answer) => { this.streamRecords.directory.handleAnswer(answer) },
-      countMalformed: () => { this.metrics.count('peer_messages_malformed_total') }
+      countMalformed: () => { this.metrics.count('peer_messages_malformed_total') },
+      onError: (message, error) => { unexpectedErrors.record(this, error, { message }) }
     })
     this.port = port
     this.reports = this.createReports(port)
@@ -225,8 +233,10 @@
     this.streamRecords.recordStoreContact()
   }
 
+  /** Adds an endpoint at which a peer may be reachable; one that can't be is logged and left out. */
   addPeer (address: string): void {
-    this.peers.discover(address, this.now())
+    if (endpoint.isEndpoint(address)) this.peers.discover(address, this.now())
+    else this.log.change('peer address unreadable', { address: address.slice(0, MAX_LOGGED_LENGTH) })
   }
 
   isReady (): boolean {
@@ -293,9 +303,7 @@
     if (this.closed) return
     this.closed = true
     for (const timer of this.timers) clearInterval(timer)
-    this.reports?.close()
-    this.front?.close()
-    this.routes.close()
+    for (const part of [this.reports, this.front, this.routes]) part?.close()
     await this.clients.close()
   }
 
@@ -347,13 +355,6 @@
     this.metrics.gauge('requests_open', this.openRequests())
   }
 
-  /** Logs when the daemon loses contact with half of the fleet, which restricts it to its own share, and when it regains it. */
-  private logReach (live: number, members: number): void {
-    const isIsolated = live * 2 <= members
-    if (isIsolated !== this.isIsolated) this.log.change(isIsolated ? 'peers lost' : 'peers regained', { live, members })
-    this.isIsolated = isIsolated
-  }
-
   private logSuspect ({ trait, lastCrashMs, refusals }: routing.suspects.RefusedTrait, isRefused: boolean): void {
     this.log.change(isRefused ? 'trait refused' : 'trait no longer refused', { trait, sinceCrashMs: Math.round(this.now() - lastCrashMs), refusals })
     if (isRefused) this.metrics.count('traits_refused_total')
--- a/packages/gateway/src/peer-port.ts
+++ b/packages/gateway/src/peer-port.ts
@@ -22,6 +22,8 @@
   readonly onQuestion: (question: streamDirectory.StreamQuestion) => void
   readonly onAnswer: (answer: streamDirectory.StreamAnswer) => void
   readonly countMalformed: () => void
+  /** Called when the handling of a message fails. */
+  readonly onError: (message: string, error: unknown) => void
 }
 
 /** The open port. */
@@ -38,13 +40,13 @@
  *
  * @example
  * ```ts
- * const port = await openPeerPort({ address: '10.1.0.25:7600', onReport, countMalformed })
+ * const port = await openPeerPort({ address: '10.1.0.25:7600', onReport, onQuestion, onAnswer, countMalformed, onError })
  * port.send(['10.2.0.17:7600'], report)
  * ```
  */
 export async function openPeerPort (options: Options): Promise<PeerPort> {
   const socket = dgram.createSocket('udp4')
-  const server = new jsonRpc.JSONRPCServer()
+  const server = new jsonRpc.JSONRPCServer({ errorListener: options.onError })
   const addNotification = <Params>(method: string, parse: (params: unknown) => Params | undefined, handle: (params: Params) => void): void => {
     server.addMethod(method, (params: unknown) => {
       const parsed = parse(params)
@@ -65,7 +67,13 @@
   // Sends to a peer that is down fail; such a peer is detected by its timeout, not by this error.
   socket.on('error', options.countMalformed)
   const { host, port } = endpoint.parseEndpoint(options.address)
-  await new Promise<void>((resolve) => { socket.bind(port, host, resolve) })
+  await new Promise<void>((resolve, reject) => {
+    socket.once('error', reject)
+    socket.bind(port, host, () => {
+      socket.off('error', reject)
+      resolve()
+    })
+  })
   function notify (addresses: Iterable<string>, method: string, params: object): number {
     const bytes = Buffer.from(JSON.stringify(jsonRpc.createJSONRPCNotification(method, params)))
     for (const address of addresses) {
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -8,7 +8,7 @@
 export type Reason =
   | 'no-document' | 'unknown-route' | 'unknown-key' | 'headers-too-large' | 'body-too-large'
   | 'over-cap' | 'overloaded' | 'paused' | 'no-target' | 'version-gone' | 'unknown-stream' | 'suspect' | 'stopping'
-  | 'rejected' | 'unreachable' | 'broken' | 'timed-out-unsent' | 'timed-out'
+  | 'rejected' | 'unreachable' | 'failed' | 'broken' | 'timed-out-unsent' | 'timed-out'
 
 interface RefusalTemplate {
   readonly status: number
@@ -33,6 +33,7 @@
   stopping: { status: 503, message: 'This daemon is stopping.', remedy: 'Use another address.' },
   rejected: { status: 503, message: 'The target had no free slot and has not run the request.', remedy: 'Retry after the time in Retry-After.' },
   unreachable: { status: 503, message: 'No target was reachable; nothing was sent.', remedy: 'Retry after the time in Retry-After.' },
+  failed: { status: 503, message: 'This daemon failed before it sent the request.', remedy: 'Retry after the time in Retry-After, or use another address; the log names the error.' },
   broken: { status: 502, message: 'The exchange with the target failed; the request may have run.', remedy: 'Check whether the request has run before sending it again.' },
   'timed-out-unsent': { status: 503, message: 'The deadline passed before a target was free; nothing was sent.', remedy: 'Retry after the time in Retry-After.' },
   'timed-out': { status: 504, message: 'The deadline passed while a target was processing the request; it may have run.', remedy: 'Check whether the request has run before sending it again.' }
--- a/packages/gateway/src/report-checks.ts
+++ b/packages/gateway/src/report-checks.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as endpoint from './endpoint.js'
 
 /** Returns whether a value is as expected. */
 export type Check = (value: unknown) => boolean
@@ -11,8 +12,6 @@
 const MAX_NUMBER = 2 ** 50
 
 const MAX_TEXT_LENGTH = 65_536
-const ENDPOINT = /^\d{1,3}(\.\d{1,3}){3}:(\d{1,5})$/
-const MAX_PORT = 65_535
 
 /** A text of bounded length. */
 export const isText: Check = (value) => typeof value === 'string' && value.length <= MAX_TEXT_LENGTH
@@ -25,11 +24,7 @@
 /** A number that is not negative. */
 export const isAmount: Check = (value) => isNumber(value) && Number(value) >= 0
 
-/** An IP address and a port, as `host:port`. */
-export const isEndpoint: Check = (value) => {
-  const port = typeof value === 'string' ? Number(ENDPOINT.exec(value)?.[2] ?? 0) : 0
-  return port > 0 && port <= MAX_PORT
-}
+export const isEndpoint: Check = endpoint.isEndpoint
 
 /** A start of a target in ms, base 36. */
 export const isStart: Check = (value) => typeof value === 'string' && /^[0-9a-z]{1,10}$/.test(value)
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -17,6 +17,7 @@
 import type * as streamEvents from './stream-events.js'
 import type * as targetClient from './target-client.js'
 import * as traits from './traits.js'
+import * as unexpectedErrors from './unexpected-errors.js'
 
 /** Dependencies of a task. */
 export interface Options {
@@ -89,11 +90,15 @@
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
     this.version = request.version
     this.isRetryable = kind === 'idempotent' || (kind === 'stream' && resumable)
-    this.deadlineTimer = setTimeout(() => { this.onDeadline() }, Math.max(0, request.limitMs - context.now()))
+    this.deadlineTimer = setTimeout(() => { this.run(() => { this.onDeadline() }) }, Math.max(0, request.limitMs - context.now()))
   }
 
   start (): void {
-    this.options.outgoing.once('close', () => { this.onCallerLeft() })
+    this.options.outgoing.once('close', () => { this.run(() => { this.onCallerLeft() }) })
+    this.run(() => { this.begin() })
+  }
+
+  private begin (): void {
     const verdict = this.evidence.admit()
     if (verdict.kind === 'admitted') {
       this.requestPlacement(false)
@@ -103,6 +108,18 @@
     }
   }
 
+  /** Runs a step of the request. An unexpected error ends this request and no other. */
+  private run (step: () => void): void {
+    try {
+      step()
+    } catch (error) {
+      const { context, request, outgoing } = this.options
+      unexpectedErrors.record(context, error, { request: request.requestId })
+      if (this.finished) outgoing.destroy()
+      else this.refuse(this.mayHaveRun ? 'broken' : 'failed', REJECTED_RETRY_MS)
+    }
+  }
+
   private finish (outcome: string, status: number, reason: string, stage?: requestRecord.Stage): void {
     const { context, request, done } = this.options
     this.finished = true
@@ -191,8 +208,8 @@
       isRetry
     }, {
       onQueued: (placement) => { this.placement = placement },
-      onDecision: (decision) => { this.onDecision(decision) },
-      onStalled: () => { this.abandon('no event within the stall time') }
+      onDecision: (decision) => { this.run(() => { this.onDecision(decision) }) },
+      onStalled: () => { this.run(() => { this.abandon('no event within the stall time') }) }
     })
   }
 
@@ -236,7 +253,7 @@
       sink: { lastId: () => this.lastId, push: (head, events) => this.push(head, events) },
       onSent: () => { this.onSent() },
       onEvent: () => { this.onEvent() },
-      done: (outcome) => { this.onEnd(outcome) }
+      done: (outcome) => { this.run(() => { this.onEnd(outcome) }) }
     })
   }
 
@@ -252,7 +269,7 @@
     this.mayHaveRun = true
     context.metrics.count('sends_total', { service: request.service, repeated: String(this.sends > 1) })
     if (route.kind !== 'idempotent' || this.sends >= route.attempts) return
-    this.retryTimer = setTimeout(() => { this.abandon('no response in time') }, RETRY_DELAY_LATENCY_SHARE * route.targetLatencyMs)
+    this.retryTimer = setTimeout(() => { this.run(() => { this.abandon('no response in time') }) }, RETRY_DELAY_LATENCY_SHARE * route.targetLatencyMs)
   }
 
   private onEvent (): void {
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -145,7 +145,7 @@
       handle(service, { kind: 'brittle', isBrittle })
     },
     applyPeerLoads: (peer, loads) => {
-      for (const service of pools.keys()) handle(service, { kind: 'peer-load', peer, load: loads[service] ?? { targets: {}, waiting: [] } })
+      for (const service of pools.keys()) handle(service, { kind: 'peer-load', peer, load: (Object.hasOwn(loads, service) ? loads[service] : undefined) ?? { targets: {}, waiting: [] } })
     },
     setFleet: (reachable, daemons) => { for (const service of pools.keys()) handle(service, { kind: 'fleet', reachable, daemons }) },
     loads: () => Object.fromEntries([...pools].map(([service, pool]) => [service, pool.load(options.now())])),
--- a/packages/gateway/src/state-sync.ts
+++ b/packages/gateway/src/state-sync.ts
@@ -9,7 +9,7 @@
 import * as undici from 'undici'
 import type * as gatewayModule from './gateway.js'
 import * as httpEndpoint from './http-endpoint.js'
-import type * as peerMessages from './peer-messages.js'
+import * as stateChecks from './state-checks.js'
 
 /** Time for the store to deliver a change that a peer already holds, before the peer is queried, ms. */
 const MAX_STORE_LAG_MS = 700
@@ -50,7 +50,9 @@
   async function query (peer: string): Promise<void> {
     // Queries are rare, and a connection that was kept from the last one may have gone silent.
     const response = await client.request({ origin: `http://${peer}`, path: SHARED_STATE_PATH, method: 'GET', reset: true, signal: AbortSignal.timeout(QUERY_TIMEOUT_MS) })
-    gateway.applySharedState(await response.body.json() as peerMessages.SharedState, peer)
+    const state = stateChecks.parseSharedState(await response.body.json())
+    if (state === undefined) throw new Error('The state of the peer is malformed. Check that it runs a build of this project.')
+    gateway.applySharedState(state, peer)
   }
 
   /** Returns the peers that hold later targets, once the store had time to deliver them here as well. */
--- a/packages/gateway/src/target-client.ts
+++ b/packages/gateway/src/target-client.ts
@@ -89,6 +89,16 @@
   }
 }
 
+/** Dispatches a request; one that can't be dispatched fails. */
+function dispatch (pools: pathPools.PathPools, request: TargetRequest, handler: undici.Dispatcher.DispatchHandler, fail: (error: Error) => void): void {
+  const { address, via, method, path, headers, body } = request
+  try {
+    pools.poolOf(address, via).dispatch({ method: method as undici.Dispatcher.HttpMethod, path, headers: headers as string[], body: body ?? null }, handler)
+  } catch (error) {
+    fail(error as Error)
+  }
+}
+
 /**
  * Opens the clients of all targets. The caller must close them.
  *
@@ -107,6 +117,7 @@
     let controller: undici.Dispatcher.DispatchController | undefined
     let received: receivedBytes.ReceivedBytes | undefined
     let isFinished = false
+    let isDispatched = false
 
     function finish (): void {
       isFinished = true
@@ -119,12 +130,14 @@
       listener.failed(kind, message)
     }
 
-    pools.poolOf(request.address, request.via).dispatch({
-      method: request.method as undici.Dispatcher.HttpMethod,
-      path: request.path,
-      headers: request.headers as string[],
-      body: request.body ?? null
-    }, {
+    /** Reports a failure only after `send` has returned, so that its caller holds the exchange. */
+    function failLater ({ message }: Error): void {
+      const failNow = (): void => { fail(controller === undefined ? 'unreachable' : 'broken', message) }
+      if (isDispatched) failNow()
+      else queueMicrotask(failNow)
+    }
+
+    const handler: undici.Dispatcher.DispatchHandler = {
       onRequestStart: (responseController) => {
         controller = responseController
         if (isFinished) {
@@ -151,10 +164,10 @@
         if (resetDetector.isReset()) listener.failed('broken', 'the connection was reset within the response')
         else listener.end()
       },
-      onResponseError: (_, error) => {
-        fail(controller === undefined ? 'unreachable' : 'broken', error.message)
-      }
-    })
+      onResponseError: (_, error) => { failLater(error) }
+    }
+    dispatch(pools, request, handler, failLater)
+    isDispatched = true
     return {
       abort: () => {
         finish()
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -135,7 +135,7 @@
 }
 
 /** Starts a gateway with targets `i-1`, `i-2` and so on. */
-export async function openFixture (targets: number, document: routing.document.RoutingDocument = DOCUMENT): Promise<Fixture> {
+export async function openFixture (targets: number, document: routing.document.RoutingDocument = DOCUMENT, headerNames = HEADER_NAMES): Promise<Fixture> {
   const arrivals: Arrival[] = []
   let script: Script = (arrival, response) => respondComplete(arrival, response)
   const servers = Array.from({ length: targets }, (_, index) => {
@@ -160,7 +160,7 @@
     availabilityZone: 'casa-a',
     frontAddress,
     peerAddress,
-    headerNames: HEADER_NAMES,
+    headerNames,
     tolerances: { retryBudget: { ratio: 0.2, allowance: 200, windowMs: 10_000 }, tokenCaps: { toleratedTokens: 0 }, graceMs: 8_000 }
   })
   await gateway.open()
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -153,11 +153,8 @@
 
   /** Returns the load to report to peers. */
   load (nowMs: number): poolEvent.PeerLoad {
-    const targets: Record<string, readonly [number, number]> = {}
-    for (const [id, record] of this.records) {
-      const running = record.ownRequestIds.length
-      if (running > 0) targets[id] = [running, record.ownPendingPrefillTokens()]
-    }
+    const inUse = [...this.records].filter(([, record]) => record.ownRequestIds.length > 0)
+    const targets = Object.fromEntries(inUse.map(([id, record]) => [id, [record.ownRequestIds.length, record.ownPendingPrefillTokens()] as const]))
     const waiting = new Map<number, readonly [number, number, number]>()
     const snapshot = this.snapshot(nowMs)
     for (const request of this.queue) {
@@ -205,7 +202,7 @@
 
   private applyPeerLoad (peer: string, load: poolEvent.PeerLoad, nowMs: number): void {
     this.peerQueues.set(peer, { waiting: load.waiting, atMs: nowMs })
-    for (const [id, record] of this.records) record.applyPeerLoad(peer, load.targets[id], nowMs)
+    for (const [id, record] of this.records) record.applyPeerLoad(peer, Object.hasOwn(load.targets, id) ? load.targets[id] : undefined, nowMs)
   }
 
   private recordEvent (event: Extract<poolEvent.PoolEvent, { readonly kind: 'first-event' | 'next-event' }>, nowMs: number): void {
--- a/packages/routing/src/stream-versions.ts
+++ b/packages/routing/src/stream-versions.ts
@@ -51,13 +51,12 @@
  * ```
  */
 export function toStreamReport (beginnings: readonly StreamBeginning[]): StreamReport {
-  const report: Record<string, Record<string, string[]>> = {}
+  const services = new Map<string, Map<string, string[]>>()
   for (const { requestId, service, version } of beginnings) {
-    const versions = report[service] ??= {}
-    const requestIds = versions[version] ??= []
-    requestIds.push(requestId)
+    const versions = services.get(service) ?? new Map<string, string[]>()
+    services.set(service, versions.set(version, [...versions.get(version) ?? [], requestId]))
   }
-  return report
+  return Object.fromEntries([...services].map(([service, versions]) => [service, Object.fromEntries(versions)]))
 }
 
 /**
