Leave a silent target only for one that can take the request

Cause: the exchange with a silent target was aborted, and the target excluded, before it was known whether another one could take the request. Related: silence because the caller reads nothing, or because the daemon was suspended.

Change: Pool.hasAlternative decides first, then the retry budget. Targets left for silence are kept apart from those that failed, and the request returns to them if no other can take it. Slow callers don't make a target silent; silence is measured anew after a suspension; steps of timers follow the events that are pending.

Why this works: as long as there is nothing better, the stream stays, and its own limit is the only end.

Ruled out: a longer time until a stall, which cuts later; the SIGHUP, without which the streams are cut as well.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -7,6 +7,7 @@
 import * as admission from './admission.js'
 import type * as contextModule from './context.js'
 import * as endpoint from './endpoint.js'
+import * as pendingEvents from './pending-events.js'
 import * as refusal from './refusal.js'
 import * as requestTask from './request-task.js'
 import * as resumption from './resumption.js'
@@ -65,11 +66,6 @@
   })
 }
 
-/** Calls `next` after the events that are already pending on the connections, such as the end of the caller's side. */
-function afterPendingEvents (next: () => void): void {
-  setImmediate(() => { setImmediate(next) })
-}
-
 /**
  * Destroys the connection when the caller ends its side within a request. Otherwise Node.js reports the connection as
  * closed only once the rest of the response is sent, which it can't be while the caller reads nothing.
@@ -142,7 +138,7 @@
         else refuse(outgoing, head, bound.error, RETRY_AFTER_MS[bound.error], { resumes: admitted.value.resumes })
       })
     }
-    readBody(incoming, context.limits().bodyBytes, (body) => { afterPendingEvents(() => { bind(body) }) }, refuseBody)
+    readBody(incoming, context.limits().bodyBytes, (body) => { pendingEvents.afterPendingEvents(() => { bind(body) }) }, refuseBody)
   }
 
   const server = http.createServer({
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -9,6 +9,7 @@
 import type * as admission from './admission.js'
 import * as attemptModule from './attempt.js'
 import type * as contextModule from './context.js'
+import * as pendingEvents from './pending-events.js'
 import * as rawHeaders from './raw-headers.js'
 import * as refusal from './refusal.js'
 import * as requestEvidence from './request-evidence.js'
@@ -56,6 +57,7 @@
  */
 export class RequestTask {
   private readonly excludedTargets = new Set<string>()
+  private readonly leftTargets = new Set<string>()
   /** Targets in the order in which they were tried. */
   private readonly triedTargets: routing.targetRegistry.Target[] = []
   private readonly evidence: requestEvidence.RequestEvidence
@@ -90,7 +92,12 @@
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
     this.version = request.version
     this.isRetryable = kind === 'idempotent' || (kind === 'stream' && resumable)
-    this.deadlineTimer = setTimeout(() => { this.run(() => { this.onDeadline() }) }, Math.max(0, request.limitMs - context.now()))
+    this.deadlineTimer = this.startTimer(() => { this.onDeadline() }, request.limitMs - context.now())
+  }
+
+  /** Starts a timer whose step takes place after the events that are pending when it is due. */
+  private startTimer (step: () => void, delayMs: number): NodeJS.Timeout {
+    return setTimeout(() => { pendingEvents.afterPendingEvents(() => { this.run(step) }) }, Math.max(0, delayMs))
   }
 
   start (): void {
@@ -172,6 +179,7 @@
   }
 
   private onDeadline (): void {
+    if (this.finished) return
     if (this.mayHaveRun) this.refuse('timed-out')
     else this.refuse('timed-out-unsent', REJECTED_RETRY_MS)
   }
@@ -191,22 +199,15 @@
     return this.awaitsFirstEvent ? 'running' : 'streaming'
   }
 
+  private placementOptions (isRetry: boolean, leftTargets: ReadonlySet<string>): routing.poolEvent.PlacementOptions {
+    const { priority, head, route, limitMs, resubmitted, promptTokens, outputTokens, promptSegments } = this.options.request
+    const { version, excludedTargets } = this
+    return { priority, arrivedMs: head.arrivedMs, targetLatencyMs: route.targetLatencyMs, limitMs, resubmitted, promptTokens, outputTokens, promptSegments, version, excludedTargets, leftTargets, isRetry }
+  }
+
   private requestPlacement (isRetry: boolean): void {
     const { context, request } = this.options
-    const { route } = request
-    context.pools.requestPlacement(request.service, {
-      priority: request.priority,
-      arrivedMs: request.head.arrivedMs,
-      targetLatencyMs: route.targetLatencyMs,
-      limitMs: request.limitMs,
-      resubmitted: request.resubmitted,
-      promptTokens: request.promptTokens,
-      outputTokens: request.outputTokens,
-      promptSegments: request.promptSegments,
-      version: this.version,
-      excludedTargets: this.excludedTargets,
-      isRetry
-    }, {
+    context.pools.requestPlacement(request.service, this.placementOptions(isRetry, this.leftTargets), {
       onQueued: (placement) => { this.placement = placement },
       onDecision: (decision) => { this.run(() => { this.onDecision(decision) }) },
       onStalled: () => { this.run(() => { this.abandon('no event within the stall time') }) }
@@ -269,7 +270,8 @@
     this.mayHaveRun = true
     context.metrics.count('sends_total', { service: request.service, repeated: String(this.sends > 1) })
     if (route.kind !== 'idempotent' || this.sends >= route.attempts) return
-    this.retryTimer = setTimeout(() => { this.run(() => { this.abandon('no response in time') }) }, RETRY_DELAY_LATENCY_SHARE * route.targetLatencyMs)
+    const { target } = this
+    this.retryTimer = this.startTimer(() => { if (this.target === target) this.abandon('no response in time') }, RETRY_DELAY_LATENCY_SHARE * route.targetLatencyMs)
   }
 
   private onEvent (): void {
@@ -314,21 +316,31 @@
     return context.budget.acquireRetry(request.service, context.daemons(), context.now())
   }
 
+  /** Places the request again, at another target if the one that it was sent to has failed. */
   private retry (isRetry = true): void {
     if (this.target !== undefined) this.excludedTargets.add(this.target.id)
+    this.placeAgain(isRetry)
+  }
+
+  private placeAgain (isRetry: boolean): void {
     this.exchange = undefined
     this.requestPlacement(isRetry)
   }
 
-  /** Abandons a stalled target if the request can be retried. */
+  /** Leaves a target that sends nothing, if another one can take the request now. */
   private abandon (message: string): void {
-    const { context, request } = this.options
-    if (this.finished || this.exchange === undefined || !this.isRetryable || !this.acquireRetry()) return
+    const { context, request, outgoing } = this.options
+    if (this.finished || this.exchange === undefined || this.target === undefined || !this.isRetryable) return
+    // While the caller reads slowly, nothing is read from the target.
+    if (outgoing.writableNeedDrain) return
+    const leftTargets = new Set([...this.leftTargets, this.target.id])
+    if (!context.pools.hasAlternative(request.service, this.placementOptions(true, leftTargets)) || !this.acquireRetry()) return
+    this.leftTargets.add(this.target.id)
     this.exchange.abort()
     context.metrics.count('abandoned_total', { service: request.service })
     context.log.request('target abandoned', { request: request.requestId, target: this.target?.id, detail: message })
     this.endPlacement({ kind: 'ended', outcome: 'failed' })
-    this.retry()
+    this.placeAgain(true)
   }
 
   private onEnd (outcome: attemptModule.AttemptOutcome): void {
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -21,15 +21,14 @@
   readonly service: string
 }
 
-/** A placement request without its id. */
-export type PlacementOptions = Omit<routing.poolEvent.PlacementRequest, 'id'>
-
 /** The pools of all services. */
 export interface ServicePools {
   readonly adopt: (services: readonly routing.document.Service[]) => void
   /** Assigns the usable targets in the segment of this daemon's cell, with their limits. */
   readonly refreshTargets: (place: peerTable.RingPlace, nowMs: number) => void
-  readonly requestPlacement: (service: string, request: PlacementOptions, listener: PlacementListener) => void
+  readonly requestPlacement: (service: string, request: routing.poolEvent.PlacementOptions, listener: PlacementListener) => void
+  /** Returns whether a request could be placed now at a target that it has not left and that is not stalled. */
+  readonly hasAlternative: (service: string, request: routing.poolEvent.PlacementOptions) => boolean
   readonly handlePlacementEvent: (placement: Placement, event: PlacementEvent) => void
   readonly applyReportedLoad: (service: string, target: string, load: { readonly running: number, readonly waiting: number, readonly slots: number }) => void
   /** Applies whether the targets of a service say that they fall over when they have to reject many requests. */
@@ -66,6 +65,9 @@
 /** Time without data from a target with requests in flight, after which it is stalled and retryable requests leave it, ms. */
 const STALL_MS = 1_000
 
+/** Time between ticks from which the process counts as having been suspended, so that silence in it says nothing of targets, ms. */
+const SUSPENDED_MS = 250
+
 /**
  * Creates the pools, which are empty until a document is adopted.
  *
@@ -79,6 +81,7 @@
   const services = new Map<string, string>()
   const listeners = new Map<number, PlacementListener>()
   let nextId = 1
+  let lastTickMs = Infinity
 
   /** Executes the decisions only after the generator has ended, as executing one may cause the next event. */
   function handle (service: string, event: routing.poolEvent.PoolEvent): void {
@@ -111,7 +114,7 @@
     }
   }
 
-  function requestPlacement (service: string, request: PlacementOptions, listener: PlacementListener): void {
+  function requestPlacement (service: string, request: routing.poolEvent.PlacementOptions, listener: PlacementListener): void {
     const id = nextId
     nextId += 1
     listeners.set(id, listener)
@@ -125,10 +128,14 @@
   }
 
   function tick (): void {
+    const nowMs = options.now()
+    const wasSuspended = nowMs - lastTickMs > SUSPENDED_MS
+    lastTickMs = nowMs
     for (const [service, pool] of pools) {
+      if (wasSuspended) pool.restartSilence(nowMs)
       if (pool.waiting > 0) handle(service, { kind: 'tick' })
-      for (const target of pool.silentTargets(options.now())) options.onSilent?.(target)
-      for (const id of pool.stalledRequests(STALL_MS, options.now())) listeners.get(id)?.onStalled()
+      for (const target of pool.silentTargets(nowMs)) options.onSilent?.(target)
+      for (const id of pool.stalledRequests(STALL_MS, nowMs)) listeners.get(id)?.onStalled()
     }
   }
 
@@ -136,6 +143,7 @@
     adopt,
     refreshTargets,
     requestPlacement,
+    hasAlternative: (service, request) => pools.get(service)?.hasAlternative(request, STALL_MS, options.now()) === true,
     handlePlacementEvent,
     tick,
     applyReportedLoad: (service, target, load) => { handle(service, { kind: 'load-reported', target, ...load }) },
--- a/packages/gateway/tests/changed-service.test.ts
+++ b/packages/gateway/tests/changed-service.test.ts
@@ -36,6 +36,7 @@
       promptSegments: [],
       version: undefined,
       excludedTargets: new Set(),
+      leftTargets: new Set(),
       isRetry: false
     }, { onQueued: (queued) => { placement = queued }, onDecision: ({ kind }) => { decisions.push(kind) }, onStalled: () => {} })
     if (placement === undefined) throw new Error('The request was not queued.')
--- /dev/null
+++ b/packages/gateway/tests/silent-targets.test.ts
@@ -0,0 +1,177 @@
+/**
+ * Targets that are sound and send nothing for a while: their requests stay there unless another target can take them.
+ */
+import * as http from 'node:http'
+import * as gateway from '@persimmonhatch/gateway'
+import * as routing from '@persimmonhatch/routing'
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as servicePools from '../src/service-pools.js'
+import * as fixtureModule from './fixture.js'
+
+const suite = uvu.suite('silent targets')
+
+/** Longer than the time after which a target is stalled, ms. */
+const SILENCE_MS = 1_400
+const STALL_MS = 1_000
+const EVENTS = 4
+
+const EXTRA = { id: 'i-9', service: 'stock', address: '127.0.0.1:9', availabilityZone: 'casa-a', version: 'v1', slots: 6, leaving: false }
+
+/** Sends the events after the last one that the request names; the target `silent` pauses once before the third. */
+function streamFrom (arrival: fixtureModule.Arrival, response: Parameters<fixtureModule.Script>[1], isSilent: boolean): void {
+  fixtureModule.beginStream(arrival, response)
+  let id = Number(arrival.headers['last-event-id'] ?? 0)
+  const next = (): void => {
+    id += 1
+    if (id > EVENTS) {
+      response.end()
+      return
+    }
+    response.write(`id: ${id}\ndata: ${arrival.target}\n\n`)
+    setTimeout(next, isSilent && id === 2 ? SILENCE_MS : 10)
+  }
+  next()
+}
+
+function isWhole ({ isComplete, body }: fixtureModule.Reply): boolean {
+  return isComplete && [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id)).join() === '1,2,3,4'
+}
+
+const LONG = { headers: { 'remaining-ms': '9000' } }
+const DOCUMENT: routing.document.RoutingDocument = {
+  ...fixtureModule.DOCUMENT,
+  routes: fixtureModule.DOCUMENT.routes.map((route) => ({ ...route, timeoutMs: 9_000, attempts: 3 }))
+}
+
+/** Targets beside the silent one, none of which can take its stream, and how many sends there are. */
+const ALONE: readonly (readonly [what: string, others: readonly object[]])[] = [
+  ['it is the only one', []],
+  ['the other has another version', [{ ...EXTRA, version: 'v2' }]],
+  ['the other leaves', [{ ...EXTRA, leaving: true }]],
+  ['the other is of another service', [{ ...EXTRA, service: 'other' }]]
+]
+
+// A stream was cut after 1 s of silence of its target although no other target of its version was there (review/4).
+for (const [what, others] of ALONE) {
+  suite(`a resumable stream at a silent target is whole and stays there: ${what}`, async () => {
+    const fixture = await fixtureModule.openFixture(1, DOCUMENT)
+    fixture.script((arrival, response) => { streamFrom(arrival, response, true) })
+    const started = fixture.call('/generate/7', LONG)
+    await fixtureModule.wait(100)
+    for (const other of others) fixture.gateway.applyTarget({ id: EXTRA.id, era: 1, revision: 9, target: { ...EXTRA, ...other } }, 'test')
+    const reply = await started
+    assert.ok(isWhole(reply), reply.body)
+    assert.is(fixture.arrivals.length, 1)
+    await fixture.close()
+  })
+}
+
+suite('a resumable stream goes on at the silent target when the only other one can not be reached', async () => {
+  const fixture = await fixtureModule.openFixture(1, DOCUMENT)
+  fixture.script((arrival, response, arrivals) => { streamFrom(arrival, response, arrivals === 1) })
+  const started = fixture.call('/generate/7', LONG)
+  await fixtureModule.wait(100)
+  fixture.gateway.applyTarget({ id: EXTRA.id, era: 1, revision: 9, target: EXTRA }, 'test')
+  const reply = await started
+  assert.ok(isWhole(reply), reply.body)
+  assert.equal(fixture.arrivals.map(({ target }) => target), ['i-1', 'i-1'])
+  await fixture.close()
+})
+
+suite('a resumable stream leaves a silent target for one that can take it', async () => {
+  const fixture = await fixtureModule.openFixture(2, DOCUMENT)
+  fixture.script((arrival, response, arrivals) => { streamFrom(arrival, response, arrivals === 1) })
+  const reply = await fixture.call('/generate/7', LONG)
+  assert.ok(isWhole(reply), reply.body)
+  assert.is(new Set(fixture.arrivals.map(({ target }) => target)).size, 2)
+  await fixture.close()
+})
+
+suite('an idempotent request that takes longer than usual stays at the only target', async () => {
+  const fixture = await fixtureModule.openFixture(1, DOCUMENT)
+  fixture.script((arrival, response) => { setTimeout(() => { fixtureModule.respondComplete(arrival, response) }, SILENCE_MS) })
+  const reply = await fixture.call('/read/7', LONG)
+  assert.equal([reply.status, fixture.arrivals.length], [200, 1])
+  await fixture.close()
+})
+
+suite('a resumable stream whose caller reads nothing for a while stays at its target', async () => {
+  const fixture = await fixtureModule.openFixture(2, DOCUMENT)
+  fixture.script((arrival, response) => {
+    fixtureModule.beginStream(arrival, response)
+    for (let id = 1; id <= 40; id += 1) response.write(`id: ${id}\ndata: ${'x'.repeat(400_000)}\n\n`)
+    response.end()
+  })
+  const { host, port } = gateway.endpoint.parseEndpoint(fixture.frontAddress)
+  const isComplete = await new Promise((resolve) => {
+    http.get({ host, port, path: '/generate/7', headers: { host: 'shop.example', key: 'k-1', 'request-id': 'slow', 'remaining-ms': '9000' }, agent: false }, (response) => {
+      response.once('data', () => {
+        response.pause()
+        setTimeout(() => { response.resume() }, SILENCE_MS)
+      })
+      response.on('end', () => { resolve(response.complete) }).on('error', () => { resolve(false) })
+    })
+  })
+  assert.equal([isComplete, fixture.arrivals.length], [true, 1])
+  await fixture.close()
+})
+
+interface Setup {
+  readonly pools: servicePools.ServicePools
+  readonly stalled: readonly number[]
+  readonly advance: (milliseconds: number) => void
+}
+
+/** Pools with a request at one of two targets, on a clock of the test. */
+function setUpPools (): Setup {
+  let nowMs = 1_000
+  const stalled: number[] = []
+  const registry = routing.targetRegistry.createTargetRegistry()
+  for (const id of ['i-1', 'i-2']) registry.apply({ id, era: 1, revision: 1, target: { ...EXTRA, id } }, nowMs)
+  const pools = servicePools.createServicePools({ now: () => nowMs, random: () => 0.5, registry, limitOf: () => undefined, changed: () => {} })
+  pools.adopt(fixtureModule.DOCUMENT.services)
+  pools.refreshTargets({ segment: routing.cell.WHOLE_RING, position: { index: 0, members: 1 }, cellPosition: { index: 0, members: 1 } }, nowMs)
+  pools.requestPlacement('stock', {
+    priority: 0,
+    arrivedMs: nowMs,
+    targetLatencyMs: 10_000,
+    limitMs: nowMs + 60_000,
+    resubmitted: false,
+    promptTokens: 0,
+    outputTokens: 0,
+    promptSegments: [],
+    version: undefined,
+    excludedTargets: new Set(),
+    leftTargets: new Set(),
+    isRetry: false
+  }, { onQueued: () => {}, onDecision: () => {}, onStalled: () => { stalled.push(nowMs) } })
+  return { pools, stalled, advance: (milliseconds) => { nowMs += milliseconds } }
+}
+
+suite('a target that sends nothing while the daemon watches is stalled', () => {
+  const { pools, stalled, advance } = setUpPools()
+  for (let elapsedMs = 0; elapsedMs <= STALL_MS; elapsedMs += 30) {
+    pools.tick()
+    advance(30)
+  }
+  assert.is(stalled.length, 0)
+  pools.tick()
+  assert.is(stalled.length, 1)
+})
+
+// Timers run before what has arrived is read, so every target seemed stalled to a daemon that had been suspended.
+suite('time in which the daemon was suspended is no silence of targets', () => {
+  const { pools, stalled, advance } = setUpPools()
+  pools.tick()
+  advance(5_000)
+  pools.tick()
+  assert.is(stalled.length, 0)
+  for (let elapsedMs = 0; elapsedMs <= STALL_MS; elapsedMs += 30) {
+    advance(30)
+    pools.tick()
+  }
+  assert.is(stalled.length, 1)
+})
+
+suite.run()
--- a/packages/routing/src/pool-event.ts
+++ b/packages/routing/src/pool-event.ts
@@ -27,10 +27,15 @@
   readonly version: string | undefined
   /** Targets at which the request has failed. */
   readonly excludedTargets: ReadonlySet<string>
+  /** Targets that the request has left because they sent nothing; it returns to them if no other can take it. */
+  readonly leftTargets: ReadonlySet<string>
   /** Whether the request is sent again after a failure; a retry is placed ahead of all others. */
   readonly isRetry: boolean
 }
 
+/** A placement request without its id. */
+export type PlacementOptions = Omit<PlacementRequest, 'id'>
+
 /** How a request ended at a target. */
 export type RequestOutcome = 'answered' | 'failed' | 'unreachable' | 'rejected' | 'cancelled'
 
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/pool.ts
@@ -170,6 +170,18 @@
     return [...this.records.values()].filter((record) => record.isStalled(stallMs, nowMs)).flatMap((record) => record.ownRequestIds)
   }
 
+  /** Returns whether a request could be placed now at a target that it has not left and that has sent something within `stallMs`. */
+  hasAlternative (request: poolEvent.PlacementOptions, stallMs: number, nowMs: number): boolean {
+    const snapshot = this.snapshot(nowMs)
+    const candidates = snapshot.candidates.filter(({ record, isEjected }) => !isEjected && !request.leftTargets.has(record.target.id) && !record.isStalled(stallMs, nowMs))
+    return this.chooseTarget(request, { ...snapshot, candidates }, new Map()) !== undefined
+  }
+
+  /** Starts to measure the silence of targets anew, after a time in which nothing was read from them. */
+  restartSilence (nowMs: number): void {
+    for (const record of this.records.values()) record.restartSilence(nowMs)
+  }
+
   /** Whether the targets say that they fall over when they have to reject many requests. */
   get isBrittle (): boolean {
     return this.hasBrittleTargets
@@ -314,7 +326,7 @@
     return waitingOrder.rankOf(request, waitingOrder.isLate(request, this.expectedFirstMs(request, snapshot), snapshot.nowMs))
   }
 
-  private scoreOf (candidate: Candidate, request: poolEvent.PlacementRequest, nowMs: number): number {
+  private scoreOf (candidate: Candidate, request: poolEvent.PlacementOptions, nowMs: number): number {
     const { record, inFlight } = candidate
     // The random term spreads requests of several daemons over targets with equal scores.
     const penaltyMs = FAILURE_PENALTY_MS * record.failureShare + this.options.random()
@@ -326,14 +338,18 @@
   }
 
   /** Returns whether the target is expected to finish the generation before the deadline. */
-  private canFinish (candidate: Candidate, request: poolEvent.PlacementRequest, nowMs: number): boolean {
+  private canFinish (candidate: Candidate, request: poolEvent.PlacementOptions, nowMs: number): boolean {
     if (this.service.engine === undefined) return true
     return candidate.record.estimate.generationMs(request.outputTokens) < MAX_GENERATION_SHARE * (request.limitMs - nowMs)
   }
 
-  private chooseTarget (request: poolEvent.PlacementRequest, snapshot: PoolSnapshot, assigned: ReadonlyMap<targetRecord.TargetRecord, number>): targetRecord.TargetRecord | undefined {
-    const { candidates, nowMs } = snapshot
-    const eligible = candidates.filter(({ record }) => !request.excludedTargets.has(record.target.id) && isOfVersion(record, request.version))
+  private chooseTarget (request: poolEvent.PlacementOptions, snapshot: PoolSnapshot, assigned: ReadonlyMap<targetRecord.TargetRecord, number>): targetRecord.TargetRecord | undefined {
+    const eligible = snapshot.candidates.filter(({ record }) => !request.excludedTargets.has(record.target.id) && isOfVersion(record, request.version))
+    const neverLeft = eligible.filter(({ record }) => !request.leftTargets.has(record.target.id))
+    return this.chooseAmong(neverLeft, request, snapshot.nowMs, assigned) ?? this.chooseAmong(eligible, request, snapshot.nowMs, assigned)
+  }
+
+  private chooseAmong (eligible: readonly Candidate[], request: poolEvent.PlacementOptions, nowMs: number, assigned: ReadonlyMap<targetRecord.TargetRecord, number>): targetRecord.TargetRecord | undefined {
     const notEjected = eligible.filter(({ isEjected }) => !isEjected)
     const usable = (notEjected.length > 0 ? notEjected : eligible).filter(({ record, freeSlots, allowedSends }) => (request.isRetry && !this.isBrittle ? allowedSends : freeSlots) > (assigned.get(record) ?? 0))
     const capable = usable.filter((candidate) => this.canFinish(candidate, request, nowMs))
--- a/packages/routing/src/target-record.ts
+++ b/packages/routing/src/target-record.ts
@@ -140,6 +140,11 @@
     return this.inFlight.size > 0 && nowMs - this.lastReceivedMs > stallMs
   }
 
+  /** Measures the time in which the target has sent nothing from now on. */
+  restartSilence (nowMs: number): void {
+    this.lastReceivedMs = nowMs
+  }
+
   /** Returns the number of requests that the limit of the request rate allows this daemon to send now. */
   allowedSends (nowMs: number): number {
     return Math.floor(this.bucket.tokens(nowMs))
--- a/packages/routing/tests/pool.test.ts
+++ b/packages/routing/tests/pool.test.ts
@@ -234,4 +234,40 @@
   assert.ok(decision?.kind === 'refuse' && decision.reason === 'version-gone')
 })
 
+/** What a request that has left `i-1` meets at the other target, and whether that is an alternative. */
+const ALTERNATIVES: readonly (readonly [what: string, other: Partial<routing.targetRegistry.Target> | undefined, changes: Partial<routing.poolEvent.PlacementRequest>, isAlternative: boolean])[] = [
+  ['a sound target', {}, {}, true],
+  ['no other target', undefined, {}, false],
+  ['a target of another version', { version: 'v2' }, { version: 'v1' }, false],
+  ['a target of its version', { version: 'v2' }, { version: 'v2' }, true],
+  ['a target at which it has failed', {}, { excludedTargets: new Set(['i-2']) }, false],
+  ['a target that it has left as well', {}, { leftTargets: new Set(['i-1', 'i-2']) }, false]
+]
+
+for (const [what, other, changes, isAlternative] of ALTERNATIVES) {
+  suite(`${what} is ${isAlternative ? 'an' : 'no'} alternative to a silent one`, () => {
+    const others = other === undefined ? [] : [{ ...fixtures.targetOf('i-2', 'support', 2), ...other }]
+    const pool = poolOf(fixtures.ENGINE, [fixtures.targetOf('i-1', 'support', 2), ...others])
+    assert.is(pool.hasAlternative(fixtures.requestOf(1, { isRetry: true, leftTargets: new Set(['i-1']), ...changes }), 1_000, 0), isAlternative)
+  })
+}
+
+suite('a target that is silent as well, or can not be reached, is no alternative', () => {
+  const pool = poolOf(fixtures.ENGINE, ENGINES)
+  for (const id of [1, 2]) arrive(pool, fixtures.requestOf(id))
+  const retry = fixtures.requestOf(3, { isRetry: true, leftTargets: new Set(['i-1']) })
+  assert.is(pool.hasAlternative(retry, 1_000, 900), true)
+  assert.is(pool.hasAlternative(retry, 1_000, 1_100), false)
+  const [decision] = arrive(pool, fixtures.requestOf(4, { isRetry: true, excludedTargets: new Set(['i-1']) }))
+  assert.ok(decision?.kind === 'dispatch' && decision.target.id === 'i-2')
+  drain(pool, { kind: 'ended', id: 4, outcome: 'unreachable' }, 900)
+  assert.is(pool.hasAlternative(retry, 1_000, 900), false)
+})
+
+suite('a retry returns to a target that it has left if no other can take it', () => {
+  const pool = poolOf(fixtures.ENGINE, ENGINES)
+  const [decision] = arrive(pool, fixtures.requestOf(1, { isRetry: true, leftTargets: new Set(['i-1']), excludedTargets: new Set(['i-2']) }))
+  assert.ok(decision?.kind === 'dispatch' && decision.target.id === 'i-1')
+})
+
 suite.run()
