Conclude nothing of a target from the loss of a peer that carried it

What callers saw: a resumable stream at the only target of its version was cut when the peer that carried its connection ended, although the target was sound.

Cause: the loss of a carried connection counted as a failure of the target. It was excluded for the request, its failures were counted, and the content of the request became suspect.

Change: the peer says in a frame that the target's connection has failed; any other end is the loss of the path. The request may then go to the same target again, by another path. Frames are written whole, so that the one of a failure can follow at any time.

Ruled out: telling the two apart by a reset of the peer's connection, which its end causes as well if bytes are unread there.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -128,3 +128,19 @@
     })
   })
 }
+
+/** What has happened to a request since its admission, as far as its placement depends on it. */
+export type Progress = Pick<routing.poolEvent.PlacementOptions, 'version' | 'excludedTargets' | 'leftTargets' | 'isRetry'>
+
+/**
+ * Returns the placement request of an admitted request.
+ *
+ * @example
+ * ```ts
+ * pools.requestPlacement(request.service, placementOptions(request, progress), listener)
+ * ```
+ */
+export function placementOptions (request: AdmittedRequest, progress: Progress): routing.poolEvent.PlacementOptions {
+  const { priority, head, route, limitMs, resubmitted, promptTokens, outputTokens, promptSegments } = request
+  return { priority, arrivedMs: head.arrivedMs, targetLatencyMs: route.targetLatencyMs, limitMs, resubmitted, promptTokens, outputTokens, promptSegments, ...progress }
+}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -23,6 +23,8 @@
   | { readonly kind: 'streamed' }
   /** The request may have run and its response is lost. */
   | { readonly kind: 'broken', readonly message: string }
+  /** The same, because of the peer that carried the connection. */
+  | { readonly kind: 'path-lost', readonly message: string }
 
 /** Receives the events of a stream. */
 export interface StreamSink {
--- a/packages/gateway/src/pending-events.ts
+++ b/packages/gateway/src/pending-events.ts
@@ -16,3 +16,15 @@
 export function afterPendingEvents (next: () => void): void {
   setImmediate(() => { setImmediate(next) })
 }
+
+/**
+ * Starts a timer whose step takes place after the events that are pending when it is due.
+ *
+ * @example
+ * ```ts
+ * const timer = startTimer(() => { giveUp() }, 1_000)
+ * ```
+ */
+export function startTimer (step: () => void, delayMs: number): NodeJS.Timeout {
+  return setTimeout(() => { afterPendingEvents(step) }, Math.max(0, delayMs))
+}
--- a/packages/gateway/src/relay-frames.ts
+++ b/packages/gateway/src/relay-frames.ts
@@ -1,7 +1,8 @@
 /**
  * Frames of the bytes that a peer carries from a target. A frame is the number of its bytes, as an unsigned 32-bit integer in
- * network byte order, and these bytes. An empty frame says that the target has ended its connection in the regular way: the
- * end of the peer's own connection doesn't, since a process that stops or is killed ends it in the same way.
+ * network byte order, and these bytes. An empty frame says that the target has ended its connection in the regular way, and a
+ * header of all ones that the target's connection has failed. The end of the peer's own connection says neither, since a process
+ * that stops or is killed ends it in the same way.
  *
  * @module
  */
@@ -26,6 +27,20 @@
   }
 }
 
+/** Header which says that the target's connection has failed. */
+const FAILURE = 0xffff_ffff
+
+/** The frame which says that the target's connection has failed. */
+export const FAILURE_FRAME = encodeHeader(FAILURE)
+
+/** The target's connection has failed, as the peer says. */
+export class TargetFailure extends Error {
+  constructor () {
+    super('The connection of the peer to the target has failed.')
+    this.name = 'TargetFailure'
+  }
+}
+
 function encodeHeader (bytes: number): Buffer {
   const header = Buffer.alloc(HEADER_BYTES)
   header.writeUInt32BE(bytes)
@@ -43,8 +58,8 @@
 export function createFrameEncoder (): stream.Transform {
   return new stream.Transform({
     transform (chunk: Buffer, _, done) {
-      this.push(encodeHeader(chunk.length))
-      done(null, chunk)
+      // A frame is written at once, so that what is written next follows a whole one.
+      done(null, Buffer.concat([encodeHeader(chunk.length), chunk]))
     },
     flush (done) {
       done(null, encodeHeader(0))
@@ -87,6 +102,7 @@
         if (header.length < HEADER_BYTES) return
         remainingBytes = header.readUInt32BE()
         header = Buffer.alloc(0)
+        if (remainingBytes === FAILURE) throw new TargetFailure()
         if (remainingBytes > MAX_FRAME_BYTES) throw new MalformedFrame(remainingBytes)
         if (remainingBytes === 0) yield undefined
       }
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -34,22 +34,29 @@
   socket.end(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`)
 }
 
-/** Joins two connections; the end or failure of one ends the other in the same way. */
+/** Joins two connections; the end or failure of one ends the other in the same way, or says so in a frame. */
 function join (peer: net.Socket, target: net.Socket, hasFrames: boolean): void {
-  const reset = (): void => {
+  const encoder = hasFrames ? relayFrames.createFrameEncoder() : undefined
+  const fail = (): void => {
     target.resetAndDestroy()
-    peer.resetAndDestroy()
+    if (encoder === undefined) {
+      peer.resetAndDestroy()
+    } else if (!peer.writableEnded) {
+      encoder.unpipe(peer)
+      peer.end(relayFrames.FAILURE_FRAME)
+    }
   }
   // A target that was reset together with its last data reports a regular end, without a remote address.
-  target.prependListener('end', () => { if (target.remoteAddress === undefined) reset() })
-  for (const socket of [peer, target]) socket.on('error', reset)
+  target.prependListener('end', () => { if (target.remoteAddress === undefined) fail() })
+  target.on('error', fail)
+  peer.on('error', () => { target.resetAndDestroy() })
   // A peer that ends its side has left its exchange, at which the target must stop.
   peer.once('end', () => { target.destroy() })
   peer.once('close', () => { target.destroy() })
-  target.once('close', () => { if (!target.readableEnded) peer.resetAndDestroy() })
+  target.once('close', () => { if (!target.readableEnded) fail() })
   peer.pipe(target)
-  if (hasFrames) target.pipe(relayFrames.createFrameEncoder()).pipe(peer)
-  else target.pipe(peer)
+  if (encoder === undefined) target.pipe(peer)
+  else target.pipe(encoder).pipe(peer)
 }
 
 /** The connections that are carried for peers. */
--- a/packages/gateway/src/relayed-connection.ts
+++ b/packages/gateway/src/relayed-connection.ts
@@ -7,14 +7,22 @@
 import * as stream from 'node:stream'
 import * as relayFrames from './relay-frames.js'
 
-/** The peer's connection has ended and the target's may not have. */
-class RelayLost extends Error {
-  constructor () {
-    super('The peer that carried the connection has ended it. The rest of the response is lost; whether the request has run is unknown.')
+/** The peer's connection has ended or failed, which says nothing of the target. */
+export class RelayLost extends Error {
+  constructor (cause: string) {
+    super(`The peer that carried the connection is lost (${cause}). So is the rest of the response; whether the request has run is unknown.`)
     this.name = 'RelayLost'
   }
 }
 
+/** A connection through a peer that sends no frames has ended or failed, be it because of the peer or of the target. */
+class UnexplainedEnd extends Error {
+  constructor (cause: string) {
+    super(`The connection through a peer of an older build has ended (${cause}). Whether the target has ended it is unknown.`)
+    this.name = 'UnexplainedEnd'
+  }
+}
+
 /**
  * One connection to a target through a peer. Its readable side ends only when the peer says that the target has ended the
  * connection; if the peer's connection ends without that, it fails.
@@ -35,12 +43,13 @@
   /** `hasFrames`: whether the peer sends frames; one without can't say that the target has ended the connection. */
   constructor (private readonly socket: net.Socket, { hasFrames }: { readonly hasFrames: boolean }) {
     super({ allowHalfOpen: false })
+    const lose = (cause: string): void => { if (!this.hasEnded) this.destroy(hasFrames ? new RelayLost(cause) : new UnexplainedEnd(cause)) }
     this.remoteAddress = socket.remoteAddress
     this.decoder = hasFrames ? relayFrames.createFrameDecoder() : { * push (chunk) { yield chunk } }
     socket.on('data', (chunk: Buffer) => { this.receive(chunk) })
-    socket.once('end', () => { if (!this.hasEnded) this.destroy(new RelayLost()) })
-    socket.once('close', () => { if (!this.hasEnded) this.destroy(new RelayLost()) })
-    socket.on('error', (error) => { this.destroy(error) })
+    socket.once('end', () => { lose('its connection has ended') })
+    socket.once('close', () => { lose('its connection is closed') })
+    socket.on('error', (error) => { lose(error.message) })
   }
 
   ref (): this {
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -6,7 +6,7 @@
  */
 import type * as http from 'node:http'
 import type * as routing from '@persimmonhatch/routing'
-import type * as admission from './admission.js'
+import * as admission from './admission.js'
 import * as attemptModule from './attempt.js'
 import type * as contextModule from './context.js'
 import * as pendingEvents from './pending-events.js'
@@ -92,12 +92,7 @@
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
     this.version = request.version
     this.isRetryable = kind === 'idempotent' || (kind === 'stream' && resumable)
-    this.deadlineTimer = this.startTimer(() => { this.onDeadline() }, request.limitMs - context.now())
-  }
-
-  /** Starts a timer whose step takes place after the events that are pending when it is due. */
-  private startTimer (step: () => void, delayMs: number): NodeJS.Timeout {
-    return setTimeout(() => { pendingEvents.afterPendingEvents(() => { this.run(step) }) }, Math.max(0, delayMs))
+    this.deadlineTimer = pendingEvents.startTimer(() => { this.run(() => { this.onDeadline() }) }, request.limitMs - context.now())
   }
 
   start (): void {
@@ -199,15 +194,9 @@
     return this.awaitsFirstEvent ? 'running' : 'streaming'
   }
 
-  private placementOptions (isRetry: boolean, leftTargets: ReadonlySet<string>): routing.poolEvent.PlacementOptions {
-    const { priority, head, route, limitMs, resubmitted, promptTokens, outputTokens, promptSegments } = this.options.request
-    const { version, excludedTargets } = this
-    return { priority, arrivedMs: head.arrivedMs, targetLatencyMs: route.targetLatencyMs, limitMs, resubmitted, promptTokens, outputTokens, promptSegments, version, excludedTargets, leftTargets, isRetry }
-  }
-
   private requestPlacement (isRetry: boolean): void {
     const { context, request } = this.options
-    context.pools.requestPlacement(request.service, this.placementOptions(isRetry, this.leftTargets), {
+    context.pools.requestPlacement(request.service, admission.placementOptions(request, { version: this.version, excludedTargets: this.excludedTargets, leftTargets: this.leftTargets, isRetry }), {
       onQueued: (placement) => { this.placement = placement },
       onDecision: (decision) => { this.run(() => { this.onDecision(decision) }) },
       onStalled: () => { this.run(() => { this.abandon('no event within the stall time') }) }
@@ -271,7 +260,7 @@
     context.metrics.count('sends_total', { service: request.service, repeated: String(this.sends > 1) })
     if (route.kind !== 'idempotent' || this.sends >= route.attempts) return
     const { target } = this
-    this.retryTimer = this.startTimer(() => { if (this.target === target) this.abandon('no response in time') }, RETRY_DELAY_LATENCY_SHARE * route.targetLatencyMs)
+    this.retryTimer = pendingEvents.startTimer(() => { if (this.target === target) this.run(() => { this.abandon('no response in time') }) }, RETRY_DELAY_LATENCY_SHARE * route.targetLatencyMs)
   }
 
   private onEvent (): void {
@@ -334,7 +323,7 @@
     // While the caller reads slowly, nothing is read from the target.
     if (outgoing.writableNeedDrain) return
     const leftTargets = new Set([...this.leftTargets, this.target.id])
-    if (!context.pools.hasAlternative(request.service, this.placementOptions(true, leftTargets)) || !this.acquireRetry()) return
+    if (!context.pools.hasAlternative(request.service, admission.placementOptions(request, { version: this.version, excludedTargets: this.excludedTargets, leftTargets, isRetry: true })) || !this.acquireRetry()) return
     this.leftTargets.add(this.target.id)
     this.exchange.abort()
     context.metrics.count('abandoned_total', { service: request.service })
@@ -356,6 +345,7 @@
       case 'answered': this.onAnswered(outcome.head, outcome.body); break
       case 'streamed': this.onStreamed(); break
       case 'broken': this.onBroken(outcome.message); break
+      case 'path-lost': this.onPathLost(outcome.message); break
     }
   }
 
@@ -417,6 +407,16 @@
     outgoing.end()
   }
 
+  /** Sends the request again, also to the same target, since the peer that was lost says nothing of it. */
+  private onPathLost (detail: string): void {
+    const { context, request } = this.options
+    this.endPlacement({ kind: 'ended', outcome: 'cancelled' })
+    context.log.request('path broke off', { request: request.requestId, target: this.target?.id, via: this.via, detail, lastEvent: this.lastId })
+    if (this.target !== undefined) context.paths.recordUnreachable(this.target.id, this.via)
+    if (this.isRetryable && this.acquireRetry()) this.placeAgain(true)
+    else this.refuse('broken')
+  }
+
   private onBroken (message: string): void {
     const { context, request } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'failed' })
--- a/packages/gateway/src/target-client.ts
+++ b/packages/gateway/src/target-client.ts
@@ -7,6 +7,7 @@
 import * as pathPools from './path-pools.js'
 import type * as rawHeaders from './raw-headers.js'
 import * as receivedBytes from './received-bytes.js'
+import * as relayedConnection from './relayed-connection.js'
 import * as targetConnector from './target-connector.js'
 
 /** One request to a target. */
@@ -26,8 +27,11 @@
   readonly headers: rawHeaders.RawHeaders
 }
 
-/** `unreachable`: nothing was sent. `broken`: the request may have run. */
-export type FailureKind = 'unreachable' | 'broken'
+/**
+ * `unreachable`: nothing was sent. `broken`: the request may have run. `path-lost`: it may have run, and the peer that carried the
+ * connection is lost, which says nothing of the target.
+ */
+export type FailureKind = 'unreachable' | 'broken' | 'path-lost'
 
 /** Callbacks of an exchange; none is called after `end`, `failed` or `abort`. */
 export interface Listener {
@@ -131,8 +135,9 @@
     }
 
     /** Reports a failure only after `send` has returned, so that its caller holds the exchange. */
-    function failLater ({ message }: Error): void {
-      const failNow = (): void => { fail(controller === undefined ? 'unreachable' : 'broken', message) }
+    function failLater (error: Error): void {
+      const sentKind = error instanceof relayedConnection.RelayLost ? 'path-lost' : 'broken'
+      const failNow = (): void => { fail(controller === undefined ? 'unreachable' : sentKind, error.message) }
       if (isDispatched) failNow()
       else queueMicrotask(failNow)
     }
--- a/packages/gateway/src/target-connector.ts
+++ b/packages/gateway/src/target-connector.ts
@@ -96,7 +96,6 @@
       if (head.length > 0) socket.unshift(head)
       const hasFrames = response.headers[relayFrames.FRAMES_HEADER] === relayFrames.FRAMES_VERSION
       const connection = new relayedConnection.RelayedConnection(socket, { hasFrames })
-      connection.on('error', markReset)
       for (const watch of watchers) watch(connection)
       // undici uses nothing of the connection that a stream doesn't have.
       callback(null, connection as unknown as net.Socket)
