Give each accepted request its answer before a planned stop ends

Cause: a request counted as ended when its answer was handed to Node.js, which also closes such connections as idle; the stop had no answer for those still open; acceptance during a stop left no time for pauses of a stream.

A cut answer without chunks is reset (HTTP/1.0), as its end would look regular.

Why this works: the exit follows from what callers have, within the grace period.

Ruled out: a longer minimum stop, which moves the cut; refusing all requests after 3 s, which would turn away plain requests that end in time.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import * as http from 'node:http'
+import * as net from 'node:net'
 import * as admission from './admission.js'
+import * as callerConnections from './caller-connections.js'
 import type * as contextModule from './context.js'
 import * as endpoint from './endpoint.js'
 import * as pendingEvents from './pending-events.js'
@@ -19,20 +21,18 @@
 /** Interval of the check for connections with incomplete heads, ms. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000
 
-/** Interval at which a closing listener closes connections that have become idle, ms. */
-const CLOSE_IDLE_INTERVAL_MS = 100
-
 const NO_DOCUMENT_RETRY_MS = 700
-const STOPPING_RETRY_MS = 100
 
 /** The open listener. */
 export interface FrontServer {
   /** Applies the limits of a new document. */
   readonly adoptLimits: () => void
-  /** Returns the number of requests whose response has not ended. */
+  /** Returns the number of requests whose response has not been sent. */
   readonly open: () => number
   /** Stops accepting connections and closes idle ones, also those that become idle later. */
   readonly close: () => void
+  /** Ends requests in a planned stop: those that have not been sent to a target, or all if the stop is at its end. Answers that have begun are cut. */
+  readonly endRequests: (isAtEnd: boolean) => void
 }
 
 const RETRY_AFTER_MS: Readonly<Partial<Record<refusal.Reason, number>>> = {
@@ -41,7 +41,7 @@
   'version-gone': NO_DOCUMENT_RETRY_MS,
   'unknown-stream': NO_DOCUMENT_RETRY_MS,
   failed: NO_DOCUMENT_RETRY_MS,
-  stopping: STOPPING_RETRY_MS
+  stopping: refusal.STOPPING_RETRY_MS
 }
 
 /** Reads a body up to a limit; `done` gets undefined for a request without one. */
@@ -86,7 +86,8 @@
  * ```
  */
 export async function openFrontServer (context: contextModule.Context, address: string): Promise<FrontServer> {
-  let open = 0
+  /** The open requests, each with its task once it has been read. */
+  const open = new Map<http.ServerResponse, requestTask.RequestTask | undefined>()
 
   function refuse (outgoing: http.ServerResponse, head: admission.RequestHead, reason: refusal.Reason, retryAfterMs = RETRY_AFTER_MS[reason], figures: object = {}): void {
     const response = refusal.refusalOf(reason, retryAfterMs)
@@ -109,13 +110,9 @@
   }
 
   function serve (incoming: http.IncomingMessage, outgoing: http.ServerResponse, head: admission.RequestHead): void {
-    open += 1
-    let counted = true
-    const done = (): void => {
-      if (counted) open -= 1
-      counted = false
-    }
-    outgoing.once('close', done)
+    open.set(outgoing, undefined)
+    outgoing.once('close', () => { open.delete(outgoing) })
+    connections.begin(outgoing)
     closeWithCaller(incoming, outgoing)
     const admitted = admission.admit(context, head)
     const refuseBody = (): void => { refuse(outgoing, head, 'body-too-large') }
@@ -127,8 +124,13 @@
     context.budget.countRequest(admitted.value.service, context.now())
     const start = (request: admission.AdmittedRequest, body: Buffer | undefined): void => {
       const admission = request.organisation === undefined ? undefined : context.caps.admit(request.organisation.name, request.cappedTokens, context.now())
-      if (admission?.kind === 'over-cap') refuse(outgoing, head, 'over-cap', admission.retryAfterMs, admission.figures)
-      else new requestTask.RequestTask({ context, request, body, outgoing, done }).start()
+      if (admission?.kind === 'over-cap') {
+        refuse(outgoing, head, 'over-cap', admission.retryAfterMs, admission.figures)
+        return
+      }
+      const task = new requestTask.RequestTask({ context, request, body, outgoing })
+      open.set(outgoing, task)
+      task.start()
     }
     const bind = (body: Buffer | undefined): void => {
       if (outgoing.destroyed) return
@@ -147,6 +149,7 @@
     requestTimeout: 0,
     noDelay: true
   }, handleRequest)
+  const connections = callerConnections.followConnections(server)
   const { host, port } = endpoint.parseEndpoint(address)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
@@ -162,10 +165,11 @@
 
   function close (): void {
     if (!server.listening) return
-    server.close()
-    setInterval(() => { server.closeIdleConnections() }, CLOSE_IDLE_INTERVAL_MS).unref()
+    // The method of HTTP servers would also close connections whose answer has been handed over and not been sent.
+    net.Server.prototype.close.call(server)
+    connections.close()
   }
 
   adoptLimits()
-  return { adoptLimits, open: () => open, close }
+  return { adoptLimits, open: () => open.size, close, endRequests: (isAtEnd) => { for (const task of open.values()) task?.stop(isAtEnd) } }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -162,7 +162,7 @@
       now: this.now,
       graceMs: () => this.tolerances.graceMs,
       openRequests: () => this.openRequests() + this.routes.carried(),
-      closeListener: () => { this.front?.close() },
+      front: () => this.front,
       onBegin: () => { this.reports?.changed() },
       log: this.log
     })
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -41,6 +41,9 @@
 
 const MS_PER_S = 1_000
 
+/** Time after which callers of a stopping daemon may use another one, ms. */
+export const STOPPING_RETRY_MS = 100
+
 /** A response of the gateway. */
 export interface Refusal {
   readonly status: number
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -9,6 +9,7 @@
 import * as admission from './admission.js'
 import * as attemptModule from './attempt.js'
 import type * as contextModule from './context.js'
+import * as cutResponse from './cut-response.js'
 import * as pendingEvents from './pending-events.js'
 import * as rawHeaders from './raw-headers.js'
 import * as refusal from './refusal.js'
@@ -26,7 +27,6 @@
   readonly request: admission.AdmittedRequest
   readonly body: Buffer | undefined
   readonly outgoing: http.ServerResponse
-  readonly done: () => void
 }
 
 /** Share of the latency target after which an idempotent request without a response is retried at another target. */
@@ -42,6 +42,7 @@
 const MAX_RELAY_ATTEMPTS = 3
 
 const REJECTED_RETRY_MS = 500
+
 const OK = 200
 const REDIRECTION = 300
 const SERVER_ERROR = 500
@@ -52,7 +53,7 @@
  *
  * @example
  * ```ts
- * new RequestTask({ context, request, body, outgoing, done }).start()
+ * new RequestTask({ context, request, body, outgoing }).start()
  * ```
  */
 export class RequestTask {
@@ -100,6 +101,11 @@
     this.run(() => { this.begin() })
   }
 
+  /** Ends the request in a planned stop: one that has not been sent to a target, or any if the stop is at its end. */
+  stop (isAtEnd: boolean): void {
+    if (isAtEnd || !this.mayHaveRun) this.run(() => { this.refuse(this.mayHaveRun ? 'broken' : 'stopping', refusal.STOPPING_RETRY_MS) })
+  }
+
   private begin (): void {
     const verdict = this.evidence.admit()
     if (verdict.kind === 'admitted') {
@@ -117,13 +123,13 @@
     } catch (error) {
       const { context, request, outgoing } = this.options
       unexpectedErrors.record(context, error, { request: request.requestId })
-      if (this.finished) outgoing.destroy()
+      if (this.finished) cutResponse.cut(outgoing)
       else this.refuse(this.mayHaveRun ? 'broken' : 'failed', REJECTED_RETRY_MS)
     }
   }
 
   private finish (outcome: string, status: number, reason: string, stage?: requestRecord.Stage): void {
-    const { context, request, done } = this.options
+    const { context, request } = this.options
     this.finished = true
     clearTimeout(this.deadlineTimer)
     clearTimeout(this.retryTimer)
@@ -140,7 +146,6 @@
       firstEventMs: this.firstEventMs,
       lastEvent: this.lastId
     })
-    done()
   }
 
   private endPlacement (event: servicePools.PlacementEvent): void {
@@ -157,7 +162,7 @@
     if (outgoing.headersSent) {
       // Closing the connection before the end of the body shows the caller that the response is incomplete.
       this.finish('cut', OK, reason)
-      outgoing.destroy()
+      cutResponse.cut(outgoing)
       return
     }
     if (!this.mayHaveRun && request.organisation !== undefined) context.caps.refund(request.organisation.name, request.cappedTokens, context.now())
@@ -249,7 +254,6 @@
 
   private onSent (): void {
     const { context, request } = this.options
-    const { route } = request
     this.sends += 1
     this.isSent = true
     if (this.target !== undefined) {
@@ -258,9 +262,9 @@
     }
     this.mayHaveRun = true
     context.metrics.count('sends_total', { service: request.service, repeated: String(this.sends > 1) })
-    if (route.kind !== 'idempotent' || this.sends >= route.attempts) return
+    if (request.route.kind !== 'idempotent' || this.sends >= request.route.attempts) return
     const { target } = this
-    this.retryTimer = pendingEvents.startTimer(() => { if (this.target === target) this.run(() => { this.abandon('no response in time') }) }, RETRY_DELAY_LATENCY_SHARE * route.targetLatencyMs)
+    this.retryTimer = pendingEvents.startTimer(() => { if (this.target === target) this.run(() => { this.abandon('no response in time') }) }, RETRY_DELAY_LATENCY_SHARE * request.route.targetLatencyMs)
   }
 
   private onEvent (): void {
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -336,7 +336,7 @@
     resumption.bindToStream(context, admitted.value, (bound) => {
       if (outgoing.ended !== undefined) return
       if (bound.isOk()) {
-        new requestTask.RequestTask({ context, request: bound.value, body: undefined, outgoing: outgoing as unknown as http.ServerResponse, done: () => {} }).start()
+        new requestTask.RequestTask({ context, request: bound.value, body: undefined, outgoing: outgoing as unknown as http.ServerResponse }).start()
         return
       }
       const { status, headers: refusalHeaders, body } = refusal.refusalOf(bound.error)
--- a/packages/routing/src/planned-stop.ts
+++ b/packages/routing/src/planned-stop.ts
@@ -17,8 +17,11 @@
 /** Assumed generation time, ms per token; the slowest engines take 17. */
 const MAX_DECODE_MS_PER_TOKEN = 30
 
-/** Assumed time to the first event or to a plain response, ms. */
-const FIRST_EVENT_MS = 1_000
+/** Assumed time to a plain response, ms. */
+const PLAIN_RESPONSE_MS = 1_000
+
+/** Assumed time to the first event of a stream and of one pause for as long as callers wait, ms; a target may preempt a stream. */
+const STREAM_DELAY_MS = 2_600
 
 /** A request that arrives during a planned stop. */
 export interface StoppingRequest {
@@ -40,6 +43,6 @@
 export function isAcceptedDuringStop (request: StoppingRequest): boolean {
   const { sinceStopMs, graceMs, kind, outputTokens } = request
   if (sinceStopMs < ACCEPT_ALL_MS) return true
-  const generationMs = kind === 'stream' ? outputTokens * MAX_DECODE_MS_PER_TOKEN : 0
-  return FIRST_EVENT_MS + generationMs < graceMs - STOP_MARGIN_MS - sinceStopMs
+  const durationMs = kind === 'stream' ? STREAM_DELAY_MS + outputTokens * MAX_DECODE_MS_PER_TOKEN : PLAIN_RESPONSE_MS
+  return durationMs < graceMs - STOP_MARGIN_MS - sinceStopMs
 }
