--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,6 +102,7 @@
   private port: peerPort.PeerPort | undefined
   private front: frontServer.FrontServer | undefined
   private readonly gracefulStop: gracefulStop.GracefulStop
+  private stopped: Promise<void> | undefined
   private closed = false
   private lastTickMs = 0
   private readonly logReach: (live: number, members: number) => void
@@ -293,9 +294,8 @@
 
   /** Stops gracefully within the grace period; settles when the process may exit. */
   async stop (): Promise<void> {
-    if (this.gracefulStop.sinceMs() !== undefined) return
-    await this.gracefulStop.run()
-    await this.close()
+    this.stopped ??= this.gracefulStop.run().then(() => this.close())
+    await this.stopped
   }
 
   /** Closes everything immediately. */
