Guard the steps of a request between its body and its task

Cause: an error in the lookup of a resumed stream or in the admission by caps, which come after the body has been read, was outside of the guard, so that the request had no answer. Found by reading the change again.

Change: the guard covers these steps too.

Evidence: unusable-state.test.ts, requests.test.ts and planned-stop.test.ts pass; no test makes just these steps fail.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -5,9 +5,11 @@
  */
 import * as http from 'node:http'
 import * as net from 'node:net'
+import type * as neverthrow from 'neverthrow'
 import * as admission from './admission.js'
 import * as callerConnections from './caller-connections.js'
 import type * as contextModule from './context.js'
+import * as cutResponse from './cut-response.js'
 import * as endpoint from './endpoint.js'
 import * as pendingEvents from './pending-events.js'
 import * as refusal from './refusal.js'
@@ -44,6 +46,20 @@
   stopping: refusal.STOPPING_RETRY_MS
 }
 
+/** Runs a step of a request. */
+type Guard = (step: () => void) => void
+
+/** Returns a guard that handles the error of a step. */
+function guardWith (onError: (error: unknown) => void): Guard {
+  return (step) => {
+    try {
+      step()
+    } catch (error) {
+      onError(error)
+    }
+  }
+}
+
 /** Reads a body up to a limit; `done` gets undefined for a request without one. */
 function readBody (incoming: http.IncomingMessage, limitBytes: number, done: (body: Buffer | undefined) => void, tooLarge: () => void): void {
   const chunks: Buffer[] = []
@@ -101,15 +117,15 @@
 
   function handleRequest (incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
     const head: admission.RequestHead = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.rawHeaders, arrivedMs: context.now() }
-    try {
-      serve(incoming, outgoing, head)
-    } catch (error) {
+    const run = guardWith((error) => {
       unexpectedErrors.record(context, error, { path: head.path })
-      refuse(outgoing, head, 'failed')
-    }
+      if (outgoing.headersSent) cutResponse.cut(outgoing)
+      else refuse(outgoing, head, 'failed')
+    })
+    run(() => { serve(incoming, outgoing, head, run) })
   }
 
-  function serve (incoming: http.IncomingMessage, outgoing: http.ServerResponse, head: admission.RequestHead): void {
+  function serve (incoming: http.IncomingMessage, outgoing: http.ServerResponse, head: admission.RequestHead, run: Guard): void {
     open.set(outgoing, undefined)
     outgoing.once('close', () => { open.delete(outgoing) })
     connections.begin(outgoing)
@@ -132,15 +148,16 @@
       open.set(outgoing, task)
       task.start()
     }
+    const handleBound = (bound: neverthrow.Result<admission.AdmittedRequest, refusal.Reason>, body: Buffer | undefined): void => {
+      if (outgoing.destroyed) return
+      if (bound.isOk()) start(bound.value, body)
+      else refuse(outgoing, head, bound.error, RETRY_AFTER_MS[bound.error], { resumes: admitted.value.resumes })
+    }
     const bind = (body: Buffer | undefined): void => {
       if (outgoing.destroyed) return
-      resumption.bindToStream(context, admitted.value, (bound) => {
-        if (outgoing.destroyed) return
-        if (bound.isOk()) start(bound.value, body)
-        else refuse(outgoing, head, bound.error, RETRY_AFTER_MS[bound.error], { resumes: admitted.value.resumes })
-      })
+      resumption.bindToStream(context, admitted.value, (bound) => { run(() => { handleBound(bound, body) }) })
     }
-    readBody(incoming, context.limits().bodyBytes, (body) => { pendingEvents.afterPendingEvents(() => { bind(body) }) }, refuseBody)
+    readBody(incoming, context.limits().bodyBytes, (body) => { pendingEvents.afterPendingEvents(() => { run(() => { bind(body) }) }) }, refuseBody)
   }
 
   const server = http.createServer({
