Bound the bytes of request bodies that a daemon holds

Cause: each body was taken in whole, with no bound over all requests.

Beyond it reading pauses, so that callers are slowed down by their connections; a request for whose body there is no room for a second is refused with 503 as not run. If no body is complete, one reader goes on, so that something is released.

Why this works: what is held is at most the bound, one body and one read of each connection; buffers that wait for collection take about as much again.

Evidence: body-budget.test.ts: bodies of any sizes in any order are all read within the bound; 30 bodies of 4 MB are answered 200 or 503, and later ones are served.

Ruled out: a bound on the number of requests, which would refuse small bodies; a reservation of the declared length, which chunks don't have.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -7,12 +7,14 @@
 import * as net from 'node:net'
 import type * as neverthrow from 'neverthrow'
 import * as admission from './admission.js'
+import * as bodyBudget from './body-budget.js'
 import * as callerConnections from './caller-connections.js'
 import type * as contextModule from './context.js'
 import * as cutResponse from './cut-response.js'
 import * as endpoint from './endpoint.js'
 import * as pendingEvents from './pending-events.js'
 import * as refusal from './refusal.js'
+import * as requestBody from './request-body.js'
 import * as requestTask from './request-task.js'
 import * as resumption from './resumption.js'
 import * as unexpectedErrors from './unexpected-errors.js'
@@ -43,6 +45,7 @@
   'version-gone': NO_DOCUMENT_RETRY_MS,
   'unknown-stream': NO_DOCUMENT_RETRY_MS,
   failed: NO_DOCUMENT_RETRY_MS,
+  'no-room': NO_DOCUMENT_RETRY_MS,
   stopping: refusal.STOPPING_RETRY_MS
 }
 
@@ -60,28 +63,6 @@
   }
 }
 
-/** Reads a body up to a limit; `done` gets undefined for a request without one. */
-function readBody (incoming: http.IncomingMessage, limitBytes: number, done: (body: Buffer | undefined) => void, tooLarge: () => void): void {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  let over = false
-  incoming.on('data', (chunk: Buffer) => {
-    bytes += chunk.length
-    if (over) return
-    if (bytes <= limitBytes) {
-      chunks.push(chunk)
-      return
-    }
-    over = true
-    tooLarge()
-  })
-  incoming.on('end', () => {
-    if (over) return
-    const hasBody = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
-    done(hasBody ? Buffer.concat(chunks) : undefined)
-  })
-}
-
 /**
  * Destroys the connection when the caller ends its side within a request. Otherwise Node.js reports the connection as
  * closed only once the rest of the response is sent, which it can't be while the caller reads nothing.
@@ -102,6 +83,7 @@
  * ```
  */
 export async function openFrontServer (context: contextModule.Context, address: string): Promise<FrontServer> {
+  const budget = bodyBudget.createBodyBudget()
   /** The open requests, each with its task once it has been read. */
   const open = new Map<http.ServerResponse, requestTask.RequestTask | undefined>()
 
@@ -131,19 +113,18 @@
     connections.begin(outgoing)
     closeWithCaller(incoming, outgoing)
     const admitted = admission.admit(context, head)
-    const refuseBody = (): void => { refuse(outgoing, head, 'body-too-large') }
+    const read = (done: (body: Buffer | undefined) => void): void => {
+      requestBody.readBody(incoming, outgoing, { limitBytes: context.limits().bodyBytes, budget, done, refuse: (reason) => { refuse(outgoing, head, reason) } })
+    }
     if (admitted.isErr()) {
       // Closing a connection with an unread body resets it, and the caller may lose the response.
-      readBody(incoming, context.limits().bodyBytes, () => { refuse(outgoing, head, admitted.error) }, refuseBody)
+      read(() => { refuse(outgoing, head, admitted.error) })
       return
     }
     context.budget.countRequest(admitted.value.service, context.now())
     const start = (request: admission.AdmittedRequest, body: Buffer | undefined): void => {
-      const admission = request.organisation === undefined ? undefined : context.caps.admit(request.organisation.name, request.cappedTokens, context.now())
-      if (admission?.kind === 'over-cap') {
-        refuse(outgoing, head, 'over-cap', admission.retryAfterMs, admission.figures)
-        return
-      }
+      const verdict = request.organisation === undefined ? undefined : context.caps.admit(request.organisation.name, request.cappedTokens, context.now())
+      if (verdict?.kind === 'over-cap') return refuse(outgoing, head, 'over-cap', verdict.retryAfterMs, verdict.figures)
       const task = new requestTask.RequestTask({ context, request, body, outgoing })
       open.set(outgoing, task)
       task.start()
@@ -157,7 +138,7 @@
       if (outgoing.destroyed) return
       resumption.bindToStream(context, admitted.value, (bound) => { run(() => { handleBound(bound, body) }) })
     }
-    readBody(incoming, context.limits().bodyBytes, (body) => { pendingEvents.afterPendingEvents(() => { run(() => { bind(body) }) }) }, refuseBody)
+    read((body) => { pendingEvents.afterPendingEvents(() => { run(() => { bind(body) }) }) })
   }
 
   const server = http.createServer({
--- a/packages/gateway/src/refusal.ts
+++ b/packages/gateway/src/refusal.ts
@@ -6,7 +6,7 @@
 
 /** Why the gateway responds instead of a target. */
 export type Reason =
-  | 'no-document' | 'unknown-route' | 'unknown-key' | 'headers-too-large' | 'body-too-large'
+  | 'no-document' | 'unknown-route' | 'unknown-key' | 'headers-too-large' | 'body-too-large' | 'no-room'
   | 'over-cap' | 'overloaded' | 'paused' | 'no-target' | 'version-gone' | 'unknown-stream' | 'suspect' | 'stopping'
   | 'rejected' | 'unreachable' | 'failed' | 'broken' | 'timed-out-unsent' | 'timed-out'
 
@@ -23,6 +23,7 @@
   'unknown-key': { status: 401, message: 'No organisation holds this key.', remedy: 'Send a key of the routing document.' },
   'headers-too-large': { status: 431, message: 'The headers are larger than allowed.', remedy: 'Send fewer or shorter headers.' },
   'body-too-large': { status: 413, message: 'The body is larger than allowed.', remedy: 'Send a shorter body.' },
+  'no-room': { status: 503, message: 'The bodies of the requests in progress take all memory that this daemon has for them.', remedy: 'Retry after the time in Retry-After, or use another address.' },
   'over-cap': { status: 429, message: 'The organisation has used up its token cap.', remedy: 'Retry after the time in Retry-After, or request a higher cap.' },
   overloaded: { status: 503, message: 'More requests are waiting than can be served in time.', remedy: 'Retry after the time in Retry-After.' },
   paused: { status: 503, message: 'All targets of the service have asked for a pause.', remedy: 'Retry after the time in Retry-After.' },
