--- a/packages/daemon/tests/dispatcher.test.ts
+++ b/packages/daemon/tests/dispatcher.test.ts
@@ -135,4 +135,28 @@
   assert.equal(await dispatchReset(false), { outcome: 'crashed', isTargetUp: true })
 })
 
+// undici takes a reset for the regular end of a response without a length; the gateway's client of targets marks resets.
+for (const afterMs of [0, 50]) {
+  suite(`a plain response without a length that is reset after ${afterMs} ms does not look complete`, async () => {
+    const server = net.createServer((socket) => {
+      socket.on('error', () => {})
+      socket.once('data', () => { socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => { setTimeout(() => { socket.resetAndDestroy() }, afterMs) }) })
+    })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    const httpClient = backing.httpClient.createHttpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
+    const { outcome } = await dispatcher.dispatch({
+      httpClient,
+      clock: () => 0,
+      placement: { target: 'stock-1', address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`, targetKind: 'plain' },
+      receipt: {} as dispatcher.Options['receipt'],
+      targetRequest: { method: 'POST', path: '/reservations', headers: {}, body: Buffer.from('{}'), promptTokens: 1 },
+      record: responseRecord.createResponseRecord(true),
+      signal: new AbortController().signal
+    })
+    await httpClient.close()
+    server.close()
+    assert.is.not(outcome, 'finished')
+  })
+}
+
 suite.run()
