--- a/packages/daemon/tests/dispatcher.test.ts
+++ b/packages/daemon/tests/dispatcher.test.ts
@@ -105,14 +105,11 @@
   assert.is(await dispatchStream('has no such stream'), 'incomplete')
 })
 
-/** Dispatches to a service that resets the connection and, if `goesDown`, stops listening. */
-async function dispatchReset (goesDown: boolean): Promise<unknown> {
+/** Dispatches to a service that does this with a connection on which a request has arrived. */
+async function dispatchTo (respond: (socket: net.Socket, server: net.Server) => void): Promise<unknown> {
   const server = net.createServer((socket) => {
     socket.on('error', () => {})
-    socket.once('data', () => {
-      if (goesDown) server.close()
-      socket.resetAndDestroy()
-    })
+    socket.once('data', () => { respond(socket, server) })
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const httpClient = backing.httpClient.createHttpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
@@ -131,31 +128,19 @@
 }
 
 suite('distinguishes a target that went down from one that only reset a connection', async () => {
-  assert.equal(await dispatchReset(true), { outcome: 'crashed', isTargetUp: false })
-  assert.equal(await dispatchReset(false), { outcome: 'crashed', isTargetUp: true })
+  const goDown = (socket: net.Socket, server: net.Server): void => {
+    server.close()
+    socket.resetAndDestroy()
+  }
+  assert.equal(await dispatchTo(goDown), { outcome: 'crashed', isTargetUp: false })
+  assert.equal(await dispatchTo((socket) => { socket.resetAndDestroy() }), { outcome: 'crashed', isTargetUp: true })
 })
 
 // undici takes a reset for the regular end of a response without a length; the gateway's client of targets marks resets.
 for (const afterMs of [0, 50]) {
   suite(`a plain response without a length that is reset after ${afterMs} ms does not look complete`, async () => {
-    const server = net.createServer((socket) => {
-      socket.on('error', () => {})
-      socket.once('data', () => { socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => { setTimeout(() => { socket.resetAndDestroy() }, afterMs) }) })
-    })
-    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
-    const httpClient = backing.httpClient.createHttpClient({ connectTimeoutMs: 1_000, headersTimeoutMs: 0, bodyTimeoutMs: 0 })
-    const { outcome } = await dispatcher.dispatch({
-      httpClient,
-      clock: () => 0,
-      placement: { target: 'stock-1', address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`, targetKind: 'plain' },
-      receipt: {} as dispatcher.Options['receipt'],
-      targetRequest: { method: 'POST', path: '/reservations', headers: {}, body: Buffer.from('{}'), promptTokens: 1 },
-      record: responseRecord.createResponseRecord(true),
-      signal: new AbortController().signal
-    })
-    await httpClient.close()
-    server.close()
-    assert.is.not(outcome, 'finished')
+    const end = await dispatchTo((socket) => { socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => { setTimeout(() => { socket.resetAndDestroy() }, afterMs) }) })
+    assert.is.not((end as { readonly outcome: string }).outcome, 'finished')
   })
 }
 
--- a/packages/gateway/tests/changed-service.test.ts
+++ b/packages/gateway/tests/changed-service.test.ts
@@ -5,6 +5,7 @@
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as servicePools from '../src/service-pools.js'
+import * as placements from './placements.js'
 
 const SERVICE: routing.document.Service = { name: 'stock', connections: 110, engine: undefined }
 const TARGET: routing.targetRegistry.Target = { id: 'i-1', service: 'stock', address: '10.0.0.1:80', availabilityZone: 'casa-a', version: 'v1', slots: 1, leaving: false }
@@ -25,20 +26,7 @@
   const place = (): Placed => {
     const decisions: string[] = []
     let placement: servicePools.Placement | undefined
-    pools.requestPlacement('stock', {
-      priority: 0,
-      arrivedMs: nowMs,
-      targetLatencyMs: 10_000,
-      limitMs: nowMs + 10_000,
-      resubmitted: false,
-      promptTokens: 0,
-      outputTokens: 0,
-      promptSegments: [],
-      version: undefined,
-      excludedTargets: new Set(),
-      leftTargets: new Set(),
-      isRetry: false
-    }, { onQueued: (queued) => { placement = queued }, onDecision: ({ kind }) => { decisions.push(kind) }, onStalled: () => {} })
+    pools.requestPlacement('stock', placements.placementOptions(nowMs), { onQueued: (queued) => { placement = queued }, onDecision: ({ kind }) => { decisions.push(kind) }, onStalled: () => {} })
     if (placement === undefined) throw new Error('The request was not queued.')
     return { placement, decisions }
   }
--- a/packages/gateway/tests/silent-targets.test.ts
+++ b/packages/gateway/tests/silent-targets.test.ts
@@ -7,6 +7,7 @@
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as servicePools from '../src/service-pools.js'
+import * as placements from './placements.js'
 import * as fixtureModule from './fixture.js'
 
 const suite = uvu.suite('silent targets')
@@ -132,20 +133,7 @@
   const pools = servicePools.createServicePools({ now: () => nowMs, random: () => 0.5, registry, limitOf: () => undefined, changed: () => {} })
   pools.adopt(fixtureModule.DOCUMENT.services)
   pools.refreshTargets({ segment: routing.cell.WHOLE_RING, position: { index: 0, members: 1 }, cellPosition: { index: 0, members: 1 } }, nowMs)
-  pools.requestPlacement('stock', {
-    priority: 0,
-    arrivedMs: nowMs,
-    targetLatencyMs: 10_000,
-    limitMs: nowMs + 60_000,
-    resubmitted: false,
-    promptTokens: 0,
-    outputTokens: 0,
-    promptSegments: [],
-    version: undefined,
-    excludedTargets: new Set(),
-    leftTargets: new Set(),
-    isRetry: false
-  }, { onQueued: () => {}, onDecision: () => {}, onStalled: () => { stalled.push(nowMs) } })
+  pools.requestPlacement('stock', placements.placementOptions(nowMs), { onQueued: () => {}, onDecision: () => {}, onStalled: () => { stalled.push(nowMs) } })
   return { pools, stalled, advance: (milliseconds) => { nowMs += milliseconds } }
 }
 
