--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -236,7 +236,7 @@
     relayed = socket
     const [host = '', port = ''] = setup.via.split(':')
     const onward = net.connect(Number(port), host)
-    socket.on('error', () => { onward.destroy() }).pipe(onward).on('error', () => { socket.destroy() }).pipe(socket)
+    socket.on('error', () => { onward.destroy() }).on('close', () => { onward.destroy() }).pipe(onward).on('error', () => { socket.destroy() }).pipe(socket)
   })
   const via = await listen(proxy)
   assert.is((await send({ ...setup, via }).ended).kind, 'path-lost')
