--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -8,10 +8,9 @@
 import type * as routing from '@persimmonhatch/routing'
 import * as admission from './admission.js'
 import * as attemptModule from './attempt.js'
+import * as callerResponse from './caller-response.js'
 import type * as contextModule from './context.js'
-import * as cutResponse from './cut-response.js'
 import * as pendingEvents from './pending-events.js'
-import * as rawHeaders from './raw-headers.js'
 import * as refusal from './refusal.js'
 import * as requestEvidence from './request-evidence.js'
 import * as requestRecord from './request-record.js'
@@ -61,6 +60,7 @@
   /** Targets in the order in which they were tried. */
   private readonly triedTargets: routing.targetRegistry.Target[] = []
   private readonly evidence: requestEvidence.RequestEvidence
+  private readonly response: callerResponse.CallerResponse
   private readonly isRetryable: boolean
   private readonly deadlineTimer: NodeJS.Timeout
   private retryTimer: NodeJS.Timeout | undefined
@@ -87,8 +87,9 @@
   private refusedTrait: string | undefined
 
   constructor (private readonly options: Options) {
-    const { context, request, body } = options
+    const { context, request, body, outgoing } = options
     const { kind, resumable } = request.route
+    this.response = new callerResponse.CallerResponse(context, outgoing)
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
     this.version = request.version
     this.isRetryable = kind === 'idempotent' || (kind === 'stream' && resumable)
@@ -120,9 +121,9 @@
     try {
       step()
     } catch (error) {
-      const { context, request, outgoing } = this.options
+      const { context, request } = this.options
       unexpectedErrors.record(context, error, { request: request.requestId })
-      if (this.finished) cutResponse.cut(outgoing)
+      if (this.finished) this.response.cut()
       else this.refuse(this.mayHaveRun ? 'broken' : 'failed', REJECTED_RETRY_MS)
     }
   }
@@ -155,26 +156,19 @@
 
   private refuse (reason: refusal.Reason, retryAfterMs?: number): void {
     if (this.finished) return
-    const { context, request, outgoing } = this.options
+    const { context, request } = this.options
     this.exchange?.abort()
     this.endPlacement({ kind: 'left' })
-    if (outgoing.headersSent) {
+    if (this.response.hasBegun) {
       // Closing the connection before the end of the body shows the caller that the response is incomplete.
       this.finish('cut', OK, reason)
-      cutResponse.cut(outgoing)
+      this.response.cut()
       return
     }
     if (!this.mayHaveRun && request.organisation !== undefined) context.caps.refund(request.organisation.name, request.cappedTokens, context.now())
-    const response = refusal.refusalOf(reason, retryAfterMs)
-    this.finish('refused', response.status, reason)
-    this.write(response.status, [...response.headers], response.body)
-  }
-
-  private write (status: number, headers: string[], body: Buffer): void {
-    const { context, outgoing } = this.options
-    if (context.stopping()) headers.push('Connection', 'close')
-    outgoing.writeHead(status, headers)
-    outgoing.end(body)
+    const { status, headers, body } = refusal.refusalOf(reason, retryAfterMs)
+    this.finish('refused', status, reason)
+    this.response.write(status, headers, body)
   }
 
   private onDeadline (): void {
@@ -279,17 +273,9 @@
   }
 
   private push (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[]): boolean {
-    const { context, outgoing } = this.options
-    if (!outgoing.headersSent) {
-      const headers = rawHeaders.withoutHeaders(head.headers, new Set([context.headerNames.load, 'content-length']))
-      if (context.stopping()) headers.push('Connection', 'close')
-      outgoing.writeHead(head.status, headers)
-    }
     this.recordBeginning()
     for (const event of events) this.lastId = event.id ?? this.lastId
-    const canContinue = outgoing.write(events.length === 1 ? events[0]?.bytes : Buffer.concat(events.map((event) => event.bytes)))
-    if (!canContinue) outgoing.once('drain', () => { this.exchange?.resume() })
-    return canContinue
+    return this.response.forward(head, events, () => { this.exchange?.resume() })
   }
 
   /** Records the version of the stream when its first events are forwarded, so that it goes on only there. */
@@ -321,10 +307,10 @@
 
   /** Leaves a target that sends nothing, if another one can take the request now. */
   private abandon (message: string): void {
-    const { context, request, outgoing } = this.options
+    const { context, request } = this.options
     if (this.finished || this.exchange === undefined || this.target === undefined || !this.isRetryable) return
     // While the caller reads slowly, nothing is read from the target.
-    if (outgoing.writableNeedDrain) return
+    if (this.response.isBlocked) return
     const leftTargets = new Set([...this.leftTargets, this.target.id])
     if (!context.pools.hasAlternative(request.service, admission.placementOptions(request, { version: this.version, excludedTargets: this.excludedTargets, leftTargets, isRetry: true })) || !this.acquireRetry()) return
     this.leftTargets.add(this.target.id)
@@ -380,34 +366,31 @@
   }
 
   private onAnswered (head: targetClient.ResponseHead, body: Buffer): void {
-    const { context, outgoing } = this.options
     const failed = head.status >= SERVER_ERROR
     this.endPlacement({ kind: 'ended', outcome: failed ? 'failed' : 'answered' })
     if (failed && this.isRetryable && this.acquireRetry()) {
       this.retry()
       return
     }
-    if (outgoing.headersSent) {
+    if (this.response.hasBegun) {
       this.refuse('broken')
       return
     }
     if (!failed) this.evidence.recordResponse()
     const outcome = head.status < REDIRECTION ? 'answered' : 'target-failed'
     this.finish(outcome, head.status, outcome)
-    const headers = rawHeaders.withoutHeaders(head.headers, new Set([context.headerNames.load, 'content-length']))
-    this.write(head.status, [...headers, 'Content-Length', String(body.length)], body)
+    this.response.forwardWhole(head, body)
   }
 
   private onStreamed (): void {
-    const { outgoing } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'answered' })
     this.evidence.recordResponse()
-    if (!outgoing.headersSent) {
+    if (!this.response.hasBegun) {
       this.refuse('broken')
       return
     }
     this.finish('answered', OK, 'answered')
-    outgoing.end()
+    this.response.end()
   }
 
   /** Sends the request again, also to the same target, since the peer that was lost says nothing of it. */
