Check each event of a stream against the one before

Cause: an attempt compared the first id of each chunk with the last that was forwarded, and dropped smaller ids wherever they came. A gap or a repetition within a chunk was passed on. A target that began again in the middle of its response (1, 2, then 1, 2, 3 in the next chunk) lost the first two of the second run, and the third was joined to the first run. What happened depended on how TCP had cut the chunks.

Change: stream-continuity.ts follows the stream of one caller event by event, over all responses, without network or timers. Within a response ids have to increase. Where a stream may be resumed, ids are consecutive, since a resumed one is taken up behind an id. Events that the caller has are dropped only at the start of a response. The sound events before a fault are forwarded, then the target counts as broken off: the stream is resumed elsewhere, or cut. stream_discontinuities_total counts it, and "target broke off" has the ids.

On routes whose streams may not be resumed, ids that skip are forwarded: targets promise increasing ids only, nothing is joined there, and the request can't be repeated. Before, such a stream was cut or not depending on chunks.

Ruled out: events without ids between others, ids that are no numbers, first ids of 0 or 5, comments, and lines before the id were forwarded unchanged before and are now.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -8,6 +8,7 @@
 import type * as contextModule from './context.js'
 import * as headerNames from './header-names.js'
 import * as rawHeaders from './raw-headers.js'
+import * as streamContinuity from './stream-continuity.js'
 import * as streamEvents from './stream-events.js'
 import type * as targetClient from './target-client.js'
 
@@ -26,14 +27,6 @@
   /** The same, because of the peer that carried the connection. */
   | { readonly kind: 'path-lost', readonly message: string }
 
-/** Receives the events of a stream. */
-export interface StreamSink {
-  /** Returns the id of the last event that was forwarded. */
-  readonly lastId: () => number | undefined
-  /** Forwards events; returns false if the caller reads too slowly. */
-  readonly push: (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[]) => boolean
-}
-
 /** Dependencies and callbacks of an attempt. */
 export interface Options {
   readonly context: contextModule.Context
@@ -42,9 +35,10 @@
   /** Endpoint of the peer that carries the connection to the target; undefined for a direct one. */
   readonly via: string | undefined
   readonly body: Buffer | undefined
-  readonly sink: StreamSink
+  readonly continuity: streamContinuity.StreamContinuity
   readonly onSent: () => void
-  readonly onEvent: () => void
+  /** Forwards events; returns false if the caller reads too slowly. */
+  readonly onEvents: (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[]) => boolean
   readonly done: (outcome: AttemptOutcome) => void
 }
 
@@ -60,10 +54,10 @@
 const MAX_HELD_BYTES = 16_777_216
 
 function requestHeaders (options: Options): string[] {
-  const { context, request, target, sink } = options
+  const { context, request, target, continuity } = options
   const names = context.headerNames
   const excluded = new Set([...names.reserved, names.key, names.organisation, names.expectedTarget, names.remainingMs, 'content-length', 'expect'])
-  const lastId = sink.lastId()
+  const lastId = continuity.lastId()
   if (lastId !== undefined) excluded.add(names.lastEventId)
   const headers = rawHeaders.withoutHeaders(request.head.headers, excluded)
   headers.push(names.expectedTarget, target.id, names.remainingMs, String(Math.max(1, Math.floor(request.limitMs - context.now()))))
@@ -150,13 +144,14 @@
  *
  * @example
  * ```ts
- * const exchange = startAttempt({ context, request, target, body, sink, onSent, onEvent, done })
+ * const exchange = startAttempt({ context, request, target, body, continuity, onSent, onEvents, done })
  * ```
  */
 export function startAttempt (options: Options): targetClient.Exchange {
-  const { context, request, target, sink } = options
+  const { context, request, target, continuity } = options
   const chunks: Buffer[] = []
   const splitter = streamEvents.createEventSplitter()
+  const check = continuity.beginResponse()
   const observers = [createLimitObserver(options), createDepartureObserver(options)]
   let head: targetClient.ResponseHead | undefined
   let heldBytes = 0
@@ -186,16 +181,16 @@
   }
 
   function handleEvents (response: targetClient.ResponseHead, chunk: Buffer): void {
-    const lastId = sink.lastId()
-    const events = [...splitter.push(chunk)].filter((event) => event.id === undefined || lastId === undefined || event.id > lastId)
-    if (events.length === 0) return
-    const first = events.find((event) => event.id !== undefined)?.id
-    if (lastId !== undefined && first !== undefined && first !== lastId + 1) {
-      failBroken(`the stream continues at event ${first} after event ${lastId}`)
-      return
+    const events: streamEvents.StreamEvent[] = []
+    let fault: unknown
+    try {
+      for (const event of check(splitter.push(chunk))) events.push(event)
+    } catch (error) {
+      fault = error
     }
-    options.onEvent()
-    if (!sink.push(response, events)) exchange.pause()
+    if (events.length > 0 && !options.onEvents(response, events)) exchange.pause()
+    if (fault instanceof streamContinuity.Discontinuity) context.metrics.count('stream_discontinuities_total', { service: request.service })
+    if (fault !== undefined) failBroken((fault as Error).message)
   }
 
   function handleData (chunk: Buffer): void {
@@ -206,11 +201,7 @@
       if (heldBytes > MAX_HELD_BYTES) failBroken(`the response has more than ${MAX_HELD_BYTES} bytes`)
       return
     }
-    try {
-      handleEvents(head, chunk)
-    } catch (error) {
-      failBroken((error as Error).message)
-    }
+    handleEvents(head, chunk)
   }
 
   function handleEnd (): void {
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -15,6 +15,7 @@
 import * as requestEvidence from './request-evidence.js'
 import * as requestRecord from './request-record.js'
 import type * as servicePools from './service-pools.js'
+import * as streamContinuity from './stream-continuity.js'
 import type * as streamEvents from './stream-events.js'
 import type * as targetClient from './target-client.js'
 import * as traits from './traits.js'
@@ -61,6 +62,7 @@
   private readonly triedTargets: routing.targetRegistry.Target[] = []
   private readonly evidence: requestEvidence.RequestEvidence
   private readonly response: callerResponse.CallerResponse
+  private readonly continuity: streamContinuity.StreamContinuity
   private readonly isRetryable: boolean
   private readonly deadlineTimer: NodeJS.Timeout
   private retryTimer: NodeJS.Timeout | undefined
@@ -76,7 +78,6 @@
   private via: string | undefined
   /** Whether a target may have begun to run the request. */
   private mayHaveRun = false
-  private lastId: number | undefined
   /** Software version that began the stream; undefined before its first event. */
   private version: string | undefined
   private lastEventMs = 0
@@ -91,6 +92,7 @@
     const { kind, resumable } = request.route
     this.response = new callerResponse.CallerResponse(context, outgoing)
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
+    this.continuity = streamContinuity.createStreamContinuity({ isConsecutive: resumable })
     this.version = request.version
     this.isRetryable = kind === 'idempotent' || (kind === 'stream' && resumable)
     this.deadlineTimer = pendingEvents.startTimer(() => { this.run(() => { this.onDeadline() }) }, request.limitMs - context.now())
@@ -144,7 +146,7 @@
       via: this.via,
       figures: this.figures,
       firstEventMs: this.firstEventMs,
-      lastEvent: this.lastId
+      lastEvent: this.continuity.lastId()
     })
   }
 
@@ -238,9 +240,9 @@
       target,
       via,
       body,
-      sink: { lastId: () => this.lastId, push: (head, events) => this.push(head, events) },
+      continuity: this.continuity,
       onSent: () => { this.onSent() },
-      onEvent: () => { this.onEvent() },
+      onEvents: (head, events) => this.push(head, events),
       done: (outcome) => { this.run(() => { this.onEnd(outcome) }) }
     })
   }
@@ -273,8 +275,8 @@
   }
 
   private push (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[]): boolean {
+    this.onEvent()
     this.recordBeginning()
-    for (const event of events) this.lastId = event.id ?? this.lastId
     return this.response.forward(head, events, () => { this.exchange?.resume() })
   }
 
@@ -397,7 +399,7 @@
   private onPathLost (detail: string): void {
     const { context, request } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'cancelled' })
-    context.log.request('path broke off', { request: request.requestId, target: this.target?.id, via: this.via, detail, lastEvent: this.lastId })
+    context.log.request('path broke off', { request: request.requestId, target: this.target?.id, via: this.via, detail, lastEvent: this.continuity.lastId() })
     if (this.target !== undefined) context.paths.recordUnreachable(this.target.id, this.via)
     if (this.isRetryable && this.acquireRetry()) this.placeAgain(true)
     else this.refuse('broken')
@@ -411,7 +413,7 @@
       target: this.target?.id,
       detail: message,
       awaitedFirstEvent: this.awaitsFirstEvent,
-      lastEvent: this.lastId,
+      lastEvent: this.continuity.lastId(),
       promptSegments: request.promptSegments
     })
     const mayBeRepeated = this.evidence.recordBreak()
--- /dev/null
+++ b/packages/gateway/tests/stream-continuity.test.ts
@@ -0,0 +1,172 @@
+/**
+ * What callers receive of streams whose targets leave out, repeat or restart events, or break off.
+ */
+import type * as http from 'node:http'
+import * as fastCheck from 'fast-check'
+import * as assert from 'uvu/assert'
+import * as uvu from 'uvu'
+import * as streamContinuity from '../src/stream-continuity.js'
+import type * as streamEvents from '../src/stream-events.js'
+import * as fixtureModule from './fixture.js'
+
+const SEED = 39
+
+/** Time in which the gateway reads what was written before the connection closes, ms. */
+const SETTLE_MS = 30
+
+type End = 'complete' | 'broken'
+
+/** What a target sends: chunks, each with the ids of its events, or its text. */
+interface Sent {
+  readonly chunks: readonly (readonly number[] | string)[]
+  readonly end: End
+}
+
+let fixture: fixtureModule.Fixture
+const suite = uvu.suite('continuity of streams')
+
+suite.before.each(async () => { fixture = await fixtureModule.openFixture(2) })
+suite.after.each(async () => { await fixture.close() })
+
+function eventsOf (ids: readonly number[]): string {
+  return ids.map((id) => `id: ${id}\ndata: ${id}\n\n`).join('')
+}
+
+async function sendChunks (response: http.ServerResponse, { chunks, end }: Sent): Promise<void> {
+  for (const chunk of chunks) {
+    response.write(typeof chunk === 'string' ? chunk : eventsOf(chunk))
+    await fixtureModule.wait(SETTLE_MS)
+  }
+  if (end === 'complete') response.end()
+  else response.socket?.destroy()
+}
+
+/** Lets each target that is tried send the next of the responses. */
+function scriptStreams (responses: readonly Sent[]): void {
+  fixture.script((arrival, response, count) => {
+    fixtureModule.beginStream(arrival, response)
+    response.flushHeaders()
+    sendChunks(response, responses[count - 1] ?? { chunks: [], end: 'broken' }).catch((error: Error) => { response.destroy(error) })
+  })
+}
+
+function lastEventIds (): readonly unknown[] {
+  return fixture.arrivals.map(({ headers }) => headers['last-event-id'])
+}
+
+const REST: Sent = { chunks: [[3, 4]], end: 'complete' }
+
+const RESUMED: readonly (readonly [what: string, chunks: readonly (readonly number[])[]])[] = [
+  ['leaves out an event within a chunk', [[1, 2, 4]]],
+  ['leaves out an event between chunks', [[1, 2], [4]]],
+  ['leaves out an event late in a later chunk', [[1], [2, 4]]],
+  ['repeats an event within a chunk', [[1, 2, 2, 3, 4]]],
+  ['repeats an event between chunks', [[1, 2], [2, 3, 4]]],
+  ['steps back within a chunk', [[1, 2, 1, 2, 3]]],
+  ['steps back between chunks', [[1, 2], [1, 2, 3]]]
+]
+
+for (const [what, chunks] of RESUMED) {
+  suite(`a resumable stream whose target ${what} goes on at another one without a gap or a duplicate`, async () => {
+    scriptStreams([{ chunks, end: 'complete' }, REST])
+    const reply = await fixture.call('/generate/7')
+    assert.equal([reply.status, reply.isComplete, reply.body], [200, true, eventsOf([1, 2, 3, 4])])
+    assert.equal(lastEventIds(), [undefined, '2'])
+  })
+}
+
+suite('a stream that must not be resumed and whose ids step back is cut off before that', async () => {
+  scriptStreams([{ chunks: [[1, 2], [1, 2, 3]], end: 'complete' }])
+  const reply = await fixture.call('/answer/7')
+  assert.equal([reply.isComplete, reply.body, fixture.arrivals.length], [false, eventsOf([1, 2]), 1])
+})
+
+for (const [what, chunks] of [['within a chunk', [[1, 2, 4, 7]]], ['between chunks', [[1, 2], [4], [7]]]] as const) {
+  suite(`a stream that must not be resumed and whose target skips ids ${what} is forwarded unchanged`, async () => {
+    scriptStreams([{ chunks, end: 'complete' }])
+    const reply = await fixture.call('/answer/7')
+    assert.equal([reply.isComplete, reply.body], [true, eventsOf([1, 2, 4, 7])])
+  })
+}
+
+const SOUND: readonly (readonly [what: string, text: string])[] = [
+  ['an event without an id between others', `${eventsOf([1])}data: x\n\n${eventsOf([2])}`],
+  ['no ids', 'data: a\n\ndata: b\n\n'],
+  ['ids that are no numbers', 'id: a\ndata: 1\n\nid: b\ndata: 2\n\n'],
+  ['a first id of 0', eventsOf([0, 1])],
+  ['a first id of 5', eventsOf([5, 6])],
+  ['comments', `: wait\n\n${eventsOf([1])}: wait\n\n${eventsOf([2])}: done\n\n`],
+  ['a line before the id', 'weights: 3\nid: 1\ndata: 1\n\nweights: 4\nid: 2\ndata: 2\n\n']
+]
+
+for (const path of ['/generate/7', '/answer/7']) {
+  for (const [what, text] of SOUND) {
+    suite(`a stream with ${what} is forwarded unchanged on ${path}`, async () => {
+      scriptStreams([{ chunks: [text], end: 'complete' }])
+      const reply = await fixture.call(path)
+      assert.equal([reply.status, reply.isComplete, reply.body, fixture.arrivals.length], [200, true, text, 1])
+    })
+  }
+}
+
+interface Followed {
+  readonly ids: readonly number[]
+  /** Index of the chunk at which the response was given up; -1 if it was not. */
+  readonly faultyChunk: number
+}
+
+/** Follows one response of a target. */
+function follow (check: streamContinuity.EventCheck, chunks: readonly (readonly number[])[]): Followed {
+  const ids: number[] = []
+  const faultyChunk = chunks.findIndex((chunk) => {
+    try {
+      for (const event of check(chunk.map((id): streamEvents.StreamEvent => ({ bytes: Buffer.alloc(0), id })))) ids.push(event.id ?? NaN)
+      return false
+    } catch (error) {
+      if (error instanceof streamContinuity.Discontinuity) return true
+      throw error
+    }
+  })
+  return { ids, faultyChunk }
+}
+
+const IDS = fastCheck.array(fastCheck.nat(6), { maxLength: 8 })
+
+suite('no order of events from any targets reaches a caller with a gap or a duplicate', () => {
+  fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.array(IDS, { maxLength: 3 }), { maxLength: 4 }), (responses) => {
+    const continuity = streamContinuity.createStreamContinuity({ isConsecutive: true })
+    const ids = responses.flatMap((chunks) => follow(continuity.beginResponse(), chunks).ids)
+    assert.equal(ids, ids.map((_, index) => (ids[0] ?? 0) + index))
+    assert.is(continuity.lastId(), ids.at(-1))
+  }), { seed: SEED })
+})
+
+suite('what is forwarded of a response does not depend on its chunks', () => {
+  fastCheck.assert(fastCheck.property(fastCheck.array(IDS, { maxLength: 4 }), fastCheck.boolean(), (chunks, isConsecutive) => {
+    const whole = follow(streamContinuity.createStreamContinuity({ isConsecutive }).beginResponse(), [chunks.flat()])
+    const split = follow(streamContinuity.createStreamContinuity({ isConsecutive }).beginResponse(), chunks)
+    assert.equal([split.ids, split.faultyChunk >= 0], [whole.ids, whole.faultyChunk >= 0])
+  }), { seed: SEED })
+})
+
+suite('a sound target is never given up, whichever event it resumes the stream from', () => {
+  fastCheck.assert(fastCheck.property(fastCheck.nat(9), fastCheck.nat(9), (forwarded, start) => {
+    const continuity = streamContinuity.createStreamContinuity({ isConsecutive: true })
+    const all = Array.from({ length: 20 }, (_, id) => id)
+    const resumed = all.slice(Math.min(start, forwarded))
+    const ids = [all.slice(0, forwarded), resumed].flatMap((chunk) => {
+      const followed = follow(continuity.beginResponse(), [chunk])
+      assert.is(followed.faultyChunk, -1)
+      return followed.ids
+    })
+    assert.equal(ids, all)
+  }), { seed: SEED })
+})
+
+suite('the metrics count a stream that is not continuous', async () => {
+  scriptStreams([{ chunks: [[1, 2, 4]], end: 'complete' }, REST])
+  await fixture.call('/generate/7')
+  assert.match(fixture.gateway.metrics.text(), 'stream_discontinuities_total{service="stock"} 1')
+})
+
+suite.run()
