Hold a stream that its caller resumes to the caller's last event

What callers would see: events that they have once more, or a gap, when they take a stream up with Last-Event-Id 2 and the target begins at another event than 3.

Cause: the check of continuity began with the first event that was forwarded; what the caller names as its last event was passed to the target and not looked at.

Change: on routes whose streams may be resumed the caller's id, if it is one integer, is where the continuity of the stream begins. A target that begins earlier is followed silently up to there; one that begins later counts as broken off, and the request goes to another one.

Evidence: five of eight tests 'a caller that resumes a stream gets just the events after its last one if ...' failed before: begun from the start (in one chunk, in chunks, and before breaking off), at event 2, and behind event 3 (which was forwarded as 4, complete). They pass now.

Held before and now, with tests: the request goes to a second target before or after its first event; the header in other spellings; an id that is no number; Last-Event-Id on routes whose streams may not be resumed, where the target's stream is forwarded as it is; a resumed stream that is answered with a plain success, 404 or 500, or that starts again; comments behind an event.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -35,6 +35,8 @@
   readonly limitMs: number
   /** The attempt whose stream this request resumes, as the caller names it; undefined if it resumes none. */
   readonly resumes: string | undefined
+  /** Id of the last event that the caller has of a stream that may be resumed; undefined if it has none. */
+  readonly lastEventId: number | undefined
   /** Software version of the targets that may get the request; undefined for any. */
   readonly version: string | undefined
   /** Whether the caller has sent the request again, as it states less remaining time than others start with. */
@@ -90,6 +92,11 @@
   return rawHeaders.findHeader(head.headers, lastEventId) === undefined ? undefined : rawHeaders.findHeader(head.headers, resumes)
 }
 
+function readLastEventId (context: contextModule.Context, head: RequestHead, route: routing.document.Route): number | undefined {
+  const values = rawHeaders.findAll(head.headers, context.headerNames.lastEventId)
+  return route.resumable && values.length === 1 ? headerNames.parseEventId(values[0]) : undefined
+}
+
 function isAccepted (context: contextModule.Context, kind: routing.document.RequestKind, outputTokens: number): boolean {
   const sinceStopMs = context.sinceStopMs()
   return sinceStopMs === undefined || routing.plannedStop.isAcceptedDuringStop({ sinceStopMs, graceMs: context.graceMs(), kind, outputTokens })
@@ -122,6 +129,7 @@
       cappedTokens: tokens === undefined ? match.organisation?.plainTokens ?? 0 : tokens.prompt + tokens.output,
       promptSegments: headerNames.parsePromptSegments(rawHeaders.findHeader(head.headers, context.headerNames.promptParts)),
       resumes: readResumes(context, head),
+      lastEventId: readLastEventId(context, head, match.route),
       version: undefined,
       limitMs: head.arrivedMs + Math.min(match.route.timeoutMs, remainingMs),
       resubmitted: remainingMs < RESUBMITTED_SHARE * context.maxRemainingMs(match.route.name, remainingMs)
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -107,6 +107,18 @@
   return /^\d{1,15}(\.\d{1,9})?$/.test(text) ? Number(text) * MS_PER_S : undefined
 }
 
+/**
+ * Parses the id of an event; returns undefined if it is missing or no integer.
+ *
+ * @example
+ * ```ts
+ * parseEventId('12') // 12
+ * ```
+ */
+export function parseEventId (text: string | undefined): number | undefined {
+  return text !== undefined && /^\d{1,15}$/.test(text) ? Number(text) : undefined
+}
+
 /**
  * Parses a target's limit of requests per second; returns undefined if it is missing or malformed.
  *
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -92,7 +92,7 @@
     const { kind, resumable } = request.route
     this.response = new callerResponse.CallerResponse(context, outgoing)
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
-    this.continuity = streamContinuity.createStreamContinuity({ isConsecutive: resumable })
+    this.continuity = streamContinuity.createStreamContinuity({ isConsecutive: resumable, lastId: request.lastEventId })
     this.version = request.version
     this.isRetryable = kind === 'idempotent' || (kind === 'stream' && resumable)
     this.deadlineTimer = pendingEvents.startTimer(() => { this.run(() => { this.onDeadline() }) }, request.limitMs - context.now())
--- a/packages/gateway/src/stream-continuity.ts
+++ b/packages/gateway/src/stream-continuity.ts
@@ -20,6 +20,8 @@
 export interface Options {
   /** Whether ids are consecutive, as in streams that are resumed by id; otherwise they only increase. */
   readonly isConsecutive: boolean
+  /** Id of the last event that the caller had before; undefined if it had none. */
+  readonly lastId: number | undefined
 }
 
 /** The continuity of the stream that one caller receives. */
@@ -35,13 +37,13 @@
  *
  * @example
  * ```ts
- * const continuity = createStreamContinuity({ isConsecutive: true })
+ * const continuity = createStreamContinuity({ isConsecutive: true, lastId: undefined })
  * const check = continuity.beginResponse()
  * for (const event of check(splitter.push(chunk))) forward(event.bytes)
  * ```
  */
-export function createStreamContinuity ({ isConsecutive }: Options): StreamContinuity {
-  let lastId: number | undefined
+export function createStreamContinuity ({ isConsecutive, lastId: initialId }: Options): StreamContinuity {
+  let lastId = initialId
 
   /** Returns whether an event is new to the caller. */
   function isNew (id: number): boolean {
--- a/packages/gateway/tests/stream-continuity.test.ts
+++ b/packages/gateway/tests/stream-continuity.test.ts
@@ -111,6 +111,79 @@
   }
 }
 
+/** A caller's request that resumes a stream after event 2. */
+const TAKEN_UP = { headers: { 'last-event-id': '2' } }
+
+const TAKEN_UP_AT: readonly (readonly [what: string, first: Sent, body: readonly number[], expected: readonly (string | undefined)[]])[] = [
+  ['at the next event', { chunks: [[3, 4]], end: 'complete' }, [3, 4], ['2']],
+  ['from the start', { chunks: [[1, 2, 3, 4]], end: 'complete' }, [3, 4], ['2']],
+  ['from the start in chunks', { chunks: [[1], [2], [3, 4]], end: 'complete' }, [3, 4], ['2']],
+  ['at the last event that the caller has', { chunks: [[2, 3, 4]], end: 'complete' }, [3, 4], ['2']],
+  ['behind the next event', { chunks: [[4]], end: 'complete' }, [3, 4], ['2', '2']],
+  ['at the next event and breaks off', { chunks: [[3]], end: 'broken' }, [3, 4], ['2', '3']],
+  ['and breaks off before its first event', { chunks: [], end: 'broken' }, [3, 4], ['2', '2']],
+  ['from the start and breaks off before the next event', { chunks: [[1, 2]], end: 'broken' }, [3, 4], ['2', '2']]
+]
+
+for (const [what, first, body, expected] of TAKEN_UP_AT) {
+  suite(`a caller that resumes a stream gets just the events after its last one if the target begins ${what}`, async () => {
+    const after = (expected[1] ?? '2') === '3' ? [4] : [3, 4]
+    scriptStreams([first, { chunks: [after], end: 'complete' }])
+    const reply = await fixture.call('/generate/7', TAKEN_UP)
+    assert.equal([reply.status, reply.isComplete, reply.body], [200, true, eventsOf(body)])
+    assert.equal(lastEventIds(), expected)
+  })
+}
+
+for (const name of ['LAST-EVENT-ID', 'Last-Event-ID']) {
+  suite(`a caller may spell the header ${name}`, async () => {
+    scriptStreams([{ chunks: [[3]], end: 'broken' }, { chunks: [[4]], end: 'complete' }])
+    const reply = await fixture.call('/generate/7', { headers: { [name]: '2' } })
+    assert.equal([reply.isComplete, reply.body, lastEventIds()], [true, eventsOf([3, 4]), ['2', '3']])
+  })
+}
+
+suite('a last event id that is no number is forwarded, and the stream begins where the target wants', async () => {
+  scriptStreams([{ chunks: [[7, 8]], end: 'complete' }])
+  const reply = await fixture.call('/generate/7', { headers: { 'last-event-id': 'x' } })
+  assert.equal([reply.isComplete, reply.body, lastEventIds()], [true, eventsOf([7, 8]), ['x']])
+})
+
+suite('a last event id means nothing on a route whose streams must not be resumed', async () => {
+  scriptStreams([{ chunks: [[1, 2, 3]], end: 'complete' }])
+  const reply = await fixture.call('/answer/7', TAKEN_UP)
+  assert.equal([reply.isComplete, reply.body, lastEventIds()], [true, eventsOf([1, 2, 3]), ['2']])
+})
+
+suite('a stream that breaks off behind its last event ends at another target', async () => {
+  scriptStreams([{ chunks: [[1, 2]], end: 'broken' }, { chunks: [], end: 'complete' }])
+  const reply = await fixture.call('/generate/7')
+  assert.equal([reply.isComplete, reply.body, lastEventIds()], [true, eventsOf([1, 2]), [undefined, '2']])
+})
+
+suite('a resumed stream that starts again at its target brings no event again', async () => {
+  scriptStreams([{ chunks: [[1, 2]], end: 'broken' }, { chunks: [[1], [2, 3]], end: 'complete' }])
+  const reply = await fixture.call('/generate/7')
+  assert.equal([reply.isComplete, reply.body], [true, eventsOf([1, 2, 3])])
+})
+
+const OTHER_ANSWERS: readonly (readonly [what: string, status: number])[] = [['a plain success', 200], ['a client error', 404], ['a server error', 500]]
+
+for (const [what, status] of OTHER_ANSWERS) {
+  suite(`a resumed stream that another target answers with ${what} is cut off`, async () => {
+    fixture.script((arrival, response, count) => {
+      if (count > 1) {
+        fixtureModule.respondComplete(arrival, response, status)
+        return
+      }
+      fixtureModule.beginStream(arrival, response)
+      sendChunks(response, { chunks: [[1, 2]], end: 'broken' }).catch((error: Error) => { response.destroy(error) })
+    })
+    const reply = await fixture.call('/generate/7')
+    assert.equal([reply.status, reply.isComplete, reply.body, fixture.arrivals.length], [200, false, eventsOf([1, 2]), 2])
+  })
+}
+
 interface Followed {
   readonly ids: readonly number[]
   /** Index of the chunk at which the response was given up; -1 if it was not. */
@@ -136,7 +209,7 @@
 
 suite('no order of events from any targets reaches a caller with a gap or a duplicate', () => {
   fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.array(IDS, { maxLength: 3 }), { maxLength: 4 }), (responses) => {
-    const continuity = streamContinuity.createStreamContinuity({ isConsecutive: true })
+    const continuity = streamContinuity.createStreamContinuity({ isConsecutive: true, lastId: undefined })
     const ids = responses.flatMap((chunks) => follow(continuity.beginResponse(), chunks).ids)
     assert.equal(ids, ids.map((_, index) => (ids[0] ?? 0) + index))
     assert.is(continuity.lastId(), ids.at(-1))
@@ -145,15 +218,15 @@
 
 suite('what is forwarded of a response does not depend on its chunks', () => {
   fastCheck.assert(fastCheck.property(fastCheck.array(IDS, { maxLength: 4 }), fastCheck.boolean(), (chunks, isConsecutive) => {
-    const whole = follow(streamContinuity.createStreamContinuity({ isConsecutive }).beginResponse(), [chunks.flat()])
-    const split = follow(streamContinuity.createStreamContinuity({ isConsecutive }).beginResponse(), chunks)
+    const whole = follow(streamContinuity.createStreamContinuity({ isConsecutive, lastId: undefined }).beginResponse(), [chunks.flat()])
+    const split = follow(streamContinuity.createStreamContinuity({ isConsecutive, lastId: undefined }).beginResponse(), chunks)
     assert.equal([split.ids, split.faultyChunk >= 0], [whole.ids, whole.faultyChunk >= 0])
   }), { seed: SEED })
 })
 
 suite('a sound target is never given up, whichever event it resumes the stream from', () => {
   fastCheck.assert(fastCheck.property(fastCheck.nat(9), fastCheck.nat(9), (forwarded, start) => {
-    const continuity = streamContinuity.createStreamContinuity({ isConsecutive: true })
+    const continuity = streamContinuity.createStreamContinuity({ isConsecutive: true, lastId: undefined })
     const all = Array.from({ length: 20 }, (_, id) => id)
     const resumed = all.slice(Math.min(start, forwarded))
     const ids = [all.slice(0, forwarded), resumed].flatMap((chunk) => {
