Accept no end of a stream before the events that its caller has

What callers would see: a stream that ends as complete although the target that it was resumed at ended before the last event that they have. Its end says nothing of the rest.

Cause: events that the caller has are dropped, and the end of a response was accepted wherever it came.

Evidence: 'a resumed stream that ends at another target before the events that the caller has is not complete' failed before (events 1 and 2 as complete, after a second response of event 1 alone), and so did 'a caller that resumes a stream gets no end from a target that ends before the events that it has' (502 in place of event 3 of another target). Both pass now.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -139,6 +139,17 @@
   return head.status === 200 && (rawHeaders.findHeader(head.headers, 'content-type') ?? '').startsWith('text/event-stream')
 }
 
+/** Takes events up to an error, which may follow sound events. */
+function takeUntilFault (iterable: Iterable<streamEvents.StreamEvent>): { readonly events: readonly streamEvents.StreamEvent[], readonly fault: Error | undefined } {
+  const events: streamEvents.StreamEvent[] = []
+  try {
+    for (const event of iterable) events.push(event)
+    return { events, fault: undefined }
+  } catch (error) {
+    return { events, fault: error as Error }
+  }
+}
+
 /**
  * Sends the request. `done` is called once unless the attempt is aborted.
  *
@@ -151,7 +162,7 @@
   const { context, request, target, continuity } = options
   const chunks: Buffer[] = []
   const splitter = streamEvents.createEventSplitter()
-  const check = continuity.beginResponse()
+  const responseContinuity = continuity.beginResponse()
   const observers = [createLimitObserver(options), createDepartureObserver(options)]
   let head: targetClient.ResponseHead | undefined
   let heldBytes = 0
@@ -168,6 +179,11 @@
     finish({ kind: 'broken', message })
   }
 
+  function failStream (fault: Error): void {
+    if (fault instanceof streamContinuity.Discontinuity) context.metrics.count('stream_discontinuities_total', { service: request.service })
+    failBroken(fault.message)
+  }
+
   function handleHead (response: targetClient.ResponseHead): void {
     const fault = findFault(options, response)
     if (fault !== undefined) {
@@ -181,16 +197,9 @@
   }
 
   function handleEvents (response: targetClient.ResponseHead, chunk: Buffer): void {
-    const events: streamEvents.StreamEvent[] = []
-    let fault: unknown
-    try {
-      for (const event of check(splitter.push(chunk))) events.push(event)
-    } catch (error) {
-      fault = error
-    }
+    const { events, fault } = takeUntilFault(responseContinuity.follow(splitter.push(chunk)))
     if (events.length > 0 && !options.onEvents(response, events)) exchange.pause()
-    if (fault instanceof streamContinuity.Discontinuity) context.metrics.count('stream_discontinuities_total', { service: request.service })
-    if (fault !== undefined) failBroken((fault as Error).message)
+    if (fault !== undefined) failStream(fault)
   }
 
   function handleData (chunk: Buffer): void {
@@ -209,6 +218,7 @@
     if (isRejection(options, head)) finish({ kind: 'rejected', status: head.status })
     else if (!isStream(head)) finish({ kind: 'answered', head, body: Buffer.concat(chunks) })
     else if (splitter.pending().length > 0) finish({ kind: 'broken', message: 'the stream ended in the middle of an event' })
+    else if (responseContinuity.isBehind()) failStream(new streamContinuity.Discontinuity(`the stream ended before event ${continuity.lastId()}, which the caller has`))
     else finish({ kind: 'streamed' })
   }
 
--- a/packages/gateway/src/stream-continuity.ts
+++ b/packages/gateway/src/stream-continuity.ts
@@ -13,8 +13,13 @@
   }
 }
 
-/** Yields the events of one response that continue the stream, and throws a {@link Discontinuity} after the last of them. */
-export type EventCheck = (events: Iterable<streamEvents.StreamEvent>) => Generator<streamEvents.StreamEvent, void>
+/** The continuity of one response. */
+export interface ResponseContinuity {
+  /** Yields the events that continue the stream, and throws a {@link Discontinuity} after the last of them. */
+  readonly follow: (events: Iterable<streamEvents.StreamEvent>) => Generator<streamEvents.StreamEvent, void>
+  /** Returns whether the response has not reached the last event that the caller has. */
+  readonly isBehind: () => boolean
+}
 
 /** What is known of the ids of a stream. */
 export interface Options {
@@ -28,8 +33,8 @@
 export interface StreamContinuity {
   /** Returns the id of the last event that the caller has; undefined if it has none with an id. */
   readonly lastId: () => number | undefined
-  /** Returns the check of the next response, which may begin with events that the caller has: these are dropped. */
-  readonly beginResponse: () => EventCheck
+  /** Begins the next response, which may repeat events that the caller has at its start: these are dropped. */
+  readonly beginResponse: () => ResponseContinuity
 }
 
 /**
@@ -38,8 +43,8 @@
  * @example
  * ```ts
  * const continuity = createStreamContinuity({ isConsecutive: true, lastId: undefined })
- * const check = continuity.beginResponse()
- * for (const event of check(splitter.push(chunk))) forward(event.bytes)
+ * const response = continuity.beginResponse()
+ * for (const event of response.follow(splitter.push(chunk))) forward(event.bytes)
  * ```
  */
 export function createStreamContinuity ({ isConsecutive, lastId: initialId }: Options): StreamContinuity {
@@ -52,23 +57,25 @@
     return id > lastId
   }
 
-  function beginResponse (): EventCheck {
+  function beginResponse (): ResponseContinuity {
     let previousId: number | undefined
-    let isBehind = false
+    let isRepeating = false
 
-    return function * check (events) {
+    function * follow (events: Iterable<streamEvents.StreamEvent>): Generator<streamEvents.StreamEvent, void> {
       for (const event of events) {
         const { id } = event
         if (id !== undefined) {
           if (previousId !== undefined && id <= previousId) throw new Discontinuity(`the target sent event ${id} after event ${previousId}`)
           previousId = id
-          isBehind = !isNew(id)
+          isRepeating = !isNew(id)
         }
-        if (isBehind) continue
+        if (isRepeating) continue
         lastId = id ?? lastId
         yield event
       }
     }
+
+    return { follow, isBehind: () => previousId !== undefined && lastId !== undefined && previousId < lastId }
   }
 
   return { lastId: () => lastId, beginResponse }
--- a/packages/gateway/tests/stream-continuity.test.ts
+++ b/packages/gateway/tests/stream-continuity.test.ts
@@ -184,6 +184,24 @@
   })
 }
 
+suite('a new stream that ends before its first event is not forwarded as complete', async () => {
+  scriptStreams([{ chunks: [], end: 'complete' }])
+  const reply = await fixture.call('/answer/7')
+  assert.is(reply.status, 502)
+})
+
+suite('a resumed stream that ends at another target before the events that the caller has is not complete', async () => {
+  scriptStreams([{ chunks: [[1, 2]], end: 'broken' }, { chunks: [[1]], end: 'complete' }])
+  const reply = await fixture.call('/generate/7')
+  assert.equal([reply.isComplete, reply.body], [false, eventsOf([1, 2])])
+})
+
+suite('a caller that resumes a stream gets no end from a target that ends before the events that it has', async () => {
+  scriptStreams([{ chunks: [[1]], end: 'complete' }, { chunks: [[3]], end: 'complete' }])
+  const reply = await fixture.call('/generate/7', TAKEN_UP)
+  assert.equal([reply.status, reply.isComplete, reply.body], [200, true, eventsOf([3])])
+})
+
 interface Followed {
   readonly ids: readonly number[]
   /** Index of the chunk at which the response was given up; -1 if it was not. */
@@ -191,11 +209,11 @@
 }
 
 /** Follows one response of a target. */
-function follow (check: streamContinuity.EventCheck, chunks: readonly (readonly number[])[]): Followed {
+function follow (response: streamContinuity.ResponseContinuity, chunks: readonly (readonly number[])[]): Followed {
   const ids: number[] = []
   const faultyChunk = chunks.findIndex((chunk) => {
     try {
-      for (const event of check(chunk.map((id): streamEvents.StreamEvent => ({ bytes: Buffer.alloc(0), id })))) ids.push(event.id ?? NaN)
+      for (const event of response.follow(chunk.map((id): streamEvents.StreamEvent => ({ bytes: Buffer.alloc(0), id })))) ids.push(event.id ?? NaN)
       return false
     } catch (error) {
       if (error instanceof streamContinuity.Discontinuity) return true
