Forward the end of a resumed stream of which nothing is left

What callers saw: 502 each time they took up a stream whose last event they had, so that they never got its end.

Cause: a stream that ended before an event was forwarded was refused as broken, whatever the caller had.

Evidence: 'a caller that resumes a stream of which nothing is left gets its end' failed before (502 in place of 200 and no events), and so did 'a caller that resumes a stream at its end gets nothing again from a target that begins from the start'. Both pass now. A new stream without an event is still refused (test).

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -21,7 +21,7 @@
   /** A complete response with any status. */
   | { readonly kind: 'answered', readonly head: targetClient.ResponseHead, readonly body: Buffer }
   /** A complete stream. */
-  | { readonly kind: 'streamed' }
+  | { readonly kind: 'streamed', readonly head: targetClient.ResponseHead }
   /** The request may have run and its response is lost. */
   | { readonly kind: 'broken', readonly message: string }
   /** The same, because of the peer that carried the connection. */
@@ -219,7 +219,7 @@
     else if (!isStream(head)) finish({ kind: 'answered', head, body: Buffer.concat(chunks) })
     else if (splitter.pending().length > 0) finish({ kind: 'broken', message: 'the stream ended in the middle of an event' })
     else if (responseContinuity.isBehind()) failStream(new streamContinuity.Discontinuity(`the stream ended before event ${continuity.lastId()}, which the caller has`))
-    else finish({ kind: 'streamed' })
+    else finish({ kind: 'streamed', head })
   }
 
   const exchange = context.clients.send({
--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -38,7 +38,7 @@
   /** Forwards events, after the head if it has not been written; returns false if the caller reads too slowly until `onDrain`. */
   forward (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[], onDrain: () => void): boolean {
     const { outgoing } = this
-    if (!outgoing.headersSent) this.writeHead(head.status, this.forwardedHeaders(head))
+    this.begin(head)
     const canContinue = outgoing.write(events.length === 1 ? events[0]?.bytes : Buffer.concat(events.map((event) => event.bytes)))
     if (!canContinue) outgoing.once('drain', onDrain)
     return canContinue
@@ -55,8 +55,9 @@
     this.outgoing.end(body)
   }
 
-  /** Ends a response whose events have been forwarded. */
-  end (): void {
+  /** Ends a response whose events, if there are any, have been forwarded. */
+  endStream (head: targetClient.ResponseHead): void {
+    this.begin(head)
     this.outgoing.end()
   }
 
@@ -65,6 +66,10 @@
     cutResponse.cut(this.outgoing)
   }
 
+  private begin (head: targetClient.ResponseHead): void {
+    if (!this.hasBegun) this.writeHead(head.status, this.forwardedHeaders(head))
+  }
+
   private forwardedHeaders (head: targetClient.ResponseHead): readonly string[] {
     return rawHeaders.withoutHeaders(head.headers, new Set([this.dependencies.headerNames.load, 'content-length']))
   }
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -334,7 +334,7 @@
       case 'unreachable': this.onUnreachable(outcome.message); break
       case 'rejected': this.onRejected(outcome.status); break
       case 'answered': this.onAnswered(outcome.head, outcome.body); break
-      case 'streamed': this.onStreamed(); break
+      case 'streamed': this.onStreamed(outcome.head); break
       case 'broken': this.onBroken(outcome.message); break
       case 'path-lost': this.onPathLost(outcome.message); break
     }
@@ -384,15 +384,16 @@
     this.response.forwardWhole(head, body)
   }
 
-  private onStreamed (): void {
+  private onStreamed (head: targetClient.ResponseHead): void {
     this.endPlacement({ kind: 'ended', outcome: 'answered' })
     this.evidence.recordResponse()
-    if (!this.response.hasBegun) {
+    // A new stream has at least one event; of a resumed one nothing may be left.
+    if (!this.response.hasBegun && this.options.request.lastEventId === undefined) {
       this.refuse('broken')
       return
     }
     this.finish('answered', OK, 'answered')
-    this.response.end()
+    this.response.endStream(head)
   }
 
   /** Sends the request again, also to the same target, since the peer that was lost says nothing of it. */
--- a/packages/gateway/tests/stream-continuity.test.ts
+++ b/packages/gateway/tests/stream-continuity.test.ts
@@ -184,6 +184,19 @@
   })
 }
 
+suite('a caller that resumes a stream of which nothing is left gets its end', async () => {
+  scriptStreams([{ chunks: [], end: 'complete' }])
+  const reply = await fixture.call('/generate/7', TAKEN_UP)
+  assert.equal([reply.status, reply.isComplete, reply.body], [200, true, ''])
+  assert.is(reply.headers.proof, fixture.arrivals[0]?.target)
+})
+
+suite('a caller that resumes a stream at its end gets nothing again from a target that begins from the start', async () => {
+  scriptStreams([{ chunks: [[1, 2]], end: 'complete' }])
+  const reply = await fixture.call('/generate/7', TAKEN_UP)
+  assert.equal([reply.status, reply.isComplete, reply.body], [200, true, ''])
+})
+
 suite('a new stream that ends before its first event is not forwarded as complete', async () => {
   scriptStreams([{ chunks: [], end: 'complete' }])
   const reply = await fixture.call('/answer/7')
