Don't join event streams of two targets on routes that don't resume them

What callers would see: events of two runs in one stream, on a route for idempotent requests whose target answers with an event stream and breaks off.

Cause: whether a request may be sent again was decided once, from its route. An idempotent request was sent again after events had been forwarded, with a Last-Event-Id that means nothing on its route, and events of the second answer were joined to those of the first.

Change: it is decided when a request would be sent again. Once events have been forwarded, only streams that may be resumed go on.

Evidence: 'a stream on a route that is not resumable is not joined with that of another target' failed before (events 1 and 2 of two answers, complete) and passes now: event 1, cut, sent once.

--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -63,7 +63,6 @@
   private readonly evidence: requestEvidence.RequestEvidence
   private readonly response: callerResponse.CallerResponse
   private readonly continuity: streamContinuity.StreamContinuity
-  private readonly isRetryable: boolean
   private readonly deadlineTimer: NodeJS.Timeout
   private retryTimer: NodeJS.Timeout | undefined
   private finished = false
@@ -89,12 +88,10 @@
 
   constructor (private readonly options: Options) {
     const { context, request, body, outgoing } = options
-    const { kind, resumable } = request.route
     this.response = new callerResponse.CallerResponse(context, outgoing)
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
-    this.continuity = streamContinuity.createStreamContinuity({ isConsecutive: resumable, lastId: request.lastEventId })
+    this.continuity = streamContinuity.createStreamContinuity({ isConsecutive: request.route.resumable, lastId: request.lastEventId })
     this.version = request.version
-    this.isRetryable = kind === 'idempotent' || (kind === 'stream' && resumable)
     this.deadlineTimer = pendingEvents.startTimer(() => { this.run(() => { this.onDeadline() }) }, request.limitMs - context.now())
   }
 
@@ -289,6 +286,12 @@
     if (request.route.resumable) context.streams.record({ requestId: request.resumes ?? request.requestId, service: request.service, version: this.version })
   }
 
+  /** Whether the request may run again: once events have been forwarded, only to go on behind them. */
+  private get isRetryable (): boolean {
+    const { kind, resumable } = this.options.request.route
+    return (kind === 'idempotent' && !this.response.hasBegun) || (kind === 'stream' && resumable)
+  }
+
   /** Acquires a retry if the route, the remaining time and the fleet's budget allow one. */
   private acquireRetry (): boolean {
     const { context, request } = this.options
--- a/packages/gateway/tests/stream-continuity.test.ts
+++ b/packages/gateway/tests/stream-continuity.test.ts
@@ -215,6 +215,12 @@
   assert.equal([reply.status, reply.isComplete, reply.body], [200, true, eventsOf([3])])
 })
 
+suite('a stream on a route that is not resumable is not joined with that of another target', async () => {
+  scriptStreams([{ chunks: [[1]], end: 'broken' }, { chunks: [[1, 2]], end: 'complete' }])
+  const reply = await fixture.call('/read/7')
+  assert.equal([reply.isComplete, reply.body, fixture.arrivals.length], [false, eventsOf([1]), 1])
+})
+
 interface Followed {
   readonly ids: readonly number[]
   /** Index of the chunk at which the response was given up; -1 if it was not. */
