Don't resume a stream behind an event without an id

What callers would see: events twice, in a stream that looks complete.

Cause: a stream that breaks off behind events without a numeric id was sent again without Last-Event-Id, or with the id of an earlier event. The other target sends again what the caller has.

Change: such a stream is cut, like one that may not be resumed. Comments don't count: readers skip them.

Evidence: three tests 'a stream that breaks off behind ... is cut off, since it can't be resumed without repeating them' failed before: a stream without ids and one whose ids are no numbers reached the caller twice over, one with an unnamed event behind event 1 was resumed behind event 1. They pass now. A stream that breaks off behind a comment is resumed (test, also before).

--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -289,7 +289,7 @@
   /** Whether the request may run again: once events have been forwarded, only to go on behind them. */
   private get isRetryable (): boolean {
     const { kind, resumable } = this.options.request.route
-    return (kind === 'idempotent' && !this.response.hasBegun) || (kind === 'stream' && resumable)
+    return (kind === 'idempotent' && !this.response.hasBegun) || (kind === 'stream' && resumable && this.continuity.isResumable())
   }
 
   /** Acquires a retry if the route, the remaining time and the fleet's budget allow one. */
--- a/packages/gateway/src/stream-continuity.ts
+++ b/packages/gateway/src/stream-continuity.ts
@@ -33,6 +33,8 @@
 export interface StreamContinuity {
   /** Returns the id of the last event that the caller has; undefined if it has none with an id. */
   readonly lastId: () => number | undefined
+  /** Returns whether another target can go on behind the last event that the caller has, which needs an id for that. */
+  readonly isResumable: () => boolean
   /** Begins the next response, which may repeat events that the caller has at its start: these are dropped. */
   readonly beginResponse: () => ResponseContinuity
 }
@@ -49,6 +51,7 @@
  */
 export function createStreamContinuity ({ isConsecutive, lastId: initialId }: Options): StreamContinuity {
   let lastId = initialId
+  let isResumable = true
 
   /** Returns whether an event is new to the caller. */
   function isNew (id: number): boolean {
@@ -71,6 +74,7 @@
         }
         if (isRepeating) continue
         lastId = id ?? lastId
+        isResumable = id !== undefined || (isResumable && !event.hasData)
         yield event
       }
     }
@@ -78,5 +82,5 @@
     return { follow, isBehind: () => previousId !== undefined && lastId !== undefined && previousId < lastId }
   }
 
-  return { lastId: () => lastId, beginResponse }
+  return { lastId: () => lastId, isResumable: () => isResumable, beginResponse }
 }
--- a/packages/gateway/src/stream-events.ts
+++ b/packages/gateway/src/stream-events.ts
@@ -14,6 +14,8 @@
   readonly bytes: Buffer
   /** The number in the `id` line; undefined if there is none. */
   readonly id: number | undefined
+  /** Whether readers of the stream receive the event; they skip comments. */
+  readonly hasData: boolean
 }
 
 /** Assembles chunks into events. */
@@ -31,9 +33,10 @@
   }
 }
 
-function readId (event: Buffer): number | undefined {
-  const match = /^id: ?(\d+)\r?$/m.exec(event.toString('latin1'))
-  return match === null ? undefined : Number(match[1])
+function readEvent (bytes: Buffer): StreamEvent {
+  const text = bytes.toString('latin1')
+  const match = /^id: ?(\d+)\r?$/m.exec(text)
+  return { bytes, id: match === null ? undefined : Number(match[1]), hasData: /^data(:|\r?$)/m.test(text) }
 }
 
 function findEventEnd (bytes: Buffer): number {
@@ -59,9 +62,9 @@
   function * push (bytes: Buffer): Generator<StreamEvent, void> {
     pending = pending.length === 0 ? bytes : Buffer.concat([pending, bytes])
     for (let end = findEventEnd(pending); end >= 0; end = findEventEnd(pending)) {
-      const event = pending.subarray(0, end)
+      const event = readEvent(pending.subarray(0, end))
       pending = pending.subarray(end)
-      yield { bytes: event, id: readId(event) }
+      yield event
     }
     if (pending.length > MAX_EVENT_BYTES) throw new UnterminatedEvent()
   }
--- a/packages/gateway/tests/stream-continuity.test.ts
+++ b/packages/gateway/tests/stream-continuity.test.ts
@@ -215,6 +215,26 @@
   assert.equal([reply.status, reply.isComplete, reply.body], [200, true, eventsOf([3])])
 })
 
+const UNNAMED: readonly (readonly [what: string, text: string])[] = [
+  ['events without ids', 'data: a\n\ndata: b\n\n'],
+  ['an event without an id behind one with an id', `${eventsOf([1])}data: x\n\n`],
+  ['ids that are no numbers', 'id: a\ndata: a\n\n']
+]
+
+for (const [what, text] of UNNAMED) {
+  suite(`a stream that breaks off behind ${what} is cut off, since it can't be resumed without repeating them`, async () => {
+    scriptStreams([{ chunks: [text], end: 'broken' }, { chunks: [text], end: 'complete' }])
+    const reply = await fixture.call('/generate/7')
+    assert.equal([reply.status, reply.isComplete, reply.body, fixture.arrivals.length], [200, false, text, 1])
+  })
+}
+
+suite('comments behind an event don\'t keep a stream from being resumed', async () => {
+  scriptStreams([{ chunks: [`${eventsOf([1])}: wait\n\n`], end: 'broken' }, { chunks: [[2]], end: 'complete' }])
+  const reply = await fixture.call('/generate/7')
+  assert.equal([reply.isComplete, reply.body], [true, `${eventsOf([1])}: wait\n\n${eventsOf([2])}`])
+})
+
 suite('a stream on a route that is not resumable is not joined with that of another target', async () => {
   scriptStreams([{ chunks: [[1]], end: 'broken' }, { chunks: [[1, 2]], end: 'complete' }])
   const reply = await fixture.call('/read/7')
@@ -232,7 +252,7 @@
   const ids: number[] = []
   const faultyChunk = chunks.findIndex((chunk) => {
     try {
-      for (const event of response.follow(chunk.map((id): streamEvents.StreamEvent => ({ bytes: Buffer.alloc(0), id })))) ids.push(event.id ?? NaN)
+      for (const event of response.follow(chunk.map((id): streamEvents.StreamEvent => ({ bytes: Buffer.alloc(0), id, hasData: true })))) ids.push(event.id ?? NaN)
       return false
     } catch (error) {
       if (error instanceof streamContinuity.Discontinuity) return true
