Read event streams by the grammar of server-sent events

What callers would see: a sound stream whose lines end with carriage returns came only as a failure, since none of its events ended, and one with an empty line at its end was cut. In an event with two ids the first one counted, so that a resumed stream was held to an id that readers don't have.

Change: lines end with CR LF, LF or CR; empty lines between events are forwarded by themselves; the last id line of an event counts, and only a safe integer is an id to resume at.

Held before and now, with tests: an id after the data, data that looks like an id, fields whose name begins with id, no space after the colon, a stream with a length that breaks off, empty lines between events.

--- a/packages/gateway/src/stream-events.ts
+++ b/packages/gateway/src/stream-events.ts
@@ -4,8 +4,6 @@
  * @module
  */
 
-const LINE_FEED = 10
-
 /** Maximum size of an incomplete event, bytes; a larger one means that the stream has no server-sent events. */
 const MAX_EVENT_BYTES = 1_048_576
 
@@ -33,18 +31,21 @@
   }
 }
 
-function readEvent (bytes: Buffer): StreamEvent {
-  const text = bytes.toString('latin1')
-  const match = /^id: ?(\d+)\r?$/m.exec(text)
-  return { bytes, id: match === null ? undefined : Number(match[1]), hasData: /^data(:|\r?$)/m.test(text) }
+/** Returns the id that a reader keeps: that of the last `id` line, if it is an integer. */
+function readId (text: string): number | undefined {
+  const value = [...text.matchAll(/^id(?:: ?(.*))?$/gm)].at(-1)?.[1] ?? ''
+  const id = /^\d+$/.test(value) ? Number(value) : undefined
+  return Number.isSafeInteger(id) ? id : undefined
 }
 
-function findEventEnd (bytes: Buffer): number {
-  for (let index = bytes.indexOf(LINE_FEED); index >= 0; index = bytes.indexOf(LINE_FEED, index + 1)) {
-    if (bytes[index + 1] === LINE_FEED) return index + 2
-    if (bytes[index + 1] === 13 && bytes[index + 2] === LINE_FEED) return index + 3
-  }
-  return -1
+/** Returns the end of the event that begins at `start`, or of a line without an event; -1 if it is incomplete. */
+function findEventEnd (text: string, start: number): number {
+  const emptyLine = /\r\n|\n|\r/y
+  // A line feed may still follow a carriage return at the end, unless lines end with carriage returns alone.
+  const eventEnd = /(?:\r\n|\n)(?:\r\n|\n|\r(?!\n|$))|\r\r\n?/g
+  emptyLine.lastIndex = eventEnd.lastIndex = start
+  if (emptyLine.test(text)) return emptyLine.lastIndex
+  return eventEnd.test(text) ? eventEnd.lastIndex : -1
 }
 
 /**
@@ -60,11 +61,15 @@
   let pending: Buffer = Buffer.alloc(0)
 
   function * push (bytes: Buffer): Generator<StreamEvent, void> {
-    pending = pending.length === 0 ? bytes : Buffer.concat([pending, bytes])
-    for (let end = findEventEnd(pending); end >= 0; end = findEventEnd(pending)) {
-      const event = readEvent(pending.subarray(0, end))
-      pending = pending.subarray(end)
-      yield event
+    const received = pending.length === 0 ? bytes : Buffer.concat([pending, bytes])
+    const text = received.toString('latin1')
+    pending = received
+    let start = 0
+    for (let end = findEventEnd(text, start); end >= 0; end = findEventEnd(text, start)) {
+      const eventText = text.slice(start, end)
+      pending = received.subarray(end)
+      yield { bytes: received.subarray(start, end), id: readId(eventText), hasData: /^data(:|$)/m.test(eventText) }
+      start = end
     }
     if (pending.length > MAX_EVENT_BYTES) throw new UnterminatedEvent()
   }
--- a/packages/gateway/tests/parsing.test.ts
+++ b/packages/gateway/tests/parsing.test.ts
@@ -54,4 +54,30 @@
   })
 }
 
+const EVENTS: readonly (readonly [what: string, text: string, ids: readonly (number | undefined)[]])[] = [
+  ['carriage returns as line ends', 'id: 1\rdata: a\r\rid: 2\rdata: b\r\r', [1, 2]],
+  ['line ends of different kinds', 'id: 1\r\ndata: a\n\r\nid: 2\rdata: b\n\nid: 3\ndata: c\r\r', [1, 2, 3]],
+  ['an id after the data', 'data: a\nid: 1\n\n', [1]],
+  ['two ids, of which the last counts', 'id: 1\ndata: a\nid: 2\n\n', [2]],
+  ['a last id that is no number', 'id: 1\nid: x\ndata: a\n\n', [undefined]],
+  ['an empty last id', 'id: 1\nid\ndata: a\n\n', [undefined]],
+  ['data that looks like an id', 'id: 1\ndata: id: 7\ndata:id: 8\n\n', [1]],
+  ['a field whose name begins with id', 'id: 1\nidea: 7\ndata: a\n\n', [1]],
+  ['no space after the colon', 'id:1\ndata:a\n\n', [1]],
+  ['an id beyond safe integers', 'id: 99999999999999999999\ndata: a\n\n', [undefined]]
+]
+
+for (const [what, text, ids] of EVENTS) {
+  for (const size of [1, 2, 3, text.length]) {
+    suite(`events with ${what} are read in chunks of ${size} bytes`, () => {
+      const bytes = Buffer.from(text)
+      const splitter = streamEvents.createEventSplitter()
+      const events: streamEvents.StreamEvent[] = []
+      for (let at = 0; at < bytes.length; at += size) events.push(...splitter.push(bytes.subarray(at, at + size)))
+      assert.equal(events.filter(({ hasData }) => hasData).map(({ id }) => id), ids)
+      assert.is(Buffer.concat([...events.map((event) => event.bytes), splitter.pending()]).toString(), text)
+    })
+  }
+}
+
 suite.run()
--- a/packages/gateway/tests/stream-continuity.test.ts
+++ b/packages/gateway/tests/stream-continuity.test.ts
@@ -295,6 +295,24 @@
   }), { seed: SEED })
 })
 
+suite('a stream with a length that breaks off is resumed', async () => {
+  fixture.script((arrival, response, count) => {
+    const sent = count === 1 ? [1, 2] : [3, 4]
+    response.writeHead(200, { 'request-id': arrival.headers['request-id'] ?? '', proof: arrival.target, 'content-type': 'text/event-stream', 'content-length': eventsOf([1, 2, 3, 4]).length - (count - 1) * eventsOf([1, 2]).length })
+    sendChunks(response, { chunks: [sent], end: count === 1 ? 'broken' : 'complete' }).catch((error: Error) => { response.destroy(error) })
+  })
+  const reply = await fixture.call('/generate/7')
+  assert.equal([reply.isComplete, reply.body, reply.headers['content-length']], [true, eventsOf([1, 2, 3, 4]), undefined])
+})
+
+for (const [what, text] of [['carriage returns as line ends', eventsOf([1, 2]).replaceAll('\n', '\r')], ['an empty line at its end', `${eventsOf([1, 2])}\n`], ['empty lines between events', `\n${eventsOf([1])}\n\n\n${eventsOf([2])}`]] as const) {
+  suite(`a stream with ${what} is forwarded unchanged as complete`, async () => {
+    scriptStreams([{ chunks: [text], end: 'complete' }])
+    const reply = await fixture.call('/answer/7')
+    assert.equal([reply.status, reply.isComplete, reply.body], [200, true, text])
+  })
+}
+
 suite('the metrics count a stream that is not continuous', async () => {
   scriptStreams([{ chunks: [[1, 2, 4]], end: 'complete' }, REST])
   await fixture.call('/generate/7')
