Recognize event streams whose media type is spelled in capitals

What callers would see: the events of such a stream all at once at its end, or 502 if it broke off, since it was held as a plain response.

Cause: media types don't depend on case, the comparison did. It also took any type that begins with the name for a stream.

Evidence: 'a stream of the type Text/Event-Stream ...' and 'TEXT/EVENT-STREAM; charset=UTF-8 ...' failed before and pass now; types with parameters passed before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -136,7 +136,8 @@
 }
 
 function isStream (head: targetClient.ResponseHead): boolean {
-  return head.status === 200 && (rawHeaders.findHeader(head.headers, 'content-type') ?? '').startsWith('text/event-stream')
+  const [mediaType = ''] = (rawHeaders.findHeader(head.headers, 'content-type') ?? '').split(';')
+  return head.status === OK && mediaType.trim().toLowerCase() === 'text/event-stream'
 }
 
 /** Takes events up to an error, which may follow sound events. */
--- a/packages/gateway/tests/stream-continuity.test.ts
+++ b/packages/gateway/tests/stream-continuity.test.ts
@@ -295,6 +295,17 @@
   }), { seed: SEED })
 })
 
+for (const type of ['text/event-stream; charset=utf-8', 'Text/Event-Stream', 'TEXT/EVENT-STREAM;charset=UTF-8', 'text/event-stream ;x=y']) {
+  suite(`a stream of the type ${type} is forwarded as its events arrive, and resumed`, async () => {
+    fixture.script((arrival, response, count) => {
+      response.writeHead(200, { 'request-id': arrival.headers['request-id'] ?? '', proof: arrival.target, 'content-type': type })
+      sendChunks(response, count === 1 ? { chunks: [[1, 2]], end: 'broken' } : REST).catch((error: Error) => { response.destroy(error) })
+    })
+    const reply = await fixture.call('/generate/7')
+    assert.equal([reply.isComplete, reply.body, lastEventIds()], [true, eventsOf([1, 2, 3, 4]), [undefined, '2']])
+  })
+}
+
 suite('a stream with a length that breaks off is resumed', async () => {
   fixture.script((arrival, response, count) => {
     const sent = count === 1 ? [1, 2] : [3, 4]
