Deliver what was received before the failure of a target's connection

What callers saw: when the connection to a target failed, events that the daemon had already received were dropped with it: a stream that can't be resumed was cut before events that had arrived, a resumable one had to get them again, and a whole chunked response whose last chunk came just before a carried connection failed counted as broken.

Cause: destroying a stream drops its buffer. The relayed connection was destroyed as soon as a frame or the peer's end said so, a direct one by Node. A reset that Node reports as a regular end was recognized by a flag shared by all connections, set for one tick, and the failure was reported from within undici's parser: a paused exchange that another one's failure resumed never ended.

Ruled out: that a reset looks like a regular end on the code before.

Fix: one class for direct and carried connections. It passes on bytes only when all before them were read, and destroys itself only when its reader waits for more, so that nothing is overtaken. What the end of a socket means is decided per transport, and a reset is the error of its own connection; the shared flag is gone.

--- a/packages/gateway/src/received-bytes.ts
+++ b/packages/gateway/src/received-bytes.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import * as diagnosticsChannel from 'node:diagnostics_channel'
-import type * as targetConnector from './target-connector.js'
+import type * as targetConnection from './target-connection.js'
 
 /** Maximum number of bytes of an exchange beyond those of its response's body, and beyond as many again. */
 const MAX_DISCARDED_BYTES = 1_048_576
@@ -22,7 +22,7 @@
 /** The exchanges in progress. */
 export interface Monitor {
   /** Watches a connection. */
-  readonly watch: (connection: targetConnector.Connection) => void
+  readonly watch: (connection: targetConnection.TargetConnection) => void
   /** Starts to watch an exchange; must be called immediately before the client writes its request. */
   readonly begin: (onExcess: (message: string) => void) => ReceivedBytes
   readonly close: () => void
@@ -30,13 +30,13 @@
 
 /** One exchange, and the connection that it uses. */
 class Exchange implements ReceivedBytes {
-  private socket: targetConnector.Connection | undefined
+  private socket: targetConnection.TargetConnection | undefined
   private receivedBefore = 0
   private delivered = 0
 
   constructor (private readonly onExcess: (message: string) => void) {}
 
-  use (socket: targetConnector.Connection): void {
+  use (socket: targetConnection.TargetConnection): void {
     this.socket = socket
     this.receivedBefore = socket.bytesRead
   }
@@ -67,12 +67,12 @@
  * ```
  */
 export function openMonitor (): Monitor {
-  const exchanges = new WeakMap<targetConnector.Connection, Exchange>()
+  const exchanges = new WeakMap<targetConnection.TargetConnection, Exchange>()
   let starting: Exchange | undefined
 
   // The client publishes the connection of a request while it writes the request.
   const onSendHeaders = (message: unknown): void => {
-    const { socket } = message as { readonly socket: targetConnector.Connection }
+    const { socket } = message as { readonly socket: targetConnection.TargetConnection }
     if (starting === undefined) return
     starting.use(socket)
     exchanges.set(socket, starting)
--- a/packages/gateway/src/target-client.ts
+++ b/packages/gateway/src/target-client.ts
@@ -7,8 +7,8 @@
 import * as pathPools from './path-pools.js'
 import type * as rawHeaders from './raw-headers.js'
 import * as receivedBytes from './received-bytes.js'
-import * as relayedConnection from './relayed-connection.js'
 import * as targetConnector from './target-connector.js'
+import * as transports from './transports.js'
 
 /** One request to a target. */
 export interface TargetRequest {
@@ -69,30 +69,6 @@
   readonly countConnection: (address: string) => void
 }
 
-/** Detects whether the connection whose end is being reported was reset. */
-interface ResetDetector {
-  readonly watch: (connection: targetConnector.Connection) => void
-  readonly isReset: () => boolean
-}
-
-/**
- * Distinguishes a reset from a regular end. When data and a reset arrive together, Node reports the end of the
- * stream and no error; a connection that was reset has no remote address any more.
- */
-function createResetDetector (): ResetDetector {
-  let reset = false
-  return {
-    watch: (socket) => {
-      socket.prependListener('end', () => {
-        reset = socket.remoteAddress === undefined
-        // The end of the response is reported while this event is being handled.
-        process.nextTick(() => { reset = false })
-      })
-    },
-    isReset: () => reset
-  }
-}
-
 /** Dispatches a request; one that can't be dispatched fails. */
 function dispatch (pools: pathPools.PathPools, request: TargetRequest, handler: undici.Dispatcher.DispatchHandler, fail: (error: Error) => void): void {
   const { address, via, method, path, headers, body } = request
@@ -113,9 +89,8 @@
  * ```
  */
 export function openTargetClients (options: Options): TargetClients {
-  const resetDetector = createResetDetector()
   const monitor = receivedBytes.openMonitor()
-  const pools = pathPools.createPathPools({ ...options, watchers: [resetDetector.watch, monitor.watch] })
+  const pools = pathPools.createPathPools({ ...options, watchers: [monitor.watch] })
 
   function send (request: TargetRequest, listener: Listener): Exchange {
     let controller: undici.Dispatcher.DispatchController | undefined
@@ -136,7 +111,7 @@
 
     /** Reports a failure only after `send` has returned, so that its caller holds the exchange. */
     function failLater (error: Error): void {
-      const sentKind = error instanceof relayedConnection.RelayLost ? 'path-lost' : 'broken'
+      const sentKind = error instanceof transports.RelayLost ? 'path-lost' : 'broken'
       const failNow = (): void => { fail(controller === undefined ? 'unreachable' : sentKind, error.message) }
       if (isDispatched) failNow()
       else queueMicrotask(failNow)
@@ -166,8 +141,7 @@
       onResponseEnd: () => {
         if (isFinished) return
         finish()
-        if (resetDetector.isReset()) listener.failed('broken', 'the connection was reset within the response')
-        else listener.end()
+        listener.end()
       },
       onResponseError: (_, error) => { failLater(error) }
     }
--- a/packages/gateway/src/target-connector.ts
+++ b/packages/gateway/src/target-connector.ts
@@ -5,11 +5,11 @@
  */
 import * as http from 'node:http'
 import * as net from 'node:net'
-import type * as stream from 'node:stream'
 import type * as undici from 'undici'
 import * as endpoint from './endpoint.js'
 import * as relayFrames from './relay-frames.js'
-import * as relayedConnection from './relayed-connection.js'
+import * as targetConnection from './target-connection.js'
+import * as transports from './transports.js'
 
 /** Timeout for a new connection to a target, ms; a reachable target accepts within a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 300
@@ -27,19 +27,16 @@
   }
 }
 
-/**
- * Changes the code of a reset. undici treats ECONNRESET as the regular end of a response without a length, so
- * that a truncated response would appear complete.
- */
-function markReset (error: NodeJS.ErrnoException): void {
-  if (error.code === 'ECONNRESET') error.code = 'ERR_TARGET_RESET'
-}
-
-/** A connection to a target, direct or through a peer. */
-export type Connection = stream.Duplex & Pick<net.Socket, 'bytesRead' | 'remoteAddress'>
-
 /** Called with each new connection. */
-export type Watchers = readonly ((connection: Connection) => void)[]
+export type Watchers = readonly ((connection: targetConnection.TargetConnection) => void)[]
+
+/** Returns the connection over a socket, in the form that undici takes it. */
+function openConnection (socket: net.Socket, transport: targetConnection.Transport, watchers: Watchers): net.Socket {
+  const connection = new targetConnection.TargetConnection(socket, transport)
+  for (const watch of watchers) watch(connection)
+  // undici uses nothing of the connection that a stream doesn't have.
+  return connection as unknown as net.Socket
+}
 
 /**
  * Returns a function that connects directly.
@@ -62,9 +59,7 @@
     socket.once('connect', () => {
       clearTimeout(timer)
       socket.off('error', fail)
-      socket.on('error', markReset)
-      for (const watch of watchers) watch(socket)
-      callback(null, socket)
+      callback(null, openConnection(socket, transports.DIRECT, watchers))
     })
   }
 }
@@ -95,10 +90,7 @@
       socket.setNoDelay(true)
       if (head.length > 0) socket.unshift(head)
       const hasFrames = response.headers[relayFrames.FRAMES_HEADER] === relayFrames.FRAMES_VERSION
-      const connection = new relayedConnection.RelayedConnection(socket, { hasFrames })
-      for (const watch of watchers) watch(connection)
-      // undici uses nothing of the connection that a stream doesn't have.
-      callback(null, connection as unknown as net.Socket)
+      callback(null, openConnection(socket, transports.carriedBy({ hasFrames }), watchers))
     })
     request.end()
   }
