Let a connection end while its exchange is paused

What callers saw: a stream whose caller reads slowly, and whose target ends the connection at that moment, got no end: neither a regular one nor a retry, until the deadline. The placement was held that long. Builds without a handler of uncaught errors end their process with it.

Cause: the exchange paused undici's parser. When the connection of a response without a length, or of one with `Connection: close` that is cut before its length, ends while the parser is paused and all bytes were read, `Parser.finish` throws `assert(!this.paused)` out of the event `end`, after which nothing reports the exchange.

Ruled out: a timeout of the client as cause (both are off); that pausing the socket is enough (Node ignores it while something listens to 'readable').

Fix: the exchange no longer pauses the parser. It holds the connection, which passes on nothing more from its socket until it is released; the socket stops reading when its buffer is full, so that the target waits as before. So no callback of Node or undici meets a paused parser: an end or failure of the socket waits behind the bytes before it, and an abort or the close of a pool destroys the connection at once. The end of an exchange releases its connection, which may carry the next. After a pause, what has been read already may still be delivered, at most one read of the socket's buffer; the caller's 'drain' is therefore listened to once per request and not once per write.

--- a/packages/gateway/src/received-bytes.ts
+++ b/packages/gateway/src/received-bytes.ts
@@ -16,6 +16,8 @@
 export interface ReceivedBytes {
   /** Counts bytes of the response's body. */
   readonly deliver: (bytes: number) => void
+  /** Returns the connection; undefined before the request is written and after the end. */
+  readonly connection: () => targetConnection.TargetConnection | undefined
   readonly end: () => void
 }
 
@@ -45,6 +47,10 @@
     this.delivered += bytes
   }
 
+  connection (): targetConnection.TargetConnection | undefined {
+    return this.socket
+  }
+
   end (): void {
     this.socket = undefined
   }
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -97,6 +97,7 @@
 
   start (): void {
     this.options.outgoing.once('close', () => { this.run(() => { this.onCallerLeft() }) })
+    this.options.outgoing.on('drain', () => { this.exchange?.resume() })
     this.run(() => { this.begin() })
   }
 
@@ -287,9 +288,7 @@
     }
     this.recordBeginning()
     for (const event of events) this.lastId = event.id ?? this.lastId
-    const canContinue = outgoing.write(events.length === 1 ? events[0]?.bytes : Buffer.concat(events.map((event) => event.bytes)))
-    if (!canContinue) outgoing.once('drain', () => { this.exchange?.resume() })
-    return canContinue
+    return outgoing.write(events.length === 1 ? events[0]?.bytes : Buffer.concat(events.map((event) => event.bytes)))
   }
 
   /** Records the version of the stream when its first events are forwarded, so that it goes on only there. */
--- a/packages/gateway/src/target-client.ts
+++ b/packages/gateway/src/target-client.ts
@@ -47,6 +47,7 @@
 export interface Exchange {
   /** Closes the connection, at which the target stops. */
   readonly abort: () => void
+  /** Stops reading from the target. What has been read already may still be delivered, and with it the end. */
   readonly pause: () => void
   readonly resume: () => void
 }
@@ -100,6 +101,8 @@
 
     function finish (): void {
       isFinished = true
+      // The connection may carry the next exchange.
+      received?.connection()?.release()
       received?.end()
     }
 
@@ -152,8 +155,9 @@
         finish()
         controller?.abort(new Error('The gateway ended the exchange.'))
       },
-      pause: () => { controller?.pause() },
-      resume: () => { controller?.resume() }
+      // The client's own pause is not used: it doesn't expect a connection to end meanwhile.
+      pause: () => { received?.connection()?.hold() },
+      resume: () => { received?.connection()?.release() }
     }
   }
 
--- a/packages/gateway/src/target-connection.ts
+++ b/packages/gateway/src/target-connection.ts
@@ -31,6 +31,7 @@
   bytesRead = 0
   /** Whether the reader has read all bytes and waits for more. */
   private isWanted = false
+  private isHeld = false
   /** Whether nothing that the socket still receives belongs to the target's connection. */
   private isOver = false
   private failure: Error | undefined
@@ -49,6 +50,16 @@
     socket.once('close', () => { this.fail(transport.errorOf('its connection is closed')) })
   }
 
+  /** Passes on no more of what the socket receives until `release`; the socket stops reading when its buffer is full. */
+  hold (): void {
+    this.isHeld = true
+  }
+
+  release (): void {
+    this.isHeld = false
+    this.pull()
+  }
+
   ref (): this {
     this.socket.ref()
     return this
@@ -87,6 +98,7 @@
 
   /** Passes on what was received, and then the failure, as soon as the reader waits for it. */
   private pull (): void {
+    if (this.isHeld) return
     while (this.isWanted && !this.destroyed) {
       const chunk = this.isOver ? null : this.socket.read() as Buffer | null
       if (chunk === null) break
--- a/packages/gateway/tests/paused-exchanges.test.ts
+++ b/packages/gateway/tests/paused-exchanges.test.ts
@@ -148,7 +148,9 @@
 }
 
 const CASES: readonly Case[] = [
+  { what: 'a response without a length ends', paths: PATHS, start: PLAIN + FIRST, act: (target) => { target.end() }, kind: 'end', body: FIRST },
   { what: 'a response without a length ends with unread data', paths: PATHS, start: PLAIN + FIRST, act: (target) => { target.end(REST) }, kind: 'end', body: FIRST + REST },
+  { what: 'a response ends before its length', paths: PATHS, start: lengthHead(99, 'close') + FIRST, act: (target) => { target.end() }, kind: 'broken', body: FIRST },
   { what: 'a response on a kept connection ends before its length', paths: PATHS, start: lengthHead(99, 'keep-alive') + FIRST, act: (target) => { target.end() }, kind: 'broken', body: FIRST },
   { what: 'a response ends before its length with unread data', paths: PATHS, start: lengthHead(99, 'close') + FIRST, act: (target) => { target.end(REST) }, kind: 'broken', body: FIRST + REST },
   { what: 'a response ends at its length', paths: PATHS, start: lengthHead(FIRST.length + REST.length, 'close') + FIRST, act: (target) => { target.end(REST) }, kind: 'end', body: FIRST + REST },
