--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -19,7 +19,7 @@
  * @example
  * ```ts
  * const response = new CallerResponse(context, outgoing)
- * if (!response.forward(head, events, onDrain)) exchange.pause()
+ * if (!response.forward(head, events)) exchange.pause()
  * ```
  */
 export class CallerResponse {
@@ -35,13 +35,11 @@
     return this.outgoing.writableNeedDrain
   }
 
-  /** Forwards events, after the head if it has not been written; returns false if the caller reads too slowly until `onDrain`. */
-  forward (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[], onDrain: () => void): boolean {
+  /** Forwards events, after the head if it has not been written; returns false if the caller reads too slowly, until `drain` of the outgoing response. */
+  forward (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[]): boolean {
     const { outgoing } = this
     this.begin(head)
-    const canContinue = outgoing.write(events.length === 1 ? events[0]?.bytes : Buffer.concat(events.map((event) => event.bytes)))
-    if (!canContinue) outgoing.once('drain', onDrain)
-    return canContinue
+    return outgoing.write(events.length === 1 ? events[0]?.bytes : Buffer.concat(events.map((event) => event.bytes)))
   }
 
   /** Forwards a complete response. */
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -97,6 +97,7 @@
 
   start (): void {
     this.options.outgoing.once('close', () => { this.run(() => { this.onCallerLeft() }) })
+    this.options.outgoing.on('drain', () => { this.exchange?.resume() })
     this.run(() => { this.begin() })
   }
 
@@ -274,7 +275,7 @@
   private push (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[]): boolean {
     this.onEvent()
     this.recordBeginning()
-    return this.response.forward(head, events, () => { this.exchange?.resume() })
+    return this.response.forward(head, events)
   }
 
   /** Records the version of the stream when its first events are forwarded, so that it goes on only there. */
--- a/packages/gateway/src/target-client.ts
+++ b/packages/gateway/src/target-client.ts
@@ -7,8 +7,8 @@
 import * as pathPools from './path-pools.js'
 import type * as rawHeaders from './raw-headers.js'
 import * as receivedBytes from './received-bytes.js'
-import * as relayedConnection from './relayed-connection.js'
 import * as targetConnector from './target-connector.js'
+import * as transports from './transports.js'
 
 /** One request to a target. */
 export interface TargetRequest {
@@ -47,6 +47,7 @@
 export interface Exchange {
   /** Closes the connection, at which the target stops. */
   readonly abort: () => void
+  /** Stops reading from the target. What has been read already may still be delivered, and with it the end. */
   readonly pause: () => void
   readonly resume: () => void
 }
@@ -69,30 +70,6 @@
   readonly countConnection: (address: string) => void
 }
 
-/** Detects whether the connection whose end is being reported was reset. */
-interface ResetDetector {
-  readonly watch: (connection: targetConnector.Connection) => void
-  readonly isReset: () => boolean
-}
-
-/**
- * Distinguishes a reset from a regular end. When data and a reset arrive together, Node reports the end of the
- * stream and no error; a connection that was reset has no remote address any more.
- */
-function createResetDetector (): ResetDetector {
-  let reset = false
-  return {
-    watch: (socket) => {
-      socket.prependListener('end', () => {
-        reset = socket.remoteAddress === undefined
-        // The end of the response is reported while this event is being handled.
-        process.nextTick(() => { reset = false })
-      })
-    },
-    isReset: () => reset
-  }
-}
-
 /** Dispatches a request; one that can't be dispatched fails. */
 function dispatch (pools: pathPools.PathPools, request: TargetRequest, handler: undici.Dispatcher.DispatchHandler, fail: (error: Error) => void): void {
   const { address, via, method, path, headers, body } = request
@@ -113,9 +90,8 @@
  * ```
  */
 export function openTargetClients (options: Options): TargetClients {
-  const resetDetector = createResetDetector()
   const monitor = receivedBytes.openMonitor()
-  const pools = pathPools.createPathPools({ ...options, watchers: [resetDetector.watch, monitor.watch] })
+  const pools = pathPools.createPathPools({ ...options, watchers: [monitor.watch] })
 
   function send (request: TargetRequest, listener: Listener): Exchange {
     let controller: undici.Dispatcher.DispatchController | undefined
@@ -125,6 +101,8 @@
 
     function finish (): void {
       isFinished = true
+      // The connection may carry the next exchange.
+      received?.connection()?.release()
       received?.end()
     }
 
@@ -136,7 +114,7 @@
 
     /** Reports a failure only after `send` has returned, so that its caller holds the exchange. */
     function failLater (error: Error): void {
-      const sentKind = error instanceof relayedConnection.RelayLost ? 'path-lost' : 'broken'
+      const sentKind = error instanceof transports.RelayLost ? 'path-lost' : 'broken'
       const failNow = (): void => { fail(controller === undefined ? 'unreachable' : sentKind, error.message) }
       if (isDispatched) failNow()
       else queueMicrotask(failNow)
@@ -166,8 +144,7 @@
       onResponseEnd: () => {
         if (isFinished) return
         finish()
-        if (resetDetector.isReset()) listener.failed('broken', 'the connection was reset within the response')
-        else listener.end()
+        listener.end()
       },
       onResponseError: (_, error) => { failLater(error) }
     }
@@ -178,8 +155,9 @@
         finish()
         controller?.abort(new Error('The gateway ended the exchange.'))
       },
-      pause: () => { controller?.pause() },
-      resume: () => { controller?.resume() }
+      // The client's own pause is not used: it doesn't expect a connection to end meanwhile.
+      pause: () => { received?.connection()?.hold() },
+      resume: () => { received?.connection()?.release() }
     }
   }
 
