Log how the version of a resumed stream was found

The log of a resumed request had its versions but not whether the version came from the daemon's own records, a peer, the store or the only version in service; only a counter over all requests did. The line 'request ended' has versionSource now, and 'request refused' of an unknown stream names the request. stream-directory.test.ts checks the source of each case.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -9,6 +9,7 @@
 import * as headerNames from './header-names.js'
 import * as rawHeaders from './raw-headers.js'
 import type * as refusal from './refusal.js'
+import type * as streamDirectory from './stream-directory.js'
 
 /** The head of a request as received. */
 export interface RequestHead {
@@ -37,6 +38,8 @@
   readonly resumes: string | undefined
   /** Software version of the targets that may get the request; undefined for any. */
   readonly version: string | undefined
+  /** How the version was found; undefined if the request resumes no stream. */
+  readonly versionSource: streamDirectory.BeginningSource | undefined
   /** Whether the caller has sent the request again, as it states less remaining time than others start with. */
   readonly resubmitted: boolean
 }
@@ -123,6 +126,7 @@
       promptSegments: headerNames.parsePromptSegments(rawHeaders.findHeader(head.headers, context.headerNames.promptParts)),
       resumes: readResumes(context, head),
       version: undefined,
+      versionSource: undefined,
       limitMs: head.arrivedMs + Math.min(match.route.timeoutMs, remainingMs),
       resubmitted: remainingMs < RESUBMITTED_SHARE * context.maxRemainingMs(match.route.name, remainingMs)
     })
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -132,7 +132,7 @@
     const handleBound = (bound: neverthrow.Result<admission.AdmittedRequest, refusal.Reason>, body: Buffer | undefined): void => {
       if (outgoing.destroyed) return
       if (bound.isOk()) start(bound.value, body)
-      else refuse(outgoing, head, bound.error, RETRY_AFTER_MS[bound.error], { resumes: admitted.value.resumes })
+      else refuse(outgoing, head, bound.error, RETRY_AFTER_MS[bound.error], { request: admitted.value.requestId, resumes: admitted.value.resumes })
     }
     const bind = (body: Buffer | undefined): void => {
       if (outgoing.destroyed) return
--- a/packages/gateway/src/resumption.ts
+++ b/packages/gateway/src/resumption.ts
@@ -25,9 +25,13 @@
   }
   const services = new Set(context.table()?.resumableServices)
   const service = services.size === 1 ? [...services][0] : undefined
-  context.streams.find({ requestId: resumes, service }, (beginning) => {
-    if (beginning === undefined) done(neverthrow.err('unknown-stream'))
-    else if (!route.shares.some(({ service }) => service === beginning.service)) done(neverthrow.err('version-gone'))
-    else done(neverthrow.ok({ ...request, service: beginning.service, version: beginning.version }))
+  context.streams.find({ requestId: resumes, service }, (found) => {
+    if (found === undefined) {
+      done(neverthrow.err('unknown-stream'))
+      return
+    }
+    const { beginning: { service, version }, source } = found
+    if (!route.shares.some((share) => share.service === service)) done(neverthrow.err('version-gone'))
+    else done(neverthrow.ok({ ...request, service, version, versionSource: source }))
   })
 }
--- a/packages/gateway/src/stream-directory.ts
+++ b/packages/gateway/src/stream-directory.ts
@@ -29,11 +29,20 @@
   readonly service: string | undefined
 }
 
+/** How the version of a stream was found: in this daemon's records, in a peer's or in the store, or as the only one in service. */
+export type BeginningSource = 'own' | 'peer' | 'stored' | 'only-version'
+
+/** The beginning of a stream, and how it was found. */
+export interface FoundBeginning {
+  readonly beginning: routing.streamVersions.StreamBeginning
+  readonly source: BeginningSource
+}
+
 /** Finds and records the beginnings of streams. */
 export interface StreamDirectory {
   readonly record: (beginning: routing.streamVersions.StreamBeginning) => void
   /** Calls `done` once, immediately if this daemon has a record; undefined if no daemon is known to have one. */
-  readonly find: (stream: SoughtStream, done: (beginning: routing.streamVersions.StreamBeginning | undefined) => void) => void
+  readonly find: (stream: SoughtStream, done: (found: FoundBeginning | undefined) => void) => void
   readonly handleQuestion: (question: StreamQuestion) => void
   readonly handleAnswer: (answer: StreamAnswer) => void
 }
@@ -67,7 +76,7 @@
 const MAX_ASKS = 3
 
 interface Search extends SoughtStream {
-  readonly done: (beginning: routing.streamVersions.StreamBeginning | undefined) => void
+  readonly done: (found: FoundBeginning | undefined) => void
   /** Peers that have not answered yet. */
   readonly awaited: Set<string>
 }
@@ -77,7 +86,7 @@
  *
  * @example
  * ```ts
- * directory.find({ requestId: 'r-1', service: 'support' }, (beginning) => { if (beginning === undefined) refuse('unknown-stream') })
+ * directory.find({ requestId: 'r-1', service: 'support' }, (found) => { if (found === undefined) refuse('unknown-stream') })
  * ```
  */
 export function createStreamDirectory (options: Options): StreamDirectory {
@@ -89,6 +98,11 @@
     return service === undefined || version === undefined ? undefined : { requestId, service, version }
   }
 
+  function finish (beginning: routing.streamVersions.StreamBeginning | undefined, source: BeginningSource, done: Search['done']): void {
+    metrics.count('stream_lookups_total', { result: beginning === undefined ? 'unknown' : source })
+    done(beginning === undefined ? undefined : { beginning, source })
+  }
+
   function end (search: Search, answered: routing.streamVersions.StreamBeginning | undefined): void {
     const { requestId, done } = search
     const others = searches.get(requestId) ?? []
@@ -97,15 +111,10 @@
     if (others.length === 1) searches.delete(requestId)
     const beginning = answered ?? inferBeginning(search)
     if (beginning !== undefined) {
-      metrics.count('stream_lookups_total', { result: answered === undefined ? 'only-version' : 'peer' })
-      done(beginning)
+      finish(beginning, answered === undefined ? 'only-version' : 'peer', done)
       return
     }
-    options.reload(() => {
-      const stored = streams.find(requestId, now())
-      metrics.count('stream_lookups_total', { result: stored === undefined ? 'unknown' : 'stored' })
-      done(stored)
-    })
+    options.reload(() => { finish(streams.find(requestId, now()), 'stored', done) })
   }
 
   function ask (search: Search, asks: number): void {
@@ -124,8 +133,7 @@
   function findOwn (requestId: string, done: Search['done']): boolean {
     const beginning = streams.find(requestId, now())
     if (beginning === undefined) return false
-    metrics.count('stream_lookups_total', { result: 'own' })
-    done(beginning)
+    finish(beginning, 'own', done)
     return true
   }
 
--- a/packages/gateway/src/stream-records.ts
+++ b/packages/gateway/src/stream-records.ts
@@ -60,7 +60,7 @@
  * @example
  * ```ts
  * const { directory } = createStreamRecords(options)
- * directory.find({ requestId: 'r-1', service: 'support' }, (beginning) => { resume(beginning) })
+ * directory.find({ requestId: 'r-1', service: 'support' }, (found) => { resume(found?.beginning) })
  * ```
  */
 export function createStreamRecords (options: Options): StreamRecords {
--- a/packages/gateway/tests/stream-directory.test.ts
+++ b/packages/gateway/tests/stream-directory.test.ts
@@ -13,20 +13,21 @@
   /** What peers answer to each question; nothing if an answer is lost. */
   readonly answers: readonly (readonly (routing.streamVersions.StreamBeginning | 'nothing known')[])[]
   readonly found: string | undefined
+  readonly source: streamDirectory.BeginningSource | undefined
   readonly asks: number
 }
 
 const CASES: readonly Case[] = [
-  { description: 'a peer that knows the stream', answers: [['nothing known', BEGINNING]], found: 'v1', asks: 1 },
-  { description: 'no peer that knows it', answers: [['nothing known', 'nothing known']], found: undefined, asks: 1 },
-  { description: 'a lost answer, which is asked for again', answers: [['nothing known'], [BEGINNING]], found: 'v1', asks: 2 },
-  { description: 'peers that do not answer', answers: [], found: undefined, asks: 3 }
+  { description: 'a peer that knows the stream', answers: [['nothing known', BEGINNING]], found: 'v1', source: 'peer', asks: 1 },
+  { description: 'no peer that knows it', answers: [['nothing known', 'nothing known']], found: undefined, source: undefined, asks: 1 },
+  { description: 'a lost answer, which is asked for again', answers: [['nothing known'], [BEGINNING]], found: 'v1', source: 'peer', asks: 2 },
+  { description: 'peers that do not answer', answers: [], found: undefined, source: undefined, asks: 3 }
 ]
 
-for (const { description, answers, found, asks } of CASES) {
+for (const { description, answers, found, source, asks } of CASES) {
   suite(`the version of a stream is found with ${description}`, () => {
     let asked = 0
-    let results: readonly (string | undefined)[] = []
+    let results: readonly (readonly (string | undefined)[])[] = []
     let scheduled: readonly (() => void)[] = []
     const directory: streamDirectory.StreamDirectory = streamDirectory.createStreamDirectory({
       address: 'here',
@@ -42,7 +43,7 @@
       afterLoading: (done) => { done() },
       reload: (done) => { done() }
     })
-    directory.find({ requestId: 'r-1', service: 'support' }, (beginning) => { results = [...results, beginning?.version] })
+    directory.find({ requestId: 'r-1', service: 'support' }, (result) => { results = [...results, [result?.beginning.version, result?.source]] })
     for (let round = 0; round < 4; round += 1) {
       for (const [index, answer] of (answers[round] ?? []).entries()) {
         directory.handleAnswer({ from: `peer-${index}`, requestId: 'r-1', beginning: answer === 'nothing known' ? undefined : answer })
@@ -51,7 +52,7 @@
       scheduled = []
       for (const run of due) run()
     }
-    assert.equal([results, asked], [[found], asks])
+    assert.equal([results, asked], [[[found, source]], asks])
   })
 }
 
