Infer the version of a stream only from targets listed since it was asked for

Callers whose stream broke off with its daemon would see it go on at another software version, with nothing in the response to show it: a daemon that finds no record of the stream takes the only version that it knows to be in service for the one that began it, if the store has answered any call within 3 s.

Cause: an answer to another call says nothing of the targets. The watch of the targets may be silent, or pause after changes, while a lease is renewed or a record is read; and the answer that a suspended process reads on waking counted as contact at that time, although it had been sent before. A daemon that had loaded the records, but not listed the targets yet, trusted the record alone. Class of fault: the age of a view is taken from when something was received, not from when it was asked for.

Fix: after the peers, the daemon loads the records and lists the targets at the same time, by calls that are sent after the stream was asked for. The stream had begun by then, so its version is in this listing or in the history. shared-reads.ts, taken from the loader of the records, gives those who wait at the same time one read that was sent after all of them, at most every 300 ms. No clock is compared, so a suspension of the VM makes no difference.

Cost: one listing and one reading of the records for the unknown streams of 300 ms, where one version serves; none for others. Ruled out: reading the revision of the store alone, as keys of leases raise it too, and interrupting the watch, which would close its connection. Not covered: a target that registers and is gone again before it is listed, while the watch is silent.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,6 +39,8 @@
   readonly records?: recordStore.RecordStore
   /** Whether the fleet starts for the first time. */
   readonly isFirstStart?: boolean
+  /** Lists the targets again, and calls `done` with whether a listing that is complete has been applied. */
+  readonly listTargets?: (done: (isListed: boolean) => void) => void
 }
 
 /** Settings that may change while the process runs. */
@@ -229,11 +231,6 @@
     this.refreshTargets()
   }
 
-  /** Records that the store has just answered, so that what is known of it is current. */
-  recordStoreContact (): void {
-    this.streamRecords.recordStoreContact()
-  }
-
   /** Adds an endpoint at which a peer may be reachable; one that can't be is logged and left out. */
   addPeer (address: string): void {
     if (endpoint.isEndpoint(address)) this.peers.discover(address, this.now())
@@ -367,6 +364,7 @@
       incarnation: this.incarnation,
       isFirstStart: this.options.isFirstStart === true,
       records: this.options.records,
+      listTargets: this.options.listTargets,
       now: this.now,
       unixNow: Date.now,
       peers: this.peers,
--- a/packages/gateway/src/lasting-loader.ts
+++ b/packages/gateway/src/lasting-loader.ts
@@ -7,6 +7,7 @@
 import type * as eventLog from './event-log.js'
 import * as lastingRecords from './lasting-records.js'
 import type * as recordStore from './record-store.js'
+import * as sharedReads from './shared-reads.js'
 
 /** Dependencies of the loader. */
 export interface Options {
@@ -29,23 +30,13 @@
   readonly tick: () => void
   /** Calls `done` when the state has been loaded at least once, or after a short time without it. */
   readonly afterLoading: (done: () => void) => void
-  /** Loads the streams that peers have stored, and calls `done` afterwards or after a short time. */
-  readonly reload: (done: () => void) => void
+  /** Loads the streams that peers have stored, and calls `done` with whether that has succeeded within a short time. */
+  readonly reload: (done: (isLoaded: boolean) => void) => void
 }
 
 /** Age from which stored levels are ignored, ms: buckets are full again. */
 const LEVELS_MAX_AGE_MS = 60_000
 
-const LOADING_INTERVAL_MS = 300
-
-/** Maximum time for which a resumed stream waits for the stored state, ms. */
-const MAX_LOADING_MS = 800
-
-interface Waiting {
-  readonly done: () => void
-  readonly sinceMs: number
-}
-
 /**
  * Creates the loader of a daemon that has just started and has loaded nothing yet.
  *
@@ -58,16 +49,7 @@
 export function createLastingLoader (options: Options): LastingLoader {
   const { records, now, unixNow, history, streams, caps, log } = options
   const startMs = now()
-  let waiting: readonly Waiting[] = []
-  let isLoading = false
-  let nextLoadMs = startMs
-
-  /** Ends the waiting of those for whom the function returns true. */
-  function release (isReleased: (each: Waiting) => boolean): void {
-    const released = waiting.filter(isReleased)
-    waiting = waiting.filter((each) => !released.includes(each))
-    for (const { done } of released) done()
-  }
+  const reads = sharedReads.createSharedReads({ now, read: load, isNeeded: () => !history.isRestored() })
 
   function restoreCell (record: lastingRecords.CellRecord, isFirst: boolean): void {
     const nowMs = now()
@@ -92,43 +74,20 @@
     log.change('lasting state loaded', { records: stored.size, malformed, hasHistory: record !== undefined, afterMs: Math.round(now() - startMs) })
   }
 
-  function load (): void {
-    const begunMs = now()
-    isLoading = true
-    nextLoadMs = begunMs + LOADING_INTERVAL_MS
+  function load (done: (isRead: boolean) => void): void {
     records.load((loaded) => {
-      isLoading = false
-      if (loaded.isErr()) {
-        log.change('lasting state not loaded', { detail: loaded.error.message })
-        return
-      }
-      restore(loaded.value)
-      release(({ sinceMs }) => sinceMs <= begunMs)
+      if (loaded.isOk()) restore(loaded.value)
+      else log.change('lasting state not loaded', { detail: loaded.error.message })
+      done(loaded.isOk())
     })
   }
 
-  function loadWhenDue (): void {
-    const isNeeded = waiting.length > 0 || !history.isRestored()
-    if (isNeeded && !isLoading && now() >= nextLoadMs) load()
-  }
-
-  function reload (done: () => void): void {
-    waiting = [...waiting, { done, sinceMs: now() }]
-    loadWhenDue()
-  }
-
-  function tick (): void {
-    const nowMs = now()
-    release(({ sinceMs }) => nowMs - sinceMs > MAX_LOADING_MS)
-    loadWhenDue()
-  }
-
   return {
-    tick,
+    tick: reads.tick,
     afterLoading: (done) => {
-      if (history.isRestored() || now() - startMs > MAX_LOADING_MS) done()
-      else reload(done)
+      if (history.isRestored() || now() - startMs > sharedReads.MAX_WAIT_MS) done()
+      else reads.request(() => { done() })
     },
-    reload
+    reload: reads.request
   }
 }
--- a/packages/gateway/src/stream-directory.ts
+++ b/packages/gateway/src/stream-directory.ts
@@ -1,7 +1,7 @@
 /**
  * Finds the version at which a stream began. The members of a cell report the beginnings of their streams to each
- * other; a daemon that has no record of a stream asks its cell and members of the other cells. If nobody has one, only
- * one version may have been in service while the stream can have begun.
+ * other; a daemon that has no record of a stream asks its cell and members of the other cells. If nobody has one, it reads
+ * the store again, and only one version may have been in service while the stream can have begun.
  *
  * @module
  */
@@ -62,12 +62,15 @@
   readonly schedule: (delayMs: number, run: () => void) => void
   /** Called when there are new beginnings to report. */
   readonly changed: () => void
-  /** Returns the only version of a service that can have begun a stream; undefined if that is not certain. */
+  /** Returns the only version of a service that is known to have been in service; undefined if there were several. */
   readonly onlyVersionOf: (service: string) => string | undefined
   /** Calls `done` once this daemon has loaded what the fleet has stored. */
   readonly afterLoading: (done: () => void) => void
-  /** Calls `done` once this daemon has loaded again what the fleet has stored. */
-  readonly reload: (done: () => void) => void
+  /**
+   * Loads again what the fleet has stored and which versions are in service. Calls `done` with whether all of it is known
+   * as of a time after this call.
+   */
+  readonly reload: (done: (isCurrent: boolean) => void) => void
 }
 
 /** Interval at which the question is repeated, as datagrams are lost, ms. */
@@ -109,12 +112,16 @@
     if (!others.includes(search)) return
     searches.set(requestId, others.filter((other) => other !== search))
     if (others.length === 1) searches.delete(requestId)
-    const beginning = answered ?? inferBeginning(search)
-    if (beginning !== undefined) {
-      finish(beginning, answered === undefined ? 'only-version' : 'peer', done)
+    if (answered !== undefined) {
+      finish(answered, 'peer', done)
       return
     }
-    options.reload(() => { finish(streams.find(requestId, now()), 'stored', done) })
+    options.reload((isCurrent) => {
+      const stored = streams.find(requestId, now())
+      // The stream began before it was asked for, so a version that began it is in a view that was read since.
+      if (stored === undefined && isCurrent) finish(inferBeginning(search), 'only-version', done)
+      else finish(stored, 'stored', done)
+    })
   }
 
   function ask (search: Search, asks: number): void {
--- a/packages/gateway/src/stream-records.ts
+++ b/packages/gateway/src/stream-records.ts
@@ -10,6 +10,7 @@
 import type * as metricsModule from './metrics.js'
 import type * as peerTable from './peer-table.js'
 import type * as recordStore from './record-store.js'
+import * as sharedReads from './shared-reads.js'
 import * as streamDirectory from './stream-directory.js'
 
 /** Dependencies of the records. */
@@ -20,6 +21,8 @@
   readonly isFirstStart: boolean
   /** Undefined if nothing outlives all daemons. */
   readonly records: recordStore.RecordStore | undefined
+  /** Lists the targets again, and calls `done` with whether what is known of them is now complete; undefined if they can't be listed. */
+  readonly listTargets: ((done: (isListed: boolean) => void) => void) | undefined
   /** Time of day, Unix ms. */
   readonly unixNow: () => number
   readonly peers: peerTable.PeerTable
@@ -34,8 +37,6 @@
   readonly directory: streamDirectory.StreamDirectory
   /** Records which versions the targets have now. */
   readonly observe: (targets: readonly routing.targetRegistry.VersionedTarget[]) => void
-  /** Records that the store has just answered, so that the versions in service are current. */
-  readonly recordStoreContact: () => void
   /** Loads or writes what is due; called several times a second. */
   readonly tick: () => void
 }
@@ -43,9 +44,6 @@
 /** Name by which the daemons agree on the one that writes. */
 const WRITER = 'lasting-state'
 
-/** Maximum time since the last answer of the store for the versions in service to be certain, ms. */
-const MAX_STORE_CONTACT_AGE_MS = 3_000
-
 function versionsOf (targets: readonly routing.targetRegistry.VersionedTarget[]): ReadonlyMap<string, ReadonlySet<string>> {
   const versions = new Map<string, Set<string>>()
   for (const { target } of targets) {
@@ -67,7 +65,6 @@
   const { now, unixNow, peers, records, log } = options
   const history = routing.versionHistory.createVersionHistory()
   const streams = routing.streamVersions.createStreamVersions((beginning) => { lasting?.note(beginning) })
-  let lastStoreContactMs = -Infinity
   const lasting = records === undefined
     ? undefined
     : lastingState.createLastingState({
@@ -78,20 +75,33 @@
       writesForFleet: () => peers.isArbiterOf(WRITER, now()),
       writesForCell: () => peers.isCellArbiterOf(WRITER, now())
     })
+  const listings = sharedReads.createSharedReads({ now, read: options.listTargets ?? ((done) => { done(false) }), isNeeded: () => false })
+
+  /** Loads the records and lists the targets at the same time. */
+  function reload (done: (isCurrent: boolean) => void): void {
+    let pending = 2
+    let isCurrent = true
+    const finish = (isRead: boolean): void => {
+      pending -= 1
+      isCurrent &&= isRead
+      if (pending === 0) done(isCurrent)
+    }
+    listings.request(finish)
+    if (lasting === undefined) finish(true)
+    else lasting.reload(finish)
+  }
+
   const directory = streamDirectory.createStreamDirectory({
     ...options,
     streams,
     askedPeers: () => peers.askedPeers(now()),
     schedule: (delayMs, run) => { setTimeout(run, delayMs) },
-    onlyVersionOf: (service) => now() - lastStoreContactMs > MAX_STORE_CONTACT_AGE_MS ? undefined : history.onlyVersionOf(service, unixNow()),
+    onlyVersionOf: (service) => history.onlyVersionOf(service, unixNow()),
     afterLoading: (done) => {
       if (lasting === undefined) done()
       else lasting.afterLoading(done)
     },
-    reload: (done) => {
-      if (lasting === undefined) done()
-      else lasting.reload(done)
-    }
+    reload
   })
 
   function observe (targets: readonly routing.targetRegistry.VersionedTarget[]): void {
@@ -104,7 +114,9 @@
     streams,
     directory,
     observe,
-    recordStoreContact: () => { lastStoreContactMs = now() },
-    tick: () => { lasting?.tick() }
+    tick: () => {
+      lasting?.tick()
+      listings.tick()
+    }
   }
 }
--- a/packages/gateway/tests/stream-directory.test.ts
+++ b/packages/gateway/tests/stream-directory.test.ts
@@ -41,7 +41,7 @@
       changed: () => {},
       onlyVersionOf: () => undefined,
       afterLoading: (done) => { done() },
-      reload: (done) => { done() }
+      reload: (done) => { done(true) }
     })
     directory.find({ requestId: 'r-1', service: 'support' }, (result) => { results = [...results, [result?.beginning.version, result?.source]] })
     for (let round = 0; round < 4; round += 1) {
