Infer no version while a stream of another one is on record

Callers would see a stream go on at another software version if all daemons are lost before the history of versions is written, and the version that began the stream has left again when they are back.

Cause: one daemon of the fleet writes the history, at most every second, and not at all while it is cut off from the store. The beginnings of streams are written by one daemon of each cell, and reported to peers; they may show a version that the history lacks, and were not asked.

Evidence: stream-directory.test.ts, 'a stream has begun at a version that is not in the history': v1 was taken for the version of an unknown stream while a stream of v2 was among the loaded records; now it is not found. The three cases beside it (no other version, another service's version, versions that could not be read) held before.

Cost: streams of a version that has left count for up to 60 s after they were loaded, so an unknown stream may be refused for longer than the 70 s of the history after a loss of all daemons. Not covered: a version of which neither a stream nor the history was stored before it left and all daemons were lost.

--- a/packages/gateway/src/stream-directory.ts
+++ b/packages/gateway/src/stream-directory.ts
@@ -98,7 +98,10 @@
 
   function inferBeginning ({ requestId, service }: SoughtStream): routing.streamVersions.StreamBeginning | undefined {
     const version = service === undefined ? undefined : options.onlyVersionOf(service)
-    return service === undefined || version === undefined ? undefined : { requestId, service, version }
+    if (service === undefined || version === undefined) return undefined
+    // The record of the versions in service may lag behind those of streams, which other daemons write.
+    const hasOther = [...streams.versionsOf(service, now())].some((other) => other !== version)
+    return hasOther ? undefined : { requestId, service, version }
   }
 
   function finish (beginning: routing.streamVersions.StreamBeginning | undefined, source: BeginningSource, done: Search['done']): void {
--- a/packages/gateway/tests/stream-directory.test.ts
+++ b/packages/gateway/tests/stream-directory.test.ts
@@ -56,6 +56,39 @@
   })
 }
 
+const INFERENCES: readonly (readonly [description: string, known: readonly routing.streamVersions.StreamBeginning[], isCurrent: boolean, found: string | undefined])[] = [
+  ['no other version is known', [{ ...BEGINNING, requestId: 'r-2' }], true, 'v1'],
+  ['another service has another version', [{ requestId: 'r-2', service: 'search', version: 'v2' }], true, 'v1'],
+  ['the versions in service could not be read', [], false, undefined],
+  ['a stream has begun at a version that is not in the history', [{ ...BEGINNING, requestId: 'r-2', version: 'v2' }], true, undefined]
+]
+
+for (const [description, known, isCurrent, found] of INFERENCES) {
+  suite(`an unknown stream is ${found === undefined ? 'not ' : ''}taken for one of the only version in service when ${description}`, () => {
+    const streams = routing.streamVersions.createStreamVersions()
+    const results: (string | undefined)[] = []
+    const directory = streamDirectory.createStreamDirectory({
+      address: 'here',
+      now: () => 0,
+      streams,
+      metrics: metrics.createMetrics(),
+      askedPeers: () => [],
+      ask: () => {},
+      answer: () => {},
+      schedule: () => {},
+      changed: () => {},
+      onlyVersionOf: () => 'v1',
+      afterLoading: (done) => { done() },
+      reload: (done) => {
+        streams.restore(routing.streamVersions.toStreamReport(known), 0)
+        done(isCurrent)
+      }
+    })
+    directory.find({ requestId: 'r-1', service: 'support' }, (result) => { results.push(result?.beginning.version) })
+    assert.equal(results, [found])
+  })
+}
+
 suite('records are reported once, kept for a minute and bounded in a report', () => {
   const [streams, peer] = [routing.streamVersions.createStreamVersions(), routing.streamVersions.createStreamVersions()]
   streams.record(BEGINNING, 0)
--- a/packages/routing/src/stream-versions.ts
+++ b/packages/routing/src/stream-versions.ts
@@ -24,6 +24,8 @@
   /** Records beginnings that were stored before this daemon started. */
   readonly restore: (report: StreamReport, nowMs: number) => void
   readonly find: (requestId: string, nowMs: number) => StreamBeginning | undefined
+  /** Returns the versions at which the recorded streams of a service began. */
+  readonly versionsOf: (service: string, nowMs: number) => ReadonlySet<string>
   /** Removes and returns up to `maxRows` beginnings of this daemon that no report had yet, the oldest first. */
   readonly takeUnreported: (maxRows: number) => StreamReport
 }
@@ -93,6 +95,14 @@
     return found === undefined || nowMs - found.recordedMs > RETENTION_MS ? undefined : found.beginning
   }
 
+  function versionsOf (service: string, nowMs: number): ReadonlySet<string> {
+    const versions = new Set<string>()
+    for (const { beginning, recordedMs } of recorded.values()) {
+      if (beginning.service === service && nowMs - recordedMs <= RETENTION_MS) versions.add(beginning.version)
+    }
+    return versions
+  }
+
   function addAll (report: StreamReport, nowMs: number, onAdded: (beginning: StreamBeginning) => void): void {
     for (const [service, versions] of Object.entries(report)) {
       for (const [version, requestIds] of Object.entries(versions)) {
@@ -121,6 +131,7 @@
     applyReport: (report, nowMs) => { addAll(report, nowMs, onBeginning) },
     restore: (report, nowMs) => { addAll(report, nowMs, () => {}) },
     find,
+    versionsOf,
     takeUnreported
   }
 }
