Infer no version of a stream whose route has just moved to another service

Callers would see a stream that began at one service go on at another one: a daemon that finds no record of it takes the only service with resumable routes for the one that began it, by the document in force alone, which may have moved the route a moment ago. Streams that are on record are refused in this case ('version-gone').

Fix: services of replaced documents count for the 70 s for which versions that have left count.

Not covered: a daemon that has started since the document was replaced does not know the earlier one. Whether the users saw this is not known; their rule names versions of one service.

--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -55,6 +55,8 @@
   readonly isArbiterOf: (trait: string) => boolean
   /** Undefined until a document is in force. */
   readonly table: () => routing.routeTable.RouteTable | undefined
+  /** Returns the services at which streams that may be resumed now can have begun. */
+  readonly resumableServices: () => ReadonlySet<string>
   readonly limits: () => routing.document.Limits
   /** Members of the fleet, this daemon included. */
   readonly daemons: () => number
--- a/packages/gateway/src/document-in-force.ts
+++ b/packages/gateway/src/document-in-force.ts
@@ -23,6 +23,8 @@
   readonly hear: (version: number) => void
   readonly document: () => routing.document.RoutingDocument | undefined
   readonly table: () => routing.routeTable.RouteTable | undefined
+  /** Returns the services at which streams that may be resumed now can have begun: its own and those of documents that it has replaced. */
+  readonly resumableServices: () => ReadonlySet<string>
   /** Returns its version; 0 if there is none. */
   readonly version: () => number
   /** Returns its limits, or those that apply before there is one. */
@@ -43,6 +45,14 @@
   const lag = versionLag.createVersionLag()
   let current: routing.document.RoutingDocument | undefined
   let table: routing.routeTable.RouteTable | undefined
+  /** Last time at which a replaced document had each service on a resumable route. */
+  const formerServices = new Map<string, number>()
+
+  function resumableServices (): ReadonlySet<string> {
+    const nowMs = now()
+    const former = [...formerServices].filter(([, untilMs]) => nowMs - untilMs <= routing.versionHistory.VERSION_RETENTION_MS).map(([service]) => service)
+    return new Set([...table?.resumableServices ?? [], ...former])
+  }
 
   function adopt (document: routing.document.RoutingDocument, source: string): boolean {
     if (current !== undefined && document.version <= current.version) return false
@@ -58,6 +68,7 @@
       organisations: organisations.length
     })
     metrics.gauge('document_version', version)
+    for (const service of table?.resumableServices ?? []) formerServices.set(service, now())
     current = document
     table = routing.routeTable.createRouteTable(document)
     return true
@@ -68,6 +79,7 @@
     hear: (version) => { lag.hear(version, now()) },
     document: () => current,
     table: () => table,
+    resumableServices,
     version: () => current?.version ?? 0,
     limits: () => current?.limits ?? INITIAL_LIMITS
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -396,6 +396,7 @@
       onLimitsChanged: this.targetStates.limitsChanged,
       isArbiterOf: (trait) => this.peers.isArbiterOf(trait, this.now()),
       table: this.inForce.table,
+      resumableServices: this.inForce.resumableServices,
       limits: this.inForce.limits,
       daemons: () => this.daemons(),
       stopping: () => this.gracefulStop.sinceMs() !== undefined,
--- a/packages/gateway/src/resumption.ts
+++ b/packages/gateway/src/resumption.ts
@@ -23,7 +23,7 @@
     done(neverthrow.ok(request))
     return
   }
-  const services = new Set(context.table()?.resumableServices)
+  const services = context.resumableServices()
   const service = services.size === 1 ? [...services][0] : undefined
   context.streams.find({ requestId: resumes, service }, (found) => {
     if (found === undefined) {
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -230,6 +230,7 @@
       onLimitsChanged: () => { refresh(daemon) },
       isArbiterOf: (trait) => peers.isArbiterOf(trait, nowMs),
       table: () => table,
+      resumableServices: () => table.resumableServices,
       limits: () => document.limits,
       daemons: () => Math.max(routing.rateShare.MIN_ASSUMED_MEMBERS, peers.memberCount(nowMs)),
       stopping: () => false,
