--- a/packages/gateway/tests/lasting-state.test.ts
+++ b/packages/gateway/tests/lasting-state.test.ts
@@ -85,6 +85,13 @@
   assert.equal(records.writes, ['versions', 'levels/a'])
 })
 
+suite('a fleet that starts for the first time stores its versions before streams can have begun', () => {
+  const records = createRecords()
+  const daemon = createDaemon(records)
+  daemon.advance(200)
+  assert.ok(records.writes.includes('versions'), String(records.writes))
+})
+
 suite('streams that began before a second version are stored once it serves', () => {
   const records = createRecords()
   const daemon = createDaemon(records)
