Forget versions that have left only when the steady clock agrees

Callers would see a stream go on at another software version after the time of day has jumped forward at a daemon: the version that left seconds ago is over 70 s old by that clock, and the one that is left is taken for the one that began the stream. A history without a record of earlier looks complete in the same way.

Evidence: version-history.test.ts; with a jump of 100 s, v2 was taken for the version of a stream 5 s after v1 had left, 5 s after it was found to have left while no daemon ran, and 5 s after a start without a record; none is now. In the same three cases 70 s later v2 is found before and after. The other cases of the file now let the steady clock run along.

Fix: the daemon notes on its steady clock when a version ceased to serve, and forgets it when both clocks say so; a suspension in which the steady clock stands still only makes it remember longer. Not covered: ends that another daemon stored with a time of day that is wrong by more than 10 s, when all daemons are lost.

--- a/packages/gateway/src/stream-records.ts
+++ b/packages/gateway/src/stream-records.ts
@@ -63,7 +63,7 @@
  */
 export function createStreamRecords (options: Options): StreamRecords {
   const { now, unixNow, peers, records, log } = options
-  const history = routing.versionHistory.createVersionHistory()
+  const history = routing.versionHistory.createVersionHistory(now)
   const streams = routing.streamVersions.createStreamVersions((beginning) => { lasting?.note(beginning) })
   const lasting = records === undefined
     ? undefined
--- a/packages/gateway/tests/lasting-state.test.ts
+++ b/packages/gateway/tests/lasting-state.test.ts
@@ -26,7 +26,7 @@
 function createDaemon (records: gateway.recordStore.RecordStore, incarnation = 'a', startMs = 0): Daemon {
   let nowMs = startMs
   const logged: string[] = []
-  const history = routing.versionHistory.createVersionHistory()
+  const history = routing.versionHistory.createVersionHistory(() => nowMs)
   const streams = routing.streamVersions.createStreamVersions((beginning) => { lasting.note(beginning) })
   const caps = routing.tokenCap.createTokenCaps({ toleratedTokens: 0 })
   caps.adopt([ORGANISATION], nowMs)
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -258,7 +258,7 @@
 
   function startLastingState (daemon: number): void {
     const { caps, onBeginning, peers, streams } = memberOf(daemon)
-    const history = routing.versionHistory.createVersionHistory()
+    const history = routing.versionHistory.createVersionHistory(now)
     const lasting = lastingState.createLastingState({
       records: records.storeOf(daemon),
       incarnation: `${daemon}-${nowMs}`,
--- a/packages/routing/src/version-history.ts
+++ b/packages/routing/src/version-history.ts
@@ -39,10 +39,6 @@
 
 type Periods = ReadonlyMap<string, VersionPeriod>
 
-function isRetained ({ untilMs }: VersionPeriod, nowMs: number): boolean {
-  return untilMs === null || nowMs - untilMs <= VERSION_RETENTION_MS
-}
-
 function joinPeriods (period: VersionPeriod, other: VersionPeriod | undefined): VersionPeriod {
   if (other === undefined) return period
   return { version: period.version, fromMs: Math.min(period.fromMs, other.fromMs), untilMs: period.untilMs }
@@ -71,23 +67,39 @@
 }
 
 /**
- * Creates the history of a daemon that has just started.
+ * Creates the history of a daemon that has just started. `steadyNow` returns a time that only rises, ms: the time of day
+ * may jump, so what this daemon has seen end is forgotten only when both say so.
  *
  * @example
  * ```ts
+ * const history = createVersionHistory(() => performance.now())
  * history.observe(new Map([['support', new Set(['v1'])]]), unixMs)
  * history.restore(record, false, unixMs)
  * history.onlyVersionOf('support', unixMs) // 'v1'
  * ```
  */
-export function createVersionHistory (): VersionHistory {
+export function createVersionHistory (steadyNow: () => number): VersionHistory {
   const services = new Map<string, Periods>()
+  /** Steady times at which versions ceased to serve, by service and version. */
+  const endedMs = new Map<string, Map<string, number>>()
   /** Undefined until the history is restored. */
   let sinceMs: number | undefined
+  /** Steady time from which the history is complete if there was no record of earlier. */
+  let sinceSteadyMs = -Infinity
   let hasObserved = false
 
+  function isRetained (service: string, { version, untilMs }: VersionPeriod, nowMs: number): boolean {
+    if (untilMs === null) return true
+    const ageMs = Math.min(nowMs - untilMs, steadyNow() - (endedMs.get(service)?.get(version) ?? -Infinity))
+    return ageMs <= VERSION_RETENTION_MS
+  }
+
+  function recordEnd (service: string, version: string): void {
+    endedMs.set(service, (endedMs.get(service) ?? new Map<string, number>()).set(version, steadyNow()))
+  }
+
   function retainedPeriods (service: string, nowMs: number): readonly VersionPeriod[] {
-    return [...services.get(service)?.values() ?? []].filter((period) => isRetained(period, nowMs))
+    return [...services.get(service)?.values() ?? []].filter((period) => isRetained(service, period, nowMs))
   }
 
   function observeService (service: string, versions: ReadonlySet<string>, nowMs: number): boolean {
@@ -96,6 +108,7 @@
     for (const [version, period] of periods) {
       if (period.untilMs !== null || versions.has(version)) continue
       periods.set(version, { ...period, untilMs: nowMs })
+      recordEnd(service, version)
       hasChanged = true
     }
     for (const version of versions) {
@@ -116,10 +129,12 @@
 
   function restore (record: HistoryRecord | undefined, isFirstStart: boolean, nowMs: number): void {
     sinceMs = record?.sinceMs ?? (isFirstStart ? 0 : nowMs)
+    if (record === undefined && !isFirstStart) sinceSteadyMs = steadyNow()
     for (const [service, stored] of Object.entries(record?.services ?? {})) {
       const periods = new Map(services.get(service))
       for (const period of stored) {
         const observed = periods.get(period.version)
+        if (hasObserved && observed === undefined && period.untilMs === null) recordEnd(service, period.version)
         const untilMs = hasObserved ? period.untilMs ?? nowMs : period.untilMs
         periods.set(period.version, observed === undefined ? { ...period, untilMs } : joinPeriods(observed, period))
       }
@@ -128,7 +143,7 @@
   }
 
   function onlyVersionOf (service: string, nowMs: number): string | undefined {
-    if (sinceMs === undefined || nowMs - sinceMs < VERSION_RETENTION_MS) return undefined
+    if (sinceMs === undefined || Math.min(nowMs - sinceMs, steadyNow() - sinceSteadyMs) < VERSION_RETENTION_MS) return undefined
     const [period, ...others] = retainedPeriods(service, nowMs)
     return others.length === 0 ? period?.version : undefined
   }
@@ -138,7 +153,7 @@
       const storedPeriods = new Map((stored?.services[service] ?? []).map((period) => [period.version, period]))
       const own = [...services.get(service)?.values() ?? []].map((period) => joinPeriods(period, storedPeriods.get(period.version)))
       const others = [...storedPeriods.values()].filter(({ version }) => services.get(service)?.has(version) !== true)
-      return [service, [...own, ...others].filter((period) => isRetained(period, nowMs))] as const
+      return [service, [...own, ...others].filter((period) => isRetained(service, period, nowMs))] as const
     })
     return { sinceMs: Math.min(sinceMs ?? nowMs, stored?.sinceMs ?? Infinity), services: Object.fromEntries(merged) }
   }
--- a/packages/routing/tests/version-history.test.ts
+++ b/packages/routing/tests/version-history.test.ts
@@ -47,18 +47,23 @@
 for (const { description, isFirstStart = false, stored, observed, askedMs, only, hasSeveral } of CASES) {
   for (const order of ['before', 'after']) {
     suite(`${description}: ${only ?? 'no version'} can have begun an unknown stream (restored ${order} the first listing)`, () => {
-      const history = routing.versionHistory.createVersionHistory()
+      let steadyMs = 0
+      const history = routing.versionHistory.createVersionHistory(() => steadyMs)
       assert.is(history.onlyVersionOf('support', START_MS), undefined)
       if (order === 'before') history.restore(stored, isFirstStart, START_MS)
-      for (const { atMs, versions } of observed) history.observe(new Map([['support', new Set(versions)]]), START_MS + atMs)
+      for (const { atMs, versions } of observed) {
+        steadyMs = atMs
+        history.observe(new Map([['support', new Set(versions)]]), START_MS + atMs)
+      }
       if (order === 'after') history.restore(stored, isFirstStart, START_MS)
+      steadyMs = askedMs
       assert.equal([history.onlyVersionOf('support', START_MS + askedMs), history.hasSeveral(START_MS + askedMs)], [only, hasSeveral])
     })
   }
 }
 
 suite('a stored history keeps the versions that other daemons have recorded', () => {
-  const history = routing.versionHistory.createVersionHistory()
+  const history = routing.versionHistory.createVersionHistory(() => 0)
   history.observe(new Map([['support', new Set(['v2'])]]), START_MS)
   history.restore(undefined, true, START_MS)
   const merged = history.merge(storedHistory([['v1', -9_000, null], ['v0', -200_000, -100_000]], START_MS - 20_000), START_MS)
@@ -66,6 +71,39 @@
   assert.is(merged.sinceMs, 0)
 })
 
+/** A jump of the time of day that exceeds the retention, ms. */
+const JUMP_MS = 100_000
+
+for (const [elapsedMs, only] of [[5_000, undefined], [AGED_MS, 'v2']] as const) {
+  suite(`${only ?? 'no version'} can have begun an unknown stream ${elapsedMs} ms after another one left, although the time of day has jumped forward`, () => {
+    let steadyMs = 0
+    const history = routing.versionHistory.createVersionHistory(() => steadyMs)
+    history.restore(undefined, true, START_MS)
+    history.observe(new Map([['support', new Set(['v1', 'v2'])]]), START_MS)
+    history.observe(new Map([['support', new Set(['v2'])]]), START_MS)
+    steadyMs = elapsedMs
+    assert.is(history.onlyVersionOf('support', START_MS + elapsedMs + JUMP_MS), only)
+  })
+
+  suite(`${only ?? 'no version'} can have begun an unknown stream ${elapsedMs} ms after another one was found to have left while no daemon ran, although the time of day has jumped forward`, () => {
+    let steadyMs = 0
+    const history = routing.versionHistory.createVersionHistory(() => steadyMs)
+    history.observe(new Map([['support', new Set(['v2'])]]), START_MS)
+    history.restore(storedHistory([['v1', -9_000, null]]), false, START_MS)
+    steadyMs = elapsedMs
+    assert.is(history.onlyVersionOf('support', START_MS + elapsedMs + JUMP_MS), only)
+  })
+
+  suite(`${only ?? 'no version'} can have begun an unknown stream ${elapsedMs} ms after a start without a record, although the time of day has jumped forward`, () => {
+    let steadyMs = 0
+    const history = routing.versionHistory.createVersionHistory(() => steadyMs)
+    history.restore(undefined, false, START_MS)
+    history.observe(new Map([['support', new Set(['v2'])]]), START_MS)
+    steadyMs = elapsedMs
+    assert.is(history.onlyVersionOf('support', START_MS + elapsedMs + JUMP_MS), only)
+  })
+}
+
 const MALFORMED: readonly unknown[] = [undefined, null, 'v1', 7, [], {}, { sinceMs: '0', services: {} }, { sinceMs: 0 }, { sinceMs: 0, services: { support: 'v1' } }, { sinceMs: 0, services: { support: [{ version: 1, fromMs: 0, untilMs: null }] } }, { sinceMs: 0, services: { support: [null] } }]
 
 for (const value of MALFORMED) {
