--- a/packages/gateway/src/stream-directory.ts
+++ b/packages/gateway/src/stream-directory.ts
@@ -1,7 +1,7 @@
 /**
  * Finds the version at which a stream began. The members of a cell report the beginnings of their streams to each
- * other; a daemon that has no record of a stream asks its cell and members of the other cells. If nobody has one, only
- * one version may have been in service while the stream can have begun.
+ * other; a daemon that has no record of a stream asks its cell and members of the other cells. If nobody has one, it reads
+ * the store again, and only one version may have been in service while the stream can have begun.
  *
  * @module
  */
@@ -29,11 +29,20 @@
   readonly service: string | undefined
 }
 
+/** How the version of a stream was found: in this daemon's records, in a peer's or in the store, or as the only one in service. */
+export type BeginningSource = 'own' | 'peer' | 'stored' | 'only-version'
+
+/** The beginning of a stream, and how it was found. */
+export interface FoundBeginning {
+  readonly beginning: routing.streamVersions.StreamBeginning
+  readonly source: BeginningSource
+}
+
 /** Finds and records the beginnings of streams. */
 export interface StreamDirectory {
   readonly record: (beginning: routing.streamVersions.StreamBeginning) => void
   /** Calls `done` once, immediately if this daemon has a record; undefined if no daemon is known to have one. */
-  readonly find: (stream: SoughtStream, done: (beginning: routing.streamVersions.StreamBeginning | undefined) => void) => void
+  readonly find: (stream: SoughtStream, done: (found: FoundBeginning | undefined) => void) => void
   readonly handleQuestion: (question: StreamQuestion) => void
   readonly handleAnswer: (answer: StreamAnswer) => void
 }
@@ -53,12 +62,15 @@
   readonly schedule: (delayMs: number, run: () => void) => void
   /** Called when there are new beginnings to report. */
   readonly changed: () => void
-  /** Returns the only version of a service that can have begun a stream; undefined if that is not certain. */
+  /** Returns the only version of a service that is known to have been in service; undefined if there were several. */
   readonly onlyVersionOf: (service: string) => string | undefined
   /** Calls `done` once this daemon has loaded what the fleet has stored. */
   readonly afterLoading: (done: () => void) => void
-  /** Calls `done` once this daemon has loaded again what the fleet has stored. */
-  readonly reload: (done: () => void) => void
+  /**
+   * Loads again what the fleet has stored and which versions are in service. Calls `done` with whether all of it is known
+   * as of a time after this call.
+   */
+  readonly reload: (done: (isCurrent: boolean) => void) => void
 }
 
 /** Interval at which the question is repeated, as datagrams are lost, ms. */
@@ -67,7 +79,7 @@
 const MAX_ASKS = 3
 
 interface Search extends SoughtStream {
-  readonly done: (beginning: routing.streamVersions.StreamBeginning | undefined) => void
+  readonly done: (found: FoundBeginning | undefined) => void
   /** Peers that have not answered yet. */
   readonly awaited: Set<string>
 }
@@ -77,7 +89,7 @@
  *
  * @example
  * ```ts
- * directory.find({ requestId: 'r-1', service: 'support' }, (beginning) => { if (beginning === undefined) refuse('unknown-stream') })
+ * directory.find({ requestId: 'r-1', service: 'support' }, (found) => { if (found === undefined) refuse('unknown-stream') })
  * ```
  */
 export function createStreamDirectory (options: Options): StreamDirectory {
@@ -86,7 +98,15 @@
 
   function inferBeginning ({ requestId, service }: SoughtStream): routing.streamVersions.StreamBeginning | undefined {
     const version = service === undefined ? undefined : options.onlyVersionOf(service)
-    return service === undefined || version === undefined ? undefined : { requestId, service, version }
+    if (service === undefined || version === undefined) return undefined
+    // The record of the versions in service may lag behind those of streams, which other daemons write.
+    const hasOther = [...streams.versionsOf(service, now())].some((other) => other !== version)
+    return hasOther ? undefined : { requestId, service, version }
+  }
+
+  function finish (beginning: routing.streamVersions.StreamBeginning | undefined, source: BeginningSource, done: Search['done']): void {
+    metrics.count('stream_lookups_total', { result: beginning === undefined ? 'unknown' : source })
+    done(beginning === undefined ? undefined : { beginning, source })
   }
 
   function end (search: Search, answered: routing.streamVersions.StreamBeginning | undefined): void {
@@ -95,16 +115,15 @@
     if (!others.includes(search)) return
     searches.set(requestId, others.filter((other) => other !== search))
     if (others.length === 1) searches.delete(requestId)
-    const beginning = answered ?? inferBeginning(search)
-    if (beginning !== undefined) {
-      metrics.count('stream_lookups_total', { result: answered === undefined ? 'only-version' : 'peer' })
-      done(beginning)
+    if (answered !== undefined) {
+      finish(answered, 'peer', done)
       return
     }
-    options.reload(() => {
+    options.reload((isCurrent) => {
       const stored = streams.find(requestId, now())
-      metrics.count('stream_lookups_total', { result: stored === undefined ? 'unknown' : 'stored' })
-      done(stored)
+      // The stream began before it was asked for, so a version that began it is in a view that was read since.
+      if (stored === undefined && isCurrent) finish(inferBeginning(search), 'only-version', done)
+      else finish(stored, 'stored', done)
     })
   }
 
@@ -124,8 +143,7 @@
   function findOwn (requestId: string, done: Search['done']): boolean {
     const beginning = streams.find(requestId, now())
     if (beginning === undefined) return false
-    metrics.count('stream_lookups_total', { result: 'own' })
-    done(beginning)
+    finish(beginning, 'own', done)
     return true
   }
 
--- a/packages/gateway/tests/lasting-state.test.ts
+++ b/packages/gateway/tests/lasting-state.test.ts
@@ -26,7 +26,7 @@
 function createDaemon (records: gateway.recordStore.RecordStore, incarnation = 'a', startMs = 0): Daemon {
   let nowMs = startMs
   const logged: string[] = []
-  const history = routing.versionHistory.createVersionHistory()
+  const history = routing.versionHistory.createVersionHistory(() => nowMs)
   const streams = routing.streamVersions.createStreamVersions((beginning) => { lasting.note(beginning) })
   const caps = routing.tokenCap.createTokenCaps({ toleratedTokens: 0 })
   caps.adopt([ORGANISATION], nowMs)
@@ -85,6 +85,13 @@
   assert.equal(records.writes, ['versions', 'levels/a'])
 })
 
+suite('a fleet that starts for the first time stores its versions before streams can have begun', () => {
+  const records = createRecords()
+  const daemon = createDaemon(records)
+  daemon.advance(200)
+  assert.ok(records.writes.includes('versions'), String(records.writes))
+})
+
 suite('streams that began before a second version are stored once it serves', () => {
   const records = createRecords()
   const daemon = createDaemon(records)
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -230,6 +230,7 @@
       onLimitsChanged: () => { refresh(daemon) },
       isArbiterOf: (trait) => peers.isArbiterOf(trait, nowMs),
       table: () => table,
+      resumableServices: () => table.resumableServices,
       limits: () => document.limits,
       daemons: () => Math.max(routing.rateShare.MIN_ASSUMED_MEMBERS, peers.memberCount(nowMs)),
       stopping: () => false,
@@ -257,7 +258,7 @@
 
   function startLastingState (daemon: number): void {
     const { caps, onBeginning, peers, streams } = memberOf(daemon)
-    const history = routing.versionHistory.createVersionHistory()
+    const history = routing.versionHistory.createVersionHistory(now)
     const lasting = lastingState.createLastingState({
       records: records.storeOf(daemon),
       incarnation: `${daemon}-${nowMs}`,
--- a/packages/gateway/tests/stream-directory.test.ts
+++ b/packages/gateway/tests/stream-directory.test.ts
@@ -13,20 +13,21 @@
   /** What peers answer to each question; nothing if an answer is lost. */
   readonly answers: readonly (readonly (routing.streamVersions.StreamBeginning | 'nothing known')[])[]
   readonly found: string | undefined
+  readonly source: streamDirectory.BeginningSource | undefined
   readonly asks: number
 }
 
 const CASES: readonly Case[] = [
-  { description: 'a peer that knows the stream', answers: [['nothing known', BEGINNING]], found: 'v1', asks: 1 },
-  { description: 'no peer that knows it', answers: [['nothing known', 'nothing known']], found: undefined, asks: 1 },
-  { description: 'a lost answer, which is asked for again', answers: [['nothing known'], [BEGINNING]], found: 'v1', asks: 2 },
-  { description: 'peers that do not answer', answers: [], found: undefined, asks: 3 }
+  { description: 'a peer that knows the stream', answers: [['nothing known', BEGINNING]], found: 'v1', source: 'peer', asks: 1 },
+  { description: 'no peer that knows it', answers: [['nothing known', 'nothing known']], found: undefined, source: undefined, asks: 1 },
+  { description: 'a lost answer, which is asked for again', answers: [['nothing known'], [BEGINNING]], found: 'v1', source: 'peer', asks: 2 },
+  { description: 'peers that do not answer', answers: [], found: undefined, source: undefined, asks: 3 }
 ]
 
-for (const { description, answers, found, asks } of CASES) {
+for (const { description, answers, found, source, asks } of CASES) {
   suite(`the version of a stream is found with ${description}`, () => {
     let asked = 0
-    let results: readonly (string | undefined)[] = []
+    let results: readonly (readonly (string | undefined)[])[] = []
     let scheduled: readonly (() => void)[] = []
     const directory: streamDirectory.StreamDirectory = streamDirectory.createStreamDirectory({
       address: 'here',
@@ -40,9 +41,9 @@
       changed: () => {},
       onlyVersionOf: () => undefined,
       afterLoading: (done) => { done() },
-      reload: (done) => { done() }
+      reload: (done) => { done(true) }
     })
-    directory.find({ requestId: 'r-1', service: 'support' }, (beginning) => { results = [...results, beginning?.version] })
+    directory.find({ requestId: 'r-1', service: 'support' }, (result) => { results = [...results, [result?.beginning.version, result?.source]] })
     for (let round = 0; round < 4; round += 1) {
       for (const [index, answer] of (answers[round] ?? []).entries()) {
         directory.handleAnswer({ from: `peer-${index}`, requestId: 'r-1', beginning: answer === 'nothing known' ? undefined : answer })
@@ -51,7 +52,40 @@
       scheduled = []
       for (const run of due) run()
     }
-    assert.equal([results, asked], [[found], asks])
+    assert.equal([results, asked], [[[found, source]], asks])
+  })
+}
+
+const INFERENCES: readonly (readonly [description: string, known: readonly routing.streamVersions.StreamBeginning[], isCurrent: boolean, found: string | undefined])[] = [
+  ['no other version is known', [{ ...BEGINNING, requestId: 'r-2' }], true, 'v1'],
+  ['another service has another version', [{ requestId: 'r-2', service: 'search', version: 'v2' }], true, 'v1'],
+  ['the versions in service could not be read', [], false, undefined],
+  ['a stream has begun at a version that is not in the history', [{ ...BEGINNING, requestId: 'r-2', version: 'v2' }], true, undefined]
+]
+
+for (const [description, known, isCurrent, found] of INFERENCES) {
+  suite(`an unknown stream is ${found === undefined ? 'not ' : ''}taken for one of the only version in service when ${description}`, () => {
+    const streams = routing.streamVersions.createStreamVersions()
+    const results: (string | undefined)[] = []
+    const directory = streamDirectory.createStreamDirectory({
+      address: 'here',
+      now: () => 0,
+      streams,
+      metrics: metrics.createMetrics(),
+      askedPeers: () => [],
+      ask: () => {},
+      answer: () => {},
+      schedule: () => {},
+      changed: () => {},
+      onlyVersionOf: () => 'v1',
+      afterLoading: (done) => { done() },
+      reload: (done) => {
+        streams.restore(routing.streamVersions.toStreamReport(known), 0)
+        done(isCurrent)
+      }
+    })
+    directory.find({ requestId: 'r-1', service: 'support' }, (result) => { results.push(result?.beginning.version) })
+    assert.equal(results, [found])
   })
 }
 
