Cut the stream of an HTTP/1.0 caller that has ended its side

What callers saw: a caller of HTTP/1.0 that ends its side while it receives a stream gets a regular end of the connection, which without chunks is the end of the stream, although events are missing.

Cause: when a caller ended its side, its response was destroyed, where a response that can't be completed is cut otherwise: cut() resets the connection if there are no chunks.

Evidence: the new test failed before ("reset" expected, "end" seen; the other 4 passed).

Why it works: the one function that cuts a response now also serves here, and resets only a response that has begun.

Whether this has to do with the reported cases isn't shown: the platform speaks HTTP/1.1.

--- a/packages/gateway/src/cut-response.ts
+++ b/packages/gateway/src/cut-response.ts
@@ -6,7 +6,7 @@
 import type * as http from 'node:http'
 
 /**
- * Closes the connection of a response that has begun, so that the response looks incomplete. Without chunks, as in HTTP/1.0, a regular
+ * Closes the connection of a response, so that one that has begun looks incomplete. Without chunks, as in HTTP/1.0, a regular
  * end of the connection would be the end of the response, so the connection is reset.
  *
  * @example
@@ -15,6 +15,6 @@
  * ```
  */
 export function cut (outgoing: http.ServerResponse): void {
-  if (!outgoing.chunkedEncoding) outgoing.socket?.resetAndDestroy()
+  if (outgoing.headersSent && !outgoing.chunkedEncoding) outgoing.socket?.resetAndDestroy()
   outgoing.destroy()
 }
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -64,13 +64,14 @@
 }
 
 /**
- * Destroys the connection when the caller ends its side within a request. Otherwise Node.js reports the connection as
+ * Cuts the response when the caller ends its side within a request. Otherwise Node.js reports the connection as
  * closed only once the rest of the response is sent, which it can't be while the caller reads nothing.
  */
 function closeWithCaller (incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
   const { socket } = incoming
-  const handleEnd = (): void => { if (!outgoing.writableEnded) outgoing.destroy() }
-  socket.once('end', handleEnd)
+  const handleEnd = (): void => { if (!outgoing.writableEnded) cutResponse.cut(outgoing) }
+  // Node.js ends its side in a listener of its own, after which a connection can't be reset.
+  socket.prependOnceListener('end', handleEnd)
   outgoing.once('close', () => { socket.off('end', handleEnd) })
 }
 
--- a/packages/gateway/tests/departed-callers.test.ts
+++ b/packages/gateway/tests/departed-callers.test.ts
@@ -76,4 +76,16 @@
   caller.destroy()
 })
 
+suite('a stream does not look complete to a caller of HTTP/1.0 that has ended its side', async () => {
+  fixture.script((arrival, response) => {
+    fixtureModule.beginStream(arrival, response)
+    response.write('id: 1\ndata: x\n\n')
+  })
+  const caller = net.connect({ ...gatewayPackage.endpoint.parseEndpoint(fixture.frontAddress), allowHalfOpen: true })
+  caller.write(REQUEST.replace('HTTP/1.1', 'HTTP/1.0'))
+  caller.once('data', () => { caller.end() })
+  const end = await new Promise<string>((resolve) => { caller.on('end', () => { resolve('end') }).on('error', () => { resolve('reset') }) })
+  assert.is(end, 'reset')
+})
+
 suite.run()
