--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -79,7 +79,7 @@
 
 export interface CallOptions {
   readonly method?: string
-  readonly headers?: Readonly<Record<string, string>>
+  readonly headers?: Readonly<Record<string, string | readonly string[]>>
   readonly body?: string
   readonly disconnectAfterMs?: number
 }
--- a/packages/gateway/tests/stream-continuity.test.ts
+++ b/packages/gateway/tests/stream-continuity.test.ts
@@ -184,6 +184,12 @@
   })
 }
 
+suite('two last event ids are forwarded as they are, since it is open which one counts', async () => {
+  scriptStreams([{ chunks: [[2, 3]], end: 'complete' }])
+  const reply = await fixture.call('/generate/7', { headers: { 'last-event-id': ['1', '2'] } })
+  assert.equal([reply.isComplete, reply.body, lastEventIds()], [true, eventsOf([2, 3]), ['1, 2']])
+})
+
 suite('a caller that resumes a stream of which nothing is left gets its end', async () => {
   scriptStreams([{ chunks: [], end: 'complete' }])
   const reply = await fixture.call('/generate/7', TAKEN_UP)
