Begin no stream at a target that was replaced after its choice

What callers saw: a stream whose first part is of one software version and the rest of another.

Cause: the version of a stream was that of its target when the request was placed. Connecting, refused connections and paths through peers take 100 ms and more; a target that starts again under its id within that time with other software has another version when it begins the stream. In five of five traced streams the daemon had learnt of it before the first event, in two even before the target received the request. Class: a permission that was granted on a state which has changed meanwhile.

Evidence: restarted-target.test.ts failed in 3 of 3 tests before, and passes.

Why it works: the version that the target's entry states now is compared when the request is sent over each path and again at the first event, before anything is forwarded. If it differs, the request is placed again, within the budget if it was sent. Streams that can't be resumed may begin at any version.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -26,6 +26,8 @@
   | { readonly kind: 'broken', readonly message: string }
   /** The same, because of the peer that carried the connection. */
   | { readonly kind: 'path-lost', readonly message: string }
+  /** The same; the target began a stream that can't be accepted, as its software version is no longer the one for which it was chosen. */
+  | { readonly kind: 'replaced' }
 
 /** Dependencies and callbacks of an attempt. */
 export interface Options {
@@ -37,6 +39,8 @@
   readonly body: Buffer | undefined
   readonly continuity: streamContinuity.StreamContinuity
   readonly onSent: () => void
+  /** Whether the stream is of the version for which the target was chosen. */
+  readonly isVersionCurrent: () => boolean
   /** Forwards events; returns false if the caller reads too slowly. */
   readonly onEvents: (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[]) => boolean
   readonly done: (outcome: AttemptOutcome) => void
@@ -156,7 +160,7 @@
  *
  * @example
  * ```ts
- * const exchange = startAttempt({ context, request, target, body, continuity, onSent, onEvents, done })
+ * const exchange = startAttempt({ context, request, target, body, continuity, onSent, isVersionCurrent, onEvents, done })
  * ```
  */
 export function startAttempt (options: Options): targetClient.Exchange {
@@ -175,11 +179,13 @@
     options.done(outcome)
   }
 
-  function failBroken (message: string): void {
+  function fail (outcome: AttemptOutcome): void {
     exchange.abort()
-    finish({ kind: 'broken', message })
+    finish(outcome)
   }
 
+  const failBroken = (message: string): void => { fail({ kind: 'broken', message }) }
+
   function failStream (fault: Error): void {
     if (fault instanceof streamContinuity.Discontinuity) context.metrics.count('stream_discontinuities_total', { service: request.service })
     failBroken(fault.message)
@@ -198,6 +204,11 @@
   }
 
   function handleEvents (response: targetClient.ResponseHead, chunk: Buffer): void {
+    // Events that are followed count as forwarded.
+    if (!options.isVersionCurrent()) {
+      fail({ kind: 'replaced' })
+      return
+    }
     const { events, fault } = takeUntilFault(responseContinuity.follow(splitter.push(chunk)))
     if (events.length > 0 && !options.onEvents(response, events)) exchange.pause()
     if (fault !== undefined) failStream(fault)
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -23,6 +23,8 @@
 export interface TargetStates {
   /** Returns the start that a target has registered, Unix ms; 0 if it has registered none. */
   readonly startOf: (target: string) => number
+  /** Returns the software version that a target has registered; undefined if it has no entry. */
+  readonly versionOf: (target: string) => string | undefined
   /** Records that a target leaves. */
   readonly depart: (departure: routing.targetRegistry.Departure, source: string) => void
   /** Records that a target wants no requests for a time, which it told this daemon or the peer that carried the connection. */
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -15,6 +15,7 @@
 import * as requestEvidence from './request-evidence.js'
 import * as requestRecord from './request-record.js'
 import type * as servicePools from './service-pools.js'
+import * as streamBinding from './stream-binding.js'
 import * as streamContinuity from './stream-continuity.js'
 import type * as streamEvents from './stream-events.js'
 import type * as targetClient from './target-client.js'
@@ -63,6 +64,7 @@
   private readonly evidence: requestEvidence.RequestEvidence
   private readonly response: callerResponse.CallerResponse
   private readonly continuity: streamContinuity.StreamContinuity
+  private readonly binding: streamBinding.StreamBinding
   private readonly deadlineTimer: NodeJS.Timeout
   private retryTimer: NodeJS.Timeout | undefined
   private finished = false
@@ -77,12 +79,9 @@
   private via: string | undefined
   /** Whether a target may have begun to run the request. */
   private mayHaveRun = false
-  /** Software version that began the stream; undefined before its first event. */
-  private version: string | undefined
   private lastEventMs = 0
   private firstEventMs: number | undefined
   private isSent = false
-  private hasBegun = false
   private awaitsFirstEvent = true
   private refusedTrait: string | undefined
 
@@ -91,7 +90,7 @@
     this.response = new callerResponse.CallerResponse(context, outgoing)
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
     this.continuity = streamContinuity.createStreamContinuity({ isConsecutive: request.route.resumable, lastId: request.lastEventId })
-    this.version = request.version
+    this.binding = new streamBinding.StreamBinding(context, request)
     this.deadlineTimer = pendingEvents.startTimer(() => { this.run(() => { this.onDeadline() }) }, request.limitMs - context.now())
   }
 
@@ -194,7 +193,7 @@
 
   private requestPlacement (isRetry: boolean): void {
     const { context, request } = this.options
-    context.pools.requestPlacement(request.service, admission.placementOptions(request, { version: this.version, excludedTargets: this.excludedTargets, leftTargets: this.leftTargets, isRetry }), {
+    context.pools.requestPlacement(request.service, admission.placementOptions(request, { version: this.binding.version, excludedTargets: this.excludedTargets, leftTargets: this.leftTargets, isRetry }), {
       onQueued: (placement) => { this.placement = placement },
       onDecision: (decision) => { this.run(() => { this.onDecision(decision) }) },
       onStalled: () => { this.run(() => { this.abandon('no event within the stall time') }) }
@@ -228,9 +227,13 @@
   /** Sends the request over a path to the target. */
   private connect (target: routing.targetRegistry.Target, via: string | undefined): void {
     const { context, request, body } = this.options
+    this.isSent = false
+    if (!this.binding.isCurrent(target)) {
+      this.onReplaced()
+      return
+    }
     this.via = via
     if (via !== undefined) this.relayAttempts += 1
-    this.isSent = false
     this.awaitsFirstEvent = true
     this.exchange = attemptModule.startAttempt({
       context,
@@ -240,6 +243,7 @@
       body,
       continuity: this.continuity,
       onSent: () => { this.onSent() },
+      isVersionCurrent: () => !this.awaitsFirstEvent || this.binding.isCurrent(target),
       onEvents: (head, events) => this.push(head, events),
       done: (outcome) => { this.run(() => { this.onEnd(outcome) }) }
     })
@@ -274,19 +278,10 @@
 
   private push (head: targetClient.ResponseHead, events: readonly streamEvents.StreamEvent[]): boolean {
     this.onEvent()
-    this.recordBeginning()
+    if (this.target !== undefined) this.binding.bind(this.target)
     return this.response.forward(head, events)
   }
 
-  /** Records the version of the stream when its first events are forwarded, so that it goes on only there. */
-  private recordBeginning (): void {
-    const { context, request } = this.options
-    if (this.hasBegun || this.target === undefined) return
-    this.hasBegun = true
-    this.version ??= this.target.version
-    if (request.route.resumable) context.streams.record({ requestId: request.resumes ?? request.requestId, service: request.service, version: this.version })
-  }
-
   /** Whether the request may run again: once events have been forwarded, only to go on behind them. */
   private get isRetryable (): boolean {
     const { kind, resumable } = this.options.request.route
@@ -318,7 +313,7 @@
     // While the caller reads slowly, nothing is read from the target.
     if (this.response.isBlocked) return
     const leftTargets = new Set([...this.leftTargets, this.target.id])
-    if (!context.pools.hasAlternative(request.service, admission.placementOptions(request, { version: this.version, excludedTargets: this.excludedTargets, leftTargets, isRetry: true })) || !this.acquireRetry()) return
+    if (!context.pools.hasAlternative(request.service, admission.placementOptions(request, { version: this.binding.version, excludedTargets: this.excludedTargets, leftTargets, isRetry: true })) || !this.acquireRetry()) return
     this.leftTargets.add(this.target.id)
     this.exchange.abort()
     context.metrics.count('abandoned_total', { service: request.service })
@@ -341,6 +336,7 @@
       case 'streamed': this.onStreamed(outcome.head); break
       case 'broken': this.onBroken(outcome.message); break
       case 'path-lost': this.onPathLost(outcome.message); break
+      case 'replaced': this.onReplaced(); break
     }
   }
 
@@ -410,6 +406,16 @@
     else this.refuse('broken')
   }
 
+  /** Places the request again, as its target has started again with another software version. */
+  private onReplaced (): void {
+    const { context, request } = this.options
+    this.endPlacement({ kind: 'ended', outcome: 'cancelled' })
+    context.log.request('target replaced', { request: request.requestId, target: this.target?.id, version: this.target?.version, sent: this.isSent, lastEvent: this.continuity.lastId() })
+    if (!this.isSent) this.placeAgain(this.mayHaveRun)
+    else if (this.isRetryable && this.acquireRetry()) this.placeAgain(true)
+    else this.refuse('broken')
+  }
+
   private onBroken (message: string): void {
     const { context, request } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'failed' })
--- a/packages/gateway/src/target-states.ts
+++ b/packages/gateway/src/target-states.ts
@@ -77,6 +77,7 @@
 
   return {
     startOf: registry.startOf,
+    versionOf: registry.versionOf,
     depart,
     pause: (target, durationMs, via) => { record({ target, durationMs, told: via ?? options.address }, 'response') },
     isOpen: (target) => !registry.isLeaving(target) && pauses.untilMs(target, options.now()) === 0,
--- a/packages/gateway/tests/restarted-target.test.ts
+++ b/packages/gateway/tests/restarted-target.test.ts
@@ -55,6 +55,12 @@
   assert.is(versionsIn(reply).length, 1, reply.body)
 })
 
+suite('a stream that is begun again after a restart of its target has its first event', async () => {
+  scriptRestart({ breaksOff: false })
+  const reply = await fixture.call('/generate/7', { disconnectAfterMs: STAY_MS })
+  assert.match(reply.body, /^id: 1\n/)
+})
+
 suite('a stream that a restarted target begins is not resumed by its caller at the version from before its restart', async () => {
   scriptRestart({ breaksOff: false })
   const begun = await fixture.call('/generate/7', { headers: { 'request-id': 'begun' }, disconnectAfterMs: STAY_MS })
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -222,6 +222,7 @@
       },
       targets: {
         startOf: memberOf(daemon).registry.startOf,
+        versionOf: memberOf(daemon).registry.versionOf,
         depart: (departure) => { if (memberOf(daemon).registry.depart(departure)) refresh(daemon) },
         pause: (target, durationMs, via) => { memberOf(daemon).pauses.record({ target, durationMs, told: via ?? memberOf(daemon).address }, nowMs) },
         isOpen: (target) => !memberOf(daemon).registry.isLeaving(target) && memberOf(daemon).pauses.untilMs(target, nowMs) === 0,
--- a/packages/routing/src/target-registry.ts
+++ b/packages/routing/src/target-registry.ts
@@ -86,6 +86,8 @@
   readonly departures: () => readonly Departure[]
   /** Returns the start that a target has reported, Unix ms; 0 if it has reported none. */
   readonly startOf: (id: string) => number
+  /** Returns the software version in the entry of a target; undefined if it has none. */
+  readonly versionOf: (id: string) => string | undefined
   /** Returns the position of the store up to which all changes are applied. */
   readonly position: () => Position
   /** Records that all changes up to a position are applied. */
@@ -213,6 +215,7 @@
     isLeaving: (id) => hasDeparted(id) || entries.get(id)?.versioned.target?.leaving === true,
     advanceTo,
     startOf,
+    versionOf: (id) => entries.get(id)?.versioned.target?.version,
     position: () => applied,
     versionedTargets: () => [...entries.values()].map((entry) => entry.versioned)
   }
