List the targets before a recorded stream is resumed

What callers would see: a stream that they take up again goes on at a target which has started again under its id with other software.

Cause: the daemon that gets the request knows the version that began the stream, and looks for a target of that version in its own view, which lags: a watch pauses up to 0.5 s after changes, may be silent, and a daemon that was suspended sends before it has read what has changed meanwhile. Class: as for inferred versions, a view counts as current although nothing says so.

Why it works: the targets are listed by a call that is sent after the request has arrived, one for all requests of 300 ms. Where that fails, the request goes on with what is known after 0.8 s, as refusing it would lose streams while the store is away.

Cost: a listing in 300 ms for a daemon whose callers resume streams. Not covered: a target that starts again between the listing and the first event, a store that doesn't answer, and streams that a daemon itself sends on within one response.

--- a/packages/gateway/src/stream-directory.ts
+++ b/packages/gateway/src/stream-directory.ts
@@ -41,7 +41,7 @@
 /** Finds and records the beginnings of streams. */
 export interface StreamDirectory {
   readonly record: (beginning: routing.streamVersions.StreamBeginning) => void
-  /** Calls `done` once, immediately if this daemon has a record; undefined if no daemon is known to have one. */
+  /** Calls `done` once; undefined if no daemon is known to have a record of the stream. */
   readonly find: (stream: SoughtStream, done: (found: FoundBeginning | undefined) => void) => void
   readonly handleQuestion: (question: StreamQuestion) => void
   readonly handleAnswer: (answer: StreamAnswer) => void
@@ -71,6 +71,8 @@
    * as of a time after this call.
    */
   readonly reload: (done: (isCurrent: boolean) => void) => void
+  /** Lists the targets again, and calls `done` afterwards or after a short time. */
+  readonly listTargets: (done: () => void) => void
 }
 
 /** Interval at which the question is repeated, as datagrams are lost, ms. */
@@ -109,6 +111,11 @@
     done(beginning === undefined ? undefined : { beginning, source })
   }
 
+  /** Finishes once the targets are listed: one that has started again may have another version than the one that is known. */
+  function finishListed (beginning: routing.streamVersions.StreamBeginning, source: BeginningSource, done: Search['done']): void {
+    options.listTargets(() => { finish(beginning, source, done) })
+  }
+
   function end (search: Search, answered: routing.streamVersions.StreamBeginning | undefined): void {
     const { requestId, done } = search
     const others = searches.get(requestId) ?? []
@@ -116,7 +123,7 @@
     searches.set(requestId, others.filter((other) => other !== search))
     if (others.length === 1) searches.delete(requestId)
     if (answered !== undefined) {
-      finish(answered, 'peer', done)
+      finishListed(answered, 'peer', done)
       return
     }
     options.reload((isCurrent) => {
@@ -143,7 +150,7 @@
   function findOwn (requestId: string, done: Search['done']): boolean {
     const beginning = streams.find(requestId, now())
     if (beginning === undefined) return false
-    finish(beginning, 'own', done)
+    finishListed(beginning, 'own', done)
     return true
   }
 
--- a/packages/gateway/src/stream-records.ts
+++ b/packages/gateway/src/stream-records.ts
@@ -101,7 +101,11 @@
       if (lasting === undefined) done()
       else lasting.afterLoading(done)
     },
-    reload
+    reload,
+    listTargets: (done) => {
+      if (options.listTargets === undefined) done()
+      else listings.request(() => { done() })
+    }
   })
 
   function observe (targets: readonly routing.targetRegistry.VersionedTarget[]): void {
--- a/packages/gateway/tests/serving-fleet.ts
+++ b/packages/gateway/tests/serving-fleet.ts
@@ -195,7 +195,8 @@
       changed: () => {},
       onlyVersionOf: (service) => histories.get(daemon)?.onlyVersionOf(service, unixNow()),
       afterLoading: (done) => lastingStates.get(daemon)?.afterLoading(done),
-      reload: (done) => lastingStates.get(daemon)?.reload(done)
+      reload: (done) => lastingStates.get(daemon)?.reload(done),
+      listTargets: (done) => { done() }
     })
   }
 
--- a/packages/gateway/tests/stream-directory.test.ts
+++ b/packages/gateway/tests/stream-directory.test.ts
@@ -41,7 +41,8 @@
       changed: () => {},
       onlyVersionOf: () => undefined,
       afterLoading: (done) => { done() },
-      reload: (done) => { done(true) }
+      reload: (done) => { done(true) },
+      listTargets: (done) => { done() }
     })
     directory.find({ requestId: 'r-1', service: 'support' }, (result) => { results = [...results, [result?.beginning.version, result?.source]] })
     for (let round = 0; round < 4; round += 1) {
@@ -82,7 +83,8 @@
       reload: (done) => {
         streams.restore(routing.streamVersions.toStreamReport(known), 0)
         done(isCurrent)
-      }
+      },
+      listTargets: (done) => { done() }
     })
     directory.find({ requestId: 'r-1', service: 'support' }, (result) => { results.push(result?.beginning.version) })
     assert.equal(results, [found])
