Accept neither the end of a replaced target's stream nor one without an entry

What callers would see: a stream that ends as complete too early, or goes on at another software version.

Cause: the version was compared when events came, and not when the stream ended without any; and a target whose entry was removed counted as unchanged, although it may be back with other software before it registers.

Evidence: two tests of restarted-target.test.ts failed before: 200 and complete in place of a refusal, and an event of a target without an entry.

Why it works: an end counts like a first event. A stream that is bound to a version goes on only at a target whose entry states it, and the target is left out when the request is placed again, so that it isn't chosen again and again.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -205,10 +205,7 @@
 
   function handleEvents (response: targetClient.ResponseHead, chunk: Buffer): void {
     // Events that are followed count as forwarded.
-    if (!options.isVersionCurrent()) {
-      fail({ kind: 'replaced' })
-      return
-    }
+    if (!options.isVersionCurrent()) return fail({ kind: 'replaced' })
     const { events, fault } = takeUntilFault(responseContinuity.follow(splitter.push(chunk)))
     if (events.length > 0 && !options.onEvents(response, events)) exchange.pause()
     if (fault !== undefined) failStream(fault)
@@ -229,6 +226,7 @@
     if (head === undefined) return
     if (isRejection(options, head)) finish({ kind: 'rejected', status: head.status })
     else if (!isStream(head)) finish({ kind: 'answered', head, body: Buffer.concat(chunks) })
+    else if (!options.isVersionCurrent()) fail({ kind: 'replaced' })
     else if (splitter.pending().length > 0) finish({ kind: 'broken', message: 'the stream ended in the middle of an event' })
     else if (responseContinuity.isBehind()) failStream(new streamContinuity.Discontinuity(`the stream ended before event ${continuity.lastId()}, which the caller has`))
     else finish({ kind: 'streamed', head })
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -411,6 +411,7 @@
     const { context, request } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'cancelled' })
     context.log.request('target replaced', { request: request.requestId, target: this.target?.id, version: this.target?.version, sent: this.isSent, lastEvent: this.continuity.lastId() })
+    if (this.target !== undefined && this.binding.version !== undefined) this.excludedTargets.add(this.target.id)
     if (!this.isSent) this.placeAgain(this.mayHaveRun)
     else if (this.isRetryable && this.acquireRetry()) this.placeAgain(true)
     else this.refuse('broken')
--- a/packages/gateway/src/stream-binding.ts
+++ b/packages/gateway/src/stream-binding.ts
@@ -29,10 +29,14 @@
     return this.bound
   }
 
-  /** Whether a target still has the version for which it was chosen. A stream that can't be resumed may begin at any. */
+  /**
+   * Whether a target still has the version for which it was chosen. Without an entry that is not certain, so a bound stream can't
+   * go on there. A stream that can't be resumed may begin at any version.
+   */
   isCurrent (target: routing.targetRegistry.Target): boolean {
-    const version = this.request.route.resumable ? this.context.targets.versionOf(target.id) : undefined
-    return version === undefined || version === target.version
+    if (!this.request.route.resumable) return true
+    const version = this.context.targets.versionOf(target.id)
+    return version === undefined ? this.bound === undefined : version === target.version
   }
 
   /** Records the version when the first events of the stream are forwarded, so that it goes on only there. */
--- a/packages/gateway/tests/restarted-target.test.ts
+++ b/packages/gateway/tests/restarted-target.test.ts
@@ -27,6 +27,11 @@
   if (target !== undefined) fixture.gateway.applyTarget({ id, era: 1, revision, report: { startedMs, sequence: 1 }, target: { ...target, version } }, 'test')
 }
 
+function removeEntry (id: string): void {
+  revision += 1
+  fixture.gateway.applyTarget({ id, era: 1, revision, target: undefined }, 'test')
+}
+
 interface Breaks { readonly breaksOff: boolean }
 
 function sendEvent (arrival: fixtureModule.Arrival, response: http.ServerResponse, version: string, { breaksOff }: Breaks): void {
@@ -68,6 +73,26 @@
   assert.is(versionsIn(begun, resumed).length, 1, begun.body + resumed.body)
 })
 
+suite('a stream does not end as complete where a restarted target has nothing left of it', async () => {
+  fixture.script((arrival, response) => { sendEvent(arrival, response, 'v1', { breaksOff: false }) })
+  await fixture.call('/generate/7', { headers: { 'request-id': 'begun' }, disconnectAfterMs: STAY_MS })
+  fixture.script((arrival, response) => {
+    registerStart(arrival.target, 'v2', 2_000)
+    fixtureModule.beginStream(arrival, response)
+    response.end()
+  })
+  const resumed = await fixture.call('/generate/7', { headers: { 'last-event-id': '1', resumes: 'begun' } })
+  assert.is.not(resumed.status, 200)
+})
+
+suite('a resumed stream does not go on at a target without an entry, which may have any version', async () => {
+  fixture.script((arrival, response) => { sendEvent(arrival, response, 'v1', { breaksOff: false }) })
+  await fixture.call('/generate/7', { headers: { 'request-id': 'begun' }, disconnectAfterMs: STAY_MS })
+  for (const id of ['i-1', 'i-2']) removeEntry(id)
+  const resumed = await fixture.call('/generate/7', { headers: { 'last-event-id': '1', resumes: 'begun' }, disconnectAfterMs: STAY_MS })
+  assert.is(resumed.body, '')
+})
+
 suite('a resumed stream is not continued by a target that has started again with another version', async () => {
   fixture.script((arrival, response) => { sendEvent(arrival, response, 'v1', { breaksOff: false }) })
   const begun = await fixture.call('/generate/7', { headers: { 'request-id': 'begun' }, disconnectAfterMs: STAY_MS })
