Wait for a read again after a suspension

What callers would see: a daemon that was suspended while it listed the targets for a resumed stream wakes, ends the wait before it reads the answer that waits in its socket, and places the stream by its view from before.

Cause: the time of the suspension counted as waiting. Beside it, a read whose result never came kept all later ones from being sent.

Evidence: two tests of shared-reads.test.ts failed before ('a wait does not end by a suspension ...': ended with false; 'a read without a result ...': no second read) and pass. Found by the review.

Why it works: ticks come every 100 ms, so a longer time between two shows a suspension, and waits get their time anew. A read without a result counts as failed after 2 s, and one that is due is sent as soon as the one before has its result.

--- a/packages/gateway/src/shared-reads.ts
+++ b/packages/gateway/src/shared-reads.ts
@@ -29,9 +29,16 @@
 /** Maximum time for which a request waits, ms. */
 export const MAX_WAIT_MS = 800
 
+/** Time after which the next read is sent although one has no result, ms. */
+const READ_TIMEOUT_MS = 2_000
+
+/** Time between two ticks beyond which the process was suspended, ms. */
+const MAX_TICK_INTERVAL_MS = 400
+
 interface Waiting {
   readonly done: (isRead: boolean) => void
   readonly sinceMs: number
+  readonly untilMs: number
 }
 
 /**
@@ -45,8 +52,8 @@
  */
 export function createSharedReads ({ now, read, isNeeded }: Options): SharedReads {
   let waiting: readonly Waiting[] = []
-  let isReading = false
   let nextReadMs = -Infinity
+  let lastTickMs = now()
 
   /** Ends the waits for which the function returns true. */
   function release (isReleased: (each: Waiting) => boolean, isRead: boolean): void {
@@ -57,23 +64,33 @@
 
   function readWhenDue (): void {
     const begunMs = now()
-    if (isReading || begunMs < nextReadMs || (waiting.length === 0 && !isNeeded())) return
-    isReading = true
-    nextReadMs = begunMs + INTERVAL_MS
+    if (begunMs < nextReadMs || (waiting.length === 0 && !isNeeded())) return
+    const timeoutMs = begunMs + READ_TIMEOUT_MS
+    nextReadMs = timeoutMs
     read((isRead) => {
-      isReading = false
+      if (nextReadMs === timeoutMs) nextReadMs = begunMs + INTERVAL_MS
       if (isRead) release(({ sinceMs }) => sinceMs <= begunMs, true)
+      readWhenDue()
     })
   }
 
+  /** Extends the waits by the time in which the process was suspended, as the answers to their reads may wait in sockets. */
+  function extendBySuspension (nowMs: number): void {
+    const suspendedMs = nowMs - lastTickMs - MAX_TICK_INTERVAL_MS
+    lastTickMs = nowMs
+    if (suspendedMs > 0) waiting = waiting.map((each) => ({ ...each, untilMs: each.untilMs + suspendedMs + MAX_WAIT_MS }))
+  }
+
   return {
     request: (done) => {
-      waiting = [...waiting, { done, sinceMs: now() }]
+      const sinceMs = now()
+      waiting = [...waiting, { done, sinceMs, untilMs: sinceMs + MAX_WAIT_MS }]
       readWhenDue()
     },
     tick: () => {
       const nowMs = now()
-      release(({ sinceMs }) => nowMs - sinceMs > MAX_WAIT_MS, false)
+      extendBySuspension(nowMs)
+      release(({ untilMs }) => nowMs > untilMs, false)
       readWhenDue()
     }
   }
--- a/packages/gateway/tests/shared-reads.test.ts
+++ b/packages/gateway/tests/shared-reads.test.ts
@@ -9,6 +9,8 @@
   /** Functions that answer the reads that were sent, in their order. */
   readonly sent: readonly ((isRead: boolean) => void)[]
   readonly advance: (durationMs: number) => void
+  /** Lets time pass without a tick, and ticks then. */
+  readonly suspend: (durationMs: number) => void
   /** Results of the requests so far. */
   readonly results: readonly (readonly [request: string, isRead: boolean])[]
   readonly request: (name: string) => void
@@ -29,6 +31,10 @@
         reads.tick()
       }
     },
+    suspend: (durationMs) => {
+      nowMs += durationMs
+      reads.tick()
+    },
     request: (name) => { reads.request((isRead) => { results.push([name, isRead]) }) }
   }
 }
@@ -67,4 +73,22 @@
   assert.equal([results, sent.length > 1], [[['first', false]], true])
 })
 
+suite('a wait does not end by a suspension while the answer to its read is pending', () => {
+  const { sent, suspend, results, request } = createReads()
+  request('first')
+  suspend(2_000)
+  assert.equal(results, [])
+  sent[0]?.(true)
+  assert.equal(results, [['first', true]])
+})
+
+suite('a read without a result does not keep later ones from being sent', () => {
+  const { sent, advance, results, request } = createReads()
+  request('first')
+  advance(2_500)
+  request('second')
+  sent.at(-1)?.(true)
+  assert.equal(results, [['first', false], ['second', true]])
+})
+
 suite.run()
