Keep listings on demand apart from those of the watch

Why it works: only a listing from which the watch goes on moves the position; entries are compared by their own revisions as before.

--- a/packages/routing/src/target-registry.ts
+++ b/packages/routing/src/target-registry.ts
@@ -59,6 +59,8 @@
    * than what is known of them, and absent ones need not be gone.
    */
   readonly isProvisional: boolean
+  /** Whether the changes after it are watched, so that this daemon's position moves on to it. */
+  readonly isWatched: boolean
 }
 
 /** Time for which a target is used as a last resort after its entry was removed, ms. */
@@ -166,8 +168,8 @@
   const applyChange = (versioned: VersionedTarget, nowMs: number): boolean => applyIf(isLater, versioned, nowMs)
 
   function applyListing (listing: TargetListing, nowMs: number): void {
-    const { era, revision, targets, isProvisional } = listing
-    advanceTo(listing)
+    const { era, revision, targets, isProvisional, isWatched } = listing
+    if (isWatched) advanceTo(listing)
     const listedIds = new Set(targets.map((versioned) => versioned.id))
     for (const versioned of targets) applyIf(isProvisional ? isLaterState : isLater, versioned, nowMs)
     for (const [id, { versioned }] of [...entries]) {
--- a/packages/routing/tests/restored-store.test.ts
+++ b/packages/routing/tests/restored-store.test.ts
@@ -37,7 +37,7 @@
   suite(description, () => {
     const registry = routing.targetRegistry.createTargetRegistry()
     registry.applyChange({ id: 'i-1', ...held }, 0)
-    registry.applyListing({ era: 2, revision: 41, targets: listed === undefined ? [] : [{ id: 'i-1', ...listed }], isProvisional: true }, 0)
+    registry.applyListing({ era: 2, revision: 41, targets: listed === undefined ? [] : [{ id: 'i-1', ...listed }], isProvisional: true, isWatched: true }, 0)
     assert.equal(usableAddresses(registry), usable)
   })
 }
@@ -46,7 +46,7 @@
   const registry = routing.targetRegistry.createTargetRegistry()
   registry.applyChange({ id: 'i-1', ...stateOf(1, 90, [5, 30], undefined) }, 0)
   registry.applyChange({ id: 'i-2', ...stateOf(1, 91, [5, 30], MOVED) }, 0)
-  registry.applyListing({ era: 2, revision: 45, targets: [{ id: 'i-1', ...stateOf(2, 20, [5, 30], ENGINE) }], isProvisional: false }, 0)
+  registry.applyListing({ era: 2, revision: 45, targets: [{ id: 'i-1', ...stateOf(2, 20, [5, 30], ENGINE) }], isProvisional: false, isWatched: true }, 0)
   assert.equal(usableAddresses(registry), [ENGINE.address])
 })
 
@@ -138,7 +138,7 @@
   }
 
   listing (isProvisional: boolean): routing.targetRegistry.TargetListing {
-    return { era: this.era, revision: this.revision, targets: [...this.items.values()].map((item) => ({ ...item, era: this.era })), isProvisional }
+    return { era: this.era, revision: this.revision, targets: [...this.items.values()].map((item) => ({ ...item, era: this.era })), isProvisional, isWatched: true }
   }
 
   readyIds (): readonly string[] {
--- a/packages/routing/tests/target-registry.test.ts
+++ b/packages/routing/tests/target-registry.test.ts
@@ -34,8 +34,8 @@
 
 suite('a target whose entry was removed is not used while another is registered', () => {
   const registry = routing.targetRegistry.createTargetRegistry()
-  registry.applyListing({ targets: [{ id: 'i-1', era: 1, revision: 5, target: ENGINE_1 }, { id: 'i-2', era: 1, revision: 6, target: ENGINE_2 }], era: 1, revision: 6, isProvisional: false }, 0)
-  registry.applyListing({ targets: [{ id: 'i-2', era: 1, revision: 6, target: ENGINE_2 }], era: 1, revision: 9, isProvisional: false }, 10)
+  registry.applyListing({ targets: [{ id: 'i-1', era: 1, revision: 5, target: ENGINE_1 }, { id: 'i-2', era: 1, revision: 6, target: ENGINE_2 }], era: 1, revision: 6, isProvisional: false, isWatched: true }, 0)
+  registry.applyListing({ targets: [{ id: 'i-2', era: 1, revision: 6, target: ENGINE_2 }], era: 1, revision: 9, isProvisional: false, isWatched: true }, 10)
   assert.equal(usableIds(registry, 20), ['i-2'])
 })
 
@@ -43,7 +43,7 @@
   const registry = routing.targetRegistry.createTargetRegistry()
   registry.apply({ id: 'i-1', era: 1, revision: 5, target: ENGINE_1 }, 0)
   registry.apply({ id: 'i-1', era: 1, revision: 8, target: undefined }, 0)
-  registry.applyListing({ targets: [{ id: 'i-1', era: 1, revision: 5, target: ENGINE_1 }], era: 1, revision: 7, isProvisional: false }, 5_000)
+  registry.applyListing({ targets: [{ id: 'i-1', era: 1, revision: 5, target: ENGINE_1 }], era: 1, revision: 7, isProvisional: false, isWatched: true }, 5_000)
   assert.equal(usableIds(registry, 5_000), [])
 })
 
@@ -84,4 +84,12 @@
   assert.equal(usableIds(registry, 0), ['i-1'])
 })
 
+suite('a listing on demand does not move the position, of which peers would fetch all targets', () => {
+  const registry = routing.targetRegistry.createTargetRegistry()
+  const listing = { targets: [], era: 1, isProvisional: false }
+  registry.applyListing({ ...listing, revision: 7, isWatched: true }, 0)
+  registry.applyListing({ ...listing, revision: 9, isWatched: false }, 0)
+  assert.equal(registry.position(), { era: 1, revision: 7 })
+})
+
 suite.run()
