End the look-up of a stream at the deadline of its request

Evidence: resumption.test.ts never ended before, and passes.

Why it works: the look-up has the request's deadline. Not covered: a planned stop that ends meanwhile.

--- a/packages/gateway/src/resumption.ts
+++ b/packages/gateway/src/resumption.ts
@@ -6,6 +6,7 @@
 import * as neverthrow from 'neverthrow'
 import type * as admission from './admission.js'
 import type * as contextModule from './context.js'
+import * as pendingEvents from './pending-events.js'
 import type * as refusal from './refusal.js'
 
 /**
@@ -25,13 +26,20 @@
   }
   const services = context.resumableServices()
   const service = services.size === 1 ? [...services][0] : undefined
+  let isDone = false
+  const finish: typeof done = (bound) => {
+    clearTimeout(timer)
+    if (!isDone) done(bound)
+    isDone = true
+  }
+  const timer = pendingEvents.startTimer(() => { finish(neverthrow.err('timed-out-unsent')) }, request.limitMs - context.now())
   context.streams.find({ requestId: resumes, service }, (found) => {
     if (found === undefined) {
-      done(neverthrow.err('unknown-stream'))
+      finish(neverthrow.err('unknown-stream'))
       return
     }
     const { beginning: { service, version }, source } = found
-    if (!route.shares.some((share) => share.service === service)) done(neverthrow.err('version-gone'))
-    else done(neverthrow.ok({ ...request, service, version, versionSource: source }))
+    if (!route.shares.some((share) => share.service === service)) finish(neverthrow.err('version-gone'))
+    else finish(neverthrow.ok({ ...request, service, version, versionSource: source }))
   })
 }
