--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -153,6 +153,6 @@
  * ```
  */
 export function placementOptions (request: AdmittedRequest, progress: Progress): routing.poolEvent.PlacementOptions {
-  const { priority, head, route, limitMs, resubmitted, promptTokens, outputTokens, promptSegments } = request
-  return { priority, arrivedMs: head.arrivedMs, targetLatencyMs: route.targetLatencyMs, limitMs, resubmitted, promptTokens, outputTokens, promptSegments, ...progress }
+  const { priority, head, route, organisation, limitMs, resubmitted, promptTokens, outputTokens, promptSegments } = request
+  return { organisation: organisation?.name ?? '', organisationWeight: organisation?.weight ?? 1, priority, arrivedMs: head.arrivedMs, targetLatencyMs: route.targetLatencyMs, limitMs, resubmitted, promptTokens, outputTokens, promptSegments, ...progress }
 }
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -23,7 +23,7 @@
   readonly proof: string
   /** Present in a target's response if it has not run the request. */
   readonly notRun: string
-  /** Load that a target reports: running, waiting, slots. */
+  /** Load that a target reports: running, waiting, slots, and the work factor in hundredths. */
   readonly load: string
   /** Requests per second that a target in need accepts from all senders. */
   readonly requestLimit: string
@@ -80,19 +80,34 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  /** How long work takes there now: 1 is as usual, 2 twice as long. Undefined if the target does not report it. */
+  readonly workFactor: number | undefined
+}
+
+const HUNDREDTHS = 100
+
+/** A factor beyond these bounds is an error of the target: work neither takes no time nor a hundred times as long. */
+const MIN_WORK_FACTOR = 0.05
+const MAX_WORK_FACTOR = 100
+
+function toWorkFactor (hundredths: string | undefined): number | undefined {
+  const factor = Number(hundredths ?? NaN) / HUNDREDTHS
+  return factor >= MIN_WORK_FACTOR && factor <= MAX_WORK_FACTOR ? factor : undefined
 }
 
 /**
- * Parses a target's load; returns undefined if it is missing or malformed.
+ * Parses a target's load, of three figures or more; returns undefined if it is missing or malformed. The fourth figure is
+ * the work factor in hundredths, further ones are ignored.
  *
  * @example
  * ```ts
- * parseLoad('3,0,8') // { running: 3, waiting: 0, slots: 8 }
+ * parseLoad('3,0,8') // { running: 3, waiting: 0, slots: 8, workFactor: undefined }
+ * parseLoad('3,0,8,250') // { running: 3, waiting: 0, slots: 8, workFactor: 2.5 }
  * ```
  */
 export function parseLoad (text: string | undefined): ReportedLoad | undefined {
-  const match = /^(\d{1,6}),(\d{1,6}),(\d{1,6})$/.exec(text ?? '')
-  return match === null ? undefined : { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]) }
+  const match = /^(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,6}))?(?:,\d{1,15})*$/.exec(text ?? '')
+  return match === null ? undefined : { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]), workFactor: toWorkFactor(match[4]) }
 }
 
 /**
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -70,7 +70,7 @@
  * Format of reports. It rises when a field is added or changes. A build ignores fields that it does not know, and takes
  * missing ones as empty, so that builds of different formats run side by side.
  */
-export const REPORT_FORMAT = 2
+export const REPORT_FORMAT = 3
 
 const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], departures: [], pauses: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
 
@@ -88,7 +88,7 @@
   ready: isFlag,
   documentVersion: isAmount,
   targetsPosition: rowOf([isAmount, isAmount]),
-  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])) })),
+  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])), factors: optional(mapOf(rowOf([isAmount, isAmount]))) })),
   usedTokens: mapOf(isNumber),
   complete: isFlag,
   leavingTargets: listOf(isLeavingTarget),
--- a/packages/gateway/src/request-evidence.ts
+++ b/packages/gateway/src/request-evidence.ts
@@ -31,7 +31,7 @@
   private attempt: Attempt | undefined
   private isOnTrial = false
 
-  constructor (private readonly dependencies: Dependencies, private readonly traits: routing.suspects.Traits) {}
+  constructor (private readonly dependencies: Dependencies, private readonly traits: routing.crash.Traits) {}
 
   /** Decides whether the request may be placed. */
   admit (): routing.suspects.Verdict {
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as routing from '@persimmonhatch/routing'
+import type * as headerNames from './header-names.js'
 import type * as peerTable from './peer-table.js'
 
 /** Callbacks for one request. */
@@ -30,7 +31,7 @@
   /** Returns whether a request could be placed now at a target that it has not left and that is not stalled. */
   readonly hasAlternative: (service: string, request: routing.poolEvent.PlacementOptions) => boolean
   readonly handlePlacementEvent: (placement: Placement, event: PlacementEvent) => void
-  readonly applyReportedLoad: (service: string, target: string, load: { readonly running: number, readonly waiting: number, readonly slots: number }) => void
+  readonly applyReportedLoad: (service: string, target: string, load: headerNames.ReportedLoad) => void
   /** Applies whether the targets of a service say that they fall over when they have to reject many requests. */
   readonly applyBrittleness: (service: string, isBrittle: boolean) => void
   readonly applyPeerLoads: (peer: string, loads: Readonly<Record<string, routing.poolEvent.PeerLoad>>) => void
--- a/packages/gateway/src/state-checks.ts
+++ b/packages/gateway/src/state-checks.ts
@@ -22,6 +22,14 @@
 
 const isCount: reportChecks.Check = (value) => isAmount(value) && Number.isInteger(value) && Number(value) > 0
 
+const isScheduling: reportChecks.Check = (value) => value === 'adaptive' || value === 'basic'
+
+/** Weights beyond these bounds would leave an organisation without any share. */
+const MIN_WEIGHT = 0.01
+const MAX_WEIGHT = 100
+
+const isWeight: reportChecks.Check = (value) => isAmount(value) && Number(value) >= MIN_WEIGHT && Number(value) <= MAX_WEIGHT
+
 const isTargetShape = fieldsOf({ id: isHeaderText, service: isText, address: isEndpoint, availabilityZone: isText, version: isText, slots: isCount, leaving: isFlag })
 
 /** A report that can be sent on to peers. */
@@ -46,11 +54,12 @@
 const isDocumentShape = fieldsOf({
   version: isAmount,
   routes: listOf(isRouteShape),
-  services: listOf(fieldsOf({ name: isText, connections: isAmount, engine: optional(fieldsOf({ slots: isAmount, memoryTokens: isAmount, tokensPerEvent: isAmount })) })),
+  services: listOf(fieldsOf({ name: isText, connections: isAmount, engine: optional(fieldsOf({ slots: isAmount, memoryTokens: isAmount, tokensPerEvent: isAmount })), scheduling: optional(isScheduling) })),
   organisations: listOf(fieldsOf({
     name: isHeaderText,
     keys: listOf(isText),
     priority: optional(isAmount),
+    weight: optional(isWeight),
     cap: optional(fieldsOf({ tokensPerS: isAmount, burst: isAmount })),
     plainTokens: isAmount
   })),
--- a/packages/gateway/src/traits.ts
+++ b/packages/gateway/src/traits.ts
@@ -25,6 +25,6 @@
  * const { content, segments } = traitsOf(request, body)
  * ```
  */
-export function traitsOf (request: admission.AdmittedRequest, body: Buffer | undefined): routing.suspects.Traits {
+export function traitsOf (request: admission.AdmittedRequest, body: Buffer | undefined): routing.crash.Traits {
   return { content: fingerprintOf(request, body), segments: [...new Set(request.promptSegments.slice(0, -1))] }
 }
--- a/packages/gateway/tests/message-formats.test.ts
+++ b/packages/gateway/tests/message-formats.test.ts
@@ -28,7 +28,7 @@
   return [`${path}: ${value === null ? 'null' : typeof value}`]
 }
 
-for (const format of [1, gateway.peerMessages.REPORT_FORMAT]) {
+for (const format of [1, 2, gateway.peerMessages.REPORT_FORMAT]) {
   suite(`a report of format ${format} is read whole`, () => {
     const message = readMessage(format)
     const report = gateway.peerMessages.parseReport(message)
--- a/packages/gateway/tests/parsing.test.ts
+++ b/packages/gateway/tests/parsing.test.ts
@@ -18,6 +18,22 @@
   suite(`tokens ${String(text)}`, () => assert.equal(gateway.headerNames.parseTokens(text), use))
 }
 
+const LOADS: readonly (readonly [text: string | undefined, load: gateway.headerNames.ReportedLoad | undefined])[] = [
+  ['3,0,8', { running: 3, waiting: 0, slots: 8, workFactor: undefined }],
+  ['3,0,8,250', { running: 3, waiting: 0, slots: 8, workFactor: 2.5 }],
+  ['3,0,8,100,7,12', { running: 3, waiting: 0, slots: 8, workFactor: 1 }],
+  ['3,0,8,0', { running: 3, waiting: 0, slots: 8, workFactor: undefined }],
+  ['3,0,8,999999', { running: 3, waiting: 0, slots: 8, workFactor: undefined }],
+  ['3,0,8,-5', undefined],
+  ['3,0,8,fast', undefined],
+  ['3,0', undefined],
+  [undefined, undefined]
+]
+
+for (const [text, load] of LOADS) {
+  suite(`load ${String(text)}: a further figure does not make the others unreadable`, () => assert.equal(gateway.headerNames.parseLoad(text), load))
+}
+
 const LIMITS: readonly (readonly [text: string | undefined, requestsPerS: number | undefined])[] = [
   ['2.8', 2.8],
   ['0', 0],
--- a/packages/gateway/tests/placements.ts
+++ b/packages/gateway/tests/placements.ts
@@ -6,6 +6,8 @@
 /** Returns a placement request that waits for long. */
 export function placementOptions (nowMs: number): routing.poolEvent.PlacementOptions {
   return {
+    organisation: '',
+    organisationWeight: 1,
     priority: 0,
     arrivedMs: nowMs,
     targetLatencyMs: 10_000,
--- a/packages/gateway/tests/report-size.test.ts
+++ b/packages/gateway/tests/report-size.test.ts
@@ -8,7 +8,7 @@
 
 const suite = uvu.suite('report size')
 
-function crashOf (nowMs: number, content: string, segments: readonly string[], target = 'i-0123456789'): routing.suspects.Crash {
+function crashOf (nowMs: number, content: string, segments: readonly string[], target = 'i-0123456789'): routing.crash.Crash {
   return { content: content.padEnd(10, '-'), segments: segments.map((segment) => segment.padEnd(12, '0')), target, sentMs: nowMs - 150, atMs: nowMs }
 }
 
--- a/packages/gateway/tests/tainted-fleet.test.ts
+++ b/packages/gateway/tests/tainted-fleet.test.ts
@@ -38,7 +38,7 @@
   readonly daemon: number
   readonly target: number
   readonly sentMs: number
-  readonly traits: routing.suspects.Traits
+  readonly traits: routing.crash.Traits
   readonly isTainted: boolean
 }
 
--- a/packages/routing/src/cell.ts
+++ b/packages/routing/src/cell.ts
@@ -10,7 +10,7 @@
  * @module
  */
 import * as membership from '@persimmonhatch/membership'
-import * as rateShare from './rate-share.js'
+import * as rateShare from './limits/rate-share.js'
 import type * as targetRegistry from './target-registry.js'
 
 /** Intended number of daemons in a cell. */
--- a/packages/routing/src/document.ts
+++ b/packages/routing/src/document.ts
@@ -51,6 +51,11 @@
   readonly connections: number
   /** Undefined for plain services. */
   readonly engine: Engine | undefined
+  /**
+   * `adaptive`: capacity is shared fairly between organisations, waits follow from work, and the concurrency limit of each
+   * target is learned. Undefined is adaptive as soon as a target of the service reports a work factor.
+   */
+  readonly scheduling?: 'adaptive' | 'basic' | undefined
 }
 
 /** Rate limit of an organisation over all daemons. */
@@ -66,6 +71,8 @@
   /** Takes precedence over the route's priority. */
   readonly priority: number | undefined
   readonly cap: Cap | undefined
+  /** Weight when capacity is shared between organisations, from 0.01 to 100; undefined is 1. */
+  readonly weight?: number | undefined
   /** Tokens charged for a request that states no token counts. */
   readonly plainTokens: number
 }
--- a/packages/routing/src/crash-table.ts
+++ b/packages/routing/src/evidence/crash-table.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type * as suspects from './suspects.js'
+import type * as crash from './crash.js'
 
 /** Number of crashes behind each other after which a trait is refused. */
 const CRASHES_TO_REFUSE = 3
@@ -26,28 +26,28 @@
 /** Maximum number of crashes that are evidence against one trait. */
 const MAX_CRASHES_OF_TRAIT = 64
 
-interface RecordedCrash extends suspects.Crash {
-  readonly source: suspects.Source
+interface RecordedCrash extends crash.Crash {
+  readonly source: crash.Source
   readonly recordedMs: number
 }
 
 /** The crashes. */
 export interface CrashTable {
   /** Returns whether a crash is not known yet, and makes it known. */
-  readonly isNew: (crash: suspects.Crash) => boolean
+  readonly isNew: (crash: crash.Crash) => boolean
   /** Adds a crash as evidence. */
-  readonly add: (crash: suspects.Crash, source: suspects.Source, nowMs: number) => void
+  readonly add: (crash: crash.Crash, source: crash.Source, nowMs: number) => void
   readonly has: (trait: string) => boolean
   /** Removes the crashes with a trait. */
   readonly removeWith: (trait: string) => void
   /** Clears a trait of the crashes before a time; returns whether there was one. */
   readonly clearBefore: (trait: string, beforeMs: number) => boolean
   /** Returns the trait of a crash that is to be refused, if there is one. */
-  readonly convict: (crash: suspects.Crash, lastAnswerMs: (trait: string) => number) => string | undefined
+  readonly convict: (crash: crash.Crash, lastAnswerMs: (trait: string) => number) => string | undefined
   /** Returns whether a trait has all but one of the crashes after which it is refused. */
-  readonly isDoubtful: (traits: suspects.Traits, lastAnswerMs: (trait: string) => number) => boolean
+  readonly isDoubtful: (traits: crash.Traits, lastAnswerMs: (trait: string) => number) => boolean
   /** Returns the crashes that sources have reported since a time; those with the most crashes of a trait come first. */
-  readonly select: (sources: readonly suspects.Source[], sinceMs: number, maxCrashes: number) => readonly suspects.Crash[]
+  readonly select: (sources: readonly crash.Source[], sinceMs: number, maxCrashes: number) => readonly crash.Crash[]
 }
 
 interface Evidence {
@@ -57,7 +57,7 @@
 }
 
 /** Counts the recent crashes behind each other: each in a request that was sent after the crash before. */
-function evidenceOf (allCrashes: readonly suspects.Crash[]): Evidence {
+function evidenceOf (allCrashes: readonly crash.Crash[]): Evidence {
   const latestMs = Math.max(...allCrashes.map(({ atMs }) => atMs))
   const crashes = allCrashes.filter(({ atMs }) => latestMs - atMs < CRASH_RETENTION_MS)
   let counted = 0
@@ -131,7 +131,7 @@
   /** Times of the crashes by content and target. */
   const known = new Map<string, number>()
 
-  function isNew (crash: suspects.Crash): boolean {
+  function isNew (crash: crash.Crash): boolean {
     const key = `${crash.content} ${crash.target}`
     const knownMs = known.get(key)
     if (knownMs !== undefined && Math.abs(knownMs - crash.atMs) < SAME_CRASH_MS) return false
@@ -153,7 +153,7 @@
     return evidenceOf(index.crashesOf(trait).filter(({ atMs }) => atMs > answeredMs))
   }
 
-  function convict ({ content, segments }: suspects.Crash, lastAnswerMs: (trait: string) => number): string | undefined {
+  function convict ({ content, segments }: crash.Crash, lastAnswerMs: (trait: string) => number): string | undefined {
     // The segment whose last answer is the oldest is the most suspicious, then the most specific one. A segment that
     // stands beside several tainted ones reaches the number of crashes before each of them does.
     const decisive = segments
@@ -165,7 +165,7 @@
     return evidence(content, lastAnswerMs).crashes >= CRASHES_TO_REFUSE ? content : undefined
   }
 
-  function select (sources: readonly suspects.Source[], sinceMs: number, maxCrashes: number): readonly suspects.Crash[] {
+  function select (sources: readonly crash.Source[], sinceMs: number, maxCrashes: number): readonly crash.Crash[] {
     return index.crashes()
       .filter(({ recordedMs, source }) => recordedMs >= sinceMs && sources.includes(source))
       .map((crash) => ({ crash, weight: Math.max(index.countOf(crash.content), ...crash.segments.map((segment) => index.countOf(segment))) }))
--- a/packages/routing/src/suspects.ts
+++ b/packages/routing/src/evidence/suspects.ts
@@ -8,6 +8,7 @@
  *
  * @module
  */
+import type * as crash from './crash.js'
 import * as crashTable from './crash-table.js'
 
 /** Time for which a trait is refused after its last crash, ms. Doubles with each crash after such a time. */
@@ -30,24 +31,6 @@
 /** Maximum number of traits of which it is known when an answer last began. */
 const MAX_ANSWERED = 2_000
 
-/** Who reported: this daemon itself, a member of its cell, or another cell. */
-export type Source = 'own' | 'cell' | 'fleet'
-
-/** What may make a request crash its targets. */
-export interface Traits {
-  /** Fingerprint of the whole content. */
-  readonly content: string
-  /** Segments of the prompt that other requests may have too. */
-  readonly segments: readonly string[]
-}
-
-/** A request that was in flight at a target that broke off before it had begun to answer. */
-export interface Crash extends Traits {
-  readonly target: string
-  readonly sentMs: number
-  readonly atMs: number
-}
-
 /** A trait that is refused. */
 export interface RefusedTrait {
   readonly trait: string
@@ -71,7 +54,7 @@
 
 /** Selects rows for a report. */
 export interface Selection {
-  readonly sources: readonly Source[]
+  readonly sources: readonly crash.Source[]
   /** Rows recorded before this time are left out, ms. */
   readonly sinceMs: number
   /** Whether refused traits are included whenever they were recorded. */
@@ -88,10 +71,10 @@
   readonly atMs: number
   /** Time at which the answer refuted crashes, for reports. */
   readonly refutedMs: number | undefined
-  readonly source: Source
+  readonly source: crash.Source
 }
 
-function traitsOf ({ content, segments }: Traits): readonly string[] {
+function traitsOf ({ content, segments }: crash.Traits): readonly string[] {
   return [content, ...segments]
 }
 
@@ -130,7 +113,7 @@
 
   constructor (private readonly onChange: (trait: RefusedTrait, isRefused: boolean) => void = () => {}) {}
 
-  recordCrash (crash: Crash, source: Source, nowMs: number): void {
+  recordCrash (crash: crash.Crash, source: crash.Source, nowMs: number): void {
     if (!this.crashes.isNew(crash) || this.recordAgain(crash, nowMs)) return
     this.crashes.add(crash, source, nowMs)
     const trait = this.crashes.convict(crash, this.lastAnswerMs)
@@ -138,14 +121,14 @@
   }
 
   /** Records that a target has begun to answer a request; `begunMs` is when. */
-  recordAnswer (traits: Traits, begunMs: number, nowMs: number): void {
+  recordAnswer (traits: crash.Traits, begunMs: number, nowMs: number): void {
     for (const trait of traits.segments) this.answer(trait, begunMs, 'own', nowMs)
     // Contents are seldom repeated, so only those with evidence are remembered.
     if (this.crashes.has(traits.content) || this.refusals.has(traits.content)) this.answer(traits.content, begunMs, 'own', nowMs)
   }
 
   /** Decides whether a request may be sent. `isArbiter` tells whether this daemon may try a refused trait. */
-  admit (traits: Traits, nowMs: number, isArbiter: (trait: string) => boolean): Verdict {
+  admit (traits: crash.Traits, nowMs: number, isArbiter: (trait: string) => boolean): Verdict {
     const refusals = traitsOf(traits).flatMap((trait) => this.currentRefusal(trait, nowMs) ?? [])
     for (const refusal of refusals) {
       const remainingMs = refusal.lastCrashMs + durationMs(refusal) - nowMs
@@ -156,12 +139,12 @@
   }
 
   /** Returns the refused trait of a request that was admitted earlier, if there is one. */
-  refusedTrait (traits: Traits, nowMs: number): string | undefined {
+  refusedTrait (traits: crash.Traits, nowMs: number): string | undefined {
     return traitsOf(traits).find((trait) => this.currentRefusal(trait, nowMs) !== undefined)
   }
 
   /** Returns whether a request should not be repeated, as one more crash would refuse one of its traits. */
-  isDoubtful (traits: Traits): boolean {
+  isDoubtful (traits: crash.Traits): boolean {
     return this.crashes.isDoubtful(traits, this.lastAnswerMs)
   }
 
@@ -188,7 +171,7 @@
     }
   }
 
-  applyReport (report: SuspectReport, source: Source, nowMs: number): void {
+  applyReport (report: SuspectReport, source: crash.Source, nowMs: number): void {
     for (const [trait, ageMs] of report.answered ?? []) this.answer(trait, nowMs - ageMs, source, nowMs)
     for (const [trait, ageMs, refusals] of report.refused ?? []) this.adopt({ trait, lastCrashMs: nowMs - ageMs, refusals }, nowMs)
     for (const [target, sentAgeMs, ageMs, content, ...segments] of report.crashes ?? []) {
@@ -223,7 +206,7 @@
   }
 
   /** Records a crash of a refused trait; returns whether there is one. */
-  private recordAgain (crash: Crash, nowMs: number): boolean {
+  private recordAgain (crash: crash.Crash, nowMs: number): boolean {
     const refusal = traitsOf(crash).map((trait) => this.currentRefusal(trait, nowMs)).find((found) => found !== undefined)
     if (refusal === undefined) return false
     const { trait, lastCrashMs, refusals } = refusal
@@ -233,7 +216,7 @@
     return true
   }
 
-  private answer (trait: string, begunMs: number, source: Source, nowMs: number): void {
+  private answer (trait: string, begunMs: number, source: crash.Source, nowMs: number): void {
     if (begunMs <= this.lastAnswerMs(trait)) return
     const refusal = this.refusals.get(trait)
     const refutesRefusal = refusal !== undefined && refusal.lastCrashMs < begunMs
--- a/packages/routing/src/pool-event.ts
+++ b/packages/routing/src/placement/pool-event.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import type * as cell from './cell.js'
+import type * as cell from '../cell.js'
 import type * as obstacle from './obstacle.js'
-import type * as rateShare from './rate-share.js'
-import type * as targetRegistry from './target-registry.js'
+import type * as rateShare from '../limits/rate-share.js'
+import type * as targetRegistry from '../target-registry.js'
 
 /** A request to be placed at a target. */
 export interface PlacementRequest {
@@ -19,6 +19,10 @@
   readonly limitMs: number
   /** Whether the caller was refused before and has sent the request again. */
   readonly resubmitted: boolean
+  /** Name of the caller's organisation; empty if it has none. */
+  readonly organisation: string
+  /** Weight of the organisation when capacity is shared. */
+  readonly organisationWeight: number
   readonly promptTokens: number
   readonly outputTokens: number
   /** Prompt segments in order; the last one is specific to the request or its session. */
@@ -45,6 +49,8 @@
   readonly targets: Readonly<Record<string, readonly [running: number, promptTokens: number]>>
   /** Requests waiting at this peer: rank, number, and how long the oldest has waited, ms. */
   readonly waiting: readonly (readonly [rank: number, count: number, oldestMs: number])[]
+  /** Work factors that targets have reported to this peer recently, in hundredths, and their ages, by target. */
+  readonly factors?: Readonly<Record<string, readonly [hundredths: number, ageMs: number]>>
 }
 
 /** An input of a pool. */
@@ -54,7 +60,7 @@
   | { readonly kind: 'first-event', readonly id: number }
   | { readonly kind: 'next-event', readonly id: number, readonly intervalMs: number }
   | { readonly kind: 'ended', readonly id: number, readonly outcome: RequestOutcome }
-  | { readonly kind: 'load-reported', readonly target: string, readonly running: number, readonly waiting: number, readonly slots: number }
+  | { readonly kind: 'load-reported', readonly target: string, readonly running: number, readonly waiting: number, readonly slots: number, readonly workFactor?: number | undefined }
   | { readonly kind: 'targets', readonly targetShares: readonly cell.TargetShare[], readonly cellPosition?: rateShare.RingPosition }
   /** Whether the targets of the service fall over when they have to reject many requests. */
   | { readonly kind: 'brittle', readonly isBrittle: boolean }
--- a/packages/routing/src/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -7,14 +7,19 @@
  *
  * @module
  */
-import type * as document from './document.js'
+import type * as document from '../document.js'
 import * as obstacle from './obstacle.js'
 import type * as poolEvent from './pool-event.js'
-import type * as rateShare from './rate-share.js'
-import * as slotShare from './slot-share.js'
-import type * as targetPauses from './target-pauses.js'
+import type * as rateShare from '../limits/rate-share.js'
+import * as slotLimits from '../limits/slot-limits.js'
+import type * as targetPauses from '../limits/target-pauses.js'
+import * as queueOrder from '../shares/queue-order.js'
+import * as snapshotModule from './snapshot.js'
+import * as targetChoice from './target-choice.js'
 import * as targetRecord from './target-record.js'
+import * as waitEstimate from './wait-estimate.js'
 import * as waitingOrder from './waiting-order.js'
+import * as workFactor from './work-factor.js'
 
 /** Settings of a pool. */
 export interface Options {
@@ -24,33 +29,12 @@
   readonly pauses?: Pick<targetPauses.TargetPauses, 'untilMs' | 'maxInFlight'> | undefined
 }
 
-/** Weight of the generation time relative to the time to the first event when targets are scored. */
-const GENERATION_WEIGHT = 0.15
-
-/** Maximum share of a request's remaining time that its generation may take at a target. */
-const MAX_GENERATION_SHARE = 0.9
-
-/** Score penalty for a target at which every request fails, ms. */
-const FAILURE_PENALTY_MS = 400
-
 /** Initial estimate of the time that a request takes at an engine, ms. */
 const INITIAL_SERVICE_TIME_MS = 900
 
 /** Initial estimate of the time that a request takes at a plain service, ms. */
 const INITIAL_PLAIN_SERVICE_TIME_MS = 60
 
-/** Expected time of a plain response when deciding whether a request is late, ms. */
-const EXPECTED_PLAIN_RESPONSE_MS = 30
-
-/** Requests queued at an engine, as a share of its slots; they keep it busy until the report of a free slot arrives. */
-const ENGINE_QUEUE_SHARE = 0.17
-
-/** Factor on a daemon's fair share of a target's slots while at most half of the daemons are reachable. */
-const ISOLATED_SHARE_FACTOR = 1.5
-
-/** Minimum number of requests that a daemon, or its cell, may have at a target. */
-const MIN_CONCURRENCY_LIMIT = 2
-
 /** Weight of a new sample in the moving average of service times. */
 const SMOOTHING_FACTOR = 0.1
 
@@ -58,56 +42,9 @@
 const ENGINE_SILENCE_MS = 1_000
 const PLAIN_SILENCE_MS = 400
 
-const MS_PER_S = 1_000
-
-/** Rank of retries and resumed streams, which lose what was generated if they are refused. */
-const FIRST_RANK = -1
-
 /** Maximum expected wait in the figures, ms. */
 const MAX_REPORTED_WAIT_MS = 1_000_000
 
-/** A target that may receive new requests. */
-interface Candidate {
-  readonly record: targetRecord.TargetRecord
-  readonly isEjected: boolean
-  readonly inFlight: number
-  readonly freeSlots: number
-  /** Requests that this daemon may send, by the limit of the target's request rate and the pause that it asks for. */
-  readonly allowedSends: number
-  /** Time until the pause that the target asks for ends, ms; 0 if it asks for none. */
-  readonly pauseMs: number
-}
-
-/** State of the targets at one moment, used for placement. */
-interface PoolSnapshot {
-  readonly nowMs: number
-  readonly candidates: readonly Candidate[]
-  /** The target with the shortest time to the first event. */
-  readonly fastest: targetRecord.TargetRecord | undefined
-  /** Slots that may be used; a limited target has only those that its request rate fills. */
-  readonly slots: number
-  readonly sendLimit: SendLimit | undefined
-  /** Time until the first pause ends if all targets have asked for one, ms; 0 otherwise. */
-  readonly pauseMs: number
-}
-
-/** What this daemon may send while all usable targets are limited. */
-interface SendLimit {
-  readonly requestsPerS: number
-  /** Time until the next request may be sent, ms. */
-  readonly waitMs: number
-}
-
-/** Requests that are placed before another: at this daemon alone, and here and at peers. */
-interface QueuePosition {
-  readonly aheadHere: number
-  readonly ahead: number
-}
-
-function isOfVersion ({ target }: targetRecord.TargetRecord, version: string | undefined): boolean {
-  return version === undefined || target.version === version
-}
-
 type Decisions = Generator<poolEvent.PoolDecision, void>
 
 /**
@@ -128,6 +65,7 @@
   private service: document.Service
   private serviceTimeMs: number
   private hasBrittleTargets = false
+  private hasWorkFactors = false
   private cellPosition: rateShare.RingPosition = { index: 0, members: 1 }
 
   constructor (private readonly options: Options) {
@@ -162,7 +100,14 @@
       const [, count, oldestMs] = waiting.get(rank) ?? [0, 0, 0]
       waiting.set(rank, [rank, count + 1, Math.max(oldestMs, Math.round(nowMs - request.arrivedMs))])
     }
-    return { targets, waiting: [...waiting.values()] }
+    return { targets, waiting: [...waiting.values()], ...this.hasWorkFactors ? { factors: this.reportedFactors(nowMs) } : {} }
+  }
+
+  private reportedFactors (nowMs: number): Readonly<Record<string, workFactor.ReportedFactor>> {
+    return Object.fromEntries([...this.records].flatMap(([id, record]) => {
+      const reported = record.workFactor.report(nowMs)
+      return reported === undefined ? [] : [[id, reported] as const]
+    }))
   }
 
   /** Returns the requests at targets that have sent nothing for `stallMs`. */
@@ -182,6 +127,11 @@
     for (const record of this.records.values()) record.restartSilence(nowMs)
   }
 
+  /** Whether capacity is shared fairly, waits follow from work and limits are learned; otherwise the service is served as it was before. */
+  get isAdaptive (): boolean {
+    return (this.service.scheduling ?? (this.hasWorkFactors ? 'adaptive' : 'basic')) === 'adaptive'
+  }
+
   /** Whether the targets say that they fall over when they have to reject many requests. */
   get isBrittle (): boolean {
     return this.hasBrittleTargets
@@ -203,7 +153,7 @@
       case 'first-event':
       case 'next-event': this.recordEvent(event, nowMs); break
       case 'ended': this.end(event.id, event.outcome, nowMs); break
-      case 'load-reported': this.records.get(event.target)?.applyReportedLoad(event.running + event.waiting, nowMs); break
+      case 'load-reported': this.applyReportedLoad(event, nowMs); break
       case 'targets': this.setTargets(event, nowMs); break
       case 'brittle': this.hasBrittleTargets = event.isBrittle; break
       case 'peer-load': this.applyPeerLoad(event.peer, event.load, nowMs); break
@@ -212,9 +162,23 @@
     }
   }
 
+  private applyReportedLoad (event: Extract<poolEvent.PoolEvent, { readonly kind: 'load-reported' }>, nowMs: number): void {
+    const record = this.records.get(event.target)
+    record?.applyReportedLoad(event.running + event.waiting, nowMs)
+    if (event.workFactor === undefined) return
+    this.hasWorkFactors = true
+    record?.workFactor.record(event.workFactor, nowMs)
+  }
+
   private applyPeerLoad (peer: string, load: poolEvent.PeerLoad, nowMs: number): void {
     this.peerQueues.set(peer, { waiting: load.waiting, atMs: nowMs })
-    for (const [id, record] of this.records) record.applyPeerLoad(peer, Object.hasOwn(load.targets, id) ? load.targets[id] : undefined, nowMs)
+    const factors = load.factors ?? {}
+    if (Object.keys(factors).length > 0) this.hasWorkFactors = true
+    for (const [id, record] of this.records) {
+      record.applyPeerLoad(peer, Object.hasOwn(load.targets, id) ? load.targets[id] : undefined, nowMs)
+      const reported = Object.hasOwn(factors, id) ? factors[id] : undefined
+      if (reported !== undefined) record.workFactor.record(...workFactor.factorOf(reported, nowMs))
+    }
   }
 
   private recordEvent (event: Extract<poolEvent.PoolEvent, { readonly kind: 'first-event' | 'next-event' }>, nowMs: number): void {
@@ -257,49 +221,22 @@
     if (outcome === 'unreachable') record.eject(nowMs)
   }
 
-  /** Returns the maximum number of requests at a target from all daemons. */
-  private concurrencyLimit (record: targetRecord.TargetRecord): number {
-    const { slots } = record.target
-    return this.service.engine === undefined ? slots : slots + Math.floor(ENGINE_QUEUE_SHARE * slots)
-  }
-
-  /** Returns the maximum number of requests at a target from this daemon and the peers whose reports it receives. */
-  private cellConcurrencyLimit (record: targetRecord.TargetRecord): number {
-    const { slots } = record.target
-    const { reachable, daemons } = this.fleet
-    if (reachable * 2 <= daemons) return Math.min(slots, Math.max(MIN_CONCURRENCY_LIMIT, Math.ceil(ISOLATED_SHARE_FACTOR * slots * reachable / daemons)))
-    return record.share === 1 ? this.concurrencyLimit(record) : Math.max(MIN_CONCURRENCY_LIMIT, Math.round(record.share * this.concurrencyLimit(record)))
+  private get isEngine (): boolean {
+    return this.service.engine !== undefined
   }
 
-  private ownSlots ({ target, share }: targetRecord.TargetRecord): number {
-    return slotShare.ownSlots({ target: target.id, slots: share * target.slots }, this.cellPosition)
+  private waitConditions (): waitEstimate.Conditions {
+    return { isEngine: this.isEngine, serviceTimeMs: this.serviceTimeMs }
   }
 
-  private freeSlotsAt (record: targetRecord.TargetRecord, nowMs: number): number {
-    if (this.isBrittle) return Math.max(0, this.ownSlots(record) - record.ownRequestIds.length)
-    const availableByReports = this.cellConcurrencyLimit(record) - record.peerReportedOccupancy(nowMs)
-    return Math.max(0, Math.min(availableByReports, this.concurrencyLimit(record) - record.targetReportedOccupancy(nowMs)))
+  private slotConditions (): slotLimits.Conditions {
+    const { isEngine, isBrittle, cellPosition, serviceTimeMs } = this
+    return { isEngine, isBrittle, reachableDaemons: this.fleet.reachable, daemons: this.fleet.daemons, cellPosition, serviceTimeMs }
   }
 
-  /** Returns the slots that a target fills with the requests that its rate allows. */
-  private usableSlots (record: targetRecord.TargetRecord): number {
-    const { target, share, limit } = record
-    if (this.isBrittle) return this.ownSlots(record)
-    return share * Math.min(target.slots, (limit?.requestsPerS ?? Infinity) * this.serviceTimeMs / MS_PER_S)
-  }
-
-  private sendLimit (candidates: readonly Candidate[], nowMs: number): SendLimit | undefined {
-    const healthy = candidates.filter(({ isEjected }) => !isEjected)
-    const limited = healthy.filter(({ record }) => record.limit !== undefined)
-    if (limited.length === 0 || limited.length < healthy.length) return undefined
-    return {
-      requestsPerS: limited.reduce((sum, { record }) => sum + (record.limit?.ownRequestsPerS ?? 0), 0),
-      waitMs: Math.min(...limited.map(({ record }) => record.sendWaitMs(nowMs)))
-    }
-  }
-
-  private snapshot (nowMs: number): PoolSnapshot {
-    const candidates: Candidate[] = []
+  private snapshot (nowMs: number): snapshotModule.PoolSnapshot {
+    const conditions = this.slotConditions()
+    const candidates: snapshotModule.Candidate[] = []
     let fastest: targetRecord.TargetRecord | undefined
     let slots = 0
     for (const record of this.records.values()) {
@@ -308,86 +245,34 @@
       const { pauses } = this.options
       const allowedSends = Math.max(0, Math.min(record.allowedSends(nowMs), (pauses?.maxInFlight(id, nowMs) ?? Infinity) - record.ownRequestIds.length))
       const pauseMs = Math.max(0, (pauses?.untilMs(id, nowMs) ?? 0) - nowMs)
-      candidates.push({ record, isEjected: record.isEjected(nowMs), inFlight: record.occupancy(nowMs), freeSlots: Math.min(allowedSends, this.freeSlotsAt(record, nowMs)), allowedSends, pauseMs })
-      if (pauseMs === 0) slots += this.usableSlots(record)
+      candidates.push({ record, isEjected: record.isEjected(nowMs), inFlight: record.occupancy(nowMs), freeSlots: Math.min(allowedSends, slotLimits.freeSlotsAt(record, conditions, nowMs)), allowedSends, pauseMs })
+      if (pauseMs === 0) slots += slotLimits.usableSlots(record, conditions)
       if (fastest === undefined || record.estimate.firstEventMs(0) < fastest.estimate.firstEventMs(0)) fastest = record
     }
     const pauseMs = candidates.length === 0 ? 0 : Math.min(...candidates.map((candidate) => candidate.pauseMs))
-    return { nowMs, candidates, fastest, slots, sendLimit: this.sendLimit(candidates, nowMs), pauseMs }
-  }
-
-  /** Returns the expected time from dispatch to the first event, or to a plain response, at the fastest target. */
-  private expectedFirstMs (request: poolEvent.PlacementRequest, snapshot: PoolSnapshot): number {
-    if (this.service.engine === undefined) return EXPECTED_PLAIN_RESPONSE_MS
-    return snapshot.fastest?.estimate.firstEventMs(request.promptTokens) ?? 0
-  }
-
-  private rankOf (request: poolEvent.PlacementRequest, snapshot: PoolSnapshot): number {
-    return waitingOrder.rankOf(request, waitingOrder.isLate(request, this.expectedFirstMs(request, snapshot), snapshot.nowMs))
+    return { nowMs, candidates, fastest, slots, sendLimit: snapshotModule.sendLimitOf(candidates, nowMs), pauseMs }
   }
 
-  private scoreOf (candidate: Candidate, request: poolEvent.PlacementOptions, nowMs: number): number {
-    const { record, inFlight } = candidate
-    // The random term spreads requests of several daemons over targets with equal scores.
-    const penaltyMs = FAILURE_PENALTY_MS * record.failureShare + this.options.random()
-    const contention = 1 + inFlight / record.target.slots
-    if (this.service.engine === undefined) return record.responseMs * contention + penaltyMs
-    const prefillTokens = record.hasCachedPrompt(request.promptSegments, nowMs) ? 0 : request.promptTokens
-    const firstEventMs = record.estimate.firstEventMs(record.pendingPrefillTokens() + prefillTokens)
-    return firstEventMs + GENERATION_WEIGHT * record.estimate.generationMs(request.outputTokens) * contention + penaltyMs
+  private rankOf (request: poolEvent.PlacementRequest, snapshot: snapshotModule.PoolSnapshot): number {
+    return waitingOrder.rankOf(request, waitingOrder.isLate(request, waitEstimate.expectedFirstMs(request, snapshot, this.waitConditions()), snapshot.nowMs))
   }
 
-  /** Returns whether the target is expected to finish the generation before the deadline. */
-  private canFinish (candidate: Candidate, request: poolEvent.PlacementOptions, nowMs: number): boolean {
-    if (this.service.engine === undefined) return true
-    return candidate.record.estimate.generationMs(request.outputTokens) < MAX_GENERATION_SHARE * (request.limitMs - nowMs)
+  private chooseTarget (request: poolEvent.PlacementOptions, { candidates, nowMs }: snapshotModule.PoolSnapshot, assigned: targetChoice.Assigned): targetRecord.TargetRecord | undefined {
+    return targetChoice.chooseTarget(request, candidates, { isEngine: this.isEngine, isBrittle: this.isBrittle, random: this.options.random, nowMs }, assigned)
   }
 
-  private chooseTarget (request: poolEvent.PlacementOptions, snapshot: PoolSnapshot, assigned: ReadonlyMap<targetRecord.TargetRecord, number>): targetRecord.TargetRecord | undefined {
-    const eligible = snapshot.candidates.filter(({ record }) => !request.excludedTargets.has(record.target.id) && isOfVersion(record, request.version))
-    const neverLeft = eligible.filter(({ record }) => !request.leftTargets.has(record.target.id))
-    return this.chooseAmong(neverLeft, request, snapshot.nowMs, assigned) ?? this.chooseAmong(eligible, request, snapshot.nowMs, assigned)
-  }
-
-  private chooseAmong (eligible: readonly Candidate[], request: poolEvent.PlacementOptions, nowMs: number, assigned: ReadonlyMap<targetRecord.TargetRecord, number>): targetRecord.TargetRecord | undefined {
-    const notEjected = eligible.filter(({ isEjected }) => !isEjected)
-    const usable = (notEjected.length > 0 ? notEjected : eligible).filter(({ record, freeSlots, allowedSends }) => (request.isRetry && !this.isBrittle ? allowedSends : freeSlots) > (assigned.get(record) ?? 0))
-    const capable = usable.filter((candidate) => this.canFinish(candidate, request, nowMs))
-    const unconfirmed = capable.find(({ record }) => record.isLimitUnconfirmed(nowMs))
-    if (unconfirmed !== undefined) return unconfirmed.record
-    let best: { readonly record: targetRecord.TargetRecord, readonly score: number } | undefined
-    for (const candidate of capable.length > 0 ? capable : usable) {
-      const score = this.scoreOf(candidate, request, nowMs)
-      if (best === undefined || score < best.score) best = { record: candidate.record, score }
-    }
-    return best?.record
-  }
-
-  /** Returns the expected wait for a slot in the whole fleet. */
-  private slotWaitMs (ahead: number, { slots }: PoolSnapshot): number {
-    return slots === 0 ? Infinity : ahead * this.serviceTimeMs / slots
-  }
-
-  private expectedWaitMs ({ ahead, aheadHere }: QueuePosition, snapshot: PoolSnapshot): number {
-    const { sendLimit, pauseMs } = snapshot
-    if (pauseMs > 0) return pauseMs
-    if (sendLimit === undefined) return this.slotWaitMs(ahead, snapshot)
-    const sendWaitMs = sendLimit.requestsPerS === 0 ? Infinity : sendLimit.waitMs + aheadHere / sendLimit.requestsPerS * MS_PER_S
-    return Math.max(sendWaitMs, this.slotWaitMs(ahead, snapshot))
-  }
-
-  private figures (request: poolEvent.PlacementRequest, position: QueuePosition, snapshot: PoolSnapshot, freeSlots: number): poolEvent.Figures {
+  private figures (request: poolEvent.PlacementRequest, position: waitEstimate.QueuePosition, snapshot: snapshotModule.PoolSnapshot, freeSlots: number): poolEvent.Figures {
     return {
       waitedMs: Math.round(snapshot.nowMs - request.arrivedMs),
       waiting: this.queue.length,
       ahead: position.ahead,
       freePlaces: freeSlots,
-      expectedWaitMs: Math.round(Math.min(MAX_REPORTED_WAIT_MS, this.expectedWaitMs(position, snapshot))),
+      expectedWaitMs: Math.round(Math.min(MAX_REPORTED_WAIT_MS, waitEstimate.expectedWaitMs(position, snapshot, this.waitConditions()))),
       heardDaemons: this.fleet.reachable
     }
   }
 
-  private countObstacles ({ candidates }: PoolSnapshot): Readonly<Partial<Record<obstacle.Obstacle, number>>> {
+  private countObstacles ({ candidates }: snapshotModule.PoolSnapshot): Readonly<Partial<Record<obstacle.Obstacle, number>>> {
     const removed = [...this.records.values()].filter(({ isRemoved }) => isRemoved)
     return obstacle.countObstacles([
       ...candidates.map((candidate) => ({ ...candidate, isRemoved: false })),
@@ -395,12 +280,6 @@
     ])
   }
 
-  private orderedQueue (snapshot: PoolSnapshot): readonly (readonly [request: poolEvent.PlacementRequest, rank: number])[] {
-    return this.queue
-      .map((request) => [request, request.isRetry || request.version !== undefined ? FIRST_RANK : this.rankOf(request, snapshot)] as const)
-      .sort(([a, rankA], [b, rankB]) => rankA - rankB || a.arrivedMs - b.arrivedMs)
-  }
-
   private aheadAtPeers (request: poolEvent.PlacementRequest, rank: number, nowMs: number): number {
     let ahead = 0
     // Slots that this daemon owns are not shared with the requests of peers.
@@ -409,12 +288,6 @@
     return ahead
   }
 
-  private mustRefuse (request: poolEvent.PlacementRequest, position: QueuePosition, snapshot: PoolSnapshot): boolean {
-    const { nowMs } = snapshot
-    const maxWaitMs = waitingOrder.maxWaitMs(request, this.expectedFirstMs(request, snapshot), nowMs)
-    return nowMs - request.arrivedMs + this.expectedWaitMs(position, snapshot) > maxWaitMs
-  }
-
   private * serveQueue (nowMs: number): Decisions {
     if (this.queue.length === 0) return
     const snapshot = this.snapshot(nowMs)
@@ -422,7 +295,7 @@
     const stillWaiting: poolEvent.PlacementRequest[] = []
     const allEjected = snapshot.candidates.every((candidate) => candidate.isEjected)
     let freeSlots = snapshot.candidates.reduce((sum, candidate) => sum + (candidate.isEjected && !allEjected ? 0 : candidate.freeSlots), 0)
-    for (const [request, rank] of this.orderedQueue(snapshot)) {
+    for (const [request, rank] of queueOrder.orderQueue(this.queue, (request) => this.rankOf(request, snapshot))) {
       const position = { aheadHere: stillWaiting.length, ahead: stillWaiting.length + this.aheadAtPeers(request, rank, nowMs) }
       const record = request.isRetry || freeSlots > position.ahead ? this.chooseTarget(request, snapshot, assigned) : undefined
       const figures = this.figures(request, position, snapshot, freeSlots)
@@ -432,12 +305,12 @@
         record.begin(request.id, request.promptTokens, request.promptSegments, nowMs)
         this.placements.set(request.id, record)
         yield { kind: 'dispatch', id: request.id, target: record.target, figures }
-      } else if (!snapshot.candidates.some((candidate) => isOfVersion(candidate.record, request.version))) {
+      } else if (!snapshot.candidates.some((candidate) => targetChoice.isOfVersion(candidate.record, request.version))) {
         const reason = snapshot.candidates.length === 0 ? 'no-target' : 'version-gone'
         yield { kind: 'refuse', id: request.id, reason, retryAfterMs: waitingOrder.retryAfterMs(request, 0, this.options.random(), nowMs), figures: { ...figures, obstacles: this.countObstacles(snapshot) } }
-      } else if (this.mustRefuse(request, position, snapshot)) {
+      } else if (waitEstimate.mustRefuse(request, position, snapshot, this.waitConditions())) {
         const { pauseMs } = snapshot
-        const retryAfterMs = waitingOrder.retryAfterMs(request, pauseMs > 0 ? pauseMs : this.slotWaitMs(position.ahead, snapshot), this.options.random(), nowMs)
+        const retryAfterMs = waitingOrder.retryAfterMs(request, pauseMs > 0 ? pauseMs : waitEstimate.slotWaitMs(position.ahead, snapshot, this.waitConditions()), this.options.random(), nowMs)
         yield { kind: 'refuse', id: request.id, reason: pauseMs > 0 ? 'paused' : 'overloaded', retryAfterMs, figures: { ...figures, obstacles: this.countObstacles(snapshot) } }
       } else {
         stillWaiting.push(request)
--- a/packages/routing/src/target-record.ts
+++ b/packages/routing/src/placement/target-record.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
-import type * as cell from './cell.js'
+import type * as cell from '../cell.js'
 import * as engineEstimate from './engine-estimate.js'
-import * as rateBucket from './rate-bucket.js'
-import type * as rateShare from './rate-share.js'
-import type * as targetRegistry from './target-registry.js'
+import * as rateBucket from '../limits/rate-bucket.js'
+import type * as rateShare from '../limits/rate-share.js'
+import type * as targetRegistry from '../target-registry.js'
+import * as workFactorModule from './work-factor.js'
 
 /** A request of this daemon that is in flight at the target. */
 export interface InFlightRequest {
@@ -68,6 +69,7 @@
  */
 export class TargetRecord {
   readonly estimate = engineEstimate.createEngineEstimate()
+  readonly workFactor = workFactorModule.createWorkFactor()
   private readonly inFlight = new Map<number, InFlightRequest>()
   private readonly bucket = new rateBucket.RateBucket()
   private readonly peers = new Map<string, PeerTargetLoad>()
--- /dev/null
+++ b/packages/routing/src/placement/work-factor.ts
@@ -0,0 +1,58 @@
+/**
+ * Estimates how long work takes at a target now, from the work factors that the target and peers report.
+ *
+ * A target that shares its host with others is slowed down for fractions of a second, so a report says little once it is
+ * old: its deviation from the usual decays with its age.
+ *
+ * @module
+ */
+
+/** Age at which a report's deviation from the usual counts half, ms: hosts are disturbed for some 600 ms at a time. */
+const HALF_LIFE_MS = 300
+
+/** Age beyond which a report is not passed on, ms. */
+const MAX_REPORTED_AGE_MS = 1_500
+
+const HUNDREDTHS = 100
+
+/** A work factor as peers report it. */
+export type ReportedFactor = readonly [hundredths: number, ageMs: number]
+
+/** The work factor of one target. */
+export interface WorkFactor {
+  /** Records a factor that was measured at a time, unless a later one is known. */
+  readonly record: (factor: number, measuredMs: number) => void
+  /** Returns how long work takes now, relative to the usual time. */
+  readonly current: (nowMs: number) => number
+  /** Returns the latest report, for peers; undefined if there is no recent one. */
+  readonly report: (nowMs: number) => ReportedFactor | undefined
+}
+
+/**
+ * Creates the work factor of a target that has reported none.
+ *
+ * @example
+ * ```ts
+ * const workFactor = createWorkFactor()
+ * workFactor.record(2.5, nowMs)
+ * workFactor.current(nowMs + 300) // 1.75
+ * ```
+ */
+export function createWorkFactor (): WorkFactor {
+  let latest: { readonly factor: number, readonly measuredMs: number } | undefined
+  return {
+    record: (factor, measuredMs) => {
+      if (latest === undefined || measuredMs >= latest.measuredMs) latest = { factor, measuredMs }
+    },
+    current: (nowMs) => latest === undefined ? 1 : 1 + (latest.factor - 1) * 0.5 ** (Math.max(0, nowMs - latest.measuredMs) / HALF_LIFE_MS),
+    report: (nowMs) => {
+      if (latest === undefined || nowMs - latest.measuredMs > MAX_REPORTED_AGE_MS) return undefined
+      return [Math.round(latest.factor * HUNDREDTHS), Math.max(0, Math.round(nowMs - latest.measuredMs))]
+    }
+  }
+}
+
+/** Returns the factor in a peer's report and the time at which it was measured. */
+export function factorOf ([hundredths, ageMs]: ReportedFactor, nowMs: number): readonly [factor: number, measuredMs: number] {
+  return [hundredths / HUNDREDTHS, nowMs - ageMs]
+}
--- a/packages/routing/src/token-cap.ts
+++ b/packages/routing/src/shares/token-cap.ts
@@ -8,7 +8,7 @@
  *
  * @module
  */
-import type * as document from './document.js'
+import type * as document from '../document.js'
 
 const MS_PER_S = 1_000
 
--- a/packages/routing/tests/fixtures.ts
+++ b/packages/routing/tests/fixtures.ts
@@ -36,6 +36,8 @@
     id,
     priority: 0,
     arrivedMs: 0,
+    organisation: '',
+    organisationWeight: 1,
     targetLatencyMs: 600,
     limitMs: (changes.arrivedMs ?? 0) + 15_000,
     resubmitted: false,
--- a/packages/routing/tests/fleet-simulation.ts
+++ b/packages/routing/tests/fleet-simulation.ts
@@ -112,7 +112,7 @@
     updateOutcome(kind, (before) => ({ ...before, arrived: before.arrived + 1 }))
     handleEvent(daemon, {
       kind: 'arrived',
-      request: { id, priority: kind.priority, arrivedMs: nowMs, targetLatencyMs: kind.targetLatencyMs, limitMs: nowMs + kind.limitMs, resubmitted: false, promptTokens: kind.promptTokens, outputTokens: kind.outputTokens, promptSegments: [], version: undefined, excludedTargets: new Set(), leftTargets: new Set(), isRetry: false }
+      request: { id, organisation: '', organisationWeight: 1, priority: kind.priority, arrivedMs: nowMs, targetLatencyMs: kind.targetLatencyMs, limitMs: nowMs + kind.limitMs, resubmitted: false, promptTokens: kind.promptTokens, outputTokens: kind.outputTokens, promptSegments: [], version: undefined, excludedTargets: new Set(), leftTargets: new Set(), isRetry: false }
     })
   }
 
--- a/packages/routing/tests/suspects.test.ts
+++ b/packages/routing/tests/suspects.test.ts
@@ -233,7 +233,7 @@
 
 suite('a report has a bounded number of rows of its sources, those with the most crashes of a trait first', () => {
   const { suspects } = setUp()
-  const record = (content: string, source: routing.suspects.Source, atMs: number, segments: readonly string[] = []): void =>
+  const record = (content: string, source: routing.crash.Source, atMs: number, segments: readonly string[] = []): void =>
     suspects.recordCrash({ content, segments, target: `engine-${content}`, sentMs: atMs - 1, atMs }, source, atMs)
   record('a', 'own', 0)
   record('b', 'own', 10)
