--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -10,6 +10,8 @@
 export interface CallerConnections {
   /** Counts a response until it has been sent, or its connection is closed. */
   readonly begin: (outgoing: http.ServerResponse) => void
+  /** Whether a response has been counted since the listener was opened. */
+  readonly hasBegun: () => boolean
   /** Closes the idle connections, and the others when they become idle. */
   readonly close: () => void
 }
@@ -35,6 +37,7 @@
 export function followConnections (server: http.Server): CallerConnections {
   const connections = new Map<net.Socket, Connection>()
   let isClosing = false
+  let hasBegun = false
 
   function closeIfIdle (socket: net.Socket, { open, receivedBytes }: Connection): void {
     if (isClosing && open === 0 && socket.bytesRead === receivedBytes) socket.end()
@@ -46,6 +49,7 @@
   })
   return {
     begin: (outgoing) => {
+      hasBegun = true
       const { socket } = outgoing
       const connection = socket === null ? undefined : connections.get(socket)
       if (socket === null || connection === undefined) return
@@ -58,6 +62,7 @@
         closeIfIdle(socket, next)
       })
     },
+    hasBegun: () => hasBegun,
     close: () => {
       isClosing = true
       for (const [socket, connection] of connections) closeIfIdle(socket, connection)
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -33,6 +33,8 @@
   readonly adoptLimits: () => void
   /** Returns the number of requests whose response has not been sent. */
   readonly open: () => number
+  /** Whether a request has arrived since the start. */
+  readonly hasServed: () => boolean
   /** Stops accepting connections and closes idle ones, also those that become idle later. */
   readonly close: () => void
   /** Ends requests in a planned stop: those that have not been sent to a target, or all if the stop is at its end. Answers that have begun are cut. */
@@ -170,5 +172,5 @@
   }
 
   adoptLimits()
-  return { adoptLimits, open: () => open.size, close, endRequests: (isAtEnd) => { for (const task of open.values()) task?.stop(isAtEnd) } }
+  return { adoptLimits, open: () => open.size, hasServed: connections.hasBegun, close, endRequests: (isAtEnd) => { for (const task of open.values()) task?.stop(isAtEnd) } }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,11 +7,11 @@
 import * as routing from '@persimmonhatch/routing'
 import * as connectionLimit from './connection-limit.js'
 import type * as contextModule from './context.js'
-import type * as headerNames from './header-names.js'
 import * as endpoint from './endpoint.js'
 import * as documentInForce from './document-in-force.js'
 import * as eventLog from './event-log.js'
 import * as frontServer from './front-server.js'
+import type * as gatewayOptions from './gateway-options.js'
 import * as gracefulStop from './graceful-stop.js'
 import type * as peerMessages from './peer-messages.js'
 import * as metricsModule from './metrics.js'
@@ -19,7 +19,6 @@
 import * as peerReports from './peer-reports.js'
 import * as peerTable from './peer-table.js'
 import * as reachLog from './reach-log.js'
-import type * as recordStore from './record-store.js'
 import * as servicePools from './service-pools.js'
 import * as streamRecords from './stream-records.js'
 import * as targetClient from './target-client.js'
@@ -27,30 +26,6 @@
 import * as targetStates from './target-states.js'
 import * as unexpectedErrors from './unexpected-errors.js'
 
-/** Settings of a gateway. Times are ms. */
-export interface Options {
-  readonly name: string
-  readonly availabilityZone: string
-  readonly frontAddress: string
-  readonly peerAddress: string
-  readonly headerNames: headerNames.HeaderNames
-  readonly tolerances: Tolerances
-  /** Records that outlive all daemons; without them, a fleet that has lost all daemons starts anew. */
-  readonly records?: recordStore.RecordStore
-  /** Whether the fleet starts for the first time. */
-  readonly isFirstStart?: boolean
-  /** Lists the targets again, and calls `done` with whether a listing that is complete has been applied. */
-  readonly listTargets?: (done: (isListed: boolean) => void) => void
-}
-
-/** Settings that may change while the process runs. */
-export interface Tolerances {
-  readonly retryBudget: routing.retryBudget.Options
-  readonly tokenCaps: routing.tokenCap.Options
-  /** Time from the start of a planned stop to the end of the process. */
-  readonly graceMs: number
-}
-
 /** Interval of the ticks of the pools, ms. */
 const TICK_MS = 30
 
@@ -60,6 +35,9 @@
 /** Interval at which targets and the state of the fleet are refreshed, ms. */
 const REFRESH_MS = 100
 
+/** Name by which the daemons of a cell agree on the one whose watches of the store are short. */
+const STORE_READER = 'store-reader'
+
 const INCARNATION_BYTES = 6
 
 /** Maximum length of an unreadable address in the log, characters. */
@@ -91,7 +69,7 @@
   private readonly peers: peerTable.PeerTable
   private readonly caps: routing.tokenCap.TokenCaps
   private readonly budget: routing.retryBudget.RetryBudget
-  private tolerances: Tolerances
+  private tolerances: gatewayOptions.Tolerances
   private readonly clients: targetClient.TargetClients
   readonly routes: targetRoutes.TargetRoutes
   private readonly targetStates: targetStates.TargetStates
@@ -109,7 +87,7 @@
   private lastTickMs = 0
   private readonly logReach: (live: number, members: number) => void
 
-  constructor (private readonly options: Options) {
+  constructor (private readonly options: gatewayOptions.Options) {
     this.log = eventLog.openEventLog({
       fields: { daemon: options.name },
       now: this.now,
@@ -194,7 +172,7 @@
   }
 
   /** Applies changed settings; requests in flight continue. */
-  configure (tolerances: Tolerances): void {
+  configure (tolerances: gatewayOptions.Tolerances): void {
     this.tolerances = tolerances
     this.caps.configure(tolerances.tokenCaps)
     this.budget.configure(tolerances.retryBudget)
@@ -289,6 +267,21 @@
     return this.peers.recentPeers(this.now()).filter((peer) => peer.report.documentVersion > version).map((peer) => peer.report.from)
   }
 
+  /** Returns for how long a watch of the store may wait without a change, ms. */
+  watchWaitMs (): number {
+    const nowMs = this.now()
+    return routing.watchWait.watchWaitMs({
+      isSingleCell: this.peers.isSingleCell(nowMs),
+      reachablePeers: this.peers.reachablePeers(nowMs).length,
+      isReader: this.peers.isCellArbiterOf(STORE_READER, nowMs)
+    })
+  }
+
+  /** Whether a request has arrived since the start of the process. */
+  hasServed (): boolean {
+    return this.front?.hasServed() ?? false
+  }
+
   /** Stops gracefully within the grace period; settles when the process may exit. */
   async stop (): Promise<void> {
     this.stopped ??= this.gracefulStop.run().then(() => this.close())
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,6 +7,7 @@
 export * as headerNames from './header-names.js'
 export * as endpoint from './endpoint.js'
 export * as eventLog from './event-log.js'
+export * as gatewayOptions from './gateway-options.js'
 export * as gateway from './gateway.js'
 export * as peerMessages from './peer-messages.js'
 export * as peerTable from './peer-table.js'
--- a/packages/gateway/src/state-sync.ts
+++ b/packages/gateway/src/state-sync.ts
@@ -23,8 +23,16 @@
   readonly gateway: gatewayModule.Gateway
   /** `host:port` at which peers query this daemon. */
   readonly address: string
+  /** Called when peers have held later targets for so long that the watch of the store may be silent. */
+  readonly onStoreBehind?: () => void
 }
 
+/** Minimum time between two calls of `onStoreBehind`, ms, in which a renewed watch delivers what was missing. */
+const STORE_BEHIND_INTERVAL_MS = 4_000
+
+/** Time for the store to deliver a change while no request has arrived yet, when changes are collected for longer, ms. */
+const MAX_START_STORE_LAG_MS = 2_500
+
 /** The running state synchronisation. */
 export interface StateSync {
   readonly close: () => void
@@ -47,6 +55,8 @@
   /** Position of the targets that peers hold and this daemon does not, and since when. */
   let expected: { readonly position: routing.targetRegistry.Position, readonly sinceMs: number } | undefined
 
+  let storeBehindMs = -Infinity
+
   async function query (peer: string): Promise<void> {
     // Queries are rare, and a connection that was kept from the last one may have gone silent.
     const response = await client.request({ origin: `http://${peer}`, path: SHARED_STATE_PATH, method: 'GET', reset: true, signal: AbortSignal.timeout(QUERY_TIMEOUT_MS) })
@@ -55,6 +65,12 @@
     gateway.applySharedState(state, peer)
   }
 
+  function reportStoreBehind (nowMs: number): void {
+    if (nowMs - storeBehindMs < STORE_BEHIND_INTERVAL_MS) return
+    storeBehindMs = nowMs
+    options.onStoreBehind?.()
+  }
+
   /** Returns the peers that hold later targets, once the store had time to deliver them here as well. */
   function peersAheadOfStore (nowMs: number): readonly string[] {
     const ownPosition = gateway.targetsPosition()
@@ -62,7 +78,10 @@
     const { endpoints, position } = gateway.peersWithLaterTargets()
     if (position === undefined) return []
     expected ??= { position, sinceMs: nowMs }
-    return ownPosition.revision === 0 || nowMs - expected.sinceMs > MAX_STORE_LAG_MS ? endpoints : []
+    const isFirst = ownPosition.revision === 0
+    if (!isFirst && nowMs - expected.sinceMs <= (gateway.hasServed() ? MAX_STORE_LAG_MS : MAX_START_STORE_LAG_MS)) return []
+    if (!isFirst) reportStoreBehind(nowMs)
+    return endpoints
   }
 
   function queryWhenDue (): void {
--- a/packages/gateway/src/stream-records.ts
+++ b/packages/gateway/src/stream-records.ts
@@ -44,6 +44,9 @@
 /** Name by which the daemons agree on the one that writes. */
 const WRITER = 'lasting-state'
 
+/** Time after the start in which a daemon does not know its peers yet, so that each would take itself for the writer, ms. */
+const INTRODUCTION_MS = 3_000
+
 function versionsOf (targets: readonly routing.targetRegistry.VersionedTarget[]): ReadonlyMap<string, ReadonlySet<string>> {
   const versions = new Map<string, Set<string>>()
   for (const { target } of targets) {
@@ -63,6 +66,8 @@
  */
 export function createStreamRecords (options: Options): StreamRecords {
   const { now, unixNow, peers, records, log } = options
+  const startMs = now()
+  const knowsPeers = (): boolean => now() - startMs >= INTRODUCTION_MS
   const history = routing.versionHistory.createVersionHistory(now)
   const streams = routing.streamVersions.createStreamVersions((beginning) => { lasting?.note(beginning) })
   const lasting = records === undefined
@@ -72,8 +77,8 @@
       records,
       history,
       streams,
-      writesForFleet: () => peers.isArbiterOf(WRITER, now()),
-      writesForCell: () => peers.isCellArbiterOf(WRITER, now())
+      writesForFleet: () => knowsPeers() && peers.isArbiterOf(WRITER, now()),
+      writesForCell: () => knowsPeers() && peers.isCellArbiterOf(WRITER, now())
     })
   const listings = sharedReads.createSharedReads({ now, read: options.listTargets ?? ((done) => { done(false) }), isNeeded: () => false })
 
