--- a/packages/gateway/src/target-connection.ts
+++ b/packages/backing-services/src/connection.ts
@@ -1,32 +1,57 @@
 /**
- * Connections to targets, over a socket to the target itself or to a peer that carries the connection.
+ * Connections that tell a regular end from a reset, over a socket to the target itself or to a peer that carries the connection.
  *
  * @module
  */
 import type * as net from 'node:net'
 import * as stream from 'node:stream'
-import type * as relayFrames from './relay-frames.js'
+
+/** The connection has failed. */
+class ConnectionLost extends Error {
+  constructor (cause: string) {
+    super(`The connection is lost (${cause}). So is the rest of the response; whether the request has run is unknown.`)
+    this.name = 'ConnectionLost'
+  }
+}
+
+/** Decodes the bytes of a socket. */
+export interface Decoder {
+  /** Yields bytes of the target, or `undefined` at the end of the target's connection. */
+  readonly push: (chunk: Buffer) => Iterable<Buffer | undefined>
+}
 
 /** How the bytes, the end and the failure of a socket relate to the target. */
 export interface Transport {
   /** Decodes the bytes of the socket into those of the target; `undefined` is the end of the target's connection. */
-  readonly decoder: relayFrames.FrameDecoder
+  readonly decoder: Decoder
   /** Returns why the regular end of the socket is not that of the target's connection; undefined if it is. */
   readonly faultOfEnd: (socket: net.Socket) => Error | undefined
   /** Returns the error of the connection when the socket has failed. */
   readonly errorOf: (cause: string) => Error
 }
 
+/** Passes on the bytes of a socket as they are. */
+export const PLAIN_DECODER: Decoder = { * push (chunk) { yield chunk } }
+
+/** A socket to the target itself. */
+export const DIRECT: Transport = {
+  decoder: PLAIN_DECODER,
+  // When data and a reset arrive together, Node reports a regular end, but the socket has no remote address any more.
+  faultOfEnd: (socket) => socket.remoteAddress === undefined ? new ConnectionLost('it was reset') : undefined,
+  // The error has no code: undici takes an error with the code ECONNRESET for the regular end of a response without a length.
+  errorOf: (cause) => new ConnectionLost(cause)
+}
+
 /**
  * One connection to a target. Its readable side ends only if the target has ended the connection in the regular way; any
  * other end is an error, which follows after all bytes that were received before it.
  *
  * @example
  * ```ts
- * const connection = new TargetConnection(socket, transport)
+ * const connection = new Connection(socket, transport)
  * ```
  */
-export class TargetConnection extends stream.Duplex {
+export class Connection extends stream.Duplex {
   /** Number of bytes received from the target. */
   bytesRead = 0
   /** Whether the reader has read all bytes and waits for more. */
@@ -137,3 +162,16 @@
     this.pull()
   }
 }
+
+/**
+ * Returns a connection over a connected socket, in the form that undici takes it.
+ *
+ * @example
+ * ```ts
+ * socket.once('connect', () => { callback(null, asSocket(new Connection(socket, DIRECT))) })
+ * ```
+ */
+export function asSocket (connection: Connection): net.Socket {
+  // undici uses nothing of the connection that a stream doesn't have.
+  return connection as unknown as net.Socket
+}
--- a/packages/backing-services/src/http-client.ts
+++ b/packages/backing-services/src/http-client.ts
@@ -8,9 +8,15 @@
  *
  * @module
  */
+import * as net from 'node:net'
 import * as undici from 'undici'
+import * as connection from './connection.js'
 
+const DEFAULT_HTTP_PORT = 80
 const DEFAULT_KEEP_ALIVE_MS = 4_000
+/** Idle time after which the kernel probes a connection, as undici's own connector sets it. */
+const KEEP_ALIVE_PROBE_MS = 60_000
+
 const REQUESTS_IN_FLIGHT_PER_CONNECTION = 1
 
 /** Options of the client. Times are milliseconds; 0 disables a timeout. */
@@ -26,6 +32,29 @@
   readonly connections?: number
 }
 
+/** Returns a function that connects; a reset of an unencrypted connection is an error and not the end of a response. */
+function connectWithin (timeoutMs: number): undici.buildConnector.connector {
+  const connectEncrypted = undici.buildConnector({ timeout: timeoutMs })
+  return (options, callback) => {
+    if (options.protocol === 'https:') {
+      connectEncrypted(options, callback)
+      return
+    }
+    const socket = net.connect({ host: options.hostname.replace(/^\[|\]$/g, ''), port: Number(options.port) || DEFAULT_HTTP_PORT, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS })
+    const timer = timeoutMs > 0 ? setTimeout(() => { socket.destroy(new undici.errors.ConnectTimeoutError(`no connection to ${options.host ?? options.hostname} within ${timeoutMs} ms`)) }, timeoutMs) : undefined
+    const fail = (error: Error): void => {
+      clearTimeout(timer)
+      callback(error, null)
+    }
+    socket.once('error', fail)
+    socket.once('connect', () => {
+      clearTimeout(timer)
+      socket.off('error', fail)
+      callback(null, connection.asSocket(new connection.Connection(socket, connection.DIRECT)))
+    })
+  }
+}
+
 /**
  * Creates the client. The caller must close it.
  *
@@ -39,7 +68,7 @@
   return new undici.Agent({
     pipelining: REQUESTS_IN_FLIGHT_PER_CONNECTION,
     connections: options.connections ?? null,
-    connect: { timeout: options.connectTimeoutMs },
+    connect: connectWithin(options.connectTimeoutMs),
     headersTimeout: options.headersTimeoutMs,
     bodyTimeout: options.bodyTimeoutMs,
     keepAliveTimeout: options.keepAliveMs ?? DEFAULT_KEEP_ALIVE_MS
--- a/packages/daemon/tests/dispatcher.test.ts
+++ b/packages/daemon/tests/dispatcher.test.ts
@@ -136,7 +136,7 @@
   assert.equal(await dispatchTo((socket) => { socket.resetAndDestroy() }), { outcome: 'crashed', isTargetUp: true })
 })
 
-// undici takes a reset for the regular end of a response without a length; the gateway's client of targets marks resets.
+// undici takes a reset for the regular end of a response without a length.
 for (const afterMs of [0, 50]) {
   suite(`a plain response without a length that is reset after ${afterMs} ms does not look complete`, async () => {
     const end = await dispatchTo((socket) => { socket.write('HTTP/1.1 200 OK\r\n\r\npart', () => { setTimeout(() => { socket.resetAndDestroy() }, afterMs) }) })
--- a/packages/gateway/src/received-bytes.ts
+++ b/packages/gateway/src/received-bytes.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import * as diagnosticsChannel from 'node:diagnostics_channel'
-import type * as targetConnection from './target-connection.js'
+import type * as backing from '@persimmonhatch/backing-services'
 
 /** Maximum number of bytes of an exchange beyond those of its response's body, and beyond as many again. */
 const MAX_DISCARDED_BYTES = 1_048_576
@@ -17,14 +17,14 @@
   /** Counts bytes of the response's body. */
   readonly deliver: (bytes: number) => void
   /** Returns the connection; undefined before the request is written and after the end. */
-  readonly connection: () => targetConnection.TargetConnection | undefined
+  readonly connection: () => backing.connection.Connection | undefined
   readonly end: () => void
 }
 
 /** The exchanges in progress. */
 export interface Monitor {
   /** Watches a connection. */
-  readonly watch: (connection: targetConnection.TargetConnection) => void
+  readonly watch: (connection: backing.connection.Connection) => void
   /** Starts to watch an exchange; must be called immediately before the client writes its request. */
   readonly begin: (onExcess: (message: string) => void) => ReceivedBytes
   readonly close: () => void
@@ -32,13 +32,13 @@
 
 /** One exchange, and the connection that it uses. */
 class Exchange implements ReceivedBytes {
-  private socket: targetConnection.TargetConnection | undefined
+  private socket: backing.connection.Connection | undefined
   private receivedBefore = 0
   private delivered = 0
 
   constructor (private readonly onExcess: (message: string) => void) {}
 
-  use (socket: targetConnection.TargetConnection): void {
+  use (socket: backing.connection.Connection): void {
     this.socket = socket
     this.receivedBefore = socket.bytesRead
   }
@@ -47,7 +47,7 @@
     this.delivered += bytes
   }
 
-  connection (): targetConnection.TargetConnection | undefined {
+  connection (): backing.connection.Connection | undefined {
     return this.socket
   }
 
@@ -73,12 +73,12 @@
  * ```
  */
 export function openMonitor (): Monitor {
-  const exchanges = new WeakMap<targetConnection.TargetConnection, Exchange>()
+  const exchanges = new WeakMap<backing.connection.Connection, Exchange>()
   let starting: Exchange | undefined
 
   // The client publishes the connection of a request while it writes the request.
   const onSendHeaders = (message: unknown): void => {
-    const { socket } = message as { readonly socket: targetConnection.TargetConnection }
+    const { socket } = message as { readonly socket: backing.connection.Connection }
     if (starting === undefined) return
     starting.use(socket)
     exchanges.set(socket, starting)
--- a/packages/gateway/src/target-connector.ts
+++ b/packages/gateway/src/target-connector.ts
@@ -5,10 +5,10 @@
  */
 import * as http from 'node:http'
 import * as net from 'node:net'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as undici from 'undici'
 import * as endpoint from './endpoint.js'
 import * as relayFrames from './relay-frames.js'
-import * as targetConnection from './target-connection.js'
 import * as transports from './transports.js'
 
 /** Timeout for a new connection to a target, ms; a reachable target accepts within a few milliseconds. */
@@ -28,14 +28,13 @@
 }
 
 /** Called with each new connection. */
-export type Watchers = readonly ((connection: targetConnection.TargetConnection) => void)[]
+export type Watchers = readonly ((connection: backing.connection.Connection) => void)[]
 
 /** Returns the connection over a socket, in the form that undici takes it. */
-function openConnection (socket: net.Socket, transport: targetConnection.Transport, watchers: Watchers): net.Socket {
-  const connection = new targetConnection.TargetConnection(socket, transport)
+function openConnection (socket: net.Socket, transport: backing.connection.Transport, watchers: Watchers): net.Socket {
+  const connection = new backing.connection.Connection(socket, transport)
   for (const watch of watchers) watch(connection)
-  // undici uses nothing of the connection that a stream doesn't have.
-  return connection as unknown as net.Socket
+  return backing.connection.asSocket(connection)
 }
 
 /**
@@ -59,7 +58,7 @@
     socket.once('connect', () => {
       clearTimeout(timer)
       socket.off('error', fail)
-      callback(null, openConnection(socket, transports.DIRECT, watchers))
+      callback(null, openConnection(socket, backing.connection.DIRECT, watchers))
     })
   }
 }
