--- a/packages/backing-services/src/index.ts
+++ b/packages/backing-services/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * as backoff from './backoff.js'
 export * as connection from './connection.js'
+export * as cutResponse from './cut-response.js'
 export * as etcdKeyValue from './etcd-key-value.js'
 export * as httpClient from './http-client.js'
 export * as jsonLines from './json-lines.js'
--- a/packages/daemon/src/http/response-writer.ts
+++ b/packages/daemon/src/http/response-writer.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as http from 'node:http'
+import * as backing from '@persimmonhatch/backing-services'
 import * as protocol from '@persimmonhatch/protocol'
 import type * as responseRecord from '../dispatch/response-record.js'
 import * as localResponses from './local-responses.js'
@@ -47,7 +48,7 @@
   const isEventStream = String(response.getHeader('content-type') ?? '').startsWith('text/event-stream')
   // The response was cut off: the connection must not end as if it were complete.
   if (isEventStream) response.write(`event: error\ndata: ${localResponse.body}\n\n`, () => response.destroy())
-  else response.destroy()
+  else backing.cutResponse.cut(response)
 }
 
 /**
@@ -80,7 +81,7 @@
         response.end(localResponses.redirectBody(step.address))
         break
       case 'dropped':
-        if (response.headersSent) response.destroy()
+        if (response.headersSent) backing.cutResponse.cut(response)
         else writeLocalResponse(response, localResponses.errorResponse('answer-not-held', {}))
         break
     }
--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type * as http from 'node:http'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as contextModule from './context.js'
-import * as cutResponse from './cut-response.js'
 import * as rawHeaders from './raw-headers.js'
 import type * as streamEvents from './stream-events.js'
 import type * as targetClient from './target-client.js'
@@ -61,7 +61,7 @@
 
   /** Closes the connection, so that the response looks incomplete. */
   cut (): void {
-    cutResponse.cut(this.outgoing)
+    backing.cutResponse.cut(this.outgoing)
   }
 
   private begin (head: targetClient.ResponseHead): void {
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -5,12 +5,12 @@
  */
 import * as http from 'node:http'
 import * as net from 'node:net'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as neverthrow from 'neverthrow'
 import * as admission from './admission.js'
 import * as bodyBudget from './body-budget.js'
 import * as callerConnections from './caller-connections.js'
 import type * as contextModule from './context.js'
-import * as cutResponse from './cut-response.js'
 import * as endpoint from './endpoint.js'
 import * as pendingEvents from './pending-events.js'
 import * as refusal from './refusal.js'
@@ -69,7 +69,7 @@
  */
 function closeWithCaller (incoming: http.IncomingMessage, outgoing: http.ServerResponse): void {
   const { socket } = incoming
-  const handleEnd = (): void => { if (!outgoing.writableEnded) cutResponse.cut(outgoing) }
+  const handleEnd = (): void => { if (!outgoing.writableEnded) backing.cutResponse.cut(outgoing) }
   // Node.js ends its side in a listener of its own, after which a connection can't be reset.
   socket.prependOnceListener('end', handleEnd)
   outgoing.once('close', () => { socket.off('end', handleEnd) })
@@ -102,7 +102,7 @@
     const head: admission.RequestHead = { method: incoming.method ?? 'GET', path: incoming.url ?? '/', headers: incoming.rawHeaders, arrivedMs: context.now() }
     const run = guardWith((error) => {
       unexpectedErrors.record(context, error, { path: head.path })
-      if (outgoing.headersSent) cutResponse.cut(outgoing)
+      if (outgoing.headersSent) backing.cutResponse.cut(outgoing)
       else refuse(outgoing, head, 'failed')
     })
     run(() => { serve(incoming, outgoing, head, run) })
