--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import * as reachLog from './reach-log.js'
 import * as servicePools from './service-pools.js'
 import * as streamRecords from './stream-records.js'
+import * as targetChanges from './target-changes.js'
 import * as targetClient from './target-client.js'
 import * as targetRoutes from './target-routes.js'
 import * as targetStates from './target-states.js'
@@ -73,6 +74,7 @@
   private readonly clients: targetClient.TargetClients
   readonly routes: targetRoutes.TargetRoutes
   private readonly targetStates: targetStates.TargetStates
+  private readonly targetChanges: targetChanges.TargetChanges
   private readonly pools: servicePools.ServicePools
   private readonly context: contextModule.Context
   private readonly timers: NodeJS.Timeout[] = []
@@ -148,6 +150,14 @@
       log: this.log
     })
     this.streamRecords = this.createStreamRecords()
+    this.targetChanges = targetChanges.createTargetChanges({
+      log: this.log,
+      apply: () => {
+        this.streamRecords.observe(this.registry.versionedTargets())
+        this.refreshTargets()
+      },
+      defer: (run) => { setImmediate(run) }
+    })
     this.context = this.createContext()
   }
 
@@ -241,12 +251,8 @@
   }
 
   /** Returns the endpoints of the peers that hold the targets as of a later position, and the first one's position. */
-  peersWithLaterTargets (): { readonly endpoints: readonly string[], readonly position: routing.targetRegistry.Position | undefined } {
-    const ownPosition = this.registry.position()
-    const ahead = this.peers.recentPeers(this.now())
-      .map(({ report: { from, targetsPosition: [era, revision] } }) => ({ from, position: { era, revision } }))
-      .filter(({ position }) => routing.targetRegistry.isLater(position, ownPosition))
-    return { endpoints: ahead.map(({ from }) => from), position: ahead[0]?.position }
+  peersWithLaterTargets (): peerTable.LaterTargets {
+    return this.peers.withLaterTargets(this.registry.position(), this.now())
   }
 
   /** Applies the state of a peer. */
@@ -297,11 +303,11 @@
     await this.clients.close()
   }
 
-  private handleTargetChange ({ id, era, revision, target }: routing.targetRegistry.VersionedTarget, source: string): void {
-    this.log.change('target learnt', { target: id, era, revision, state: peerReports.stateOf(target), service: target?.service, version: target?.version, source })
-    this.streamRecords.observe(this.registry.versionedTargets())
+  private handleTargetChange (versioned: routing.targetRegistry.VersionedTarget, source: string): void {
+    this.targetChanges.add(versioned, source)
+    if (versioned.target?.leaving === false) return
     this.refreshTargets()
-    if (target === undefined || target.leaving) this.reports?.changed()
+    this.reports?.changed()
   }
 
   private tick (): void {
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -33,12 +33,6 @@
   readonly close: () => void
 }
 
-/** Returns a target's state in one word, for logs. */
-export function stateOf (target: routing.targetRegistry.Target | undefined): 'ready' | 'leaving' | 'gone' {
-  if (target === undefined) return 'gone'
-  return target.leaving ? 'leaving' : 'ready'
-}
-
 /** Intervals of reports, ms. */
 interface ReportIntervals {
   /** Time for which changes are collected into one report. */
@@ -67,6 +61,7 @@
   /** Whether changes are being collected, so that a report will be sent soon. */
   let collecting = true
   let lastListingMs = -Infinity
+  let heard: readonly peerMessages.Report[] = []
   const writer = reportWriter.createReportWriter(options)
   const tokenReports = reportedTokens.createReportedTokens({
     caps,
@@ -87,8 +82,15 @@
     options.metrics.count('peer_report_bytes_sent_total', { scope: report.scope }, bytes * addresses.length)
   }
 
+  /** Logs the peers that were heard for the first time since the last report; many are when a fleet starts. */
+  function logHeard (): void {
+    if (heard.length > 0) options.log.change('peers heard', { peers: heard.map(({ from, incarnation, documentVersion }) => [from, incarnation, documentVersion].join(' ')) })
+    heard = []
+  }
+
   function send (): void {
     if (closed) return
+    logHeard()
     collecting = false
     const nowMs = now()
     const recipients = peers.recipients(nowMs)
@@ -117,7 +119,7 @@
     const nowMs = now()
     const acceptance = peers.accept(report, nowMs)
     if (acceptance === 'old') return
-    if (acceptance === 'new') options.log.change('peer heard', { peer: report.from, incarnation: report.incarnation, documentVersion: report.documentVersion })
+    if (acceptance === 'new') heard = [...heard, report]
     options.onDocumentVersion(report.documentVersion)
     tokenReports.apply(report, nowMs)
     suspects.applyReport(report.suspects, report.scope, nowMs)
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -58,6 +58,12 @@
   readonly cellPosition: routing.rateShare.RingPosition
 }
 
+/** The peers that hold targets as of a later position, the most recently heard first, and the first one's position. */
+export interface LaterTargets {
+  readonly endpoints: readonly string[]
+  readonly position: routing.targetRegistry.Position | undefined
+}
+
 interface CachedDivision {
   /** Whether the fleet has a single cell, so that every daemon reports to every other. */
   readonly isSingleCell: boolean
@@ -180,6 +186,14 @@
     return [...this.peers.values()].filter((peer) => nowMs - peer.lastReceivedMs < this.remoteTimeoutMs(nowMs)).sort((a, b) => b.lastReceivedMs - a.lastReceivedMs)
   }
 
+  /** Returns the peers whose reports name a later position of the targets. */
+  withLaterTargets (ownPosition: routing.targetRegistry.Position, nowMs: number): LaterTargets {
+    const ahead = this.recentPeers(nowMs)
+      .map(({ report: { from, targetsPosition: [era, revision] } }) => ({ from, position: { era, revision } }))
+      .filter(({ position }) => routing.targetRegistry.isLater(position, ownPosition))
+    return { endpoints: ahead.map(({ from }) => from), position: ahead[0]?.position }
+  }
+
   /** Returns the number of live members, this daemon included. */
   liveCount (nowMs: number): number {
     return 1 + this.reachablePeers(nowMs).length + this.reachableRemoteMembers(nowMs).length
