--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -96,7 +96,7 @@
 
   start (): void {
     this.options.outgoing.once('close', () => { this.run(() => { this.onCallerLeft() }) })
-    this.options.outgoing.on('drain', () => { this.exchange?.resume() })
+    this.options.outgoing.on('drain', () => { this.run(() => { this.readOn() }) })
     this.run(() => { this.begin() })
   }
 
@@ -176,6 +176,12 @@
     else this.refuse('timed-out-unsent', REJECTED_RETRY_MS)
   }
 
+  /** Reads from the target again. Nothing was read while the caller read slowly, which is no silence of the target. */
+  private readOn (): void {
+    this.exchange?.resume()
+    if (this.placement !== undefined) this.options.context.pools.handlePlacementEvent(this.placement, { kind: 'reading-resumed' })
+  }
+
   private onCallerLeft (): void {
     if (this.finished) return
     const stage = this.stage()
@@ -420,14 +426,8 @@
   private onBroken (message: string): void {
     const { context, request } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'failed' })
-    context.log.request('target broke off', {
-      request: request.requestId,
-      target: this.target?.id,
-      detail: message,
-      awaitedFirstEvent: this.awaitsFirstEvent,
-      lastEvent: this.continuity.lastId(),
-      promptSegments: request.promptSegments
-    })
+    const { requestId, promptSegments } = request
+    context.log.request('target broke off', { request: requestId, target: this.target?.id, detail: message, awaitedFirstEvent: this.awaitsFirstEvent, lastEvent: this.continuity.lastId(), promptSegments })
     const mayBeRepeated = this.evidence.recordBreak()
     if (mayBeRepeated && this.isRetryable && this.acquireRetry()) this.retry()
     else this.refuse('broken')
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -46,6 +46,7 @@
   | { readonly kind: 'left' }
   | { readonly kind: 'first-event' }
   | { readonly kind: 'next-event', readonly intervalMs: number }
+  | { readonly kind: 'reading-resumed' }
   | { readonly kind: 'ended', readonly outcome: routing.poolEvent.RequestOutcome }
 
 /** Dependencies of the pools. */
--- a/packages/gateway/tests/silent-targets.test.ts
+++ b/packages/gateway/tests/silent-targets.test.ts
@@ -1,12 +1,17 @@
 /**
  * Targets that are sound and send nothing for a while: their requests stay there unless another target can take them.
  */
+import * as events from 'node:events'
 import * as http from 'node:http'
 import * as gateway from '@persimmonhatch/gateway'
 import * as routing from '@persimmonhatch/routing'
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
+import type * as admission from '../src/admission.js'
+import type * as contextModule from '../src/context.js'
+import * as requestTask from '../src/request-task.js'
 import * as servicePools from '../src/service-pools.js'
+import type * as targetClient from '../src/target-client.js'
 import * as placements from './placements.js'
 import * as fixtureModule from './fixture.js'
 
@@ -123,10 +128,11 @@
   readonly pools: servicePools.ServicePools
   readonly stalled: readonly number[]
   readonly advance: (milliseconds: number) => void
+  readonly now: () => number
 }
 
-/** Pools with a request at one of two targets, on a clock of the test. */
-function setUpPools (): Setup {
+/** Pools of two targets with a request at one of them unless they are idle, on a clock of the test. */
+function setUpPools ({ isIdle = false } = {}): Setup {
   let nowMs = 1_000
   const stalled: number[] = []
   const registry = routing.targetRegistry.createTargetRegistry()
@@ -134,8 +140,8 @@
   const pools = servicePools.createServicePools({ now: () => nowMs, random: () => 0.5, registry, limitOf: () => undefined, changed: () => {} })
   pools.adopt(fixtureModule.DOCUMENT.services)
   pools.refreshTargets({ segment: routing.cell.WHOLE_RING, position: { index: 0, members: 1 }, cellPosition: { index: 0, members: 1 } }, nowMs)
-  pools.requestPlacement('stock', placements.placementOptions(nowMs), { onQueued: () => {}, onDecision: () => {}, onStalled: () => { stalled.push(nowMs) } })
-  return { pools, stalled, advance: (milliseconds) => { nowMs += milliseconds } }
+  if (!isIdle) pools.requestPlacement('stock', placements.placementOptions(nowMs), { onQueued: () => {}, onDecision: () => {}, onStalled: () => { stalled.push(nowMs) } })
+  return { pools, stalled, now: () => nowMs, advance: (milliseconds) => { nowMs += milliseconds } }
 }
 
 suite('a target that sends nothing while the daemon watches is stalled', () => {
@@ -163,4 +169,99 @@
   assert.is(stalled.length, 1)
 })
 
+/** A response whose caller reads only when the test says so. */
+class SlowOutgoing extends events.EventEmitter {
+  headersSent = false
+  writableNeedDrain = false
+
+  writeHead (): void { this.headersSent = true }
+
+  write (): boolean {
+    this.writableNeedDrain = true
+    return false
+  }
+
+  end (): void {}
+
+  destroy (): void {}
+
+  drain (): void {
+    this.writableNeedDrain = false
+    this.emit('drain')
+  }
+}
+
+/** What a task sends to targets. */
+interface Sends {
+  readonly targets: readonly string[]
+  /** Delivers an event of the first target that a request was sent to. */
+  readonly deliver: (id: number) => void
+}
+
+/** Serves a resumable stream at one of two targets, with clients and a caller of the test. */
+function startStream ({ pools }: Setup, now: () => number, outgoing: SlowOutgoing): Sends {
+  const targets: string[] = []
+  let first: targetClient.Listener | undefined
+  const nothing = (): void => {}
+  const route = DOCUMENT.routes.find(({ name }) => name === 'generate')
+  const context = {
+    now,
+    headerNames: fixtureModule.HEADER_NAMES,
+    log: { request: nothing, change: nothing },
+    metrics: { count: nothing, observe: nothing },
+    pools,
+    clients: {
+      send: ({ address }: targetClient.TargetRequest, listener: targetClient.Listener) => {
+        targets.push(address)
+        first ??= listener
+        listener.sent()
+        return { abort: nothing, pause: nothing, resume: nothing }
+      }
+    },
+    budget: { acquireRetry: () => true },
+    suspects: new routing.suspects.Suspects(nothing),
+    targetLimits: routing.targetLimits.createTargetLimits(() => 0),
+    streams: { record: nothing },
+    paths: { choose: () => undefined, recordUnreachable: nothing },
+    targets: { startOf: () => 0, versionOf: () => 'v1' },
+    onLimitsChanged: nothing,
+    isArbiterOf: () => false,
+    daemons: () => 1,
+    stopping: () => false
+  } as unknown as contextModule.Context
+  const request = {
+    head: { method: 'GET', path: '/generate/7', headers: [], arrivedMs: now() }, route, service: 'stock', organisation: undefined, priority: 0, requestId: 'r-1', promptTokens: 0, outputTokens: 0, cappedTokens: 0, promptSegments: [], limitMs: now() + 9_000, resubmitted: false
+  } as unknown as admission.AdmittedRequest
+  new requestTask.RequestTask({ context, request, body: undefined, outgoing: outgoing as unknown as http.ServerResponse }).start()
+  return {
+    targets,
+    deliver: (id) => {
+      if (id === 1) first?.head({ status: 200, headers: ['request-id', 'r-1', 'proof', 'p', 'content-type', 'text/event-stream'] })
+      first?.data(Buffer.from(`id: ${id}\ndata: a\n\n`))
+    }
+  }
+}
+
+// A tick between a caller reading on and the next data of its target took the time in which nothing was read for silence.
+suite('the silence of a target is measured anew when its slow caller reads on', () => {
+  const setup = setUpPools({ isIdle: true })
+  const outgoing = new SlowOutgoing()
+  const sends = startStream(setup, setup.now, outgoing)
+  const pass = (milliseconds: number): void => {
+    for (let elapsedMs = 0; elapsedMs < milliseconds; elapsedMs += 30) {
+      setup.advance(30)
+      setup.pools.tick()
+    }
+  }
+  sends.deliver(1)
+  pass(SILENCE_MS)
+  assert.is(sends.targets.length, 1, 'the caller read slowly')
+  outgoing.drain()
+  pass(STALL_MS - 60)
+  assert.is(sends.targets.length, 1, 'the caller has read on for less than the stall time')
+  pass(90)
+  assert.is(sends.targets.length, 2, 'the target has sent nothing for longer than the stall time')
+  outgoing.emit('close')
+})
+
 suite.run()
--- a/packages/routing/src/placement/pool-event.ts
+++ b/packages/routing/src/placement/pool-event.ts
@@ -59,6 +59,8 @@
   | { readonly kind: 'left', readonly id: number }
   | { readonly kind: 'first-event', readonly id: number }
   | { readonly kind: 'next-event', readonly id: number, readonly intervalMs: number }
+  /** Reading from the target goes on, after a time in which the caller read slowly and nothing was read. */
+  | { readonly kind: 'reading-resumed', readonly id: number }
   | { readonly kind: 'ended', readonly id: number, readonly outcome: RequestOutcome }
   | { readonly kind: 'load-reported', readonly target: string, readonly running: number, readonly waiting: number, readonly slots: number, readonly workFactor?: number | undefined }
   | { readonly kind: 'targets', readonly targetShares: readonly cell.TargetShare[], readonly cellPosition?: rateShare.RingPosition }
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -85,7 +85,7 @@
 
   * handle (event: poolEvent.PoolEvent, nowMs: number): Decisions {
     this.apply(event, nowMs)
-    if (event.kind === 'next-event' || event.kind === 'first-event' || event.kind === 'load-reported') return
+    if (event.kind === 'next-event' || event.kind === 'first-event' || event.kind === 'reading-resumed' || event.kind === 'load-reported') return
     yield * this.serveQueue(nowMs)
   }
 
@@ -152,6 +152,7 @@
         break
       case 'first-event':
       case 'next-event': this.recordEvent(event, nowMs); break
+      case 'reading-resumed': this.placements.get(event.id)?.restartSilence(nowMs); break
       case 'ended': this.end(event.id, event.outcome, nowMs); break
       case 'load-reported': this.applyReportedLoad(event, nowMs); break
       case 'targets': this.setTargets(event, nowMs); break
