--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -79,6 +79,11 @@
 /** Rows of either length; a target without a report of its own has the shorter one. */
 const isLeavingTarget = either(rowOf([isText, isAmount, isAmount]), rowOf([isText, isAmount, isAmount, isStart, isAmount]))
 
+const isCurves = listOf(rowOf([isAmount], isNumber))
+
+/** Rows of either length; a daemon that doesn't join the samples of a target has the shorter one. */
+const isLimitOfTarget = either(rowOf([isCurves]), rowOf([isCurves, isAmount, isAmount, isAmount]))
+
 const isReport = fieldsOf({
   from: isEndpoint,
   incarnation: isText,
@@ -88,7 +93,7 @@
   ready: isFlag,
   documentVersion: isAmount,
   targetsPosition: rowOf([isAmount, isAmount]),
-  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])), factors: optional(mapOf(rowOf([isAmount, isAmount]))) })),
+  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])), factors: optional(mapOf(rowOf([isAmount, isAmount]))), limits: optional(mapOf(isLimitOfTarget)) })),
   usedTokens: mapOf(isNumber),
   complete: isFlag,
   leavingTargets: listOf(isLeavingTarget),
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -109,9 +109,10 @@
   }
 
   function refreshTargets ({ segment, position, cellPosition }: peerTable.RingPlace, nowMs: number): void {
-    for (const service of pools.keys()) {
+    for (const [service, { isAdaptive }] of pools) {
+      const minTargets = isAdaptive ? routing.cell.MIN_DIFFERENT_TARGETS_PER_CELL : undefined
       const targets = options.registry.usable(service, nowMs)
-      handle(service, { kind: 'targets', targetShares: routing.cell.limitTargets(targets, routing.cell.assignTargets(targets, segment), options.limitOf, position), cellPosition })
+      handle(service, { kind: 'targets', targetShares: routing.cell.limitTargets(targets, routing.cell.assignTargets(targets, segment, minTargets), options.limitOf, position), cellPosition })
     }
   }
 
--- a/packages/routing/src/cell.ts
+++ b/packages/routing/src/cell.ts
@@ -19,6 +19,9 @@
 /** A cell uses at least this many targets, so that it has others when one fails. */
 const MIN_TARGETS_PER_CELL = 3
 
+/** The same for services whose targets may differ in speed by several times: the slow ones of few leave too little to a cell. */
+export const MIN_DIFFERENT_TARGETS_PER_CELL = 6
+
 /** Overcommitment of targets that several cells share: the cells are seldom all busy at the same time. */
 const SHARED_SLOTS_FACTOR = 1.5
 
@@ -47,6 +50,8 @@
 export interface TargetShare {
   readonly target: targetRegistry.Target
   readonly share: number
+  /** Share if every cell that uses the target takes only its part: these add up to one. Undefined if it is as `share`. */
+  readonly part?: number
   /** Undefined if the target has no limit of its request rate. */
   readonly limit?: rateShare.RateLimit | undefined
 }
@@ -143,20 +148,44 @@
  * ```ts
  * for (const { target, share } of assignTargets(targets, segment)) offer(target, share * target.slots)
  * ```
+ *
+ * With `minTargets`, which services with learned limits state, the parts are added.
  */
-export function assignTargets (targets: readonly targetRegistry.Target[], segment: RingSegment): readonly TargetShare[] {
+export function assignTargets (targets: readonly targetRegistry.Target[], segment: RingSegment, minTargets?: number): readonly TargetShare[] {
   const { length } = targets
+  const shareOf = shareLookup(length, segment, minTargets ?? MIN_TARGETS_PER_CELL)
+  if (shareOf === undefined) return targets.map((target) => ({ target, share: 1 }))
+  // The other cells are about as large as this one. Parts are needed, and computed, only for learned limits.
+  const cells = minTargets === undefined ? 0 : Math.max(1, Math.round(1 / (segment.to - segment.from)))
+  const own = Math.round(segment.from * cells)
+  const others = Array.from({ length: cells }, (_, index) => index)
+    .filter((index) => index !== own)
+    .map((index) => shareLookup(length, { from: index / cells, to: (index + 1) / cells }, minTargets ?? MIN_TARGETS_PER_CELL))
+  return sortByHash(targets, (target) => target.id).flatMap((target, index) => {
+    const share = shareOf(index, target.slots)
+    if (share === 0) return []
+    if (minTargets === undefined) return [{ target, share }]
+    const otherShares = others.reduce((sum, other) => sum + (other?.(index, target.slots) ?? 0), 0)
+    return [{ target, share, part: share / (share + otherShares) }]
+  })
+}
+
+/** Returns the share that a cell uses of the target at an index with a number of slots. */
+type ShareLookup = (index: number, slots: number) => number
+
+/** Returns the shares that the cell of a segment uses; undefined if it uses the whole of each of the targets. */
+function shareLookup (length: number, segment: RingSegment, minTargets: number): ShareLookup | undefined {
   const exactTargets = (segment.to - segment.from) * length
-  const usedTargets = Math.min(length, Math.max(MIN_TARGETS_PER_CELL, exactTargets))
-  if (usedTargets === length && exactTargets === length) return targets.map((target) => ({ target, share: 1 }))
+  const usedTargets = Math.min(length, Math.max(minTargets, exactTargets))
+  if (usedTargets === length && exactTargets === length) return undefined
   const isWidened = usedTargets > exactTargets
   const from = Math.min(length - usedTargets, Math.max(0, segment.from * length - (usedTargets - exactTargets) / 2))
   const perTarget = isWidened ? Math.min(1, SHARED_SLOTS_FACTOR * exactTargets / usedTargets) : 1
-  return sortByHash(targets, (target) => target.id).flatMap((target, index) => {
+  return (index, slots) => {
     const overlap = Math.min(index + 1, from + usedTargets) - Math.max(index, from)
     const share = Math.min(1, overlap) * perTarget
-    return overlap > 0 && (isWidened || share * target.slots >= MIN_SLOTS_AT_TARGET) ? [{ target, share }] : []
-  })
+    return overlap > 0 && (isWidened || share * slots >= MIN_SLOTS_AT_TARGET) ? share : 0
+  }
 }
 
 /** Returns the limit of a target's request rate; undefined if it has none. */
@@ -173,11 +202,11 @@
  */
 export function limitTargets (targets: readonly targetRegistry.Target[], shares: readonly TargetShare[], limitOf: LimitLookup, position: rateShare.RingPosition): readonly TargetShare[] {
   if (targets.every(({ id }) => limitOf(id) === undefined)) return shares
-  const shareOf = new Map(shares.map(({ target, share }) => [target.id, share]))
+  const shareOf = new Map(shares.map((each) => [each.target.id, each]))
   return sortByHash(targets, (target) => target.id).flatMap((target, index) => {
     const share = shareOf.get(target.id)
     const requestsPerS = limitOf(target.id)
     const limit = requestsPerS === undefined ? undefined : rateShare.shareRate(requestsPerS, { index, targets: targets.length }, position)
-    return share !== undefined || (limit?.ownRequestsPerS ?? 0) > 0 ? [{ target, share: share ?? 0, limit }] : []
+    return share !== undefined || (limit?.ownRequestsPerS ?? 0) > 0 ? [{ ...share ?? { target, share: 0 }, limit }] : []
   })
 }
--- a/packages/routing/src/placement/pool-event.ts
+++ b/packages/routing/src/placement/pool-event.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as cell from '../cell.js'
+import type * as limitRows from '../limits/limit-rows.js'
 import type * as obstacle from './obstacle.js'
 import type * as rateShare from '../limits/rate-share.js'
 import type * as targetRegistry from '../target-registry.js'
@@ -51,6 +52,8 @@
   readonly waiting: readonly (readonly [rank: number, count: number, oldestMs: number])[]
   /** Work factors that targets have reported to this peer recently, in hundredths, and their ages, by target. */
   readonly factors?: Readonly<Record<string, readonly [hundredths: number, ageMs: number]>>
+  /** Samples of response times, and learned limits of the targets whose samples this peer joins, by target; those of other targets stay as last reported. */
+  readonly limits?: Readonly<Record<string, limitRows.LimitRow>>
 }
 
 /** An input of a pool. */
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type * as document from '../document.js'
+import * as targetConcurrency from '../limits/target-concurrency.js'
 import * as obstacle from './obstacle.js'
 import type * as poolEvent from './pool-event.js'
 import type * as rateShare from '../limits/rate-share.js'
@@ -100,7 +101,7 @@
       const [, count, oldestMs] = waiting.get(rank) ?? [0, 0, 0]
       waiting.set(rank, [rank, count + 1, Math.max(oldestMs, Math.round(nowMs - request.arrivedMs))])
     }
-    return { targets, waiting: [...waiting.values()], ...this.hasWorkFactors ? { factors: this.reportedFactors(nowMs) } : {} }
+    return { targets, waiting: [...waiting.values()], ...this.hasWorkFactors ? { factors: this.reportedFactors(nowMs) } : {}, ...this.isAdaptive ? { limits: targetConcurrency.report(this.records, this.slotConditions(), nowMs) } : {} }
   }
 
   private reportedFactors (nowMs: number): Readonly<Record<string, workFactor.ReportedFactor>> {
@@ -179,10 +180,12 @@
       const reported = Object.hasOwn(factors, id) ? factors[id] : undefined
       if (reported !== undefined) record.workFactor.record(...workFactor.factorOf(reported, nowMs))
     }
+    if (this.isAdaptive) targetConcurrency.applyPeer(this.records, peer, load.limits ?? {}, nowMs)
   }
 
   private recordEvent (event: Extract<poolEvent.PoolEvent, { readonly kind: 'first-event' | 'next-event' }>, nowMs: number): void {
     const record = this.placements.get(event.id)
+    if (this.isAdaptive && record !== undefined) targetConcurrency.sampleEvent(record, event, nowMs)
     if (event.kind === 'first-event') record?.recordFirstEvent(event.id, nowMs)
     else record?.recordNextEvent(event.intervalMs, this.service.engine?.tokensPerEvent ?? 1, nowMs)
   }
@@ -198,13 +201,14 @@
     for (const targetShare of targetShares) {
       const { id } = targetShare.target
       const record = this.records.get(id)
-      if (record === undefined) this.records.set(id, new targetRecord.TargetRecord(targetShare, nowMs))
+      if (record === undefined) this.records.set(id, new targetRecord.TargetRecord(targetShare, nowMs, this.isAdaptive ? targetConcurrency.initialLimit(this.records, targetShare, nowMs) : undefined))
       else record.update(targetShare, nowMs)
     }
   }
 
   private end (id: number, outcome: poolEvent.RequestOutcome, nowMs: number): void {
     const record = this.placements.get(id)
+    if (outcome === 'answered' && this.isAdaptive && !this.isEngine) record?.sampleTime(id, nowMs)
     const request = record?.end(id)
     this.placements.delete(id)
     if (record === undefined || request === undefined || outcome === 'cancelled') return
@@ -230,8 +234,8 @@
   }
 
   private slotConditions (): slotLimits.Conditions {
-    const { isEngine, isBrittle, cellPosition, serviceTimeMs } = this
-    return { isEngine, isBrittle, reachableDaemons: this.fleet.reachable, daemons: this.fleet.daemons, cellPosition, serviceTimeMs }
+    const { isAdaptive, isEngine, isBrittle, cellPosition, serviceTimeMs } = this
+    return { isEngine, isBrittle, isAdaptive, reachableDaemons: this.fleet.reachable, daemons: this.fleet.daemons, cellPosition, serviceTimeMs }
   }
 
   private snapshot (nowMs: number): snapshotModule.PoolSnapshot {
@@ -246,7 +250,7 @@
       const allowedSends = Math.max(0, Math.min(record.allowedSends(nowMs), (pauses?.maxInFlight(id, nowMs) ?? Infinity) - record.ownRequestIds.length))
       const pauseMs = Math.max(0, (pauses?.untilMs(id, nowMs) ?? 0) - nowMs)
       candidates.push({ record, isEjected: record.isEjected(nowMs), inFlight: record.occupancy(nowMs), freeSlots: Math.min(allowedSends, slotLimits.freeSlotsAt(record, conditions, nowMs)), allowedSends, pauseMs })
-      if (pauseMs === 0) slots += slotLimits.usableSlots(record, conditions)
+      if (pauseMs === 0) slots += slotLimits.usableSlots(record, conditions, nowMs)
       if (fastest === undefined || record.estimate.firstEventMs(0) < fastest.estimate.firstEventMs(0)) fastest = record
     }
     const pauseMs = candidates.length === 0 ? 0 : Math.min(...candidates.map((candidate) => candidate.pauseMs))
@@ -258,7 +262,8 @@
   }
 
   private chooseTarget (request: poolEvent.PlacementOptions, { candidates, nowMs }: snapshotModule.PoolSnapshot, assigned: targetChoice.Assigned): targetRecord.TargetRecord | undefined {
-    return targetChoice.chooseTarget(request, candidates, { isEngine: this.isEngine, isBrittle: this.isBrittle, random: this.options.random, nowMs }, assigned)
+    // Retries, too, keep to learned limits: beyond them, each would slow all others down.
+    return targetChoice.chooseTarget(request, candidates, { isEngine: this.isEngine, isBrittle: this.isBrittle || this.isAdaptive, random: this.options.random, nowMs }, assigned)
   }
 
   private figures (request: poolEvent.PlacementRequest, position: waitEstimate.QueuePosition, snapshot: snapshotModule.PoolSnapshot, freeSlots: number): poolEvent.Figures {
@@ -303,6 +308,7 @@
         freeSlots -= 1
         assigned.set(record, (assigned.get(record) ?? 0) + 1)
         record.begin(request.id, request.promptTokens, request.promptSegments, nowMs)
+        if (this.isAdaptive) record.beginSample(request.id, nowMs)
         this.placements.set(request.id, record)
         yield { kind: 'dispatch', id: request.id, target: record.target, figures }
       } else if (!snapshot.candidates.some((candidate) => targetChoice.isOfVersion(candidate.record, request.version))) {
--- a/packages/routing/src/placement/target-record.ts
+++ b/packages/routing/src/placement/target-record.ts
@@ -5,6 +5,8 @@
  */
 import type * as cell from '../cell.js'
 import * as engineEstimate from './engine-estimate.js'
+import * as concurrencyLimit from '../limits/concurrency-limit.js'
+import * as limitSamples from '../limits/limit-samples.js'
 import * as rateBucket from '../limits/rate-bucket.js'
 import type * as rateShare from '../limits/rate-share.js'
 import type * as targetRegistry from '../target-registry.js'
@@ -18,6 +20,8 @@
   /** Prompt tokens of all requests at the target that were pending prefill at dispatch, its own included. */
   readonly pendingPrefillTokens: number
   readonly firstEventMs: number | undefined
+  /** State of the target at dispatch; undefined if limits are not learned. */
+  readonly begun?: limitSamples.TargetState
 }
 
 interface PeerTargetLoad {
@@ -70,6 +74,8 @@
 export class TargetRecord {
   readonly estimate = engineEstimate.createEngineEstimate()
   readonly workFactor = workFactorModule.createWorkFactor()
+  /** Learned limit of the requests in flight there. */
+  readonly concurrency: concurrencyLimit.ConcurrencyLimit
   private readonly inFlight = new Map<number, InFlightRequest>()
   private readonly bucket = new rateBucket.RateBucket()
   private readonly peers = new Map<string, PeerTargetLoad>()
@@ -83,8 +89,10 @@
   private lastBegunMs: number
   private reportedLoad: ReportedLoad | undefined
   private removed = false
+  private readonly occupancySum = limitSamples.createOccupancySum()
 
-  constructor (private targetShare: cell.TargetShare, nowMs: number) {
+  constructor (private targetShare: cell.TargetShare, nowMs: number, initialConcurrency?: number) {
+    this.concurrency = new concurrencyLimit.ConcurrencyLimit(initialConcurrency)
     this.lastReceivedMs = nowMs
     this.lastBegunMs = nowMs
     this.bucket.configure(targetShare.limit?.ownRequestsPerS, nowMs)
@@ -99,6 +107,11 @@
     return this.targetShare.share
   }
 
+  /** Share of it if every cell that uses the target takes only its part. */
+  get part (): number {
+    return this.targetShare.part ?? this.targetShare.share
+  }
+
   /** Smoothed failure rate, 0 to 1. */
   get failureShare (): number {
     return this.smoothedFailures
@@ -183,6 +196,38 @@
     return reportedLoad === undefined || nowMs - reportedLoad.atMs > REPORTED_LOAD_MAX_AGE_MS ? 0 : reportedLoad.occupied + this.inFlight.size - reportedLoad.ownRequests
   }
 
+  /** Returns what the samples of response times depend on. */
+  stateAt (nowMs: number): limitSamples.TargetState {
+    const reported = this.targetReportedOccupancy(nowMs)
+    // Only the target knows what other cells have there.
+    const inFlight = this.share === 1 ? Math.max(reported, this.peerReportedOccupancy(nowMs)) : reported > 0 ? reported : undefined
+    this.occupancySum.advance(inFlight, nowMs)
+    return { inFlight, inFlightMs: this.share === 1 ? this.occupancySum.value : undefined, workFactor: this.workFactor.current(nowMs), atMs: nowMs }
+  }
+
+  /** Notes the state of the target at the dispatch of a request whose time will be a sample. */
+  beginSample (id: number, nowMs: number): void {
+    const request = this.inFlight.get(id)
+    if (request !== undefined) this.inFlight.set(id, { ...request, begun: this.stateAt(nowMs) })
+  }
+
+  /** Adds the time of a request to the samples; for one with a prompt, it is divided by what the prompt adds to it. */
+  sampleTime (id: number, nowMs: number): void {
+    const request = this.inFlight.get(id)
+    if (request?.begun === undefined) return
+    const { startMs, begun, pendingPrefillTokens } = request
+    const relativeTime = pendingPrefillTokens === 0 ? 1 : this.estimate.firstEventMs(pendingPrefillTokens) / this.estimate.firstEventMs(0)
+    const sample = limitSamples.sampleOf((nowMs - startMs) / relativeTime, begun, this.stateAt(nowMs))
+    if (sample !== undefined) this.concurrency.record('whole', sample, nowMs)
+  }
+
+  /** Adds the time between two events to the samples. */
+  sampleInterval (intervalMs: number, nowMs: number): void {
+    const state = this.stateAt(nowMs)
+    const sample = limitSamples.sampleOf(intervalMs, state, state)
+    if (sample !== undefined) this.concurrency.record('step', { ...sample, weight: limitSamples.STEP_WEIGHT }, nowMs)
+  }
+
   /** Returns the pending prefill tokens of this daemon's requests. */
   ownPendingPrefillTokens (): number {
     let tokens = 0
