--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -79,6 +79,9 @@
 /** Rows of either length; a target without a report of its own has the shorter one. */
 const isLeavingTarget = either(rowOf([isText, isAmount, isAmount]), rowOf([isText, isAmount, isAmount, isStart, isAmount]))
 
+/** Sums over measured times; see `routing.targetSpeed.SpeedSums`. */
+const isSpeedRow = rowOf([isAmount, isAmount, isAmount, isAmount, isAmount, isAmount, isAmount])
+
 const isReport = fieldsOf({
   from: isEndpoint,
   incarnation: isText,
@@ -88,7 +91,7 @@
   ready: isFlag,
   documentVersion: isAmount,
   targetsPosition: rowOf([isAmount, isAmount]),
-  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])), factors: optional(mapOf(rowOf([isAmount, isAmount]))) })),
+  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])), factors: optional(mapOf(rowOf([isAmount, isAmount]))), held: optional(mapOf(isAmount)), speeds: optional(mapOf(isSpeedRow)) })),
   usedTokens: mapOf(isNumber),
   complete: isFlag,
   leavingTargets: listOf(isLeavingTarget),
--- a/packages/routing/src/cell.ts
+++ b/packages/routing/src/cell.ts
@@ -47,6 +47,8 @@
 export interface TargetShare {
   readonly target: targetRegistry.Target
   readonly share: number
+  /** Share of its memory that a cell may use, of which all cells together have no more than the whole; undefined is the same as `share`. */
+  readonly memoryShare?: number | undefined
   /** Undefined if the target has no limit of its request rate. */
   readonly limit?: rateShare.RateLimit | undefined
 }
@@ -155,7 +157,7 @@
   return sortByHash(targets, (target) => target.id).flatMap((target, index) => {
     const overlap = Math.min(index + 1, from + usedTargets) - Math.max(index, from)
     const share = Math.min(1, overlap) * perTarget
-    return overlap > 0 && (isWidened || share * target.slots >= MIN_SLOTS_AT_TARGET) ? [{ target, share }] : []
+    return overlap > 0 && (isWidened || share * target.slots >= MIN_SLOTS_AT_TARGET) ? [{ target, share, ...isWidened ? { memoryShare: segment.to - segment.from } : {} }] : []
   })
 }
 
@@ -173,11 +175,12 @@
  */
 export function limitTargets (targets: readonly targetRegistry.Target[], shares: readonly TargetShare[], limitOf: LimitLookup, position: rateShare.RingPosition): readonly TargetShare[] {
   if (targets.every(({ id }) => limitOf(id) === undefined)) return shares
-  const shareOf = new Map(shares.map(({ target, share }) => [target.id, share]))
+  const shareOf = new Map(shares.map((targetShare) => [targetShare.target.id, targetShare]))
   return sortByHash(targets, (target) => target.id).flatMap((target, index) => {
     const share = shareOf.get(target.id)
     const requestsPerS = limitOf(target.id)
     const limit = requestsPerS === undefined ? undefined : rateShare.shareRate(requestsPerS, { index, targets: targets.length }, position)
-    return share !== undefined || (limit?.ownRequestsPerS ?? 0) > 0 ? [{ target, share: share ?? 0, limit }] : []
+    if (share !== undefined) return [{ ...share, limit }]
+    return (limit?.ownRequestsPerS ?? 0) > 0 ? [{ target, share: 0, memoryShare: 1 / position.members, limit }] : []
   })
 }
--- a/packages/routing/src/placement/pool-event.ts
+++ b/packages/routing/src/placement/pool-event.ts
@@ -7,6 +7,7 @@
 import type * as obstacle from './obstacle.js'
 import type * as rateShare from '../limits/rate-share.js'
 import type * as targetRegistry from '../target-registry.js'
+import type * as targetSpeed from './target-speed.js'
 
 /** A request to be placed at a target. */
 export interface PlacementRequest {
@@ -51,6 +52,10 @@
   readonly waiting: readonly (readonly [rank: number, count: number, oldestMs: number])[]
   /** Work factors that targets have reported to this peer recently, in hundredths, and their ages, by target. */
   readonly factors?: Readonly<Record<string, readonly [hundredths: number, ageMs: number]>>
+  /** Tokens of memory that this peer's requests hold, by target. */
+  readonly held?: Readonly<Record<string, number>>
+  /** Sums over the times that this peer has measured, by target; in some reports only. */
+  readonly speeds?: Readonly<Record<string, targetSpeed.SpeedRow>>
 }
 
 /** An input of a pool. */
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -8,12 +8,14 @@
  * @module
  */
 import type * as document from '../document.js'
+import * as adaptiveRound from './adaptive-round.js'
 import * as obstacle from './obstacle.js'
 import type * as poolEvent from './pool-event.js'
 import type * as rateShare from '../limits/rate-share.js'
 import * as slotLimits from '../limits/slot-limits.js'
 import type * as targetPauses from '../limits/target-pauses.js'
 import * as queueOrder from '../shares/queue-order.js'
+import * as requestSizes from './request-sizes.js'
 import * as snapshotModule from './snapshot.js'
 import * as targetChoice from './target-choice.js'
 import * as targetRecord from './target-record.js'
@@ -42,6 +44,9 @@
 const ENGINE_SILENCE_MS = 1_000
 const PLAIN_SILENCE_MS = 400
 
+/** Interval at which measured speeds are reported, ms: they change little, and each report has all of them. */
+const SPEED_REPORT_INTERVAL_MS = 1_000
+
 /** Maximum expected wait in the figures, ms. */
 const MAX_REPORTED_WAIT_MS = 1_000_000
 
@@ -66,6 +71,10 @@
   private serviceTimeMs: number
   private hasBrittleTargets = false
   private hasWorkFactors = false
+  private readonly sizes = requestSizes.createRequestSizes()
+  private lastReportMs = -Infinity
+  private previousReportMs = -Infinity
+  private lastSpeedReportMs = -Infinity
   private cellPosition: rateShare.RingPosition = { index: 0, members: 1 }
 
   constructor (private readonly options: Options) {
@@ -91,6 +100,9 @@
 
   /** Returns the load to report to peers. */
   load (nowMs: number): poolEvent.PeerLoad {
+    this.previousReportMs = this.lastReportMs
+    this.lastReportMs = nowMs
+    for (const record of this.records.values()) record.markReported()
     const inUse = [...this.records].filter(([, record]) => record.ownRequestIds.length > 0)
     const targets = Object.fromEntries(inUse.map(([id, record]) => [id, [record.ownRequestIds.length, record.ownPendingPrefillTokens()] as const]))
     const waiting = new Map<number, readonly [number, number, number]>()
@@ -100,7 +112,21 @@
       const [, count, oldestMs] = waiting.get(rank) ?? [0, 0, 0]
       waiting.set(rank, [rank, count + 1, Math.max(oldestMs, Math.round(nowMs - request.arrivedMs))])
     }
-    return { targets, waiting: [...waiting.values()], ...this.hasWorkFactors ? { factors: this.reportedFactors(nowMs) } : {} }
+    return { targets, waiting: [...waiting.values()], ...this.hasWorkFactors ? { factors: this.reportedFactors(nowMs) } : {}, ...this.isAdaptive ? this.reportedWork(nowMs) : {} }
+  }
+
+  private reportedWork (nowMs: number): Pick<poolEvent.PeerLoad, 'held' | 'speeds'> {
+    const inUse = [...this.records].filter(([, record]) => record.ownRequestIds.length > 0)
+    const held = this.isEngine ? { held: Object.fromEntries(inUse.map(([id, record]) => [id, record.ownHeldTokens()])) } : {}
+    if (nowMs - this.lastSpeedReportMs < SPEED_REPORT_INTERVAL_MS) return held
+    this.lastSpeedReportMs = nowMs
+    return {
+      ...held,
+      speeds: Object.fromEntries([...this.records].flatMap(([id, record]) => {
+        const row = record.speed.report()
+        return row === undefined ? [] : [[id, row] as const]
+      }))
+    }
   }
 
   private reportedFactors (nowMs: number): Readonly<Record<string, workFactor.ReportedFactor>> {
@@ -145,7 +171,10 @@
 
   private apply (event: poolEvent.PoolEvent, nowMs: number): void {
     switch (event.kind) {
-      case 'arrived': this.queue = [...this.queue, event.request]; break
+      case 'arrived':
+        this.queue = [...this.queue, event.request]
+        this.sizes.record(event.request)
+        break
       case 'left':
         this.queue = this.queue.filter((request) => request.id !== event.id)
         this.end(event.id, 'cancelled', nowMs)
@@ -175,7 +204,9 @@
     const factors = load.factors ?? {}
     if (Object.keys(factors).length > 0) this.hasWorkFactors = true
     for (const [id, record] of this.records) {
-      record.applyPeerLoad(peer, Object.hasOwn(load.targets, id) ? load.targets[id] : undefined, nowMs)
+      record.applyPeerLoad(peer, Object.hasOwn(load.targets, id) ? load.targets[id] : undefined, nowMs, Object.hasOwn(load.held ?? {}, id) ? load.held?.[id] : undefined)
+      const speed = Object.hasOwn(load.speeds ?? {}, id) ? load.speeds?.[id] : undefined
+      if (speed !== undefined) record.speed.applyPeer(peer, speed)
       const reported = Object.hasOwn(factors, id) ? factors[id] : undefined
       if (reported !== undefined) record.workFactor.record(...workFactor.factorOf(reported, nowMs))
     }
@@ -216,6 +247,7 @@
       const elapsedMs = nowMs - request.startMs
       this.serviceTimeMs += SMOOTHING_FACTOR * (elapsedMs - this.serviceTimeMs)
       record.recordResponse(elapsedMs)
+      if (!this.isEngine) record.speed.recordFirst(elapsedMs, 0, record.workFactor.sampled(nowMs))
     }
     record.recordResult(outcome !== 'answered', nowMs)
     if (outcome === 'unreachable') record.eject(nowMs)
@@ -284,12 +316,79 @@
     let ahead = 0
     // Slots that this daemon owns are not shared with the requests of peers.
     if (this.isBrittle) return ahead
-    for (const queue of this.peerQueues.values()) ahead += waitingOrder.aheadAtPeer(request, rank, queue, nowMs)
+    for (const queue of this.peerQueues.values()) ahead += waitingOrder.aheadAtPeer(request, rank, queue, nowMs, this.isAdaptive)
     return ahead
   }
 
+  private waitingAtPeers (nowMs: number): number {
+    return this.isBrittle ? 0 : [...this.peerQueues.values()].reduce((sum, queue) => sum + waitingOrder.waitingAtPeer(queue, nowMs), 0)
+  }
+
+  private createRound (snapshot: snapshotModule.PoolSnapshot): adaptiveRound.Round {
+    const { reachable, daemons } = this.fleet
+    return adaptiveRound.createRound(snapshot, {
+      isEngine: this.isEngine,
+      isBrittle: this.isBrittle,
+      memoryTokens: this.service.engine?.memoryTokens,
+      members: this.cellPosition.members,
+      // A daemon that is cut off from its peers does not know what they have at the target.
+      memoryShareOf: (record) => reachable * 2 <= daemons ? Math.min(record.memoryShare, reachable / daemons) : record.memoryShare,
+      sizes: this.sizes,
+      random: this.options.random
+    })
+  }
+
+  private begin (request: poolEvent.PlacementRequest, record: targetRecord.TargetRecord, nowMs: number): void {
+    record.begin(request.id, request.promptTokens, request.promptSegments, nowMs, request.outputTokens)
+    this.placements.set(request.id, record)
+  }
+
+  /** Serves the queue of an adaptive service. */
+  private * serveByWork (nowMs: number): Decisions {
+    const snapshot = this.snapshot(nowMs)
+    const round = this.createRound(snapshot)
+    const stillWaiting: poolEvent.PlacementRequest[] = []
+    const rankOf = (request: poolEvent.PlacementRequest): number => waitingOrder.rankOf(request, waitingOrder.isLate(request, round.fastestFirstMs(request.promptTokens), nowMs))
+    for (const [request, rank] of queueOrder.orderQueue(this.queue, rankOf)) {
+      const aheadAtPeers = this.aheadAtPeers(request, rank, nowMs)
+      const freePlaces = round.freeSlots()
+      // Peers don't know of a request that has arrived since the last report, and use the free slots that they see.
+      const unawareAtPeers = request.arrivedMs > this.lastReportMs ? this.waitingAtPeers(nowMs) - aheadAtPeers : 0
+      const isReported = request.arrivedMs <= this.previousReportMs
+      const verdict = round.decide(request, { ahead: aheadAtPeers, unaware: unawareAtPeers, isReported })
+      const figures: poolEvent.Figures = {
+        waitedMs: Math.round(nowMs - request.arrivedMs),
+        waiting: this.queue.length,
+        ahead: stillWaiting.length + aheadAtPeers,
+        freePlaces,
+        expectedWaitMs: verdict.kind === 'dispatch' ? 0 : Math.round(Math.min(MAX_REPORTED_WAIT_MS, verdict.waitMs)),
+        heardDaemons: this.fleet.reachable
+      }
+      if (verdict.kind === 'dispatch') {
+        this.begin(request, verdict.record, nowMs)
+        yield { kind: 'dispatch', id: request.id, target: verdict.record.target, figures }
+      } else if (!snapshot.candidates.some((candidate) => targetChoice.isOfVersion(candidate.record, request.version))) {
+        yield this.refusal(request, snapshot.candidates.length === 0 ? 'no-target' : 'version-gone', 0, snapshot, figures)
+      } else if (verdict.kind === 'refuse') {
+        yield this.refusal(request, snapshot.pauseMs > 0 ? 'paused' : 'overloaded', Math.max(snapshot.pauseMs, verdict.waitMs), snapshot, figures)
+      } else {
+        stillWaiting.push(request)
+      }
+    }
+    this.queue = stillWaiting
+  }
+
+  private refusal (request: poolEvent.PlacementRequest, reason: poolEvent.RefusalReason, waitMs: number, snapshot: snapshotModule.PoolSnapshot, figures: poolEvent.Figures): poolEvent.PoolDecision {
+    const retryAfterMs = waitingOrder.retryAfterMs(request, waitMs, this.options.random(), snapshot.nowMs)
+    return { kind: 'refuse', id: request.id, reason, retryAfterMs, figures: { ...figures, obstacles: this.countObstacles(snapshot) } }
+  }
+
   private * serveQueue (nowMs: number): Decisions {
     if (this.queue.length === 0) return
+    if (this.isAdaptive) {
+      yield * this.serveByWork(nowMs)
+      return
+    }
     const snapshot = this.snapshot(nowMs)
     const assigned = new Map<targetRecord.TargetRecord, number>()
     const stillWaiting: poolEvent.PlacementRequest[] = []
@@ -302,8 +401,7 @@
       if (record !== undefined) {
         freeSlots -= 1
         assigned.set(record, (assigned.get(record) ?? 0) + 1)
-        record.begin(request.id, request.promptTokens, request.promptSegments, nowMs)
-        this.placements.set(request.id, record)
+        this.begin(request, record, nowMs)
         yield { kind: 'dispatch', id: request.id, target: record.target, figures }
       } else if (!snapshot.candidates.some((candidate) => targetChoice.isOfVersion(candidate.record, request.version))) {
         const reason = snapshot.candidates.length === 0 ? 'no-target' : 'version-gone'
--- a/packages/routing/src/placement/target-record.ts
+++ b/packages/routing/src/placement/target-record.ts
@@ -8,6 +8,7 @@
 import * as rateBucket from '../limits/rate-bucket.js'
 import type * as rateShare from '../limits/rate-share.js'
 import type * as targetRegistry from '../target-registry.js'
+import * as targetSpeed from './target-speed.js'
 import * as workFactorModule from './work-factor.js'
 
 /** A request of this daemon that is in flight at the target. */
@@ -15,6 +16,9 @@
   readonly startMs: number
   /** Prompt tokens that need prefill, i.e. are not cached at the target. */
   readonly promptTokens: number
+  readonly outputTokens: number
+  /** Prompt and expected output: what the request holds of an engine's memory. */
+  readonly heldTokens: number
   /** Prompt tokens of all requests at the target that were pending prefill at dispatch, its own included. */
   readonly pendingPrefillTokens: number
   readonly firstEventMs: number | undefined
@@ -23,6 +27,8 @@
 interface PeerTargetLoad {
   readonly running: number
   readonly promptTokens: number
+  /** Tokens of memory that its requests hold; undefined if its build does not report them. */
+  readonly heldTokens: number | undefined
   readonly atMs: number
 }
 
@@ -69,6 +75,7 @@
  */
 export class TargetRecord {
   readonly estimate = engineEstimate.createEngineEstimate()
+  readonly speed = targetSpeed.createTargetSpeed()
   readonly workFactor = workFactorModule.createWorkFactor()
   private readonly inFlight = new Map<number, InFlightRequest>()
   private readonly bucket = new rateBucket.RateBucket()
@@ -83,6 +90,7 @@
   private lastBegunMs: number
   private reportedLoad: ReportedLoad | undefined
   private removed = false
+  private unreportedSlots = 0
 
   constructor (private targetShare: cell.TargetShare, nowMs: number) {
     this.lastReceivedMs = nowMs
@@ -94,6 +102,11 @@
     return this.targetShare.target
   }
 
+  /** Share of its memory that this daemon's cell may use. */
+  get memoryShare (): number {
+    return this.targetShare.memoryShare ?? this.targetShare.share
+  }
+
   /** Share of its slots that this daemon's cell may use. */
   get share (): number {
     return this.targetShare.share
@@ -204,12 +217,39 @@
     return cachedMs !== undefined && nowMs - cachedMs < SEGMENT_CACHE_MS
   }
 
-  begin (id: number, promptTokens: number, promptSegments: readonly string[], nowMs: number): void {
+  /** Slots that requests of this daemon have left since its last report, so that no peer knows yet that they are free. */
+  get unreportedFreeSlots (): number {
+    return this.unreportedSlots
+  }
+
+  /** Records that the load has been reported to peers. */
+  markReported (): void {
+    this.unreportedSlots = 0
+  }
+
+  ownRequests (): readonly InFlightRequest[] {
+    return [...this.inFlight.values()]
+  }
+
+  /** Returns the tokens of memory that this daemon's requests hold, of those that have begun since a time. */
+  ownHeldTokens (sinceMs = -Infinity): number {
+    return this.ownRequests().reduce((sum, { startMs, heldTokens }) => startMs < sinceMs ? sum : sum + heldTokens, 0)
+  }
+
+  /** Returns the tokens of memory that the requests of all daemons hold, those of peers that don't report them by the mean size. */
+  tokensInUse ({ promptTokens, outputTokens }: targetSpeed.RequestSize): number {
+    let tokens = this.ownHeldTokens()
+    for (const peer of this.peers.values()) tokens += peer.heldTokens ?? peer.running * (promptTokens + outputTokens)
+    return tokens
+  }
+
+  begin (id: number, promptTokens: number, promptSegments: readonly string[], nowMs: number, outputTokens = 0): void {
     const prefillTokens = this.hasCachedPrompt(promptSegments, nowMs) ? 0 : promptTokens
     if (this.inFlight.size === 0) this.lastReceivedMs = nowMs
     this.lastBegunMs = nowMs
     this.bucket.take(nowMs)
-    this.inFlight.set(id, { startMs: nowMs, promptTokens: prefillTokens, pendingPrefillTokens: this.pendingPrefillTokens() + prefillTokens, firstEventMs: undefined })
+    this.unreportedSlots = Math.max(0, this.unreportedSlots - 1)
+    this.inFlight.set(id, { startMs: nowMs, promptTokens: prefillTokens, outputTokens, heldTokens: promptTokens + outputTokens, pendingPrefillTokens: this.pendingPrefillTokens() + prefillTokens, firstEventMs: undefined })
     this.cacheSegments(promptSegments, nowMs)
   }
 
@@ -218,18 +258,20 @@
     if (request === undefined) return
     this.lastReceivedMs = nowMs
     this.inFlight.set(id, { ...request, firstEventMs: nowMs })
+    this.speed.recordFirst(nowMs - request.startMs, request.pendingPrefillTokens, this.workFactor.sampled(nowMs))
     this.estimate.recordFirstEvent(nowMs - request.startMs, request.pendingPrefillTokens)
   }
 
   recordNextEvent (intervalMs: number, tokensPerEvent: number, nowMs: number): void {
     this.lastReceivedMs = nowMs
+    this.speed.recordInterval(intervalMs, tokensPerEvent, this.workFactor.sampled(nowMs))
     this.estimate.recordEventInterval(intervalMs, tokensPerEvent)
   }
 
   /** Removes a request that has ended and returns it. */
   end (id: number): InFlightRequest | undefined {
     const request = this.inFlight.get(id)
-    this.inFlight.delete(id)
+    if (this.inFlight.delete(id)) this.unreportedSlots += 1
     return request
   }
 
@@ -255,9 +297,9 @@
     this.reportedLoad = { occupied, ownRequests: this.inFlight.size, atMs: nowMs }
   }
 
-  applyPeerLoad (peer: string, peerLoad: readonly [running: number, promptTokens: number] | undefined, nowMs: number): void {
+  applyPeerLoad (peer: string, peerLoad: readonly [running: number, promptTokens: number] | undefined, nowMs: number, heldTokens?: number): void {
     if (peerLoad === undefined) this.peers.delete(peer)
-    else this.peers.set(peer, { running: peerLoad[0], promptTokens: peerLoad[1], atMs: nowMs })
+    else this.peers.set(peer, { running: peerLoad[0], promptTokens: peerLoad[1], heldTokens, atMs: nowMs })
   }
 
   private cacheSegments (promptSegments: readonly string[], nowMs: number): void {
--- a/packages/routing/src/placement/waiting-order.ts
+++ b/packages/routing/src/placement/waiting-order.ts
@@ -77,8 +77,11 @@
   readonly atMs: number
 }
 
-/** Returns the number of requests waiting at a peer that are placed before a request with this rank. */
-export function aheadAtPeer (request: poolEvent.PlacementRequest, ownRank: number, queue: PeerQueue, nowMs: number): number {
+/**
+ * Returns the number of requests waiting at a peer that are placed before a request with this rank. With `countsOldest` the
+ * oldest of the same rank counts whole, so that of two daemons with one request each only one takes a free slot.
+ */
+export function aheadAtPeer (request: poolEvent.PlacementRequest, ownRank: number, queue: PeerQueue, nowMs: number, countsOldest = false): number {
   if (nowMs - queue.atMs > PEER_QUEUE_MAX_AGE_MS) return 0
   let ahead = 0
   for (const [rank, count, oldestMs] of queue.waiting) {
@@ -86,7 +89,12 @@
     if (rank !== ownRank || oldestMs <= 0) continue
     // Assumes that arrivals are spread evenly over the time that the oldest has waited.
     const earlierMs = request.arrivedMs - (queue.atMs - oldestMs)
-    if (earlierMs > 0) ahead += Math.floor(count * Math.min(1, earlierMs / oldestMs))
+    if (earlierMs > 0) ahead += countsOldest ? 1 + Math.floor((count - 1) * Math.min(1, earlierMs / oldestMs)) : Math.floor(count * Math.min(1, earlierMs / oldestMs))
   }
   return ahead
 }
+
+/** Returns the number of requests waiting at a peer. */
+export function waitingAtPeer (queue: PeerQueue, nowMs: number): number {
+  return nowMs - queue.atMs > PEER_QUEUE_MAX_AGE_MS ? 0 : queue.waiting.reduce((sum, [, count]) => sum + count, 0)
+}
--- a/packages/routing/src/placement/work-factor.ts
+++ b/packages/routing/src/placement/work-factor.ts
@@ -7,12 +7,17 @@
  * @module
  */
 
+import type * as targetSpeed from './target-speed.js'
+
 /** Age at which a report's deviation from the usual counts half, ms: hosts are disturbed for some 600 ms at a time. */
 const HALF_LIFE_MS = 300
 
 /** Age beyond which a report is not passed on, ms. */
 const MAX_REPORTED_AGE_MS = 1_500
 
+/** Age up to which a report tells how much a response was prolonged, ms: a host is disturbed for some 600 ms. */
+const MAX_SAMPLED_AGE_MS = 300
+
 const HUNDREDTHS = 100
 
 /** A work factor as peers report it. */
@@ -24,6 +29,8 @@
   readonly record: (factor: number, measuredMs: number) => void
   /** Returns how long work takes now, relative to the usual time. */
   readonly current: (nowMs: number) => number
+  /** Returns the factor by which a response that is measured now was prolonged. */
+  readonly sampled: (nowMs: number) => targetSpeed.SampledFactor
   /** Returns the latest report, for peers; undefined if there is no recent one. */
   readonly report: (nowMs: number) => ReportedFactor | undefined
 }
@@ -45,6 +52,8 @@
       if (latest === undefined || measuredMs >= latest.measuredMs) latest = { factor, measuredMs }
     },
     current: (nowMs) => latest === undefined ? 1 : 1 + (latest.factor - 1) * 0.5 ** (Math.max(0, nowMs - latest.measuredMs) / HALF_LIFE_MS),
+    // A target that has never reported a factor counts as undisturbed.
+    sampled: (nowMs) => ({ factor: latest === undefined || nowMs - latest.measuredMs > MAX_SAMPLED_AGE_MS ? 1 : latest.factor, isRecent: latest === undefined || nowMs - latest.measuredMs <= MAX_SAMPLED_AGE_MS }),
     report: (nowMs) => {
       if (latest === undefined || nowMs - latest.measuredMs > MAX_REPORTED_AGE_MS) return undefined
       return [Math.round(latest.factor * HUNDREDTHS), Math.max(0, Math.round(nowMs - latest.measuredMs))]
