--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -84,6 +84,9 @@
 /** Rows of either length; a daemon that doesn't join the samples of a target has the shorter one. */
 const isLimitOfTarget = either(rowOf([isCurves]), rowOf([isCurves, isAmount, isAmount, isAmount]))
 
+/** Sums over measured times; see `routing.targetSpeed.SpeedSums`. */
+const isSpeedRow = rowOf([isAmount, isAmount, isAmount, isAmount, isAmount, isAmount, isAmount])
+
 const isReport = fieldsOf({
   from: isEndpoint,
   incarnation: isText,
@@ -93,7 +96,7 @@
   ready: isFlag,
   documentVersion: isAmount,
   targetsPosition: rowOf([isAmount, isAmount]),
-  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])), factors: optional(mapOf(rowOf([isAmount, isAmount]))), limits: optional(mapOf(isLimitOfTarget)) })),
+  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])), factors: optional(mapOf(rowOf([isAmount, isAmount]))), limits: optional(mapOf(isLimitOfTarget)), held: optional(mapOf(isAmount)), speeds: optional(mapOf(isSpeedRow)) })),
   usedTokens: mapOf(isNumber),
   complete: isFlag,
   leavingTargets: listOf(isLeavingTarget),
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -110,8 +110,8 @@
   }
 
   function refreshTargets ({ segment, position, cellPosition }: peerTable.RingPlace, nowMs: number): void {
-    for (const [service, { isAdaptive }] of pools) {
-      const minTargets = isAdaptive ? routing.cell.MIN_DIFFERENT_TARGETS_PER_CELL : undefined
+    for (const [service, pool] of pools) {
+      const { minTargets } = pool
       const targets = options.registry.usable(service, nowMs)
       handle(service, { kind: 'targets', targetShares: routing.cell.limitTargets(targets, routing.cell.assignTargets(targets, segment, minTargets), options.limitOf, position), cellPosition })
     }
--- a/packages/routing/src/cell.ts
+++ b/packages/routing/src/cell.ts
@@ -17,7 +17,7 @@
 const DAEMONS_PER_CELL = 9
 
 /** A cell uses at least this many targets, so that it has others when one fails. */
-const MIN_TARGETS_PER_CELL = 3
+export const MIN_TARGETS_PER_CELL = 3
 
 /** The same for services whose targets may differ in speed by several times: the slow ones of few leave too little to a cell. */
 export const MIN_DIFFERENT_TARGETS_PER_CELL = 6
@@ -207,6 +207,6 @@
     const share = shareOf.get(target.id)
     const requestsPerS = limitOf(target.id)
     const limit = requestsPerS === undefined ? undefined : rateShare.shareRate(requestsPerS, { index, targets: targets.length }, position)
-    return share !== undefined || (limit?.ownRequestsPerS ?? 0) > 0 ? [{ ...share ?? { target, share: 0 }, limit }] : []
+    return share !== undefined || (limit?.ownRequestsPerS ?? 0) > 0 ? [{ ...share ?? { target, share: 0, part: 1 / position.members }, limit }] : []
   })
 }
--- a/packages/routing/src/limits/slot-limits.ts
+++ b/packages/routing/src/limits/slot-limits.ts
@@ -28,7 +28,7 @@
   /** Whether the targets fall over when they have to reject many requests. */
   readonly isBrittle: boolean
   /** Whether the limits of the targets are learned. */
-  readonly isAdaptive: boolean
+  readonly learnsLimits: boolean
   readonly reachableDaemons: number
   readonly daemons: number
   readonly cellPosition: rateShare.RingPosition
@@ -88,7 +88,7 @@
  */
 export function freeSlotsAt (target: LimitedTarget, conditions: Conditions, nowMs: number): number {
   if (conditions.isBrittle) return Math.max(0, ownSlots(target, conditions) - target.ownRequestIds.length)
-  if (conditions.isAdaptive) return learnedFreeSlots(target, conditions, nowMs)
+  if (conditions.learnsLimits) return learnedFreeSlots(target, conditions, nowMs)
   const availableByReports = cellConcurrencyLimit(target, conditions) - target.peerReportedOccupancy(nowMs)
   return Math.max(0, Math.min(availableByReports, declaredBound(target, conditions) - target.targetReportedOccupancy(nowMs)))
 }
@@ -103,6 +103,6 @@
  */
 export function usableSlots (target: LimitedTarget, conditions: Conditions, nowMs: number): number {
   if (conditions.isBrittle) return ownSlots(target, conditions)
-  const learned = conditions.isAdaptive ? target.concurrency.current(nowMs) : undefined
+  const learned = conditions.learnsLimits ? target.concurrency.current(nowMs) : undefined
   return target.share * Math.min(target.target.slots, learned?.total ?? Infinity, (target.limit?.requestsPerS ?? Infinity) * conditions.serviceTimeMs / MS_PER_S)
 }
--- a/packages/routing/src/placement/pool-event.ts
+++ b/packages/routing/src/placement/pool-event.ts
@@ -8,6 +8,7 @@
 import type * as obstacle from './obstacle.js'
 import type * as rateShare from '../limits/rate-share.js'
 import type * as targetRegistry from '../target-registry.js'
+import type * as targetSpeed from './target-speed.js'
 
 /** A request to be placed at a target. */
 export interface PlacementRequest {
@@ -54,6 +55,10 @@
   readonly factors?: Readonly<Record<string, readonly [hundredths: number, ageMs: number]>>
   /** Samples of response times, and learned limits of the targets whose samples this peer joins, by target; those of other targets stay as last reported. */
   readonly limits?: Readonly<Record<string, limitRows.LimitRow>>
+  /** Tokens of memory that this peer's requests hold, by target. */
+  readonly held?: Readonly<Record<string, number>>
+  /** Sums over the times that this peer has measured, by target; in some reports only. */
+  readonly speeds?: Readonly<Record<string, targetSpeed.SpeedRow>>
 }
 
 /** An input of a pool. */
