--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -348,8 +348,8 @@
     this.metrics.gauge('peers_live', live - 1)
     this.metrics.gauge('peers_in_cell', this.peers.reachablePeers(nowMs).length)
     this.metrics.gauge('targets_limited', this.targetLimits.limitedCount())
-    this.metrics.gauge('requests_waiting', this.pools.waiting())
-    this.metrics.gauge('requests_open', this.openRequests())
+    const gauges = { requests_waiting: this.pools.waiting(), requests_open: this.openRequests(), ...this.pools.limitGauges() }
+    for (const [name, value] of Object.entries(gauges)) this.metrics.gauge(name, value)
   }
 
   private logSuspect ({ trait, lastCrashMs, refusals }: routing.suspects.RefusedTrait, isRefused: boolean): void {
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -39,6 +39,8 @@
   readonly tick: () => void
   readonly loads: () => Readonly<Record<string, routing.poolEvent.PeerLoad>>
   readonly waiting: () => number
+  /** Returns the numbers of learned limits by the names of their gauges. */
+  readonly limitGauges: () => Readonly<Record<string, number>>
 }
 
 /** What happens to a request in a pool. */
@@ -69,6 +71,14 @@
 /** Time between ticks from which the process counts as having been suspended, so that silence in it says nothing of targets, ms. */
 const SUSPENDED_MS = 250
 
+function limitGaugesOf (pools: readonly routing.pool.Pool[], nowMs: number): Readonly<Record<string, number>> {
+  const counts = pools.map((pool) => pool.countLimits(nowMs))
+  return {
+    concurrency_limits_joined: counts.reduce((sum, { joined }) => sum + joined, 0),
+    concurrency_limits_below_bound: counts.reduce((sum, { limited }) => sum + limited, 0)
+  }
+}
+
 /**
  * Creates the pools, which are empty until a document is adopted.
  *
@@ -159,6 +169,7 @@
     },
     setFleet: (reachable, daemons) => { for (const service of pools.keys()) handle(service, { kind: 'fleet', reachable, daemons }) },
     loads: () => Object.fromEntries([...pools].map(([service, pool]) => [service, pool.load(options.now())])),
+    limitGauges: () => limitGaugesOf([...pools.values()], options.now()),
     waiting: () => [...pools.values()].reduce((sum, pool) => sum + pool.waiting, 0)
   }
 }
--- a/packages/routing/src/limits/target-concurrency.ts
+++ b/packages/routing/src/limits/target-concurrency.ts
@@ -49,3 +49,16 @@
   const median = shares[Math.floor(shares.length / 2)]
   return median === undefined ? undefined : Math.max(1, median * target.slots)
 }
+
+/** Numbers of targets: whose samples this daemon joins, and of these, whose limits are below the declared bound. */
+export interface LimitCounts {
+  readonly joined: number
+  readonly limited: number
+}
+
+/** Counts the limits for metrics. */
+export function countLimits (records: Records, conditions: slotLimits.Conditions, nowMs: number): LimitCounts {
+  const joined = [...records.values()].filter(({ concurrency }) => concurrency.isJoined)
+  const limited = joined.filter((record) => (record.concurrency.current(nowMs)?.total ?? Infinity) < slotLimits.declaredBound(record, conditions))
+  return { joined: joined.length, limited: limited.length }
+}
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -111,6 +111,11 @@
     }))
   }
 
+  /** Returns the numbers of limits that this daemon learns for its cell. */
+  countLimits (nowMs: number): targetConcurrency.LimitCounts {
+    return targetConcurrency.countLimits(this.records, this.slotConditions(), nowMs)
+  }
+
   /** Returns the requests at targets that have sent nothing for `stallMs`. */
   stalledRequests (stallMs: number, nowMs: number): readonly number[] {
     return [...this.records.values()].filter((record) => record.isStalled(stallMs, nowMs)).flatMap((record) => record.ownRequestIds)
