--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -143,7 +143,7 @@
       registry: this.registry,
       limitOf: this.targetLimits.limitOf,
       pauses: this.targetPauses,
-      onBrittle: (service, isBrittle) => { this.log.change(isBrittle ? 'targets brittle' : 'targets no longer brittle', { service }) },
+      ...servicePools.createStateLog(this.log),
       onSilent: this.routes.paths.suspect,
       changed: () => { this.reports?.changed() }
     })
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -91,7 +91,7 @@
   ready: isFlag,
   documentVersion: isAmount,
   targetsPosition: rowOf([isAmount, isAmount]),
-  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])), factors: optional(mapOf(rowOf([isAmount, isAmount]))), held: optional(mapOf(isAmount)), speeds: optional(mapOf(isSpeedRow)) })),
+  pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])), factors: optional(mapOf(rowOf([isAmount, isAmount]))), held: optional(mapOf(isAmount)), prefixes: optional(mapOf(listOf(isText))), speeds: optional(mapOf(isSpeedRow)) })),
   usedTokens: mapOf(isNumber),
   complete: isFlag,
   leavingTargets: listOf(isLeavingTarget),
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -202,8 +202,9 @@
 
   private onDecision (decision: routing.poolEvent.PoolDecision): void {
     if (this.finished) return
+    const { context, request } = this.options
     this.figures = decision.figures
-    if (this.options.context.now() >= this.options.request.limitMs) {
+    if (context.now() >= request.limitMs) {
       this.onDeadline()
       return
     }
@@ -214,6 +215,7 @@
       return
     }
     this.placement = undefined
+    if (decision.figures.freePlaces > 0) context.metrics.count('refusals_beside_free_slots_total', { service: request.service, reason: decision.reason })
     if (this.mayHaveRun) this.refuse('broken')
     else this.refuse(decision.reason, decision.retryAfterMs)
   }
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as routing from '@persimmonhatch/routing'
+import type * as eventLog from './event-log.js'
 import type * as headerNames from './header-names.js'
 import type * as peerTable from './peer-table.js'
 
@@ -59,6 +60,8 @@
   readonly onSilent?: (target: string) => void
   /** Called when the targets of a service begin or cease to say that they are brittle. */
   readonly onBrittle?: (service: string, isBrittle: boolean) => void
+  /** Called when a service begins or ceases to be placed by the work ahead. */
+  readonly onAdaptive?: (service: string, isAdaptive: boolean) => void
   /** Called when the load to report to peers has changed. */
   readonly changed: () => void
 }
@@ -69,6 +72,32 @@
 /** Time between ticks from which the process counts as having been suspended, so that silence in it says nothing of targets, ms. */
 const SUSPENDED_MS = 250
 
+/**
+ * Returns callbacks that log changes of the state of services.
+ *
+ * @example
+ * ```ts
+ * createServicePools({ ...options, ...createStateLog(log) })
+ * ```
+ */
+export function createStateLog (log: Pick<eventLog.EventLog, 'change'>): Required<Pick<Options, 'onAdaptive' | 'onBrittle'>> {
+  return {
+    onAdaptive: (service, isAdaptive) => { log.change(isAdaptive ? 'service placed by work' : 'service no longer placed by work', { service }) },
+    onBrittle: (service, isBrittle) => { log.change(isBrittle ? 'targets brittle' : 'targets no longer brittle', { service }) }
+  }
+}
+
+/** Returns a function that reports each change of whether a service is adaptive; none is at first. */
+function createAdaptiveRecorder (onAdaptive: Options['onAdaptive']): (service: string, isAdaptive: boolean) => void {
+  const adaptiveServices = new Set<string>()
+  return (service, isAdaptive) => {
+    if (isAdaptive === adaptiveServices.has(service)) return
+    if (isAdaptive) adaptiveServices.add(service)
+    else adaptiveServices.delete(service)
+    onAdaptive?.(service, isAdaptive)
+  }
+}
+
 /**
  * Creates the pools, which are empty until a document is adopted.
  *
@@ -81,6 +110,7 @@
   const pools = new Map<string, routing.pool.Pool>()
   const services = new Map<string, string>()
   const listeners = new Map<number, PlacementListener>()
+  const recordAdaptive = createAdaptiveRecorder(options.onAdaptive)
   let nextId = 1
   let lastTickMs = Infinity
 
@@ -89,6 +119,7 @@
     const pool = pools.get(service)
     if (pool === undefined) return
     const decisions = [...pool.handle(event, options.now())]
+    recordAdaptive(service, pool.isAdaptive)
     for (const decision of decisions) {
       const listener = listeners.get(decision.id)
       if (decision.kind === 'refuse') listeners.delete(decision.id)
--- a/packages/routing/src/placement/pool-event.ts
+++ b/packages/routing/src/placement/pool-event.ts
@@ -54,6 +54,8 @@
   readonly factors?: Readonly<Record<string, readonly [hundredths: number, ageMs: number]>>
   /** Tokens of memory that this peer's requests hold, by target. */
   readonly held?: Readonly<Record<string, number>>
+  /** Ids of the last prompt segments of requests that this peer has sent recently, by target. */
+  readonly prefixes?: Readonly<Record<string, readonly string[]>>
   /** Sums over the times that this peer has measured, by target; in some reports only. */
   readonly speeds?: Readonly<Record<string, targetSpeed.SpeedRow>>
 }
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -50,6 +50,11 @@
 /** Maximum expected wait in the figures, ms. */
 const MAX_REPORTED_WAIT_MS = 1_000_000
 
+/** Returns the entry of a target in a part of a peer's report. */
+function entryOf<Entry> (entries: Readonly<Record<string, Entry>> | undefined, id: string): Entry | undefined {
+  return entries !== undefined && Object.hasOwn(entries, id) ? entries[id] : undefined
+}
+
 type Decisions = Generator<poolEvent.PoolDecision, void>
 
 /**
@@ -115,13 +120,20 @@
     return { targets, waiting: [...waiting.values()], ...this.hasWorkFactors ? { factors: this.reportedFactors(nowMs) } : {}, ...this.isAdaptive ? this.reportedWork(nowMs) : {} }
   }
 
-  private reportedWork (nowMs: number): Pick<poolEvent.PeerLoad, 'held' | 'speeds'> {
+  private reportedWork (nowMs: number): Pick<poolEvent.PeerLoad, 'held' | 'prefixes' | 'speeds'> {
     const inUse = [...this.records].filter(([, record]) => record.ownRequestIds.length > 0)
-    const held = this.isEngine ? { held: Object.fromEntries(inUse.map(([id, record]) => [id, record.ownHeldTokens()])) } : {}
-    if (nowMs - this.lastSpeedReportMs < SPEED_REPORT_INTERVAL_MS) return held
+    const prefixes = [...this.records].flatMap(([id, record]) => {
+      const segments = record.takeSegments()
+      return segments.length === 0 ? [] : [[id, segments] as const]
+    })
+    const work = {
+      ...this.isEngine ? { held: Object.fromEntries(inUse.map(([id, record]) => [id, record.ownHeldTokens()])) } : {},
+      ...prefixes.length > 0 ? { prefixes: Object.fromEntries(prefixes) } : {}
+    }
+    if (nowMs - this.lastSpeedReportMs < SPEED_REPORT_INTERVAL_MS) return work
     this.lastSpeedReportMs = nowMs
     return {
-      ...held,
+      ...work,
       speeds: Object.fromEntries([...this.records].flatMap(([id, record]) => {
         const row = record.speed.report()
         return row === undefined ? [] : [[id, row] as const]
@@ -204,10 +216,11 @@
     const factors = load.factors ?? {}
     if (Object.keys(factors).length > 0) this.hasWorkFactors = true
     for (const [id, record] of this.records) {
-      record.applyPeerLoad(peer, Object.hasOwn(load.targets, id) ? load.targets[id] : undefined, nowMs, Object.hasOwn(load.held ?? {}, id) ? load.held?.[id] : undefined)
-      const speed = Object.hasOwn(load.speeds ?? {}, id) ? load.speeds?.[id] : undefined
+      record.applyPeerLoad(peer, entryOf(load.targets, id), nowMs, entryOf(load.held, id))
+      const speed = entryOf(load.speeds, id)
       if (speed !== undefined) record.speed.applyPeer(peer, speed)
-      const reported = Object.hasOwn(factors, id) ? factors[id] : undefined
+      if (this.isAdaptive) record.applyPeerSegments(entryOf(load.prefixes, id) ?? [], nowMs)
+      const reported = entryOf(factors, id)
       if (reported !== undefined) record.workFactor.record(...workFactor.factorOf(reported, nowMs))
     }
   }
--- a/packages/routing/src/placement/target-record.ts
+++ b/packages/routing/src/placement/target-record.ts
@@ -61,6 +61,9 @@
 /** Maximum number of prompt segments recorded for one target. */
 const MAX_CACHED_SEGMENTS = 400
 
+/** Maximum number of prompt segments in a report about one target; a daemon sends fewer in the time between reports. */
+const MAX_REPORTED_SEGMENTS = 32
+
 /** Time for which a prompt segment is assumed to be in the cache of the target, ms. */
 const SEGMENT_CACHE_MS = 10_000
 
@@ -82,6 +85,8 @@
   private readonly peers = new Map<string, PeerTargetLoad>()
   /** Time at which each prompt segment was last sent there. */
   private readonly cachedSegments = new Map<string, number>()
+  /** Prompt segments that this daemon has sent, and the reports that they are still to be in. */
+  private unreportedSegments: ReadonlyMap<string, number> = new Map()
   private consecutiveFailures = 0
   private smoothedFailures = 0
   private smoothedResponseMs = INITIAL_RESPONSE_MS
@@ -222,6 +227,18 @@
     return this.unreportedSlots
   }
 
+  /** Returns the segments to report: each is in two reports, in case one is lost. */
+  takeSegments (): readonly string[] {
+    const segments = [...this.unreportedSegments.keys()]
+    this.unreportedSegments = new Map([...this.unreportedSegments].flatMap(([segment, reports]) => reports > 1 ? [[segment, reports - 1] as const] : []))
+    return segments
+  }
+
+  /** Records segments that a peer has sent. */
+  applyPeerSegments (segments: readonly string[], nowMs: number): void {
+    for (const segment of segments.slice(0, MAX_REPORTED_SEGMENTS)) this.cacheSegments([segment], nowMs)
+  }
+
   /** Records that the load has been reported to peers. */
   markReported (): void {
     this.unreportedSlots = 0
@@ -251,6 +268,8 @@
     this.unreportedSlots = Math.max(0, this.unreportedSlots - 1)
     this.inFlight.set(id, { startMs: nowMs, promptTokens: prefillTokens, outputTokens, heldTokens: promptTokens + outputTokens, pendingPrefillTokens: this.pendingPrefillTokens() + prefillTokens, firstEventMs: undefined })
     this.cacheSegments(promptSegments, nowMs)
+    const ownSegment = promptSegments.at(-1)
+    if (ownSegment !== undefined && this.unreportedSegments.size < MAX_REPORTED_SEGMENTS) this.unreportedSegments = new Map(this.unreportedSegments).set(ownSegment, 2)
   }
 
   recordFirstEvent (id: number, nowMs: number): void {
--- a/packages/routing/tests/placement-under-load.test.ts
+++ b/packages/routing/tests/placement-under-load.test.ts
@@ -89,13 +89,13 @@
 
 const ADAPTIVE: routing.document.Service = { ...fixtures.ENGINE, scheduling: 'adaptive' }
 
-/** Creates a pool with engines whose speeds peers have measured: 9 tokens per `intervals` ms. */
+/** Creates a pool with engines whose speeds peers have measured: 1,000 prompt tokens, or 9 tokens, take `intervals` ms. */
 function poolOf (intervals: readonly number[], service = ADAPTIVE): routing.pool.Pool {
   const pool = new routing.pool.Pool({ service, random: () => 0.5 })
   const targets = intervals.map((_, index) => fixtures.targetOf(`i-${index}`, 'support', 1))
   const drain = (event: routing.poolEvent.PoolEvent): void => { assert.equal([...pool.handle(event, 0)], []) }
   drain({ kind: 'targets', targetShares: targets.map((target) => ({ target, share: 1 })) })
-  drain({ kind: 'peer-load', peer: 'd-1', load: { targets: {}, waiting: [], speeds: Object.fromEntries(intervals.map((interval, index) => [`i-${index}`, [20, 20, 20 * interval, 20, 20 * interval, 200, 200 * interval / 9] as const])) } })
+  drain({ kind: 'peer-load', peer: 'd-1', load: { targets: {}, waiting: [], speeds: Object.fromEntries(intervals.map((interval, index) => [`i-${index}`, [20, 20, 20 * interval, 40, 40 * interval, 200, 200 * interval / 9] as const])) } })
   return pool
 }
 
@@ -128,7 +128,22 @@
   assert.equal([...pool.handle({ kind: 'targets', targetShares: targets }, 0)], [])
   assert.equal([...pool.handle({ kind: 'peer-load', peer: 'd-1', load: { targets: { 'i-0': [1, 0] }, waiting: [], held: { 'i-0': 7_000 } } }, 0)], [])
   assert.is(place(pool, { promptTokens: 3_000 }, 1), undefined)
-  assert.is(place(pool, { promptTokens: 1_000, outputTokens: 100 }, 2), 'i-0')
+  assert.is(place(pool, { promptTokens: 2_200, outputTokens: 100 }, 2), 'i-0')
+})
+
+suite('a prompt goes to the engine that a peer has sent it to, and is reported twice in case a report is lost', () => {
+  const request = { promptTokens: 8_000, promptSegments: ['s-1', 'own'] }
+  const pool = poolOf([30, 30])
+  assert.equal([...pool.handle({ kind: 'peer-load', peer: 'd-2', load: { targets: {}, waiting: [], prefixes: { 'i-1': ['own'] } } }, 0)], [])
+  assert.is(place(pool, request), 'i-1')
+  assert.equal([1, 2, 3].map((nowMs) => pool.load(nowMs).prefixes), [{ 'i-1': ['own'] }, { 'i-1': ['own'] }, undefined])
+})
+
+suite('a service that is not adaptive ignores what only adaptive ones use', () => {
+  const pool = poolOf([30, 30], { ...fixtures.ENGINE, scheduling: 'basic' })
+  assert.equal([...pool.handle({ kind: 'peer-load', peer: 'd-2', load: { targets: {}, waiting: [], prefixes: { 'i-1': ['own'] } } }, 0)], [])
+  assert.is(place(pool, { promptTokens: 8_000, promptSegments: ['own'] }), 'i-0')
+  assert.equal(Object.keys(pool.load(0)), ['targets', 'waiting'])
 })
 
 suite('cells share the memory of a target without exceeding it', () => {
