--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import neostandard from 'neostandard'
 import typescript from 'typescript-eslint'
 
-const PURE_PACKAGES = ['routing', 'protocol', 'document', 'membership', 'authority', 'entry', 'history']
+const PURE_PACKAGES = ['routing', 'rollout', 'protocol', 'document', 'membership', 'authority', 'entry', 'history']
 
 const ADAPTER_PACKAGES = ['backing-services', 'gateway', 'standins', 'client', 'cli', 'daemon', 'load', 'system'].map((name) => `@persimmonhatch/${name}`)
 
@@ -31,7 +31,7 @@
 const PLATFORM_IMPORTS = ['@persimmonhatch/platform', '@persimmonhatch/platform/*', '**/../platform/*']
 
 const PLATFORM_NAMES = {
-  selector: 'Literal[value=/^(x-(attempt-id|deadline-remaining|server-signature|expected-replica|api-key|tenant|token-usage|prompt-prefix|not-executed|replica-load)|op\\u002fconfig|servers\\u002f.*|.*kv-(key|range|watch|txn|lease|keep).*)$/i]',
+  selector: 'Literal[value=/^(x-(attempt-id|deadline-remaining|server-signature|expected-replica|api-key|tenant|token-usage|prompt-prefix|not-executed|replica-load)|op\\u002f.*|status\\u002f.*|servers\\u002f.*|.*kv-(key|range|watch|txn|lease|keep).*)$/i]',
   message: 'Headers, keys and calls of the users\' platform may be named only in platform/.'
 }
 
