--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -7,6 +7,7 @@
 import type * as headerNames from './header-names.js'
 import type * as eventLog from './event-log.js'
 import type * as metrics from './metrics.js'
+import type * as rollouts from './rollouts.js'
 import type * as servicePools from './service-pools.js'
 import type * as streamDirectory from './stream-directory.js'
 import type * as targetClient from './target-client.js'
@@ -50,6 +51,8 @@
   readonly targetLimits: routing.targetLimits.TargetLimits
   readonly streams: Pick<streamDirectory.StreamDirectory, 'record' | 'find'>
   readonly paths: Paths
+  /** Without it, versions are not rolled out. */
+  readonly rollouts?: Pick<rollouts.Rollouts, 'record'> | undefined
   readonly targets: TargetStates
   /** Called when limits of targets have changed. */
   readonly onLimitsChanged: (targets: readonly string[], source: string) => void
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,11 +7,11 @@
 import * as routing from '@persimmonhatch/routing'
 import * as connectionLimit from './connection-limit.js'
 import type * as contextModule from './context.js'
-import type * as headerNames from './header-names.js'
 import * as endpoint from './endpoint.js'
 import * as documentInForce from './document-in-force.js'
 import * as eventLog from './event-log.js'
 import * as frontServer from './front-server.js'
+import type * as gatewayOptions from './gateway-options.js'
 import * as gracefulStop from './graceful-stop.js'
 import type * as peerMessages from './peer-messages.js'
 import * as metricsModule from './metrics.js'
@@ -19,7 +19,8 @@
 import * as peerReports from './peer-reports.js'
 import * as peerTable from './peer-table.js'
 import * as reachLog from './reach-log.js'
-import type * as recordStore from './record-store.js'
+import * as rolloutsModule from './rollouts.js'
+import type * as rolloutStore from './rollout-store.js'
 import * as servicePools from './service-pools.js'
 import * as streamRecords from './stream-records.js'
 import * as targetClient from './target-client.js'
@@ -27,29 +28,7 @@
 import * as targetStates from './target-states.js'
 import * as unexpectedErrors from './unexpected-errors.js'
 
-/** Settings of a gateway. Times are ms. */
-export interface Options {
-  readonly name: string
-  readonly availabilityZone: string
-  readonly frontAddress: string
-  readonly peerAddress: string
-  readonly headerNames: headerNames.HeaderNames
-  readonly tolerances: Tolerances
-  /** Records that outlive all daemons; without them, a fleet that has lost all daemons starts anew. */
-  readonly records?: recordStore.RecordStore
-  /** Whether the fleet starts for the first time. */
-  readonly isFirstStart?: boolean
-  /** Lists the targets again, and calls `done` with whether a listing that is complete has been applied. */
-  readonly listTargets?: (done: (isListed: boolean) => void) => void
-}
-
-/** Settings that may change while the process runs. */
-export interface Tolerances {
-  readonly retryBudget: routing.retryBudget.Options
-  readonly tokenCaps: routing.tokenCap.Options
-  /** Time from the start of a planned stop to the end of the process. */
-  readonly graceMs: number
-}
+export type { Options, Tolerances } from './gateway-options.js'
 
 /** Interval of the ticks of the pools, ms. */
 const TICK_MS = 30
@@ -91,10 +70,11 @@
   private readonly peers: peerTable.PeerTable
   private readonly caps: routing.tokenCap.TokenCaps
   private readonly budget: routing.retryBudget.RetryBudget
-  private tolerances: Tolerances
+  private tolerances: gatewayOptions.Tolerances
   private readonly clients: targetClient.TargetClients
   readonly routes: targetRoutes.TargetRoutes
   private readonly targetStates: targetStates.TargetStates
+  private readonly rollouts: rolloutsModule.Rollouts | undefined
   private readonly pools: servicePools.ServicePools
   private readonly context: contextModule.Context
   private readonly timers: NodeJS.Timeout[] = []
@@ -109,7 +89,7 @@
   private lastTickMs = 0
   private readonly logReach: (live: number, members: number) => void
 
-  constructor (private readonly options: Options) {
+  constructor (private readonly options: gatewayOptions.Options) {
     this.log = eventLog.openEventLog({
       fields: { daemon: options.name },
       now: this.now,
@@ -137,12 +117,14 @@
       metrics: this.metrics,
       changed: () => { this.reports?.changed() }
     })
+    this.rollouts = options.rollouts === undefined ? undefined : this.createRollouts(options.rollouts)
     this.pools = servicePools.createServicePools({
       now: this.now,
       random: Math.random,
       registry: this.registry,
       limitOf: this.targetLimits.limitOf,
       pauses: this.targetPauses,
+      versionsOf: this.rollouts?.versionsOf,
       onBrittle: (service, isBrittle) => { this.log.change(isBrittle ? 'targets brittle' : 'targets no longer brittle', { service }) },
       onSilent: this.routes.paths.suspect,
       changed: () => { this.reports?.changed() }
@@ -194,7 +176,7 @@
   }
 
   /** Applies changed settings; requests in flight continue. */
-  configure (tolerances: Tolerances): void {
+  configure (tolerances: gatewayOptions.Tolerances): void {
     this.tolerances = tolerances
     this.caps.configure(tolerances.tokenCaps)
     this.budget.configure(tolerances.retryBudget)
@@ -231,6 +213,11 @@
     this.refreshTargets()
   }
 
+  /** Takes an operator's order to roll out a version. */
+  takeRolloutOrder (order: rolloutStore.Order): void {
+    this.rollouts?.takeOrder(order)
+  }
+
   /** Adds an endpoint at which a peer may be reachable; one that can't be is logged and left out. */
   addPeer (address: string): void {
     if (endpoint.isEndpoint(address)) this.peers.discover(address, this.now())
@@ -331,6 +318,7 @@
 
   private refreshTargets (): void {
     const nowMs = this.now()
+    this.rollouts?.refreshTargets()
     this.pools.refreshTargets(this.peers.place(nowMs), nowMs)
   }
 
@@ -344,6 +332,7 @@
     this.targetLimits.retain(new Set(this.registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id])), nowMs)
     this.routes.retain()
     this.streamRecords.tick()
+    this.rollouts?.tick()
     this.logReach(live, members)
     this.metrics.gauge('peers_live', live - 1)
     this.metrics.gauge('peers_in_cell', this.peers.reachablePeers(nowMs).length)
@@ -377,6 +366,16 @@
     })
   }
 
+  private createRollouts (settings: rolloutsModule.Settings): rolloutsModule.Rollouts {
+    const { now, registry, log, metrics, peers } = this
+    return rolloutsModule.createRollouts({
+      ...{ ...settings, now, unixNow: Date.now, random: Math.random, registry, log, metrics, isArbiterOf: (name: string) => peers.isArbiterOf(name, now()), cellOf: (peer: string) => peers.cellOf(peer, now()) },
+      services: () => this.inForce.document()?.services ?? [],
+      loads: () => this.pools.loads(),
+      announce: () => { this.reports?.announce() }
+    })
+  }
+
   private createContext (): contextModule.Context {
     return {
       now: this.now,
@@ -392,6 +391,7 @@
       targetLimits: this.targetLimits,
       streams: this.streamRecords.directory,
       paths: this.routes,
+      rollouts: this.rollouts,
       targets: this.targetStates,
       onLimitsChanged: this.targetStates.limitsChanged,
       isArbiterOf: (trait) => this.peers.isArbiterOf(trait, this.now()),
@@ -426,6 +426,7 @@
       targetStates: this.targetStates,
       registry: this.registry,
       paths: this.routes.paths,
+      rollouts: this.rollouts,
       log: this.log,
       metrics: this.metrics,
       isReady: () => this.isAdvertised(),
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import type * as routing from '@persimmonhatch/routing'
+import * as rollout from '@persimmonhatch/rollout'
 import * as reportChecks from './report-checks.js'
+import type * as rolloutRows from './rollout-rows.js'
 import type * as streamDirectory from './stream-directory.js'
 
 /** A member as reported by a peer, with the time since its last report. */
@@ -53,6 +55,8 @@
   readonly streams: routing.streamVersions.StreamReport
   /** Limits that targets have named, those learned recently in each report and others in turn. */
   readonly limits: readonly LimitRow[]
+  /** Roll-outs in progress or ended recently: the part of the sender or its cell, by service. */
+  readonly rollouts: Readonly<Record<string, rolloutRows.RolloutRow>>
   /** Targets to which the sender's direct paths are lost. */
   readonly lostTargets: readonly string[]
   /** Peers from which or about which the sender has received reports recently; empty in most reports. */
@@ -72,13 +76,15 @@
  */
 export const REPORT_FORMAT = 3
 
-const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], departures: [], pauses: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
+const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], departures: [], pauses: [], suspects: {}, limits: [], streams: {}, rollouts: {}, lostTargets: [], members: [] }
 
 const { either, fieldsOf, isAmount, isEndpoint, isFlag, isNull, isNumber, isStart, isText, listOf, mapOf, optional, rowOf } = reportChecks
 
 /** Rows of either length; a target without a report of its own has the shorter one. */
 const isLeavingTarget = either(rowOf([isText, isAmount, isAmount]), rowOf([isText, isAmount, isAmount, isStart, isAmount]))
 
+const isOutcomes = mapOf(rowOf([isAmount, mapOf(isAmount)]))
+
 const isReport = fieldsOf({
   from: isEndpoint,
   incarnation: isText,
@@ -101,6 +107,20 @@
   }),
   streams: mapOf(mapOf(listOf(isText))),
   limits: listOf(rowOf([isText, isStart, isAmount, either(isAmount, isNull)])),
+  rollouts: mapOf(fieldsOf({
+    order: isAmount,
+    to: isText,
+    sequence: isAmount,
+    stage: (value) => rollout.decision.STAGES.some((stage) => stage === value),
+    isHeld: isFlag,
+    remainingMs: isAmount,
+    arrivals: isAmount,
+    sends: isAmount,
+    oldInFlight: isAmount,
+    lagging: isAmount,
+    outcomes: isOutcomes,
+    oldOutcomes: isOutcomes
+  })),
   lostTargets: listOf(isText),
   members: listOf(rowOf([isEndpoint, isEndpoint, isFlag, isAmount]))
 })
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -29,6 +29,8 @@
 export interface PeerReports {
   /** Schedules a report because the state has changed. */
   readonly changed: () => void
+  /** Sends reports to all cells out of turn. */
+  readonly announce: () => void
   readonly handle: (report: peerMessages.Report) => void
   readonly close: () => void
 }
@@ -108,6 +110,14 @@
     timer = setTimeout(send, intervals().collectMs)
   }
 
+  function announce (): void {
+    if (closed) return
+    const nowMs = now()
+    changed()
+    const { fleet } = peers.recipients(nowMs)
+    if (fleet.length > 0) sendTo(fleet, writer.writeForFleet(nowMs))
+  }
+
   function applyLimits (report: peerMessages.Report, nowMs: number): void {
     const changed = report.limits.map(peerMessages.limitStatementOf).filter((statement) => targetLimits.apply(statement, report.scope, nowMs))
     if (changed.length > 0) options.targetStates.limitsChanged(changed.map(({ target }) => target), report.from)
@@ -123,6 +133,7 @@
     suspects.applyReport(report.suspects, report.scope, nowMs)
     applyLimits(report, nowMs)
     streams.applyReport(report.streams, nowMs)
+    options.rollouts?.applyReport(report)
     targetRows.applyTargetRows(report, options)
     if (report.scope !== 'cell') return
     pools.applyPeerLoads(report.from, report.pools)
@@ -131,6 +142,7 @@
 
   return {
     changed,
+    announce,
     handle,
     close: () => {
       closed = true
--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -6,6 +6,7 @@
 import type * as routing from '@persimmonhatch/routing'
 import * as peerMessages from './peer-messages.js'
 import type * as peerTable from './peer-table.js'
+import type * as rollouts from './rollouts.js'
 import type * as servicePools from './service-pools.js'
 import * as targetRows from './target-rows.js'
 
@@ -21,6 +22,8 @@
   readonly registry: routing.targetRegistry.TargetRegistry
   readonly paths: routing.targetPaths.TargetPaths
   readonly targetPauses: routing.targetPauses.TargetPauses
+  /** Without it, versions are not rolled out. */
+  readonly rollouts?: Pick<rollouts.Rollouts, 'rows' | 'applyReport'> | undefined
   readonly isReady: () => boolean
   readonly documentVersion: () => number
 }
@@ -79,6 +82,7 @@
       ready: options.isReady(),
       documentVersion: options.documentVersion(),
       targetsPosition: [era, revision],
+      rollouts: options.rollouts?.rows(scope) ?? {},
       ...content
     }
   }
--- a/packages/gateway/src/request-evidence.ts
+++ b/packages/gateway/src/request-evidence.ts
@@ -1,10 +1,11 @@
 /**
- * What one request shows about whether its traits crash targets, and whether they allow it to be sent.
+ * What one request shows about whether its traits crash targets, whether they allow it to be sent, and how a target serves it.
  *
  * @module
  */
 import type * as routing from '@persimmonhatch/routing'
 import type * as contextModule from './context.js'
+import * as rolloutSamples from './rollout-samples.js'
 
 /** Dependencies of the evidence. */
 export type Dependencies = Pick<contextModule.Context, 'now' | 'suspects' | 'isArbiterOf'>
@@ -23,15 +24,19 @@
  *
  * @example
  * ```ts
- * const evidence = new RequestEvidence(context, traits)
+ * const evidence = new RequestEvidence(context, traits, route)
  * if (evidence.admit().kind === 'admitted') send()
  * ```
  */
 export class RequestEvidence {
+  /** What the dispatch in progress has experienced. */
+  readonly measures: rolloutSamples.AttemptMeasures
   private attempt: Attempt | undefined
   private isOnTrial = false
 
-  constructor (private readonly dependencies: Dependencies, private readonly traits: routing.crash.Traits) {}
+  constructor (private readonly dependencies: Dependencies, private readonly traits: routing.crash.Traits, route: Pick<routing.document.Route, 'name' | 'kind'>) {
+    this.measures = new rolloutSamples.AttemptMeasures(route)
+  }
 
   /** Decides whether the request may be placed. */
   admit (): routing.suspects.Verdict {
@@ -48,13 +53,16 @@
 
   /** Records that the request is being sent to a target. */
   begin (target: string): void {
-    this.attempt = { target, sentMs: this.dependencies.now(), begunMs: undefined, isProven: false }
+    const nowMs = this.dependencies.now()
+    this.measures.begin(nowMs)
+    this.attempt = { target, sentMs: nowMs, begunMs: undefined, isProven: false }
   }
 
   /** Records events of the response; those after the first prove that the request does not crash its target. */
   recordEvent (): void {
     const { attempt } = this
     if (attempt === undefined) return
+    this.measures.recordEvent(this.dependencies.now())
     if (attempt.begunMs === undefined) this.attempt = { ...attempt, begunMs: this.dependencies.now() }
     else this.prove(attempt, attempt.begunMs)
   }
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -88,7 +88,7 @@
   constructor (private readonly options: Options) {
     const { context, request, body, outgoing } = options
     this.response = new callerResponse.CallerResponse(context, outgoing)
-    this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body))
+    this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body), request.route)
     this.continuity = streamContinuity.createStreamContinuity({ isConsecutive: request.route.resumable, lastId: request.lastEventId })
     this.binding = new streamBinding.StreamBinding(context, request)
     this.deadlineTimer = pendingEvents.startTimer(() => { this.run(() => { this.onDeadline() }) }, request.limitMs - context.now())
@@ -148,9 +148,11 @@
   }
 
   private endPlacement (event: servicePools.PlacementEvent): void {
+    const { context, request } = this.options
     const placement = this.placement
     this.placement = undefined
-    if (placement !== undefined) this.options.context.pools.handlePlacementEvent(placement, event)
+    if (this.target !== undefined) context.rollouts?.record(this.target, this.evidence.measures.end(event, request.limitMs, context.now()))
+    if (placement !== undefined) context.pools.handlePlacementEvent(placement, event)
   }
 
   private refuse (reason: refusal.Reason, retryAfterMs?: number): void {
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -55,6 +55,8 @@
   readonly registry: routing.targetRegistry.TargetRegistry
   readonly limitOf: routing.cell.LimitLookup
   readonly pauses?: routing.targetPauses.TargetPauses
+  /** Returns the limits of a service's versions; without them, all versions are served alike. */
+  readonly versionsOf?: ((service: string) => routing.versionGate.VersionGate) | undefined
   /** Called repeatedly while a target with requests in flight sends nothing. */
   readonly onSilent?: (target: string) => void
   /** Called when the targets of a service begin or cease to say that they are brittle. */
@@ -69,6 +71,12 @@
 /** Time between ticks from which the process counts as having been suspended, so that silence in it says nothing of targets, ms. */
 const SUSPENDED_MS = 250
 
+/** Divides the targets of each version between the cells by themselves, so that every cell has some of each. */
+function assignByVersion (targets: readonly routing.targetRegistry.Target[], segment: routing.cell.RingSegment): readonly routing.cell.TargetShare[] {
+  const versions = new Set(targets.map(({ version }) => version))
+  return [...versions].flatMap((version) => routing.cell.assignTargets(targets.filter((target) => target.version === version), segment))
+}
+
 /**
  * Creates the pools, which are empty until a document is adopted.
  *
@@ -103,15 +111,17 @@
       if (services.get(service.name) === serialized) continue
       services.set(service.name, serialized)
       const pool = pools.get(service.name)
-      if (pool === undefined) pools.set(service.name, new routing.pool.Pool({ service, random: options.random, pauses: options.pauses }))
+      if (pool === undefined) pools.set(service.name, new routing.pool.Pool({ service, random: options.random, pauses: options.pauses, versions: options.versionsOf?.(service.name) }))
       else pool.adopt(service)
     }
   }
 
+  const assignTargets = options.versionsOf === undefined ? routing.cell.assignTargets : assignByVersion
+
   function refreshTargets ({ segment, position, cellPosition }: peerTable.RingPlace, nowMs: number): void {
     for (const service of pools.keys()) {
       const targets = options.registry.usable(service, nowMs)
-      handle(service, { kind: 'targets', targetShares: routing.cell.limitTargets(targets, routing.cell.assignTargets(targets, segment), options.limitOf, position), cellPosition })
+      handle(service, { kind: 'targets', targetShares: routing.cell.limitTargets(targets, assignTargets(targets, segment), options.limitOf, position), cellPosition })
     }
   }
 
--- a/packages/gateway/tests/reported-tokens.test.ts
+++ b/packages/gateway/tests/reported-tokens.test.ts
@@ -5,7 +5,7 @@
 type Report = gatewayPackage.peerMessages.Report
 
 const FIRST: Report = {
-  from: '10.1.0.25:7600', incarnation: 'a', sequence: 1, scope: 'cell', frontAddress: '10.1.0.25:80', ready: true, documentVersion: 1, targetsPosition: [1, 1], pools: {}, usedTokens: {}, complete: true, leavingTargets: [], departures: [], pauses: [], suspects: {}, limits: [], lostTargets: [], streams: {}, members: []
+  from: '10.1.0.25:7600', incarnation: 'a', sequence: 1, scope: 'cell', frontAddress: '10.1.0.25:80', ready: true, documentVersion: 1, targetsPosition: [1, 1], pools: {}, usedTokens: {}, complete: true, leavingTargets: [], departures: [], pauses: [], suspects: {}, limits: [], lostTargets: [], streams: {}, rollouts: {}, members: []
 }
 
 /** Reports in order, 1 ms apart unless a time is given. */
--- a/packages/rollout/src/decision.ts
+++ b/packages/rollout/src/decision.ts
@@ -17,11 +17,14 @@
   readonly rollbackMs: number
 }
 
+/** The stages of a roll-out. */
+export const STAGES = ['trial', 'load', 'full', 'completed', 'rolled_back'] as const
+
 /**
  * `trial`: a small share, to find what is bad at once, later or on some routes. `load`: all requests for a short time, within
  * the total that the trial has left. `full`: the version is judged good and gets everything.
  */
-export type Stage = 'trial' | 'load' | 'full' | 'completed' | 'rolled_back'
+export type Stage = typeof STAGES[number]
 
 /** What is known of a roll-out now. Times are ms. */
 export interface Observation {
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -17,6 +17,7 @@
 import * as snapshotModule from './snapshot.js'
 import * as targetChoice from './target-choice.js'
 import * as targetRecord from './target-record.js'
+import type * as versionGate from './version-gate.js'
 import * as waitEstimate from './wait-estimate.js'
 import * as waitingOrder from './waiting-order.js'
 import * as workFactor from './work-factor.js'
@@ -27,6 +28,8 @@
   readonly random: () => number
   /** Pauses that targets have asked for; without them, there are none. */
   readonly pauses?: Pick<targetPauses.TargetPauses, 'untilMs' | 'maxInFlight'> | undefined
+  /** Limits of the versions of targets; without them, all versions are served alike. */
+  readonly versions?: versionGate.VersionGate | undefined
 }
 
 /** Initial estimate of the time that a request takes at an engine, ms. */
@@ -145,7 +148,7 @@
 
   private apply (event: poolEvent.PoolEvent, nowMs: number): void {
     switch (event.kind) {
-      case 'arrived': this.queue = [...this.queue, event.request]; break
+      case 'arrived': this.arrive(event.request, nowMs); break
       case 'left':
         this.queue = this.queue.filter((request) => request.id !== event.id)
         this.end(event.id, 'cancelled', nowMs)
@@ -162,6 +165,16 @@
     }
   }
 
+  private arrive (request: poolEvent.PlacementRequest, nowMs: number): void {
+    this.queue = [...this.queue, request]
+    if (!request.isRetry && request.excludedTargets.size === 0) this.options.versions?.arrived(nowMs)
+  }
+
+  /** Whether a target's slots are there for requests that any version may serve. */
+  private isOffered ({ target }: targetRecord.TargetRecord, nowMs: number): boolean {
+    return this.options.versions?.isWithheld(target.version, false, nowMs) !== true
+  }
+
   private applyReportedLoad (event: Extract<poolEvent.PoolEvent, { readonly kind: 'load-reported' }>, nowMs: number): void {
     const record = this.records.get(event.target)
     record?.applyReportedLoad(event.running + event.waiting, nowMs)
@@ -246,7 +259,7 @@
       const allowedSends = Math.max(0, Math.min(record.allowedSends(nowMs), (pauses?.maxInFlight(id, nowMs) ?? Infinity) - record.ownRequestIds.length))
       const pauseMs = Math.max(0, (pauses?.untilMs(id, nowMs) ?? 0) - nowMs)
       candidates.push({ record, isEjected: record.isEjected(nowMs), inFlight: record.occupancy(nowMs), freeSlots: Math.min(allowedSends, slotLimits.freeSlotsAt(record, conditions, nowMs)), allowedSends, pauseMs })
-      if (pauseMs === 0) slots += slotLimits.usableSlots(record, conditions)
+      if (pauseMs === 0 && this.isOffered(record, nowMs)) slots += slotLimits.usableSlots(record, conditions)
       if (fastest === undefined || record.estimate.firstEventMs(0) < fastest.estimate.firstEventMs(0)) fastest = record
     }
     const pauseMs = candidates.length === 0 ? 0 : Math.min(...candidates.map((candidate) => candidate.pauseMs))
@@ -258,7 +271,7 @@
   }
 
   private chooseTarget (request: poolEvent.PlacementOptions, { candidates, nowMs }: snapshotModule.PoolSnapshot, assigned: targetChoice.Assigned): targetRecord.TargetRecord | undefined {
-    return targetChoice.chooseTarget(request, candidates, { isEngine: this.isEngine, isBrittle: this.isBrittle, random: this.options.random, nowMs }, assigned)
+    return targetChoice.chooseTarget(request, candidates, { isEngine: this.isEngine, isBrittle: this.isBrittle, random: this.options.random, nowMs, versions: this.options.versions }, assigned)
   }
 
   private figures (request: poolEvent.PlacementRequest, position: waitEstimate.QueuePosition, snapshot: snapshotModule.PoolSnapshot, freeSlots: number): poolEvent.Figures {
@@ -294,7 +307,7 @@
     const assigned = new Map<targetRecord.TargetRecord, number>()
     const stillWaiting: poolEvent.PlacementRequest[] = []
     const allEjected = snapshot.candidates.every((candidate) => candidate.isEjected)
-    let freeSlots = snapshot.candidates.reduce((sum, candidate) => sum + (candidate.isEjected && !allEjected ? 0 : candidate.freeSlots), 0)
+    let freeSlots = snapshot.candidates.reduce((sum, candidate) => sum + ((candidate.isEjected && !allEjected) || !this.isOffered(candidate.record, nowMs) ? 0 : candidate.freeSlots), 0)
     for (const [request, rank] of queueOrder.orderQueue(this.queue, (request) => this.rankOf(request, snapshot))) {
       const position = { aheadHere: stillWaiting.length, ahead: stillWaiting.length + this.aheadAtPeers(request, rank, nowMs) }
       const record = request.isRetry || freeSlots > position.ahead ? this.chooseTarget(request, snapshot, assigned) : undefined
@@ -302,6 +315,7 @@
       if (record !== undefined) {
         freeSlots -= 1
         assigned.set(record, (assigned.get(record) ?? 0) + 1)
+        this.options.versions?.sent(record.target.version, nowMs)
         record.begin(request.id, request.promptTokens, request.promptSegments, nowMs)
         this.placements.set(request.id, record)
         yield { kind: 'dispatch', id: request.id, target: record.target, figures }
--- a/packages/routing/src/placement/target-choice.ts
+++ b/packages/routing/src/placement/target-choice.ts
@@ -6,6 +6,7 @@
 import type * as poolEvent from './pool-event.js'
 import type * as snapshot from './snapshot.js'
 import type * as targetRecord from './target-record.js'
+import type * as versionGate from './version-gate.js'
 
 /** The state of the pool that the choice depends on. */
 export interface Conditions {
@@ -14,6 +15,8 @@
   readonly isBrittle: boolean
   readonly random: () => number
   readonly nowMs: number
+  /** Limits of versions; without them, all are served alike. */
+  readonly versions?: versionGate.VersionGate | undefined
 }
 
 /** Requests placed in this round, by target. */
@@ -72,7 +75,10 @@
  * ```
  */
 export function chooseTarget (request: poolEvent.PlacementOptions, candidates: readonly snapshot.Candidate[], conditions: Conditions, assigned: Assigned): targetRecord.TargetRecord | undefined {
-  const eligible = candidates.filter(({ record }) => !request.excludedTargets.has(record.target.id) && isOfVersion(record, request.version))
+  const { versions, nowMs } = conditions
+  const isBound = request.version !== undefined
+  const eligible = candidates.filter(({ record }) => !request.excludedTargets.has(record.target.id) && isOfVersion(record, request.version) && versions?.isWithheld(record.target.version, isBound, nowMs) !== true)
   const neverLeft = eligible.filter(({ record }) => !request.leftTargets.has(record.target.id))
-  return chooseAmong(neverLeft, request, conditions, assigned) ?? chooseAmong(eligible, request, conditions, assigned)
+  const preferred = versions === undefined || isBound || request.isRetry ? [] : neverLeft.filter(({ record, isEjected }) => !isEjected && versions.isPreferred(record.target.version, nowMs))
+  return chooseAmong(preferred, request, conditions, assigned) ?? chooseAmong(neverLeft, request, conditions, assigned) ?? chooseAmong(eligible, request, conditions, assigned)
 }
