--- a/packages/gateway/src/gateway-options.ts
+++ b/packages/gateway/src/gateway-options.ts
@@ -6,6 +6,7 @@
 import type * as routing from '@persimmonhatch/routing'
 import type * as headerNames from './header-names.js'
 import type * as recordStore from './record-store.js'
+import type * as rollouts from './rollouts.js'
 
 /** Settings of a gateway. Times are ms. */
 export interface Options {
@@ -19,6 +20,8 @@
   readonly records?: recordStore.RecordStore
   /** Whether the fleet starts for the first time. */
   readonly isFirstStart?: boolean
+  /** Bounds and store of version roll-outs; without them, versions are served alike. */
+  readonly rollouts?: rollouts.Settings | undefined
   /** Lists the targets again, and calls `done` with whether a listing that is complete has been applied. */
   readonly listTargets?: (done: (isListed: boolean) => void) => void
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,8 @@
 import * as peerReports from './peer-reports.js'
 import * as peerTable from './peer-table.js'
 import * as reachLog from './reach-log.js'
+import * as rolloutsModule from './rollouts.js'
+import type * as rolloutStore from './rollout-store.js'
 import * as servicePools from './service-pools.js'
 import * as streamRecords from './stream-records.js'
 import * as targetChanges from './target-changes.js'
@@ -75,6 +77,7 @@
   readonly routes: targetRoutes.TargetRoutes
   private readonly targetStates: targetStates.TargetStates
   private readonly targetChanges: targetChanges.TargetChanges
+  private readonly rollouts: rolloutsModule.Rollouts | undefined
   private readonly pools: servicePools.ServicePools
   private readonly context: contextModule.Context
   private readonly timers: NodeJS.Timeout[] = []
@@ -117,6 +120,7 @@
       metrics: this.metrics,
       changed: () => { this.reports?.changed() }
     })
+    this.rollouts = options.rollouts === undefined ? undefined : this.createRollouts(options.rollouts)
     this.pools = servicePools.createServicePools({
       now: this.now,
       random: Math.random,
@@ -124,6 +128,7 @@
       limitOf: this.targetLimits.limitOf,
       pauses: this.targetPauses,
       ...servicePools.createStateLog(this.log),
+      versionsOf: this.rollouts?.versionsOf,
       onSilent: this.routes.paths.suspect,
       changed: () => { this.reports?.changed() }
     })
@@ -219,6 +224,11 @@
     this.refreshTargets()
   }
 
+  /** Takes an operator's order to roll out a version. */
+  takeRolloutOrder (order: rolloutStore.Order): void {
+    this.rollouts?.takeOrder(order)
+  }
+
   /** Adds an endpoint at which a peer may be reachable; one that can't be is logged and left out. */
   addPeer (address: string): void {
     if (endpoint.isEndpoint(address)) this.peers.discover(address, this.now())
@@ -330,6 +340,7 @@
 
   private refreshTargets (): void {
     const nowMs = this.now()
+    this.rollouts?.refreshTargets()
     this.pools.refreshTargets(this.peers.place(nowMs), nowMs)
   }
 
@@ -343,6 +354,7 @@
     this.targetLimits.retain(new Set(this.registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id])), nowMs)
     this.routes.retain()
     this.streamRecords.tick()
+    this.rollouts?.tick()
     this.logReach(live, members)
     this.metrics.gauge('peers_live', live - 1)
     this.metrics.gauge('peers_in_cell', this.peers.reachablePeers(nowMs).length)
@@ -376,6 +388,16 @@
     })
   }
 
+  private createRollouts (settings: rolloutsModule.Settings): rolloutsModule.Rollouts {
+    const { now, registry, log, metrics, peers } = this
+    return rolloutsModule.createRollouts({
+      ...{ ...settings, now, unixNow: Date.now, random: Math.random, registry, log, metrics, isArbiterOf: (name: string) => peers.isArbiterOf(name, now()), cellOf: (peer: string) => peers.cellOf(peer, now()) },
+      services: () => this.inForce.document()?.services ?? [],
+      loads: () => this.pools.loads(),
+      announce: () => { this.reports?.announce() }
+    })
+  }
+
   private createContext (): contextModule.Context {
     return {
       now: this.now,
@@ -391,6 +413,7 @@
       targetLimits: this.targetLimits,
       streams: this.streamRecords.directory,
       paths: this.routes,
+      rollouts: this.rollouts,
       targets: this.targetStates,
       onLimitsChanged: this.targetStates.limitsChanged,
       isArbiterOf: (trait) => this.peers.isArbiterOf(trait, this.now()),
@@ -425,6 +448,7 @@
       targetStates: this.targetStates,
       registry: this.registry,
       paths: this.routes.paths,
+      rollouts: this.rollouts,
       log: this.log,
       metrics: this.metrics,
       isReady: () => this.isAdvertised(),
--- a/packages/routing/src/placement/adaptive-round.ts
+++ b/packages/routing/src/placement/adaptive-round.ts
@@ -16,6 +16,7 @@
 import * as targetChoice from './target-choice.js'
 import type * as targetRecord from './target-record.js'
 import * as targetSpeed from './target-speed.js'
+import type * as versionGate from './version-gate.js'
 import * as waitingOrder from './waiting-order.js'
 
 /** The state of the pool that a round depends on. */
@@ -30,6 +31,8 @@
   /** Share of a target's memory that this daemon's cell may use, as far as the daemon is connected to it. */
   readonly memoryShareOf: (record: targetRecord.TargetRecord) => number
   readonly sizes: requestSizes.RequestSizes
+  /** Limits of versions; without them, all are served alike. */
+  readonly versions?: versionGate.VersionGate | undefined
   readonly random: () => number
 }
 
@@ -165,7 +168,7 @@
  * ```
  */
 export function createRound ({ candidates, nowMs }: snapshotModule.PoolSnapshot, conditions: Conditions): Round {
-  const { isEngine, memoryTokens, sizes, random } = conditions
+  const { isEngine, memoryTokens, sizes, random, versions } = conditions
   const serviceSums = candidates.reduce((sums, { record }) => targetSpeed.addSums(sums, record.speed.sums()), targetSpeed.NO_SAMPLES)
   const allEjected = candidates.every(({ isEjected }) => isEjected)
   const slots = candidates.filter(({ isEjected }) => allEjected || !isEjected).map((candidate) => slotOf(candidate, serviceSums, conditions, nowMs))
@@ -228,12 +231,24 @@
     return slots.length === 0 ? 0 : Math.min(...slots.map(({ speed }) => targetSpeed.firstEventMs(speed, isEngine ? promptTokens : 0)))
   }
 
+  /** Returns whether the target may get the request at all: it has not failed there, and the version is not withheld. */
+  function mayGet ({ candidate: { record } }: Slot, request: poolEvent.PlacementRequest): boolean {
+    return !request.excludedTargets.has(record.target.id) && targetChoice.isOfVersion(record, request.version) && versions?.isWithheld(record.target.version, request.version !== undefined, nowMs) !== true
+  }
+
+  /** Returns the targets of the version that new requests go to if it has room; none while all versions are served alike. */
+  function preferredVersion (among: readonly Slot[], request: poolEvent.PlacementRequest): readonly Slot[] {
+    if (versions === undefined || request.version !== undefined || request.isRetry) return []
+    return among.filter(({ candidate: { record, isEjected } }) => !isEjected && versions.isPreferred(record.target.version, nowMs))
+  }
+
   function decide (request: poolEvent.PlacementRequest, { ahead, unaware, isReported }: PeerRequests): Verdict {
     takeForPeers(ahead)
     const position = { unaware, isFirst: isReported && ahead === 0 && !hasWaiting }
-    const eligible = slots.filter((slot) => !request.excludedTargets.has(slot.candidate.record.target.id) && targetChoice.isOfVersion(slot.candidate.record, request.version) && (memoryTokens === undefined || memoryUse.fitsEmpty(request.promptTokens + request.outputTokens, memoryOf(slot, memoryTokens, conditions, nowMs))))
+    const eligible = slots.filter((slot) => mayGet(slot, request) && (memoryTokens === undefined || memoryUse.fitsEmpty(request.promptTokens + request.outputTokens, memoryOf(slot, memoryTokens, conditions, nowMs))))
     const neverLeft = eligible.filter(({ candidate: { record } }) => !request.leftTargets.has(record.target.id))
-    const preferred = best(neverLeft, request, position)
+    const ofVersion = best(preferredVersion(neverLeft, request), request, position)
+    const preferred = ofVersion?.releaseMs === 0 ? ofVersion : best(neverLeft, request, position)
     const chosen = preferred?.releaseMs === 0 ? preferred : best(eligible, request, position) ?? preferred
     if (chosen === undefined) return { kind: 'refuse', waitMs: 0 }
     const { slot: { candidate: { record }, schedule, speed }, releaseMs, firstMs } = chosen
