--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import * as frontServer from './front-server.js'
 import type * as gatewayOptions from './gateway-options.js'
 import * as gracefulStop from './graceful-stop.js'
+import * as loopDelay from './loop-delay.js'
 import type * as peerMessages from './peer-messages.js'
 import * as metricsModule from './metrics.js'
 import * as peerPort from './peer-port.js'
@@ -32,15 +33,9 @@
 /** Interval of the ticks of the pools, ms. */
 const TICK_MS = 30
 
-/** Delay of a tick from which it is logged, ms. */
-const LOGGED_DELAY_MS = 250
-
 /** Interval at which targets and the state of the fleet are refreshed, ms. */
 const REFRESH_MS = 100
 
-/** Name by which the daemons of a cell agree on the one whose watches of the store are short. */
-const STORE_READER = 'store-reader'
-
 const INCARNATION_BYTES = 6
 
 /** Maximum length of an unreadable address in the log, characters. */
@@ -89,7 +84,7 @@
   private readonly gracefulStop: gracefulStop.GracefulStop
   private stopped: Promise<void> | undefined
   private closed = false
-  private lastTickMs = 0
+  private readonly loopDelay = loopDelay.createLoopDelay({ intervalMs: TICK_MS, metrics: this.metrics, onDelayed: (delayMs) => { this.log.change('event loop delayed', { delayMs, open: this.openRequests() }) } })
   private readonly logReach: (live: number, members: number) => void
 
   constructor (private readonly options: gatewayOptions.Options) {
@@ -181,7 +176,7 @@
     this.port = port
     this.reports = this.createReports(port)
     this.front = await frontServer.openFrontServer(this.context, frontAddress)
-    this.lastTickMs = this.now()
+    this.loopDelay.start(this.now())
     this.timers.push(setInterval(() => { this.tick() }, TICK_MS), setInterval(() => { this.refresh() }, REFRESH_MS))
     this.log.change('started', { startMs, frontAddress, peerAddress })
   }
@@ -285,12 +280,7 @@
 
   /** Returns for how long a watch of the store may wait without a change, ms. */
   watchWaitMs (): number {
-    const nowMs = this.now()
-    return routing.watchWait.watchWaitMs({
-      isSingleCell: this.peers.isSingleCell(nowMs),
-      reachablePeers: this.peers.reachablePeers(nowMs).length,
-      isReader: this.peers.isCellArbiterOf(STORE_READER, nowMs)
-    })
+    return this.peers.watchWaitMs(this.now())
   }
 
   /** Whether a request has arrived since the start of the process. */
@@ -322,10 +312,7 @@
 
   private tick (): void {
     const nowMs = this.now()
-    const delayMs = Math.max(0, Math.round(nowMs - this.lastTickMs - TICK_MS))
-    this.metrics.observe('event_loop_delay_ms', delayMs)
-    if (delayMs >= LOGGED_DELAY_MS) this.log.change('event loop delayed', { delayMs, open: this.openRequests() })
-    this.lastTickMs = nowMs
+    this.loopDelay.record(nowMs)
     this.pools.tick()
     this.routes.probe()
   }
--- a/packages/gateway/src/peer-reports.ts
+++ b/packages/gateway/src/peer-reports.ts
@@ -48,6 +48,18 @@
 /** Longer intervals, so that VMs with a small share of a core and of a network link keep most of it for requests. */
 const MULTI_CELL_INTERVALS: ReportIntervals = { collectMs: 70, idleMs: 300 }
 
+/** Collects the peers that are heard for the first time, and logs them together; many are when a fleet starts. */
+function createHeardLog (log: eventLog.EventLog): { readonly add: (report: peerMessages.Report) => void, readonly flush: () => void } {
+  let heard: readonly peerMessages.Report[] = []
+  return {
+    add: (report) => { heard = [...heard, report] },
+    flush: () => {
+      if (heard.length > 0) log.change('peers heard', { peers: heard.map(({ from, incarnation, documentVersion }) => [from, incarnation, documentVersion].join(' ')) })
+      heard = []
+    }
+  }
+}
+
 /**
  * Starts to send reports to peers.
  *
@@ -63,7 +75,7 @@
   /** Whether changes are being collected, so that a report will be sent soon. */
   let collecting = true
   let lastListingMs = -Infinity
-  let heard: readonly peerMessages.Report[] = []
+  const heard = createHeardLog(options.log)
   const writer = reportWriter.createReportWriter(options)
   const tokenReports = reportedTokens.createReportedTokens({
     caps,
@@ -84,15 +96,9 @@
     options.metrics.count('peer_report_bytes_sent_total', { scope: report.scope }, bytes * addresses.length)
   }
 
-  /** Logs the peers that were heard for the first time since the last report; many are when a fleet starts. */
-  function logHeard (): void {
-    if (heard.length > 0) options.log.change('peers heard', { peers: heard.map(({ from, incarnation, documentVersion }) => [from, incarnation, documentVersion].join(' ')) })
-    heard = []
-  }
-
   function send (): void {
     if (closed) return
-    logHeard()
+    heard.flush()
     collecting = false
     const nowMs = now()
     const recipients = peers.recipients(nowMs)
@@ -114,10 +120,9 @@
 
   function announce (): void {
     if (closed) return
-    const nowMs = now()
     changed()
-    const { fleet } = peers.recipients(nowMs)
-    if (fleet.length > 0) sendTo(fleet, writer.writeForFleet(nowMs))
+    const { fleet } = peers.recipients(now())
+    if (fleet.length > 0) sendTo(fleet, writer.writeForFleet(now()))
   }
 
   function applyLimits (report: peerMessages.Report, nowMs: number): void {
@@ -129,7 +134,7 @@
     const nowMs = now()
     const acceptance = peers.accept(report, nowMs)
     if (acceptance === 'old') return
-    if (acceptance === 'new') heard = [...heard, report]
+    if (acceptance === 'new') heard.add(report)
     options.onDocumentVersion(report.documentVersion)
     tokenReports.apply(report, nowMs)
     suspects.applyReport(report.suspects, report.scope, nowMs)
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -72,6 +72,9 @@
   readonly atMs: number
 }
 
+/** Name by which the daemons of a cell agree on the one whose watches of the store are short. */
+const STORE_READER = 'store-reader'
+
 /** Number of members of another cell that are asked for what the cell knows. */
 const ASKED_PER_CELL = 2
 
@@ -145,6 +148,15 @@
     return this.divide(nowMs).isSingleCell
   }
 
+  /** Returns for how long a watch of the store may wait without a change, ms. */
+  watchWaitMs (nowMs: number): number {
+    return routing.watchWait.watchWaitMs({
+      isSingleCell: this.isSingleCell(nowMs),
+      reachablePeers: this.reachablePeers(nowMs).length,
+      isReader: this.isCellArbiterOf(STORE_READER, nowMs)
+    })
+  }
+
   /** Returns the interval of reports to other cells, ms. */
   fleetIntervalMs (nowMs: number): number {
     const { isSingleCell, division } = this.divide(nowMs)
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -162,9 +162,8 @@
 
   function refreshTargets ({ segment, position, cellPosition }: peerTable.RingPlace, nowMs: number): void {
     for (const [service, pool] of pools) {
-      const { minTargets } = pool
       const targets = options.registry.usable(service, nowMs)
-      handle(service, { kind: 'targets', targetShares: routing.cell.limitTargets(targets, assignTargets(targets, segment, minTargets), options.limitOf, position), cellPosition })
+      handle(service, { kind: 'targets', targetShares: routing.cell.limitTargets(targets, assignTargets(targets, segment, pool.minTargets), options.limitOf, position), cellPosition })
     }
   }
 
--- a/packages/routing/src/placement/adaptive-round.ts
+++ b/packages/routing/src/placement/adaptive-round.ts
@@ -158,6 +158,23 @@
   return usualMs + (workFactor - 1) * Math.min(usualMs, DISTURBANCE_MS)
 }
 
+/** Returns the candidates that are not ejected; all of them if each is. */
+function usableAmong (candidates: readonly snapshotModule.Candidate[]): readonly snapshotModule.Candidate[] {
+  const notEjected = candidates.filter(({ isEjected }) => !isEjected)
+  return notEjected.length > 0 ? notEjected : candidates
+}
+
+/** Returns whether the target may get the request at all: it has not failed there, and the version is not withheld. */
+function mayGet ({ candidate: { record } }: Slot, request: poolEvent.PlacementRequest, versions: Conditions['versions'], nowMs: number): boolean {
+  return !request.excludedTargets.has(record.target.id) && targetChoice.isOfVersion(record, request.version) && versions?.isWithheld(record.target.version, request.version !== undefined, nowMs) !== true
+}
+
+/** Returns the targets of the version that new requests go to if it has room; none while all versions are served alike. */
+function preferredVersion (among: readonly Slot[], request: poolEvent.PlacementRequest, versions: Conditions['versions'], nowMs: number): readonly Slot[] {
+  if (versions === undefined || request.version !== undefined || request.isRetry) return []
+  return among.filter(({ candidate: { record, isEjected } }) => !isEjected && versions.isPreferred(record.target.version, nowMs))
+}
+
 /**
  * Begins a round for the targets of a snapshot.
  *
@@ -170,8 +187,7 @@
 export function createRound ({ candidates, nowMs }: snapshotModule.PoolSnapshot, conditions: Conditions): Round {
   const { isEngine, memoryTokens, sizes, random, versions } = conditions
   const serviceSums = candidates.reduce((sums, { record }) => targetSpeed.addSums(sums, record.speed.sums()), targetSpeed.NO_SAMPLES)
-  const allEjected = candidates.every(({ isEjected }) => isEjected)
-  const slots = candidates.filter(({ isEjected }) => allEjected || !isEjected).map((candidate) => slotOf(candidate, serviceSums, conditions, nowMs))
+  const slots = usableAmong(candidates).map((candidate) => slotOf(candidate, serviceSums, conditions, nowMs))
   const assigned = new Map<targetRecord.TargetRecord, number>()
   let takenByPeers = 0
   let hasWaiting = false
@@ -182,7 +198,7 @@
     return freeSlots > (assigned.get(record) ?? 0)
   }
 
-  /** Returns whether a free slot of the target is unlikely to be used by a peer at the same time. */
+  /** Returns whether no peer is likely to use a free slot of the target at the same time. */
   function isUncontended ({ candidate: { record }, unsharedSlots }: Slot, unaware: number): boolean {
     return unsharedSlots > (assigned.get(record) ?? 0) || sharedFreeSlots > unaware
   }
@@ -231,23 +247,12 @@
     return slots.length === 0 ? 0 : Math.min(...slots.map(({ speed }) => targetSpeed.firstEventMs(speed, isEngine ? promptTokens : 0)))
   }
 
-  /** Returns whether the target may get the request at all: it has not failed there, and the version is not withheld. */
-  function mayGet ({ candidate: { record } }: Slot, request: poolEvent.PlacementRequest): boolean {
-    return !request.excludedTargets.has(record.target.id) && targetChoice.isOfVersion(record, request.version) && versions?.isWithheld(record.target.version, request.version !== undefined, nowMs) !== true
-  }
-
-  /** Returns the targets of the version that new requests go to if it has room; none while all versions are served alike. */
-  function preferredVersion (among: readonly Slot[], request: poolEvent.PlacementRequest): readonly Slot[] {
-    if (versions === undefined || request.version !== undefined || request.isRetry) return []
-    return among.filter(({ candidate: { record, isEjected } }) => !isEjected && versions.isPreferred(record.target.version, nowMs))
-  }
-
   function decide (request: poolEvent.PlacementRequest, { ahead, unaware, isReported }: PeerRequests): Verdict {
     takeForPeers(ahead)
     const position = { unaware, isFirst: isReported && ahead === 0 && !hasWaiting }
-    const eligible = slots.filter((slot) => mayGet(slot, request) && (memoryTokens === undefined || memoryUse.fitsEmpty(request.promptTokens + request.outputTokens, memoryOf(slot, memoryTokens, conditions, nowMs))))
+    const eligible = slots.filter((slot) => mayGet(slot, request, versions, nowMs) && (memoryTokens === undefined || memoryUse.fitsEmpty(request.promptTokens + request.outputTokens, memoryOf(slot, memoryTokens, conditions, nowMs))))
     const neverLeft = eligible.filter(({ candidate: { record } }) => !request.leftTargets.has(record.target.id))
-    const ofVersion = best(preferredVersion(neverLeft, request), request, position)
+    const ofVersion = best(preferredVersion(neverLeft, request, versions, nowMs), request, position)
     const preferred = ofVersion?.releaseMs === 0 ? ofVersion : best(neverLeft, request, position)
     const chosen = preferred?.releaseMs === 0 ? preferred : best(eligible, request, position) ?? preferred
     if (chosen === undefined) return { kind: 'refuse', waitMs: 0 }
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -11,6 +11,7 @@
 import type * as document from '../document.js'
 import * as targetConcurrency from '../limits/target-concurrency.js'
 import * as adaptiveRound from './adaptive-round.js'
+import * as loadRows from './load-rows.js'
 import * as obstacle from './obstacle.js'
 import type * as poolEvent from './pool-event.js'
 import type * as rateShare from '../limits/rate-share.js'
@@ -122,35 +123,13 @@
       const [, count, oldestMs] = waiting.get(rank) ?? [0, 0, 0]
       waiting.set(rank, [rank, count + 1, Math.max(oldestMs, Math.round(nowMs - request.arrivedMs))])
     }
-    return { targets, waiting: [...waiting.values()], ...this.hasWorkFactors ? { factors: this.reportedFactors(nowMs) } : {}, ...this.learnsLimits ? { limits: targetConcurrency.report(this.records, this.slotConditions(), nowMs) } : {}, ...this.placesByWork ? this.reportedWork(nowMs) : {} }
+    return { targets, waiting: [...waiting.values()], ...this.hasWorkFactors ? { factors: loadRows.factorRows(this.records, nowMs) } : {}, ...this.learnsLimits ? { limits: targetConcurrency.report(this.records, this.slotConditions(), nowMs) } : {}, ...this.placesByWork ? this.reportedWork(nowMs) : {} }
   }
 
-  private reportedWork (nowMs: number): Pick<poolEvent.PeerLoad, 'held' | 'prefixes' | 'speeds'> {
-    const inUse = [...this.records].filter(([, record]) => record.ownRequestIds.length > 0)
-    const prefixes = [...this.records].flatMap(([id, record]) => {
-      const segments = record.takeSegments()
-      return segments.length === 0 ? [] : [[id, segments] as const]
-    })
-    const work = {
-      ...this.isEngine ? { held: Object.fromEntries(inUse.map(([id, record]) => [id, record.ownHeldTokens()])) } : {},
-      ...prefixes.length > 0 ? { prefixes: Object.fromEntries(prefixes) } : {}
-    }
-    if (nowMs - this.lastSpeedReportMs < SPEED_REPORT_INTERVAL_MS) return work
-    this.lastSpeedReportMs = nowMs
-    return {
-      ...work,
-      speeds: Object.fromEntries([...this.records].flatMap(([id, record]) => {
-        const row = record.speed.report()
-        return row === undefined ? [] : [[id, row] as const]
-      }))
-    }
-  }
-
-  private reportedFactors (nowMs: number): Readonly<Record<string, workFactor.ReportedFactor>> {
-    return Object.fromEntries([...this.records].flatMap(([id, record]) => {
-      const reported = record.workFactor.report(nowMs)
-      return reported === undefined ? [] : [[id, reported] as const]
-    }))
+  private reportedWork (nowMs: number): loadRows.WorkRows {
+    const withSpeeds = nowMs - this.lastSpeedReportMs >= SPEED_REPORT_INTERVAL_MS
+    if (withSpeeds) this.lastSpeedReportMs = nowMs
+    return loadRows.workRows(this.records, withSpeeds)
   }
 
   /** Returns the numbers of limits that this daemon learns for its cell. */
