--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
  */
 import * as crypto from 'node:crypto'
 import * as routing from '@persimmonhatch/routing'
+import * as capLog from './cap-log.js'
 import * as connectionLimit from './connection-limit.js'
 import type * as contextModule from './context.js'
 import type * as headerNames from './header-names.js'
@@ -120,7 +121,7 @@
     this.inForce = documentInForce.createDocumentInForce({ now: this.now, log: this.log, metrics: this.metrics })
     this.peers = new peerTable.PeerTable(options.peerAddress, Math.random)
     this.tolerances = options.tolerances
-    this.caps = routing.tokenCap.createTokenCaps(options.tolerances.tokenCaps)
+    this.caps = routing.tokenCap.createTokenCaps(options.tolerances.tokenCaps, capLog.createCapLog(this.log, this.metrics))
     this.budget = routing.retryBudget.createRetryBudget(options.tolerances.retryBudget)
     this.clients = targetClient.openTargetClients({
       connectionLimit: (address) => connectionLimit.connectionLimit(address, { targets: this.registry.versionedTargets(), services: this.inForce.document()?.services ?? [], daemons: this.daemons() }),
@@ -204,7 +205,7 @@
   /** Adopts a document if it is newer than the one in force. */
   adopt (newDocument: routing.document.RoutingDocument, source: string): void {
     if (!this.inForce.adopt(newDocument, source)) return
-    this.caps.adopt(newDocument.organisations, this.now())
+    this.caps.adopt(newDocument.organisations, this.now(), newDocument.version)
     this.pools.adopt(newDocument.services)
     this.front?.adoptLimits()
     this.refreshTargets()
@@ -330,16 +331,15 @@
   }
 
   private refreshTargets (): void {
-    const nowMs = this.now()
-    this.pools.refreshTargets(this.peers.place(nowMs), nowMs)
+    this.pools.refreshTargets(this.peers.place(this.now()), this.now())
   }
 
   private refresh (): void {
     const nowMs = this.now()
-    const live = this.peers.liveCount(nowMs)
-    const members = this.peers.memberCount(nowMs)
+    const [live, members] = [this.peers.liveCount(nowMs), this.peers.memberCount(nowMs)]
     this.pools.setFleet(live, members)
     this.caps.setReach(this.peers.reach(nowMs))
+    this.caps.tick(nowMs)
     this.refreshTargets()
     this.targetLimits.retain(new Set(this.registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id])), nowMs)
     this.routes.retain()
--- a/packages/gateway/src/peer-messages.ts
+++ b/packages/gateway/src/peer-messages.ts
@@ -41,6 +41,10 @@
   readonly pools: Readonly<Record<string, routing.poolEvent.PeerLoad>>
   /** Tokens admitted since the start of the process minus refunds, by organisation: of the sender, or of its cell as far as reported to it. */
   readonly usedTokens: Readonly<Record<string, number>>
+  /** Tokens refused because of the caps since the start of the process, like `usedTokens`; from fleets of several cells. */
+  readonly refusedTokens: Readonly<Record<string, number>>
+  /** Caps that a document has lowered and that the sender still applies, with the time left, ms. */
+  readonly formerCaps: readonly routing.capTransition.FormerCapRow[]
   /** Whether `usedTokens` has every organisation that has used tokens; otherwise it has those whose totals have changed since the last report. */
   readonly complete: boolean
   readonly leavingTargets: readonly LeavingTarget[]
@@ -72,7 +76,7 @@
  */
 export const REPORT_FORMAT = 3
 
-const EMPTY_FIELDS = { pools: {}, usedTokens: {}, leavingTargets: [], departures: [], pauses: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
+const EMPTY_FIELDS = { pools: {}, usedTokens: {}, refusedTokens: {}, formerCaps: [], leavingTargets: [], departures: [], pauses: [], suspects: {}, limits: [], streams: {}, lostTargets: [], members: [] }
 
 const { either, fieldsOf, isAmount, isEndpoint, isFlag, isNull, isNumber, isStart, isText, listOf, mapOf, optional, rowOf } = reportChecks
 
@@ -90,6 +94,8 @@
   targetsPosition: rowOf([isAmount, isAmount]),
   pools: mapOf(fieldsOf({ targets: mapOf(rowOf([isAmount, isAmount])), waiting: listOf(rowOf([isAmount, isAmount, isAmount])), factors: optional(mapOf(rowOf([isAmount, isAmount]))) })),
   usedTokens: mapOf(isNumber),
+  refusedTokens: mapOf(isAmount),
+  formerCaps: listOf(rowOf([isText, isAmount, isAmount, isAmount, isAmount])),
   complete: isFlag,
   leavingTargets: listOf(isLeavingTarget),
   departures: listOf(rowOf([isText, isStart])),
--- a/packages/gateway/src/peer-table.ts
+++ b/packages/gateway/src/peer-table.ts
@@ -192,8 +192,9 @@
 
   /** Returns how many of the daemons are live, also counting endpoints that were discovered recently and have not reported yet. */
   reach (nowMs: number): routing.tokenCap.Reach {
-    const { ownCell, otherCells } = this.divide(nowMs).division
-    return { live: this.liveCount(nowMs), members: Math.max(this.memberCount(nowMs), ownCell.length + otherCells.flat().length) }
+    const { isSingleCell, division: { ownCell, otherCells } } = this.divide(nowMs)
+    const cells = isSingleCell || otherCells.length === 0 ? undefined : { count: 1 + otherCells.length, intervalMs: this.fleetIntervalMs(nowMs) }
+    return { cells, live: this.liveCount(nowMs), members: Math.max(this.memberCount(nowMs), ownCell.length + otherCells.flat().length) }
   }
 
   /** Returns the front addresses of peers that accept requests. */
--- a/packages/gateway/src/report-writer.ts
+++ b/packages/gateway/src/report-writer.ts
@@ -6,6 +6,7 @@
 import type * as routing from '@persimmonhatch/routing'
 import * as peerMessages from './peer-messages.js'
 import type * as peerTable from './peer-table.js'
+import type * as reportedTokens from './reported-tokens.js'
 import type * as servicePools from './service-pools.js'
 import * as targetRows from './target-rows.js'
 
@@ -31,8 +32,8 @@
   readonly writeForCell: (withListing: boolean, nowMs: number) => peerMessages.Report
   /** Returns the report of the cell for the rest of the fleet. */
   readonly writeForFleet: (nowMs: number) => peerMessages.Report
-  /** Counts tokens that another member of the cell has admitted. */
-  readonly countCellTokens: (organisation: string, tokens: number) => void
+  /** Counts tokens that another member of the cell has admitted or refused. */
+  readonly countCellTokens: (organisation: string, tokens: number, kind: reportedTokens.TokenKind) => void
 }
 
 /** Maximum number of members of other cells in a listing, by which daemons with different divisions converge. */
@@ -62,13 +63,13 @@
   const { caps, paths, peers, pools, registry, streams, suspects, targetLimits } = options
   let sequence = 0
   /** Tokens that members of the cell have reported, by organisation. */
-  const reportedTokens = new Map<string, number>()
+  const cellTotals: Readonly<Record<reportedTokens.TokenKind, Map<string, number>>> = { used: new Map(), refused: new Map() }
   /** Totals in the reports that were sent to the cell, by organisation. */
-  const sentTokens = new Map<string, number>()
+  const sentTotals: Readonly<Record<reportedTokens.TokenKind, Map<string, number>>> = { used: new Map(), refused: new Map() }
   let lastCellReportMs = -Infinity
   const targetRowWriter = targetRows.createTargetRowWriter(options)
 
-  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'complete' | 'leavingTargets' | 'departures' | 'pauses' | 'suspects' | 'limits' | 'streams' | 'lostTargets' | 'members'>): peerMessages.Report {
+  function createReport (scope: peerMessages.Report['scope'], content: Pick<peerMessages.Report, 'pools' | 'usedTokens' | 'refusedTokens' | 'formerCaps' | 'complete' | 'leavingTargets' | 'departures' | 'pauses' | 'suspects' | 'limits' | 'streams' | 'lostTargets' | 'members'>): peerMessages.Report {
     sequence += 1
     const { era, revision } = registry.position()
     return {
@@ -83,15 +84,20 @@
     }
   }
 
-  function changedTokens (): Readonly<Record<string, number>> {
-    const changed = [...caps.used()].filter(([organisation, tokens]) => sentTokens.get(organisation) !== tokens)
-    for (const [organisation, tokens] of changed) sentTokens.set(organisation, tokens)
+  function ownTotals (kind: reportedTokens.TokenKind): ReadonlyMap<string, number> {
+    return kind === 'used' ? caps.used() : caps.refused()
+  }
+
+  function changedTokens (kind: reportedTokens.TokenKind): Readonly<Record<string, number>> {
+    const sent = sentTotals[kind]
+    const changed = [...ownTotals(kind)].filter(([organisation, tokens]) => sent.get(organisation) !== tokens)
+    for (const [organisation, tokens] of changed) sent.set(organisation, tokens)
     return Object.fromEntries(changed)
   }
 
-  function cellTokens (): Readonly<Record<string, number>> {
-    const tokens = new Map(reportedTokens)
-    for (const [organisation, ownTokens] of caps.used()) tokens.set(organisation, ownTokens + (tokens.get(organisation) ?? 0))
+  function cellTokens (kind: reportedTokens.TokenKind): Readonly<Record<string, number>> {
+    const tokens = new Map(cellTotals[kind])
+    for (const [organisation, ownTokens] of ownTotals(kind)) tokens.set(organisation, ownTokens + (tokens.get(organisation) ?? 0))
     return Object.fromEntries(tokens)
   }
 
@@ -113,7 +119,9 @@
     writeForCell: (withListing, nowMs) => {
       const report = createReport('cell', {
         pools: pools.loads(),
-        usedTokens: withListing ? Object.fromEntries(caps.used()) : changedTokens(),
+        usedTokens: withListing ? Object.fromEntries(caps.used()) : changedTokens('used'),
+        refusedTokens: withListing ? Object.fromEntries(caps.refused()) : changedTokens('refused'),
+        formerCaps: caps.formerCaps(nowMs),
         complete: withListing,
         ...targetRowWriter.forCell(withListing, nowMs),
         suspects: ownEvidence(withListing, nowMs),
@@ -127,7 +135,9 @@
     },
     writeForFleet: (nowMs) => createReport('fleet', {
       pools: {},
-      usedTokens: cellTokens(),
+      usedTokens: cellTokens('used'),
+      refusedTokens: cellTokens('refused'),
+      formerCaps: caps.formerCaps(nowMs),
       complete: true,
       ...targetRowWriter.forFleet(),
       suspects: suspects.select({ sources: ['own', 'cell'], sinceMs: listingsSince(nowMs), withAllRefused: true, maxRows: MAX_EVIDENCE_ROWS }, nowMs),
@@ -136,6 +146,6 @@
       lostTargets: [],
       members: peers.listing(nowMs, MAX_LISTED_REMOTE_MEMBERS)
     }),
-    countCellTokens: (organisation, tokens) => { reportedTokens.set(organisation, tokens + (reportedTokens.get(organisation) ?? 0)) }
+    countCellTokens: (organisation, tokens, kind) => { cellTotals[kind].set(organisation, tokens + (cellTotals[kind].get(organisation) ?? 0)) }
   }
 }
--- a/packages/gateway/src/reported-tokens.ts
+++ b/packages/gateway/src/reported-tokens.ts
@@ -16,15 +16,18 @@
 
 /** Consumers of the reported tokens. */
 export interface Options {
-  readonly caps: Pick<routing.tokenCap.TokenCaps, 'applyReported'>
-  /** Counts tokens that a member of the own cell has admitted. */
-  readonly countCellTokens: (organisation: string, tokens: number) => void
+  readonly caps: Pick<routing.tokenCap.TokenCaps, 'applyReported' | 'applyReportedRefusals' | 'applyFormerCaps'>
+  /** Counts tokens that a member of the own cell has admitted, or refused because of a cap. */
+  readonly countCellTokens: (organisation: string, tokens: number, kind: TokenKind) => void
   /** Returns a name for the cell of a peer; undefined if it is in no other cell. */
   readonly cellOf: (peer: string, nowMs: number) => string | undefined
   /** Returns the interval of reports between cells, ms. */
   readonly intervalMs: (nowMs: number) => number
 }
 
+/** Whether tokens were admitted or refused. */
+export type TokenKind = 'used' | 'refused'
+
 /** Number of intervals without a report after which a cell has timed out. */
 const TIMEOUT_INTERVALS = 2.2
 
@@ -47,7 +50,7 @@
   /** Whether organisations without a total have used nothing. */
   readonly complete: boolean
   readonly reportedMs: number
-  readonly tokens: ReadonlyMap<string, number>
+  readonly tokens: Readonly<Record<TokenKind, ReadonlyMap<string, number>>>
 }
 
 /**
@@ -79,29 +82,37 @@
     return true
   }
 
-  /** Counts the tokens used since the previous totals. */
-  function count ({ scope, usedTokens }: peerMessages.Report, previous: Totals, nowMs: number): void {
-    for (const [organisation, tokens] of Object.entries(usedTokens)) {
+  /** Counts the tokens of a kind since the previous totals. */
+  function count ({ scope, usedTokens, refusedTokens }: peerMessages.Report, kind: TokenKind, previous: Totals, nowMs: number): void {
+    for (const [organisation, total] of Object.entries(kind === 'used' ? usedTokens : refusedTokens)) {
       // It is unknown when a peer used the tokens in its first total, so they are not counted.
-      const used = tokens - (previous.tokens.get(organisation) ?? (previous.complete ? 0 : tokens))
-      if (used === 0) continue
-      options.caps.applyReported(organisation, used, nowMs)
-      if (scope === 'cell') options.countCellTokens(organisation, used)
+      const tokens = total - (previous.tokens[kind].get(organisation) ?? (previous.complete ? 0 : total))
+      if (tokens === 0) continue
+      if (kind === 'used') options.caps.applyReported(organisation, tokens, nowMs, scope)
+      else options.caps.applyReportedRefusals(organisation, tokens, nowMs, scope)
+      if (scope === 'cell') options.countCellTokens(organisation, tokens, kind)
     }
   }
 
   function apply (report: peerMessages.Report, nowMs: number): void {
-    const { from, incarnation, scope, complete, usedTokens } = report
+    const { from, incarnation, scope, complete, usedTokens, refusedTokens } = report
+    options.caps.applyFormerCaps(report.formerCaps, nowMs)
     const existing = totals.get(from)
     const previous = existing?.incarnation === incarnation && existing.scope === scope ? existing : undefined
     const isCounted = isReporter(report, nowMs)
-    if (isCounted && previous !== undefined && nowMs - previous.reportedMs < timeoutMs(scope, nowMs)) count(report, previous, nowMs)
+    if (isCounted && previous !== undefined && nowMs - previous.reportedMs < timeoutMs(scope, nowMs)) {
+      count(report, 'used', previous, nowMs)
+      count(report, 'refused', previous, nowMs)
+    }
     totals.set(from, {
       incarnation,
       scope,
       complete: complete || previous?.complete === true,
       reportedMs: nowMs,
-      tokens: new Map([...previous?.tokens ?? [], ...Object.entries(usedTokens)])
+      tokens: {
+        used: new Map([...previous?.tokens.used ?? [], ...Object.entries(usedTokens)]),
+        refused: new Map([...previous?.tokens.refused ?? [], ...Object.entries(refusedTokens)])
+      }
     })
   }
 
--- a/packages/gateway/tests/lasting-state.test.ts
+++ b/packages/gateway/tests/lasting-state.test.ts
@@ -76,7 +76,10 @@
 suite('a calm fleet writes its versions once, and the levels of its caps once they are full', () => {
   const records = createRecords()
   const daemon = createDaemon(records)
+  // The organisation is new in the document, as a lowered cap would not bind at once, and its bucket is filled.
+  daemon.caps.adopt([], 0)
   daemon.caps.adopt([{ ...ORGANISATION, cap: { tokensPerS: 1_000, burst: 1_000 } }], 0)
+  daemon.caps.refund(ORGANISATION.name, 1_000, 0)
   observe(daemon, ['v1'])
   for (let index = 0; index < 50; index += 1) {
     daemon.streams.record({ requestId: `r-${index}`, service: 'support', version: 'v1' }, 0)
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * as capTransition from './shares/cap-transition.js'
 export * as cell from './cell.js'
 export * as crash from './evidence/crash.js'
 export * as document from './document.js'
