--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -141,6 +141,25 @@
   })
 }
 
+/**
+ * Creates a function that returns the longest remaining time that callers of a route have stated so far, ms.
+ *
+ * @example
+ * ```ts
+ * const maxRemainingMs = createMaxRemaining()
+ * maxRemainingMs('questions', 12_000) // 12000
+ * maxRemainingMs('questions', 8_000) // 12000
+ * ```
+ */
+export function createMaxRemaining (): contextModule.Context['maxRemainingMs'] {
+  const longestMs = new Map<string, number>()
+  return (route, remainingMs) => {
+    const maximum = Math.max(remainingMs, longestMs.get(route) ?? 0)
+    longestMs.set(route, maximum)
+    return maximum
+  }
+}
+
 /** What has happened to a request since its admission, as far as its placement depends on it. */
 export type Progress = Pick<routing.poolEvent.PlacementOptions, 'version' | 'excludedTargets' | 'leftTargets' | 'isRetry'>
 
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -40,3 +40,18 @@
   const colon = address.lastIndexOf(':')
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
 }
+
+/** Maximum length of an unreadable address in the log, characters. */
+const MAX_LOGGED_LENGTH = 40
+
+/**
+ * Returns an address that may be unreadable, for the log.
+ *
+ * @example
+ * ```ts
+ * log.change('peer address unreadable', { address: shortened(address) })
+ * ```
+ */
+export function shortened (address: string): string {
+  return address.slice(0, MAX_LOGGED_LENGTH)
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import * as crypto from 'node:crypto'
 import * as routing from '@persimmonhatch/routing'
+import * as admission from './admission.js'
+import * as capLog from './cap-log.js'
 import * as connectionLimit from './connection-limit.js'
 import type * as contextModule from './context.js'
 import * as endpoint from './endpoint.js'
@@ -13,6 +14,7 @@
 import * as frontServer from './front-server.js'
 import type * as gatewayOptions from './gateway-options.js'
 import * as gracefulStop from './graceful-stop.js'
+import * as incarnation from './incarnation.js'
 import * as loopDelay from './loop-delay.js'
 import type * as peerMessages from './peer-messages.js'
 import * as metricsModule from './metrics.js'
@@ -36,11 +38,6 @@
 /** Interval at which targets and the state of the fleet are refreshed, ms. */
 const REFRESH_MS = 100
 
-const INCARNATION_BYTES = 6
-
-/** Maximum length of an unreadable address in the log, characters. */
-const MAX_LOGGED_LENGTH = 40
-
 /**
  * The gateway of one daemon: its state and the operations on it.
  *
@@ -61,7 +58,7 @@
   private readonly suspects = new routing.suspects.Suspects((refused, isRefused) => { this.logSuspect(refused, isRefused) })
   private readonly targetPauses = routing.targetPauses.createTargetPauses(Math.random)
   private readonly targetLimits = routing.targetLimits.createTargetLimits((target) => this.registry.startOf(target))
-  private readonly incarnation = crypto.randomBytes(INCARNATION_BYTES).toString('hex')
+  private readonly incarnation = incarnation.createIncarnation()
   private readonly inForce: documentInForce.DocumentInForce
   private readonly streamRecords: streamRecords.StreamRecords
   private readonly peers: peerTable.PeerTable
@@ -76,8 +73,7 @@
   private readonly pools: servicePools.ServicePools
   private readonly context: contextModule.Context
   private readonly timers: NodeJS.Timeout[] = []
-  /** Longest remaining time that callers of a route have stated, ms. */
-  private readonly maxRemainingMs = new Map<string, number>()
+  private readonly maxRemainingMs = admission.createMaxRemaining()
   private reports: peerReports.PeerReports | undefined
   private port: peerPort.PeerPort | undefined
   private front: frontServer.FrontServer | undefined
@@ -98,7 +94,7 @@
     this.inForce = documentInForce.createDocumentInForce({ now: this.now, log: this.log, metrics: this.metrics })
     this.peers = new peerTable.PeerTable(options.peerAddress, Math.random)
     this.tolerances = options.tolerances
-    this.caps = routing.tokenCap.createTokenCaps(options.tolerances.tokenCaps)
+    this.caps = routing.tokenCap.createTokenCaps(options.tolerances.tokenCaps, capLog.createCapLog(this.log, this.metrics))
     this.budget = routing.retryBudget.createRetryBudget(options.tolerances.retryBudget)
     this.clients = targetClient.openTargetClients({
       connectionLimit: (address) => connectionLimit.connectionLimit(address, { targets: this.registry.versionedTargets(), services: this.inForce.document()?.services ?? [], daemons: this.daemons() }),
@@ -192,7 +188,7 @@
   /** Adopts a document if it is newer than the one in force. */
   adopt (newDocument: routing.document.RoutingDocument, source: string): void {
     if (!this.inForce.adopt(newDocument, source)) return
-    this.caps.adopt(newDocument.organisations, this.now())
+    this.caps.adopt(newDocument.organisations, this.now(), newDocument.version)
     this.pools.adopt(newDocument.services)
     this.front?.adoptLimits()
     this.refreshTargets()
@@ -227,7 +223,7 @@
   /** Adds an endpoint at which a peer may be reachable; one that can't be is logged and left out. */
   addPeer (address: string): void {
     if (endpoint.isEndpoint(address)) this.peers.discover(address, this.now())
-    else this.log.change('peer address unreadable', { address: address.slice(0, MAX_LOGGED_LENGTH) })
+    else this.log.change('peer address unreadable', { address: endpoint.shortened(address) })
   }
 
   isReady (): boolean {
@@ -326,27 +322,24 @@
   }
 
   private refreshTargets (): void {
-    const nowMs = this.now()
     this.rollouts?.refreshTargets()
-    this.pools.refreshTargets(this.peers.place(nowMs), nowMs)
+    this.pools.refreshTargets(this.peers.place(this.now()), this.now())
   }
 
   private refresh (): void {
     const nowMs = this.now()
-    const live = this.peers.liveCount(nowMs)
-    const members = this.peers.memberCount(nowMs)
+    const [live, members] = [this.peers.liveCount(nowMs), this.peers.memberCount(nowMs)]
     this.pools.setFleet(live, members)
     this.caps.setReach(this.peers.reach(nowMs))
+    this.caps.tick(nowMs)
     this.refreshTargets()
     this.targetLimits.retain(new Set(this.registry.versionedTargets().flatMap(({ id, target }) => target === undefined ? [] : [id])), nowMs)
     this.routes.retain()
     this.streamRecords.tick()
     this.rollouts?.tick()
     this.logReach(live, members)
-    this.metrics.gauge('peers_live', live - 1)
-    this.metrics.gauge('peers_in_cell', this.peers.reachablePeers(nowMs).length)
-    this.metrics.gauge('targets_limited', this.targetLimits.limitedCount())
-    const gauges = { requests_waiting: this.pools.waiting(), requests_open: this.openRequests(), ...this.pools.limitGauges() }
+    const peerGauges = { peers_live: live - 1, peers_in_cell: this.peers.reachablePeers(nowMs).length, targets_limited: this.targetLimits.limitedCount() }
+    const gauges = { ...peerGauges, requests_waiting: this.pools.waiting(), requests_open: this.openRequests(), ...this.pools.limitGauges() }
     for (const [name, value] of Object.entries(gauges)) this.metrics.gauge(name, value)
   }
 
@@ -411,11 +404,7 @@
       stopping: () => this.gracefulStop.sinceMs() !== undefined,
       sinceStopMs: this.gracefulStop.sinceMs,
       graceMs: () => this.tolerances.graceMs,
-      maxRemainingMs: (route, remainingMs) => {
-        const maximum = Math.max(remainingMs, this.maxRemainingMs.get(route) ?? 0)
-        this.maxRemainingMs.set(route, maximum)
-        return maximum
-      }
+      maxRemainingMs: this.maxRemainingMs
     }
   }
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,6 +5,7 @@
  * @module
  */
 export * as adaptiveRound from './placement/adaptive-round.js'
+export * as capTransition from './shares/cap-transition.js'
 export * as cell from './cell.js'
 export * as crash from './evidence/crash.js'
 export * as document from './document.js'
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -419,10 +419,7 @@
 
   private * serveQueue (nowMs: number): Decisions {
     if (this.queue.length === 0) return
-    if (this.placesByWork) {
-      yield * this.serveByWork(nowMs)
-      return
-    }
+    if (this.placesByWork) return yield * this.serveByWork(nowMs)
     const snapshot = this.snapshot(nowMs)
     const assigned = new Map<targetRecord.TargetRecord, number>()
     const stillWaiting: poolEvent.PlacementRequest[] = []
@@ -438,12 +435,11 @@
         this.begin(request, record, nowMs)
         yield { kind: 'dispatch', id: request.id, target: record.target, figures }
       } else if (!snapshot.candidates.some((candidate) => targetChoice.isOfVersion(candidate.record, request.version))) {
-        const reason = snapshot.candidates.length === 0 ? 'no-target' : 'version-gone'
-        yield { kind: 'refuse', id: request.id, reason, retryAfterMs: waitingOrder.retryAfterMs(request, 0, this.options.random(), nowMs), figures: { ...figures, obstacles: this.countObstacles(snapshot) } }
+        yield this.refusal(request, snapshot.candidates.length === 0 ? 'no-target' : 'version-gone', 0, snapshot, figures)
       } else if (waitEstimate.mustRefuse(request, position, snapshot, this.waitConditions())) {
         const { pauseMs } = snapshot
-        const retryAfterMs = waitingOrder.retryAfterMs(request, pauseMs > 0 ? pauseMs : waitEstimate.slotWaitMs(position.ahead, snapshot, this.waitConditions()), this.options.random(), nowMs)
-        yield { kind: 'refuse', id: request.id, reason: pauseMs > 0 ? 'paused' : 'overloaded', retryAfterMs, figures: { ...figures, obstacles: this.countObstacles(snapshot) } }
+        const waitMs = pauseMs > 0 ? pauseMs : waitEstimate.slotWaitMs(position.ahead, snapshot, this.waitConditions())
+        yield this.refusal(request, pauseMs > 0 ? 'paused' : 'overloaded', waitMs, snapshot, figures)
       } else {
         stillWaiting.push(request)
       }
