--- a/packages/routing/src/placement/work-factor.ts
+++ b/packages/routing/src/placement/work-factor.ts
@@ -2,7 +2,8 @@
  * Estimates how long work takes at a target now, from the work factors that the target and peers report.
  *
  * A target that shares its host with others is slowed down for fractions of a second, so a report says little once it is
- * old: its deviation from the usual decays with its age.
+ * old: its deviation from what the target usually reports decays with its age. Targets on slow hosts always report more
+ * than 1, so the usual factor follows the lower ones of their reports.
  *
  * @module
  */
@@ -12,6 +13,13 @@
 /** Age at which a report's deviation from the usual counts half, ms: hosts are disturbed for some 600 ms at a time. */
 const HALF_LIFE_MS = 300
 
+/** Minimum time between two reports that change the usual factor, ms: several peers pass on the same one. */
+const USUAL_INTERVAL_MS = 100
+
+/** The usual factor falls quickly and rises slowly, by a factor, as disturbances only ever slow a target down. */
+const USUAL_FALL_WEIGHT = 0.3
+const USUAL_RISE_FACTOR = 1.01
+
 /** Age beyond which a report is not passed on, ms. */
 const MAX_REPORTED_AGE_MS = 1_500
 
@@ -41,17 +49,30 @@
  * @example
  * ```ts
  * const workFactor = createWorkFactor()
- * workFactor.record(2.5, nowMs)
- * workFactor.current(nowMs + 300) // 1.75
+ * workFactor.record(1, nowMs)
+ * workFactor.record(2.5, nowMs + 100)
+ * workFactor.current(nowMs + 400) // 1.755
  * ```
  */
 export function createWorkFactor (): WorkFactor {
   let latest: { readonly factor: number, readonly measuredMs: number } | undefined
+  let usual = 1
+  let usualMs = -Infinity
+
+  function followUsual (factor: number, measuredMs: number): void {
+    if (measuredMs - usualMs < USUAL_INTERVAL_MS) return
+    usualMs = measuredMs
+    if (latest === undefined) usual = factor
+    else if (factor < usual) usual += USUAL_FALL_WEIGHT * (factor - usual)
+    else usual = Math.min(factor, usual * USUAL_RISE_FACTOR)
+  }
+
   return {
     record: (factor, measuredMs) => {
+      followUsual(factor, measuredMs)
       if (latest === undefined || measuredMs >= latest.measuredMs) latest = { factor, measuredMs }
     },
-    current: (nowMs) => latest === undefined ? 1 : 1 + (latest.factor - 1) * 0.5 ** (Math.max(0, nowMs - latest.measuredMs) / HALF_LIFE_MS),
+    current: (nowMs) => latest === undefined ? 1 : usual + (latest.factor - usual) * 0.5 ** (Math.max(0, nowMs - latest.measuredMs) / HALF_LIFE_MS),
     // A target that has never reported a factor counts as undisturbed.
     sampled: (nowMs) => ({ factor: latest === undefined || nowMs - latest.measuredMs > MAX_SAMPLED_AGE_MS ? 1 : latest.factor, isRecent: latest === undefined || nowMs - latest.measuredMs <= MAX_SAMPLED_AGE_MS }),
     report: (nowMs) => {
