--- a/packages/routing/src/placement/pool-event.ts
+++ b/packages/routing/src/placement/pool-event.ts
@@ -80,6 +80,24 @@
   | { readonly kind: 'fleet', readonly reachable: number, readonly daemons: number }
   | { readonly kind: 'tick' }
 
+/** Events that free no slot and add no request. */
+const RECORDED: ReadonlySet<PoolEvent['kind']> = new Set(['next-event', 'first-event', 'reading-resumed', 'load-reported'])
+
+/** Events after which a service that is placed by work waits for the next tick: a round over all waiting requests costs too much for each of some hundred reports a second. */
+const LEFT_TO_TICKS: ReadonlySet<PoolEvent['kind']> = new Set(['peer-load', 'targets', 'fleet'])
+
+/**
+ * Returns whether waiting requests may be placed or refused after an event.
+ *
+ * @example
+ * ```ts
+ * if (needsRound(event, false)) serveQueue(nowMs)
+ * ```
+ */
+export function needsRound ({ kind }: PoolEvent, isPlacedByWork: boolean): boolean {
+  return !RECORDED.has(kind) && !(isPlacedByWork && LEFT_TO_TICKS.has(kind))
+}
+
 /** Why a request is refused. */
 export type RefusalReason = 'no-target' | 'version-gone' | 'overloaded' | 'paused'
 
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -13,7 +13,7 @@
 import * as adaptiveRound from './adaptive-round.js'
 import * as loadRows from './load-rows.js'
 import * as obstacle from './obstacle.js'
-import type * as poolEvent from './pool-event.js'
+import * as poolEvent from './pool-event.js'
 import type * as rateShare from '../limits/rate-share.js'
 import * as slotLimits from '../limits/slot-limits.js'
 import type * as targetPauses from '../limits/target-pauses.js'
@@ -105,8 +105,7 @@
 
   * handle (event: poolEvent.PoolEvent, nowMs: number): Decisions {
     this.apply(event, nowMs)
-    if (event.kind === 'next-event' || event.kind === 'first-event' || event.kind === 'reading-resumed' || event.kind === 'load-reported') return
-    yield * this.serveQueue(nowMs)
+    if (poolEvent.needsRound(event, this.placesByWork)) yield * this.serveQueue(nowMs)
   }
 
   /** Returns the load to report to peers. */
