--- a/packages/routing/src/document.ts
+++ b/packages/routing/src/document.ts
@@ -52,8 +52,8 @@
   /** Undefined for plain services. */
   readonly engine: Engine | undefined
   /**
-   * `adaptive`: capacity is shared fairly between organisations, waits follow from work, and the concurrency limit of each
-   * target is learned. Undefined is adaptive as soon as a target of the service reports a work factor.
+   * `adaptive`: requests of engines are placed and refused by the work ahead, and the concurrency limits of plain targets
+   * are learned. Undefined is `basic`.
    */
   readonly scheduling?: 'adaptive' | 'basic' | undefined
 }
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -155,7 +155,7 @@
 
   /** Whether capacity is shared fairly, waits follow from work and limits are learned; otherwise the service is served as it was before. */
   get isAdaptive (): boolean {
-    return (this.service.scheduling ?? (this.hasWorkFactors ? 'adaptive' : 'basic')) === 'adaptive'
+    return this.service.scheduling === 'adaptive'
   }
 
   /** Minimum number of targets that a cell uses, with the parts of the cells; undefined if the service needs no parts. */
