Review: case 6 counts kept channels only

Cause: a busy requester process may be slow between the opening of a channel and its first request, which would widen the window of the fault.

--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -18,7 +18,7 @@
 const MEAN_PAUSE_MS = 10_000
 const STREAMS = 24
 const LENGTH_MS = 104_000
-const ENOUGH = 2
+const ENOUGH = 1
 
 const { record, lines, nowMs, write } = standins.createRecord(process.argv[2] ?? url.fileURLToPath(new URL('record.txt', import.meta.url)))
 const terminatedMs = new Map()
@@ -70,11 +70,15 @@
   }
 }
 
-/** Returns the reservations that were passed on, and whose channel then ended without a complete answer, around a SIGTERM of their daemon. */
+/**
+ * Returns the reservations that were passed on, and whose kept channel then ended without a complete answer, around a
+ * SIGTERM of their daemon. Those on new channels are recorded and don't count, as this process may be slow between the
+ * opening of a channel and its first request.
+ */
 function findLost () {
   const ran = new Set(lines.filter(({ event }) => event === 'run').map(({ details }) => details.attempt))
   const isAroundStop = ({ daemon, sentMs }) => (terminatedMs.get(daemon) ?? []).some((atMs) => sentMs >= atMs && sentMs <= atMs + GRACE_MS + 1_000)
-  return [...sent].filter(([attempt, request]) => ran.has(attempt) && (request.how === 'closed' || request.how === 'reset') && !request.isWhole && isAroundStop(request))
+  return [...sent].filter(([attempt, request]) => request.isKept && ran.has(attempt) && (request.how === 'closed' || request.how === 'reset') && !request.isWhole && isAroundStop(request))
 }
 
 /** Returns whether an event is to be recorded: those of requests of the last second before a daemon closes its channels, and of the second after it. */
@@ -140,7 +144,7 @@
   for (const { how = 'open', status } of sent.values()) outcomes[`${how} ${status}`] = 1 + (outcomes[`${how} ${status}`] ?? 0)
   const summary = [
     `reservations: ${JSON.stringify(outcomes)}; SIGTERMs: ${[...terminatedMs.values()].flat().length}`,
-    ...lost.map(([attempt, { daemon, isKept, sentMs, endedMs }]) => `LOST ${attempt}: sent to ${daemon} ${((sentMs - Math.max(...terminatedMs.get(daemon).filter((atMs) => atMs <= sentMs))) / 1_000).toFixed(4)} s after its SIGTERM on a ${isKept ? 'kept' : 'new'} channel, run by a replica, and the channel ended after ${(endedMs - sentMs).toFixed(1)} ms without an answer`),
+    ...lost.map(([attempt, { daemon, sentMs, endedMs }]) => `LOST ${attempt}: sent to ${daemon} ${((sentMs - Math.max(...terminatedMs.get(daemon).filter((atMs) => atMs <= sentMs))) / 1_000).toFixed(4)} s after its SIGTERM on a kept channel, run by a replica, and the channel ended after ${(endedMs - sentMs).toFixed(1)} ms without an answer`),
     lost.length > 0 ? `LOST is broken: ${lost.length}` : 'LOST holds'
   ].join('\n')
   write(summary, HAS_TROUBLE ? isOfInterest : ({ ms }) => ms < 20_000)
