--- a/review/standins-2/servers.mjs
+++ b/review/standins-2/servers.mjs
@@ -12,7 +12,8 @@
 
 const WORK = {
   plain: ({ workMs }) => standins.plainWork(workMs),
-  stream: ({ firstMs, intervalMs, events }) => standins.streamWork({ firstMs, intervalMs, events: () => events })
+  exports: ({ workMs, prefix, bytes }) => standins.exportWork({ workMs, prefix, bytes }),
+  stream: ({ events, ...times }) => standins.streamWork({ ...times, events: () => events })
 }
 
 const ORDERS = {
--- a/review/standins-2/standins.mjs
+++ b/review/standins-2/standins.mjs
@@ -153,10 +153,10 @@
 }
 
 /**
- * A replica. It runs `slots` requests at once, queues the others, drops a request when its channel closes, and echoes
+ * A replica. It runs `slots` requests at once, queues `queue` more, rejects the others as not run, drops a request when its channel closes, and echoes
  * the id. `run` answers one request and returns when it is done.
  */
-export async function openReplica ({ id, host, service, slots, zone, store, record, run, keepAliveMs = 15_000 }) {
+export async function openReplica ({ id, host, service, slots, zone, store, record, run, queue = 72, keepAliveMs = 15_000 }) {
   const waiting = []
   let running = 0
   let sequence = 0
@@ -189,6 +189,11 @@
         outgoing.writeHead(421, { ...headers, 'X-Replica-Id': id }).end()
         return
       }
+      if (running + waiting.length >= slots + queue) {
+        record('rejected', { attempt, replica: id })
+        outgoing.writeHead(503, { ...headers, 'X-Not-Executed': '1' }).end()
+        return
+      }
       let isGone = false
       outgoing.once('close', () => { isGone = !outgoing.writableFinished })
       waiting.push({ attempt, incoming, outgoing, headers: { ...headers, 'X-Server-Signature': `sig-${id}` }, body: Buffer.concat(chunks), gone: () => isGone })
@@ -229,8 +234,27 @@
   }
 }
 
-/** Streams as many events as the request allows, one after the other. */
-export function streamWork ({ firstMs, intervalMs, events }) {
+/** Answers requests under a prefix with a body of that size, and the others as a plain service does. */
+export function exportWork ({ workMs, prefix, bytes }) {
+  const answerPlain = plainWork(workMs)
+  const body = Buffer.alloc(bytes, 'e')
+  return async (job) => {
+    const { outgoing, incoming, headers, gone } = job
+    if (!incoming.url.startsWith(prefix)) return await answerPlain(job)
+    await pause(workMs)
+    if (gone()) return
+    await new Promise((resolve) => {
+      outgoing.once('close', resolve)
+      outgoing.writeHead(200, { ...headers, 'Content-Length': body.length }).end(body)
+    })
+  }
+}
+
+/**
+ * Streams events one after the other; a request with `Last-Event-Id` gets those behind it. Between the first part of the
+ * events and the others, the stream may be silent once, as beside a long prompt.
+ */
+export function streamWork ({ firstMs, intervalMs, events, silentAfter, silentMs }) {
   return async ({ outgoing, incoming, headers, gone, attempt }) => {
     const first = 1 + Number(incoming.headers['last-event-id'] ?? 0)
     const last = events(incoming)
@@ -240,7 +264,7 @@
     for (let event = first; event <= last; event += 1) {
       if (gone()) return
       outgoing.write(`id: ${event}\ndata: ${attempt} ${event}/${last}\n\n`)
-      if (event < last) await pause(intervalMs)
+      if (event < last) await pause(event === silentAfter ? silentMs : intervalMs)
     }
     await new Promise((resolve) => {
       outgoing.once('close', resolve)
