Review: case 9, a stream goes on elsewhere while its silent replica works on

Cause: abandon closes the channel and places the stream again at once; a replica that doesn't drop the request works on.

--- a/review/standins-2/standins.mjs
+++ b/review/standins-2/standins.mjs
@@ -153,10 +153,10 @@
 }
 
 /**
- * A replica. It runs `slots` requests at once, queues `queue` more, rejects the others as not run, drops a request when its channel closes, and echoes
- * the id. `run` answers one request and returns when it is done.
+ * A replica. It runs `slots` requests at once, queues `queue` more, rejects the others as not run, and
+ * echoes the id. It drops a request when its channel closes, unless `drops` is false. `run` answers one request and returns when it is done.
  */
-export async function openReplica ({ id, host, service, slots, zone, store, record, run, queue = 72, keepAliveMs = 15_000 }) {
+export async function openReplica ({ id, host, service, slots, zone, store, record, run, queue = 72, drops = true, keepAliveMs = 15_000 }) {
   const waiting = []
   let running = 0
   let sequence = 0
@@ -196,7 +196,7 @@
       }
       let isGone = false
       outgoing.once('close', () => { isGone = !outgoing.writableFinished })
-      waiting.push({ attempt, incoming, outgoing, headers: { ...headers, 'X-Server-Signature': `sig-${id}` }, body: Buffer.concat(chunks), gone: () => isGone })
+      waiting.push({ attempt, incoming, outgoing, headers: { ...headers, 'X-Server-Signature': `sig-${id}` }, body: Buffer.concat(chunks), gone: () => drops && isGone })
       next()
     })
   })
@@ -251,21 +251,22 @@
 }
 
 /**
- * Streams events one after the other; a request with `Last-Event-Id` gets those behind it. Between the first part of the
- * events and the others, the stream may be silent once, as beside a long prompt.
+ * Streams events one after the other, with ids that increase by `idStep`; a request with `Last-Event-Id` gets those behind it.
+ * After the event number `silentAfter`, the stream may be silent once, as beside a long prompt.
  */
-export function streamWork ({ firstMs, intervalMs, events, silentAfter, silentMs }) {
+export function streamWork ({ firstMs, intervalMs, events, idStep = 1, silentAfter, silentMs }) {
   return async ({ outgoing, incoming, headers, gone, attempt }) => {
-    const first = 1 + Number(incoming.headers['last-event-id'] ?? 0)
+    const first = 1 + Math.floor(Number(incoming.headers['last-event-id'] ?? 0) / idStep)
     const last = events(incoming)
     await pause(firstMs)
     if (gone()) return
     outgoing.writeHead(200, { ...headers, 'Content-Type': 'text/event-stream' })
     for (let event = first; event <= last; event += 1) {
       if (gone()) return
-      outgoing.write(`id: ${event}\ndata: ${attempt} ${event}/${last}\n\n`)
+      if (!outgoing.destroyed) outgoing.write(`id: ${event * idStep}\ndata: ${attempt} ${event}/${last}\n\n`)
       if (event < last) await pause(event === silentAfter ? silentMs : intervalMs)
     }
+    if (outgoing.destroyed) return
     await new Promise((resolve) => {
       outgoing.once('close', resolve)
       outgoing.end()
