Review: case 8 records the events of requesters that leave

Cause: the record gave 0 events for requesters that had received eight; the claim said more of what the daemon knows than was shown.

--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -33,7 +33,7 @@
     const timer = setInterval(() => {
       if (nowMs() - lastMs <= 4 * OBJECTIVE_MS && nowMs() - sentMs <= LIMIT_MS && !channel.isClosed()) return
       clearInterval(timer)
-      setTimeout(() => { resolve({ how: 'requester left', status: 0, body: '' }) }, 50)
+      setTimeout(() => { resolve({ ...channel.partOfAnswer(), how: 'requester left' }) }, 50)
     }, 50)
   })
   const answer = await Promise.race([
--- a/review/standins-2/standins.mjs
+++ b/review/standins-2/standins.mjs
@@ -416,6 +416,8 @@
   return {
     connected: new Promise((resolve) => { socket.once('connect', () => { resolve(true) }).once('error', () => { resolve(false) }) }),
     isClosed: () => isClosed,
+    /** Returns what has arrived of the answer to the request that is open. */
+    partOfAnswer: () => parseAnswer(received),
     /** Sends a request; the promise settles with its end. */
     send: (text) => new Promise((resolve) => {
       current = { resolve }
