Take skipped ids of events for what they are, not for missing events

Cause: where a stream may be resumed, ids had to be consecutive. Targets promise only that they increase. The first skipped id counted as a break of the target, that of the next target as another, and no attempt was left. Each break also counted as a crash against the content of the request.

Change: ids have to increase, within a response and over those of several targets. One rule is new: a response that repeats events has to repeat the caller's last one before new ones. Otherwise its events have other boundaries and the next one overlaps with what the caller has; with consecutive ids this can't happen, with others the demand for them had caught it.

--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -89,7 +89,7 @@
     const { context, request, body, outgoing } = options
     this.response = new callerResponse.CallerResponse(context, outgoing)
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body), request.route)
-    this.continuity = streamContinuity.createStreamContinuity({ isConsecutive: request.route.resumable, lastId: request.lastEventId })
+    this.continuity = streamContinuity.createStreamContinuity({ lastId: request.lastEventId })
     this.binding = new streamBinding.StreamBinding(context, request)
     this.deadlineTimer = pendingEvents.startTimer(() => { this.run(() => { this.onDeadline() }) }, request.limitMs - context.now())
   }
--- a/packages/gateway/src/stream-continuity.ts
+++ b/packages/gateway/src/stream-continuity.ts
@@ -1,5 +1,7 @@
 /**
- * Checks event by event that a stream goes on without a gap or a repetition, within one response and over those of several targets.
+ * Checks event by event that the ids of a stream increase, within one response and over those of several targets.
+ *
+ * Ids may skip, as an event may hold several tokens, so a missing event does not show in them.
  *
  * @module
  */
@@ -21,10 +23,8 @@
   readonly isBehind: () => boolean
 }
 
-/** What is known of the ids of a stream. */
+/** What the caller has of the stream. */
 export interface Options {
-  /** Whether ids are consecutive, as in streams that are resumed by id; otherwise they only increase. */
-  readonly isConsecutive: boolean
   /** Id of the last event that the caller had before; undefined if it had none. */
   readonly lastId: number | undefined
 }
@@ -44,19 +44,20 @@
  *
  * @example
  * ```ts
- * const continuity = createStreamContinuity({ isConsecutive: true, lastId: undefined })
+ * const continuity = createStreamContinuity({ lastId: undefined })
  * const response = continuity.beginResponse()
  * for (const event of response.follow(splitter.push(chunk))) forward(event.bytes)
  * ```
  */
-export function createStreamContinuity ({ isConsecutive, lastId: initialId }: Options): StreamContinuity {
+export function createStreamContinuity ({ lastId: initialId }: Options): StreamContinuity {
   let lastId = initialId
   let isResumable = true
 
   /** Returns whether an event is new to the caller. */
-  function isNew (id: number): boolean {
+  function isNew (id: number, previousId: number | undefined): boolean {
     if (lastId === undefined) return true
-    if (isConsecutive && id > lastId + 1) throw new Discontinuity(`the stream continues at event ${id} after event ${lastId}`)
+    // A run with other boundaries between its events: the next one overlaps with what the caller has.
+    if (previousId !== undefined && previousId < lastId && id > lastId) throw new Discontinuity(`the target repeats event ${previousId} and goes on at event ${id} without event ${lastId}, the last one that the caller has`)
     return id > lastId
   }
 
@@ -69,8 +70,8 @@
         const { id } = event
         if (id !== undefined) {
           if (previousId !== undefined && id <= previousId) throw new Discontinuity(`the target sent event ${id} after event ${previousId}`)
+          isRepeating = !isNew(id, previousId)
           previousId = id
-          isRepeating = !isNew(id)
         }
         if (isRepeating) continue
         lastId = id ?? lastId
