Run no request whose answer can't be written any more

Cause: a stop closes idle connections by ending the daemon's own direction. Node.js goes on reading, so a request that crosses the close was admitted and dispatched. Nothing asked whether its answer can be written. The same on a related path: Node.js hands over pipelined requests at once, and one that runs behind a response which closes the connection has no answer; in a stop, every response does. In packages/daemon, a refused body that is too large does.

Change: a connection that is closed as idle is not read any more, so that a request which crosses the close stays unread and may be sent again. Both daemons handle a request once its response has its turn on the connection (response-turn.ts); if this side has ended by then, the request is dropped, with a log line and a counter.

Not changed: a caller that ends its own side counts as one that has left, as nothing tells that from a closed connection.

--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -3,10 +3,11 @@
  *
  * @module
  */
-import type * as http from 'node:http'
+import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as nodeServer from '@hono/node-server'
 import * as sentResponse from '@hono/node-server/utils/response'
+import * as backing from '@persimmonhatch/backing-services'
 import * as protocol from '@persimmonhatch/protocol'
 import * as hono from 'hono'
 import type * as settings from '../settings/settings.js'
@@ -155,6 +156,22 @@
   socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
 }
 
+/** Creates the server, which handles a request once its response can be written. */
+function createServer (options: Options, hostname: string): http.Server {
+  const { limits, count } = options
+  const handle = nodeServer.getRequestListener(buildApp(options).fetch, { hostname })
+  return http.createServer({ maxHeaderSize: limits.headerBytes, requestTimeout: limits.requestReadMs }, (incoming, outgoing) => {
+    const cut = (): void => {
+      count('requests.faults', 1)
+      backing.cutResponse.cut(outgoing)
+    }
+    backing.responseTurn.awaitTurn(incoming, outgoing, {
+      serve: () => { handle(incoming, outgoing).catch(cut) },
+      drop: () => { count('requests.dropped', 1) }
+    })
+  })
+}
+
 /**
  * Starts the server.
  *
@@ -166,15 +183,10 @@
  */
 export async function openCallerServer (options: Options): Promise<CallerServer> {
   const endpoint = splitAddress.splitAddress(options.listen)
-  const app = buildApp(options)
-  const server = await new Promise<http.Server>((resolve, reject) => {
-    const created = nodeServer.serve({
-      fetch: app.fetch,
-      hostname: endpoint.host,
-      port: endpoint.port,
-      serverOptions: { maxHeaderSize: options.limits.headerBytes, requestTimeout: options.limits.requestReadMs }
-    }, () => resolve(created as http.Server))
-    created.once('error', reject)
+  const server = createServer(options, endpoint.host)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(endpoint.port, endpoint.host, resolve)
   })
   server.on('clientError', refuseConnection)
   const connections = trackConnections(server)
--- a/packages/daemon/tests/caller-server.test.ts
+++ b/packages/daemon/tests/caller-server.test.ts
@@ -16,7 +16,7 @@
 
 const suite = uvu.suite('openCallerServer')
 
-function openServer (port: number): Promise<callerServer.CallerServer> {
+function openServer (port: number, submit: callerServer.Options['submit'] = async () => {}): Promise<callerServer.CallerServer> {
   return callerServer.openCallerServer({
     listen: `127.0.0.1:${port}`,
     limits: { bodyBytes: 1_000, headerBytes: 1_000, requests: 10, heldAnswerBytes: 1_000, requestReadMs: 1_000 },
@@ -24,7 +24,7 @@
     explain: () => undefined,
     status: () => ({}),
     ready: () => true,
-    submit: async () => {},
+    submit,
     count: () => {}
   })
 }
@@ -78,4 +78,44 @@
   })
 }
 
+/** Returns a handler that answers each request and records its path. */
+function recordPaths (paths: string[]): callerServer.Options['submit'] {
+  return async ({ path }, response) => {
+    paths.push(path)
+    response.writeHead(200, { 'content-length': 2 })
+    response.end('ok')
+  }
+}
+
+// Guards against a request that is submitted although the response before it closes the connection, so that it has no answer.
+suite('a request that is pipelined behind a refused one is not submitted', async () => {
+  const port = await freePort()
+  const paths: string[] = []
+  const server = await openServer(port, recordPaths(paths))
+  const caller = net.connect({ port, host: '127.0.0.1' })
+  let received = ''
+  caller.setEncoding('utf8').on('data', (text: string) => { received += text })
+  caller.write(`POST /s/support/first HTTP/1.1\r\nhost: a\r\ncontent-length: 1500\r\n\r\n${'x'.repeat(1_500)}POST /s/support/second HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody`)
+  await new Promise((resolve) => caller.once('close', resolve))
+  assert.equal([paths, received.split('HTTP/1.1').length - 1], [[], 1])
+  await server.close()
+})
+
+suite('a request that arrives while the server closes its idle connection is not submitted', async () => {
+  const port = await freePort()
+  const paths: string[] = []
+  const server = await openServer(port, recordPaths(paths))
+  const caller = net.connect({ port, host: '127.0.0.1', allowHalfOpen: true })
+  caller.on('error', () => {})
+  const request = (path: string): string => `POST /s/support/${path} HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody`
+  caller.write(request('kept'))
+  await new Promise((resolve) => caller.once('data', resolve))
+  const closed = server.close()
+  await new Promise((resolve) => caller.once('end', resolve).once('close', resolve))
+  caller.write(request('late'))
+  await closed
+  assert.equal(paths, ['/kept'])
+  caller.destroy()
+})
+
 suite.run()
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -40,7 +40,10 @@
   let hasBegun = false
 
   function closeIfIdle (socket: net.Socket, { open, receivedBytes }: Connection): void {
-    if (isClosing && open === 0 && socket.bytesRead === receivedBytes) socket.end()
+    if (!isClosing || open > 0 || socket.bytesRead !== receivedBytes) return
+    socket.end()
+    // A request that crosses the close can't be answered any more. It stays unread, and its caller may send it again.
+    socket.pause()
   }
 
   server.on('connection', (socket: net.Socket) => {
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -77,6 +77,19 @@
   outgoing.once('close', () => { socket.off('end', handleEnd) })
 }
 
+function listen (server: http.Server, address: string): Promise<void> {
+  const { host, port } = endpoint.parseEndpoint(address)
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+}
+
+function recordDropped (context: contextModule.Context, { path }: admission.RequestHead): void {
+  context.metrics.count('requests_dropped_total')
+  context.log.request('request dropped', { path, detail: 'this side of the connection has ended' })
+}
+
 /**
  * Opens the listener.
  *
@@ -107,7 +120,10 @@
       if (outgoing.headersSent) backing.cutResponse.cut(outgoing)
       else refuse(outgoing, head, 'failed')
     })
-    run(() => { serve(incoming, outgoing, head, run) })
+    backing.responseTurn.awaitTurn(incoming, outgoing, {
+      serve: () => { run(() => { serve(incoming, outgoing, head, run) }) },
+      drop: () => { recordDropped(context, head) }
+    })
   }
 
   function serve (incoming: http.IncomingMessage, outgoing: http.ServerResponse, head: admission.RequestHead, run: Guard): void {
@@ -151,11 +167,7 @@
     noDelay: true
   }, handleRequest)
   const connections = callerConnections.followConnections(server)
-  const { host, port } = endpoint.parseEndpoint(address)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, resolve)
-  })
+  await listen(server, address)
   server.on('error', (error) => { unexpectedErrors.record(context, error, { address }) })
 
   function adoptLimits (): void {
