--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -7,6 +7,7 @@
 import type * as admission from './admission.js'
 import type * as contextModule from './context.js'
 import * as headerNames from './header-names.js'
+import * as httpStatus from './http-status.js'
 import * as rawHeaders from './raw-headers.js'
 import * as streamContinuity from './stream-continuity.js'
 import * as streamEvents from './stream-events.js'
@@ -46,13 +47,8 @@
   readonly done: (outcome: AttemptOutcome) => void
 }
 
-const MISDIRECTED_REQUEST = 421
-const SERVICE_UNAVAILABLE = 503
-const OK = 200
-
 /** Value of the header of a target that leaves. */
 const LEAVING = '1'
-const REDIRECTION = 300
 
 /** Maximum size of a response that is held until it is complete, bytes. */
 const MAX_HELD_BYTES = 16_777_216
@@ -71,7 +67,7 @@
 }
 
 function isSuccess (head: targetClient.ResponseHead): boolean {
-  return head.status >= OK && head.status < REDIRECTION
+  return head.status >= httpStatus.OK && head.status < httpStatus.REDIRECTION
 }
 
 /** Returns why a response can't be accepted for this request; undefined if it can. */
@@ -112,7 +108,7 @@
   return {
     sent: () => { startedMs = context.targets.startOf(target.id) },
     head: (head) => {
-      if (head.status === MISDIRECTED_REQUEST || rawHeaders.findHeader(head.headers, context.headerNames.leaving) !== LEAVING) return
+      if (head.status === httpStatus.MISDIRECTED_REQUEST || rawHeaders.findHeader(head.headers, context.headerNames.leaving) !== LEAVING) return
       context.targets.depart({ id: target.id, startedMs }, 'response')
     }
   }
@@ -121,7 +117,7 @@
 /** Observes the pause that the target asks for. */
 function observePause ({ context, target, via }: Options, head: targetClient.ResponseHead): void {
   const retryAfter = rawHeaders.findHeader(head.headers, 'retry-after')
-  if (head.status !== SERVICE_UNAVAILABLE || retryAfter === undefined) return
+  if (head.status !== httpStatus.SERVICE_UNAVAILABLE || retryAfter === undefined) return
   const durationMs = headerNames.parseRetryAfterMs(retryAfter)
   if (durationMs === undefined) context.targets.ignorePause(target.id, retryAfter)
   else context.targets.pause(target.id, durationMs, via)
@@ -132,16 +128,16 @@
   const load = headerNames.parseLoad(rawHeaders.findHeader(head.headers, context.headerNames.load))
   if (load !== undefined) context.pools.applyReportedLoad(request.service, target.id, load)
   const isBrittle = rawHeaders.findHeader(head.headers, context.headerNames.brittle) !== undefined
-  if (isBrittle ? head.status !== MISDIRECTED_REQUEST : isSuccess(head)) context.pools.applyBrittleness(request.service, isBrittle)
+  if (isBrittle ? head.status !== httpStatus.MISDIRECTED_REQUEST : isSuccess(head)) context.pools.applyBrittleness(request.service, isBrittle)
 }
 
 function isRejection ({ context }: Options, head: targetClient.ResponseHead): boolean {
-  return rawHeaders.findHeader(head.headers, context.headerNames.notRun) !== undefined || head.status === MISDIRECTED_REQUEST
+  return rawHeaders.findHeader(head.headers, context.headerNames.notRun) !== undefined || head.status === httpStatus.MISDIRECTED_REQUEST
 }
 
 function isStream (head: targetClient.ResponseHead): boolean {
   const [mediaType = ''] = (rawHeaders.findHeader(head.headers, 'content-type') ?? '').split(';')
-  return head.status === OK && mediaType.trim().toLowerCase() === 'text/event-stream'
+  return head.status === httpStatus.OK && mediaType.trim().toLowerCase() === 'text/event-stream'
 }
 
 /** Takes events up to an error, which may follow sound events. */
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -10,6 +10,13 @@
 /** How far the current attempt of a request has come. */
 export type Stage = 'waiting' | 'connecting' | 'running' | 'streaming'
 
+/** Returns the stage of an attempt. */
+export function stageOf ({ hasExchange, isSent, awaitsFirstEvent }: { readonly hasExchange: boolean, readonly isSent: boolean, readonly awaitsFirstEvent: boolean }): Stage {
+  if (!hasExchange) return 'waiting'
+  if (!isSent) return 'connecting'
+  return awaitsFirstEvent ? 'running' : 'streaming'
+}
+
 /** The end of a request and what led to it. */
 export interface RequestEnd {
   readonly outcome: string
--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -6,10 +6,11 @@
  */
 import type * as http from 'node:http'
 import type * as routing from '@persimmonhatch/routing'
-import * as admission from './admission.js'
+import type * as admission from './admission.js'
 import * as attemptModule from './attempt.js'
 import * as callerResponse from './caller-response.js'
 import type * as contextModule from './context.js'
+import * as httpStatus from './http-status.js'
 import * as pendingEvents from './pending-events.js'
 import * as refusal from './refusal.js'
 import * as requestEvidence from './request-evidence.js'
@@ -19,7 +20,9 @@
 import * as streamContinuity from './stream-continuity.js'
 import type * as streamEvents from './stream-events.js'
 import type * as targetClient from './target-client.js'
+import * as targetMove from './target-move.js'
 import * as traits from './traits.js'
+import * as triedTargets from './tried-targets.js'
 import * as unexpectedErrors from './unexpected-errors.js'
 
 /** Dependencies of a task. */
@@ -33,20 +36,16 @@
 /** Share of the latency target after which an idempotent request without a response is retried at another target. */
 const RETRY_DELAY_LATENCY_SHARE = 0.6
 
-/** Minimum remaining time for a retry, ms. */
-const MIN_REMAINING_MS = 40
-
 /** Maximum number of attempts at unreachable targets; they send nothing and use no retry of the budget. */
 const MAX_UNREACHABLE_ATTEMPTS = 4
 
 /** Maximum number of peers through which a request tries to reach targets. */
 const MAX_RELAY_ATTEMPTS = 3
 
+/** Time after which a request that has left a target tries again to be placed, ms. */
+const RETURN_INTERVAL_MS = 100
+
 const REJECTED_RETRY_MS = 500
-const OK = 200
-const REDIRECTION = 300
-const SERVER_ERROR = 500
-const MISDIRECTED_REQUEST = 421
 
 /**
  * Serves one admitted request.
@@ -57,10 +56,7 @@
  * ```
  */
 export class RequestTask {
-  private readonly excludedTargets = new Set<string>()
-  private readonly leftTargets = new Set<string>()
-  /** Targets in the order in which they were tried. */
-  private readonly triedTargets: routing.targetRegistry.Target[] = []
+  private readonly tried: triedTargets.TriedTargets
   private readonly evidence: requestEvidence.RequestEvidence
   private readonly response: callerResponse.CallerResponse
   private readonly continuity: streamContinuity.StreamContinuity
@@ -72,7 +68,6 @@
   private exchange: targetClient.Exchange | undefined
   private target: routing.targetRegistry.Target | undefined
   private figures: routing.poolEvent.Figures | undefined
-  private sends = 0
   private unreachableAttempts = 0
   private relayAttempts = 0
   /** The peer that carries the connection to the target; undefined for a direct one. */
@@ -80,6 +75,7 @@
   /** Whether a target may have begun to run the request. */
   private mayHaveRun = false
   private lastEventMs = 0
+  private readonly move: targetMove.TargetMove
   private firstEventMs: number | undefined
   private isSent = false
   private awaitsFirstEvent = true
@@ -91,6 +87,14 @@
     this.evidence = new requestEvidence.RequestEvidence(context, traits.traitsOf(request, body), request.route)
     this.continuity = streamContinuity.createStreamContinuity({ lastId: request.lastEventId })
     this.binding = new streamBinding.StreamBinding(context, request)
+    this.tried = new triedTargets.TriedTargets(context, request)
+    this.move = new targetMove.TargetMove({
+      context,
+      service: request.service,
+      placementOptions: () => this.target !== undefined && this.canMove && this.tried.allowsOther ? this.tried.moveOptions(this.binding.version, this.target) : undefined,
+      acquireMove: (target) => this.canMove && this.binding.isCurrent(target) && this.evidence.refusedTrait() === undefined && this.tried.acquireRetry(),
+      moveTo: (placement, decision, reason) => { this.run(() => { this.moveTo(placement, decision, reason) }) }
+    })
     this.deadlineTimer = pendingEvents.startTimer(() => { this.run(() => { this.onDeadline() }) }, request.limitMs - context.now())
   }
 
@@ -115,6 +119,11 @@
     }
   }
 
+  private logStep (event: string, details: object): void {
+    const { context, request } = this.options
+    context.log.request(event, { request: request.requestId, target: this.target?.id, ...details })
+  }
+
   /** Runs a step of the request. An unexpected error ends this request and no other. */
   private run (step: () => void): void {
     try {
@@ -132,14 +141,15 @@
     this.finished = true
     clearTimeout(this.deadlineTimer)
     clearTimeout(this.retryTimer)
+    this.move.cancel()
     requestRecord.recordEnd(context, request, {
       outcome,
       status,
       reason,
       stage,
       trait: this.refusedTrait,
-      sends: this.sends,
-      targets: this.triedTargets,
+      sends: this.tried.sends,
+      targets: this.tried.inOrder,
       via: this.via,
       figures: this.figures,
       firstEventMs: this.firstEventMs,
@@ -162,7 +172,7 @@
     this.endPlacement({ kind: 'left' })
     if (this.response.hasBegun) {
       // Closing the connection before the end of the body shows the caller that the response is incomplete.
-      this.finish('cut', OK, reason)
+      this.finish('cut', httpStatus.OK, reason)
       this.response.cut()
       return
     }
@@ -186,25 +196,20 @@
 
   private onCallerLeft (): void {
     if (this.finished) return
-    const stage = this.stage()
+    const stage = requestRecord.stageOf({ hasExchange: this.exchange !== undefined, isSent: this.isSent, awaitsFirstEvent: this.awaitsFirstEvent })
     this.exchange?.abort()
     this.endPlacement({ kind: 'left' })
     this.options.context.metrics.count('callers_left_total', { service: this.options.request.service, stage })
     this.finish('caller-left', 0, 'caller-left', stage)
   }
 
-  private stage (): requestRecord.Stage {
-    if (this.exchange === undefined) return 'waiting'
-    if (!this.isSent) return 'connecting'
-    return this.awaitsFirstEvent ? 'running' : 'streaming'
-  }
-
   private requestPlacement (isRetry: boolean): void {
     const { context, request } = this.options
-    context.pools.requestPlacement(request.service, admission.placementOptions(request, { version: this.binding.version, excludedTargets: this.excludedTargets, leftTargets: this.leftTargets, isRetry }), {
+    this.exchange = undefined
+    context.pools.requestPlacement(request.service, this.tried.placementOptions(this.binding.version, isRetry), {
       onQueued: (placement) => { this.placement = placement },
       onDecision: (decision) => { this.run(() => { this.onDecision(decision) }) },
-      onStalled: () => { this.run(() => { this.abandon('no event within the stall time') }) }
+      onStalled: () => { this.run(() => { this.move.handleStall() }) }
     })
   }
 
@@ -230,7 +235,7 @@
 
   private send (target: routing.targetRegistry.Target): void {
     this.target = target
-    this.triedTargets.push(target)
+    this.tried.add(target)
     this.connect(target, this.options.context.paths.choose(target.id))
   }
 
@@ -261,21 +266,23 @@
 
   private onSent (): void {
     const { context, request } = this.options
-    this.sends += 1
+    this.tried.countSend()
     this.isSent = true
     if (this.target !== undefined) {
       this.evidence.begin(this.target.id)
-      if (context.targetLimits.limitOf(this.target.id) !== undefined) context.metrics.count('limited_sends_total', { target: this.target.id, repeated: String(this.sends > 1) })
+      if (context.targetLimits.limitOf(this.target.id) !== undefined) context.metrics.count('limited_sends_total', { target: this.target.id, repeated: String(this.tried.sends > 1) })
     }
     this.mayHaveRun = true
-    context.metrics.count('sends_total', { service: request.service, repeated: String(this.sends > 1) })
-    if (request.route.kind !== 'idempotent' || this.sends >= request.route.attempts) return
+    context.metrics.count('sends_total', { service: request.service, repeated: String(this.tried.sends > 1) })
+    if (request.route.kind !== 'idempotent' || !this.tried.allowsOther) return
     const { target } = this
-    this.retryTimer = pendingEvents.startTimer(() => { if (this.target === target) this.run(() => { this.abandon('no response in time') }) }, RETRY_DELAY_LATENCY_SHARE * request.route.targetLatencyMs)
+    const isAwaited = (): boolean => this.target === target
+    this.retryTimer = pendingEvents.startTimer(() => { if (isAwaited()) this.move.seek('no response in time', isAwaited) }, RETRY_DELAY_LATENCY_SHARE * request.route.targetLatencyMs)
   }
 
   private onEvent (): void {
     const { context } = this.options
+    this.move.cancel()
     const nowMs = context.now()
     if (this.placement !== undefined) {
       context.pools.handlePlacementEvent(this.placement, this.awaitsFirstEvent ? { kind: 'first-event' } : { kind: 'next-event', intervalMs: nowMs - this.lastEventMs })
@@ -298,43 +305,42 @@
     return (kind === 'idempotent' && !this.response.hasBegun) || (kind === 'stream' && resumable && this.continuity.isResumable())
   }
 
-  /** Acquires a retry if the route, the remaining time and the fleet's budget allow one. */
-  private acquireRetry (): boolean {
-    const { context, request } = this.options
-    if (this.sends >= request.route.attempts || request.limitMs - context.now() < MIN_REMAINING_MS) return false
-    return context.budget.acquireRetry(request.service, context.daemons(), context.now())
+  /** Whether the request may leave its target. While the caller reads slowly, nothing is read from there, which is no silence. */
+  private get canMove (): boolean {
+    return !this.finished && this.exchange !== undefined && this.isRetryable && !this.response.isBlocked
   }
 
-  /** Places the request again, at another target if the one that it was sent to has failed. */
-  private retry (isRetry = true): void {
-    if (this.target !== undefined) this.excludedTargets.add(this.target.id)
-    this.placeAgain(isRetry)
+  /** Places the request again after the end of an exchange; returns false if the request must end. */
+  private placeOnceMore (): boolean {
+    if (this.tried.acquireRetry()) this.requestPlacement(true)
+    else if (this.tried.canReturn) this.placeLater()
+    else return false
+    return true
   }
 
-  private placeAgain (isRetry: boolean): void {
+  /** Waits with a request that has left a target which may be sound, so that it doesn't end before its time. */
+  private placeLater (): void {
     this.exchange = undefined
-    this.requestPlacement(isRetry)
+    this.retryTimer = pendingEvents.startTimer(() => { this.run(() => { if (!this.finished && !this.placeOnceMore()) this.refuse('broken') }) }, RETURN_INTERVAL_MS)
   }
 
-  /** Leaves a target that sends nothing, if another one can take the request now. */
-  private abandon (message: string): void {
+  /** Leaves a target that sends nothing for one that has a free slot. */
+  private moveTo (placement: servicePools.Placement, decision: targetMove.Dispatch, reason: string): void {
     const { context, request } = this.options
-    if (this.finished || this.exchange === undefined || this.target === undefined || !this.isRetryable) return
-    // While the caller reads slowly, nothing is read from the target.
-    if (this.response.isBlocked) return
-    const leftTargets = new Set([...this.leftTargets, this.target.id])
-    if (!context.pools.hasAlternative(request.service, admission.placementOptions(request, { version: this.binding.version, excludedTargets: this.excludedTargets, leftTargets, isRetry: true })) || !this.acquireRetry()) return
-    this.leftTargets.add(this.target.id)
-    this.exchange.abort()
+    this.tried.leave(this.target)
+    clearTimeout(this.retryTimer)
+    this.exchange?.abort()
     context.metrics.count('abandoned_total', { service: request.service })
-    context.log.request('target abandoned', { request: request.requestId, target: this.target?.id, detail: message })
+    this.logStep('target abandoned', { detail: reason })
     this.endPlacement({ kind: 'ended', outcome: 'failed' })
-    this.placeAgain(true)
+    this.placement = placement
+    this.onDecision(decision)
   }
 
   private onEnd (outcome: attemptModule.AttemptOutcome): void {
     const { context, request } = this.options
     clearTimeout(this.retryTimer)
+    this.move.cancel()
     if (this.finished) return
     if (outcome.kind !== 'answered' && outcome.kind !== 'streamed') {
       context.metrics.count('target_failures_total', { service: request.service, end: outcome.kind })
@@ -351,8 +357,8 @@
   }
 
   private onUnreachable (detail: string): void {
-    const { context, request } = this.options
-    context.log.request('target unreachable', { request: request.requestId, target: this.target?.id, via: this.via, detail })
+    const { context } = this.options
+    this.logStep('target unreachable', { via: this.via, detail })
     if (this.target !== undefined) {
       context.paths.recordUnreachable(this.target.id, this.via)
       const via = this.relayAttempts < MAX_RELAY_ATTEMPTS && context.targets.isOpen(this.target.id) ? context.paths.choose(this.target.id) : undefined
@@ -364,32 +370,32 @@
     this.endPlacement({ kind: 'ended', outcome: 'unreachable' })
     this.unreachableAttempts += 1
     // Nothing was sent, so no retry of the budget limits how many requests are placed again; they wait for a free slot.
-    if (this.unreachableAttempts < MAX_UNREACHABLE_ATTEMPTS) this.retry(this.mayHaveRun)
+    this.tried.exclude(this.target)
+    if (this.unreachableAttempts < MAX_UNREACHABLE_ATTEMPTS || this.tried.canReturn) this.requestPlacement(this.mayHaveRun)
     else this.refuse(this.mayHaveRun ? 'broken' : 'unreachable', REJECTED_RETRY_MS)
   }
 
   private onRejected (status: number): void {
-    this.endPlacement({ kind: 'ended', outcome: status === MISDIRECTED_REQUEST ? 'failed' : 'rejected' })
+    this.endPlacement({ kind: 'ended', outcome: status === httpStatus.MISDIRECTED_REQUEST ? 'failed' : 'rejected' })
     // The target reports that it has not run the request.
-    if (this.sends === 1) this.mayHaveRun = false
-    if (status === MISDIRECTED_REQUEST) this.sends -= 1
-    if (this.acquireRetry()) this.retry()
-    else this.refuse(this.mayHaveRun ? 'broken' : 'rejected', REJECTED_RETRY_MS)
+    if (this.tried.sends === 1) this.mayHaveRun = false
+    if (this.tried.handleRejection(this.target, status === httpStatus.MISDIRECTED_REQUEST)) this.placeLater()
+    else if (!this.placeOnceMore()) this.refuse(this.mayHaveRun ? 'broken' : 'rejected', REJECTED_RETRY_MS)
   }
 
   private onAnswered (head: targetClient.ResponseHead, body: Buffer): void {
-    const failed = head.status >= SERVER_ERROR
+    const failed = head.status >= httpStatus.SERVER_ERROR
     this.endPlacement({ kind: 'ended', outcome: failed ? 'failed' : 'answered' })
-    if (failed && this.isRetryable && this.acquireRetry()) {
-      this.retry()
-      return
+    if (failed) {
+      this.tried.exclude(this.target)
+      if (this.isRetryable && this.placeOnceMore()) return
     }
     if (this.response.hasBegun) {
       this.refuse('broken')
       return
     }
     if (!failed) this.evidence.recordResponse()
-    const outcome = head.status < REDIRECTION ? 'answered' : 'target-failed'
+    const outcome = head.status < httpStatus.REDIRECTION ? 'answered' : 'target-failed'
     this.finish(outcome, head.status, outcome)
     this.response.forwardWhole(head, body)
   }
@@ -402,38 +408,32 @@
       this.refuse('broken')
       return
     }
-    this.finish('answered', OK, 'answered')
+    this.finish('answered', httpStatus.OK, 'answered')
     this.response.endStream(head)
   }
 
   /** Sends the request again, also to the same target, since the peer that was lost says nothing of it. */
   private onPathLost (detail: string): void {
-    const { context, request } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'cancelled' })
-    context.log.request('path broke off', { request: request.requestId, target: this.target?.id, via: this.via, detail, lastEvent: this.continuity.lastId() })
-    if (this.target !== undefined) context.paths.recordUnreachable(this.target.id, this.via)
-    if (this.isRetryable && this.acquireRetry()) this.placeAgain(true)
-    else this.refuse('broken')
+    this.logStep('path broke off', { via: this.via, detail, lastEvent: this.continuity.lastId() })
+    if (this.target !== undefined) this.options.context.paths.recordUnreachable(this.target.id, this.via)
+    if (!this.isRetryable || !this.placeOnceMore()) this.refuse('broken')
   }
 
   /** Places the request again, as its target has started again with another software version. */
   private onReplaced (): void {
-    const { context, request } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'cancelled' })
-    context.log.request('target replaced', { request: request.requestId, target: this.target?.id, version: this.target?.version, sent: this.isSent, lastEvent: this.continuity.lastId() })
-    if (this.target !== undefined && this.binding.version !== undefined) this.excludedTargets.add(this.target.id)
-    if (!this.isSent) this.placeAgain(this.mayHaveRun)
-    else if (this.isRetryable && this.acquireRetry()) this.placeAgain(true)
-    else this.refuse('broken')
+    this.logStep('target replaced', { version: this.target?.version, sent: this.isSent, lastEvent: this.continuity.lastId() })
+    if (this.binding.version !== undefined) this.tried.exclude(this.target)
+    if (!this.isSent) this.requestPlacement(this.mayHaveRun)
+    else if (!this.isRetryable || !this.placeOnceMore()) this.refuse('broken')
   }
 
   private onBroken (message: string): void {
-    const { context, request } = this.options
     this.endPlacement({ kind: 'ended', outcome: 'failed' })
-    const { requestId, promptSegments } = request
-    context.log.request('target broke off', { request: requestId, target: this.target?.id, detail: message, awaitedFirstEvent: this.awaitsFirstEvent, lastEvent: this.continuity.lastId(), promptSegments })
+    this.logStep('target broke off', { detail: message, awaitedFirstEvent: this.awaitsFirstEvent, lastEvent: this.continuity.lastId(), promptSegments: this.options.request.promptSegments })
+    this.tried.exclude(this.target)
     const mayBeRepeated = this.evidence.recordBreak()
-    if (mayBeRepeated && this.isRetryable && this.acquireRetry()) this.retry()
-    else this.refuse('broken')
+    if (!mayBeRepeated || !this.isRetryable || !this.placeOnceMore()) this.refuse('broken')
   }
 }
--- a/packages/gateway/src/service-pools.ts
+++ b/packages/gateway/src/service-pools.ts
@@ -13,7 +13,7 @@
   /** Called first, before any decision. */
   readonly onQueued: (placement: Placement) => void
   readonly onDecision: (decision: routing.poolEvent.PoolDecision) => void
-  /** Called when the target with the request is stalled. */
+  /** Called at each tick while the target with the request is stalled. */
   readonly onStalled: () => void
 }
 
@@ -29,8 +29,6 @@
   /** Assigns the usable targets in the segment of this daemon's cell, with their limits. */
   readonly refreshTargets: (place: peerTable.RingPlace, nowMs: number) => void
   readonly requestPlacement: (service: string, request: routing.poolEvent.PlacementOptions, listener: PlacementListener) => void
-  /** Returns whether a request could be placed now at a target that it has not left and that is not stalled. */
-  readonly hasAlternative: (service: string, request: routing.poolEvent.PlacementOptions) => boolean
   readonly handlePlacementEvent: (placement: Placement, event: PlacementEvent) => void
   readonly applyReportedLoad: (service: string, target: string, load: headerNames.ReportedLoad) => void
   /** Applies whether the targets of a service say that they fall over when they have to reject many requests. */
@@ -186,7 +184,7 @@
     lastTickMs = nowMs
     for (const [service, pool] of pools) {
       if (wasSuspended) pool.restartSilence(nowMs)
-      if (pool.waiting > 0) handle(service, { kind: 'tick' })
+      if (pool.needsTick) handle(service, { kind: 'tick' })
       for (const target of pool.silentTargets(nowMs)) options.onSilent?.(target)
       for (const id of pool.stalledRequests(STALL_MS, nowMs)) listeners.get(id)?.onStalled()
     }
@@ -196,7 +194,6 @@
     adopt,
     refreshTargets,
     requestPlacement,
-    hasAlternative: (service, request) => pools.get(service)?.hasAlternative(request, STALL_MS, options.now()) === true,
     handlePlacementEvent,
     tick,
     applyReportedLoad: (service, target, load) => { handle(service, { kind: 'load-reported', target, ...load }) },
--- a/packages/gateway/src/target-connector.ts
+++ b/packages/gateway/src/target-connector.ts
@@ -8,6 +8,7 @@
 import * as backing from '@persimmonhatch/backing-services'
 import type * as undici from 'undici'
 import * as endpoint from './endpoint.js'
+import * as httpStatus from './http-status.js'
 import * as relayFrames from './relay-frames.js'
 import * as transports from './transports.js'
 
@@ -17,8 +18,6 @@
 /** Time limit for a connection through a peer, which connects to the target in turn, ms. */
 const RELAY_TIMEOUT_MS = 600
 
-const OK = 200
-
 /** Connecting failed; nothing was sent. */
 class ConnectFailure extends Error {
   constructor (address: string, cause: string) {
@@ -81,7 +80,7 @@
     request.once('error', (error) => { fail(error.message) })
     request.once('connect', (response, socket, head) => {
       clearTimeout(timer)
-      if (response.statusCode !== OK) {
+      if (response.statusCode !== httpStatus.OK) {
         socket.destroy()
         fail(`refused with ${response.statusCode ?? 0}`)
         return
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -71,6 +71,8 @@
   readonly gateway: gatewayPackage.gateway.Gateway
   readonly frontAddress: string
   readonly peerAddress: string
+  /** Addresses of the targets in their order. */
+  readonly addresses: readonly string[]
   readonly arrivals: readonly Arrival[]
   readonly script: (script: Script) => void
   readonly call: (path: string, options?: CallOptions) => Promise<Reply>
@@ -173,6 +175,7 @@
     gateway,
     frontAddress,
     peerAddress,
+    addresses,
     arrivals,
     script: (newScript) => {
       script = newScript
--- a/packages/gateway/tests/silent-targets.test.ts
+++ b/packages/gateway/tests/silent-targets.test.ts
@@ -124,6 +124,103 @@
   assert.equal([isComplete, fixture.arrivals.length], [true, 1])
 })
 
+/** As on most routes: a second target may get a request, and no third one. */
+const TWO_ATTEMPTS: routing.document.RoutingDocument = { ...DOCUMENT, routes: DOCUMENT.routes.map((route) => ({ ...route, attempts: 2 })) }
+
+const SLOTS = 6
+
+function reject (arrival: fixtureModule.Arrival, response: http.ServerResponse): void {
+  response.writeHead(503, { 'request-id': arrival.headers['request-id'] ?? '', 'not-run': '1' })
+  response.end()
+}
+
+/** Changes the entry of the second target. */
+function changeSecond (fixture: fixtureModule.Fixture, address: string, changes: Partial<routing.targetRegistry.Target>, revision: number): void {
+  fixture.gateway.applyTarget({ id: 'i-2', era: 1, revision, target: { ...EXTRA, id: 'i-2', address, ...changes } }, 'test')
+}
+
+/** The targets that got the request under test. */
+function pathOf ({ arrivals }: fixtureModule.Fixture): string {
+  return arrivals.filter(({ path }) => path.endsWith('/7')).map(({ target }) => target).join(' ')
+}
+
+// A stream was offered to a full target, which rejected it, and cut as the route allowed no third attempt (review/8).
+suite('a resumable stream at a silent target stays there while the other target is full', async () => {
+  const fixture = await fixtureModule.openFixture(2, TWO_ATTEMPTS)
+  const running = new Set<http.ServerResponse>()
+  fixture.script((arrival, response) => {
+    if (arrival.path.endsWith('/7')) {
+      if (arrival.target === 'i-1') streamFrom(arrival, response, true)
+      else reject(arrival, response)
+      return
+    }
+    fixtureModule.beginStream(arrival, response)
+    running.add(response)
+    const timer = setInterval(() => { response.write(': wait\n\n') }, 50)
+    response.once('close', () => { clearInterval(timer) })
+  })
+  const first = { id: 'i-1', era: 1, revision: 9, target: { ...EXTRA, id: 'i-1', leaving: true } }
+  fixture.gateway.applyTarget(first, 'test')
+  const others = Array.from({ length: SLOTS }, () => fixture.call('/answer/8', LONG))
+  while (running.size < SLOTS) await fixtureModule.wait(10)
+  fixture.gateway.applyTarget({ ...first, revision: 10, target: { ...first.target, address: fixture.addresses[0] ?? '', leaving: false } }, 'test')
+  const reply = await fixture.call('/generate/7', LONG)
+  for (const response of running) response.destroy()
+  await Promise.all(others)
+  await fixture.close()
+  assert.equal([isWhole(reply), pathOf(fixture)], [true, 'i-1'])
+})
+
+/** What the second target does with a stream that comes from a silent one, and where the stream goes. */
+const SUCCESSORS: readonly (readonly [what: string, serve: (arrival: fixtureModule.Arrival, response: http.ServerResponse, fixture: fixtureModule.Fixture) => void, path: string])[] = [
+  ['rejects it', (arrival, response) => { reject(arrival, response) }, 'i-1 i-2 i-1'],
+  ['breaks off', (arrival, response) => {
+    fixtureModule.beginStream(arrival, response)
+    response.write('id: 3\ndata: i-2\n\n', () => { response.socket?.resetAndDestroy() })
+  }, 'i-1 i-2 i-1'],
+  ['breaks off before its first event', (_, response) => { response.socket?.destroy() }, 'i-1 i-2 i-1'],
+  ['is replaced by another version', (arrival, response, fixture) => {
+    changeSecond(fixture, fixture.addresses[1] ?? '', { version: 'v2' }, 20)
+    streamFrom(arrival, response, false)
+  }, 'i-1 i-2 i-1'],
+  ['has failed', (arrival, response) => { fixtureModule.respondComplete(arrival, response, 500) }, 'i-1 i-2 i-1'],
+  ['falls silent as well', (arrival, response) => {
+    fixtureModule.beginStream(arrival, response)
+    response.write('id: 3\ndata: i-2\n\n')
+    setTimeout(() => { response.end('id: 4\ndata: i-2\n\n') }, SILENCE_MS)
+  }, 'i-1 i-2'],
+  ['sends nothing for a while', (arrival, response) => { setTimeout(() => { streamFrom(arrival, response, false) }, SILENCE_MS) }, 'i-1 i-2']
+]
+
+// Guards against streams that are cut before their time because no attempt is left after they have left a silent target.
+for (const [what, serve, path] of SUCCESSORS) {
+  suite(`a resumable stream that has left a silent target is whole although the next one ${what}`, async () => {
+    const fixture = await fixtureModule.openFixture(2, TWO_ATTEMPTS)
+    changeSecond(fixture, fixture.addresses[1] ?? '', { leaving: true }, 10)
+    fixture.script((arrival, response, arrivals) => {
+      if (arrival.target === 'i-2') serve(arrival, response, fixture)
+      else streamFrom(arrival, response, arrivals === 1)
+    })
+    const started = fixture.call('/generate/7', LONG)
+    await fixtureModule.wait(200)
+    changeSecond(fixture, fixture.addresses[1] ?? '', {}, 11)
+    const reply = await started
+    await fixture.close()
+    assert.equal([isWhole(reply), pathOf(fixture)], [true, path])
+  })
+}
+
+suite('a resumable stream that has left a silent target waits until one of both has room again', async () => {
+  const fixture = await fixtureModule.openFixture(2, TWO_ATTEMPTS)
+  fixture.script((arrival, response, arrivals) => {
+    if (arrivals === 1 || arrivals > 4) streamFrom(arrival, response, arrivals === 1)
+    else reject(arrival, response)
+  })
+  const reply = await fixture.call('/generate/7', LONG)
+  await fixture.close()
+  assert.equal([isWhole(reply), fixture.arrivals.length], [true, 5])
+})
+
 interface Setup {
   readonly pools: servicePools.ServicePools
   readonly stalled: readonly number[]
@@ -173,6 +270,7 @@
 class SlowOutgoing extends events.EventEmitter {
   headersSent = false
   writableNeedDrain = false
+  isDestroyed = false
 
   writeHead (): void { this.headersSent = true }
 
@@ -183,7 +281,7 @@
 
   end (): void {}
 
-  destroy (): void {}
+  destroy (): void { this.isDestroyed = true }
 
   drain (): void {
     this.writableNeedDrain = false
@@ -196,12 +294,15 @@
   readonly targets: readonly string[]
   /** Delivers an event of the first target that a request was sent to. */
   readonly deliver: (id: number) => void
+  /** Rejects the request at the target that it was last sent to. */
+  readonly reject: () => void
 }
 
 /** Serves a resumable stream at one of two targets, with clients and a caller of the test. */
-function startStream ({ pools }: Setup, now: () => number, outgoing: SlowOutgoing): Sends {
+function startStream ({ pools }: Setup, now: () => number, outgoing: SlowOutgoing, acquireRetry = (): boolean => true): Sends {
   const targets: string[] = []
   let first: targetClient.Listener | undefined
+  let last: targetClient.Listener | undefined
   const nothing = (): void => {}
   const route = DOCUMENT.routes.find(({ name }) => name === 'generate')
   const context = {
@@ -214,11 +315,12 @@
       send: ({ address }: targetClient.TargetRequest, listener: targetClient.Listener) => {
         targets.push(address)
         first ??= listener
+        last = listener
         listener.sent()
         return { abort: nothing, pause: nothing, resume: nothing }
       }
     },
-    budget: { acquireRetry: () => true },
+    budget: { acquireRetry },
     suspects: new routing.suspects.Suspects(nothing),
     targetLimits: routing.targetLimits.createTargetLimits(() => 0),
     streams: { record: nothing },
@@ -238,6 +340,10 @@
     deliver: (id) => {
       if (id === 1) first?.head({ status: 200, headers: ['request-id', 'r-1', 'proof', 'p', 'content-type', 'text/event-stream'] })
       first?.data(Buffer.from(`id: ${id}\ndata: a\n\n`))
+    },
+    reject: () => {
+      last?.head({ status: 503, headers: ['request-id', 'r-1', 'not-run', '1'] })
+      last?.end()
     }
   }
 }
@@ -264,4 +370,48 @@
   outgoing.emit('close')
 })
 
+// Guards against a stream that is cut because the fleet's retry budget is used up when the next target rejects it.
+suite('a stream that has left a silent target waits until the retry budget allows its return', async () => {
+  const setup = setUpPools({ isIdle: true })
+  const outgoing = new SlowOutgoing()
+  let isAllowed = true
+  const sends = startStream(setup, setup.now, outgoing, () => isAllowed)
+  sends.deliver(1)
+  outgoing.drain()
+  for (let elapsedMs = 0; elapsedMs < SILENCE_MS; elapsedMs += 30) {
+    setup.advance(30)
+    setup.pools.tick()
+  }
+  assert.is(sends.targets.length, 2)
+  isAllowed = false
+  sends.reject()
+  await fixtureModule.wait(350)
+  assert.equal([sends.targets.length, outgoing.isDestroyed], [2, false])
+  isAllowed = true
+  await fixtureModule.wait(350)
+  assert.is(sends.targets.length, 3)
+  outgoing.emit('close')
+})
+
+suite('a stream whose target goes on while the other one is full stays there when that has room again', () => {
+  const setup = setUpPools({ isIdle: true })
+  const outgoing = new SlowOutgoing()
+  const sends = startStream(setup, setup.now, outgoing)
+  const report = (running: number): void => { setup.pools.applyPeerLoads('p', { stock: { targets: { 'i-1': [running, 0], 'i-2': [running, 0] }, waiting: [] } }) }
+  sends.deliver(1)
+  outgoing.drain()
+  for (let elapsedMs = 0; elapsedMs < SILENCE_MS; elapsedMs += 30) {
+    report(SLOTS)
+    setup.advance(30)
+    setup.pools.tick()
+  }
+  assert.is(sends.targets.length, 1)
+  sends.deliver(2)
+  outgoing.drain()
+  report(0)
+  setup.pools.tick()
+  assert.is(sends.targets.length, 1)
+  outgoing.emit('close')
+})
+
 suite.run()
--- a/packages/routing/src/placement/adaptive-round.ts
+++ b/packages/routing/src/placement/adaptive-round.ts
@@ -251,10 +251,8 @@
     takeForPeers(ahead)
     const position = { unaware, isFirst: isReported && ahead === 0 && !hasWaiting }
     const eligible = slots.filter((slot) => mayGet(slot, request, versions, nowMs) && (memoryTokens === undefined || memoryUse.fitsEmpty(request.promptTokens + request.outputTokens, memoryOf(slot, memoryTokens, conditions, nowMs))))
-    const neverLeft = eligible.filter(({ candidate: { record } }) => !request.leftTargets.has(record.target.id))
-    const ofVersion = best(preferredVersion(neverLeft, request, versions, nowMs), request, position)
-    const preferred = ofVersion?.releaseMs === 0 ? ofVersion : best(neverLeft, request, position)
-    const chosen = preferred?.releaseMs === 0 ? preferred : best(eligible, request, position) ?? preferred
+    const ofVersion = best(preferredVersion(eligible, request, versions, nowMs), request, position)
+    const chosen = ofVersion?.releaseMs === 0 ? ofVersion : best(eligible, request, position)
     if (chosen === undefined) return { kind: 'refuse', waitMs: 0 }
     const { slot: { candidate: { record }, schedule, speed }, releaseMs, firstMs } = chosen
     const fastestMs = fastestFirstMs(request.promptTokens)
--- a/packages/routing/src/placement/load-rows.ts
+++ b/packages/routing/src/placement/load-rows.ts
@@ -12,6 +12,11 @@
 /** What peers need to place requests by the work ahead. */
 export type WorkRows = Pick<poolEvent.PeerLoad, 'held' | 'prefixes' | 'speeds'>
 
+/** Returns the entry of a target in a part of a peer's report. */
+export function entryOf<Entry> (entries: Readonly<Record<string, Entry>> | undefined, id: string): Entry | undefined {
+  return entries !== undefined && Object.hasOwn(entries, id) ? entries[id] : undefined
+}
+
 /** Returns a row for each target for which there is one. */
 function rowsOf<Row> (records: Records, rowOf: (record: targetRecord.TargetRecord) => Row | undefined): Readonly<Record<string, Row>> {
   return Object.fromEntries([...records].flatMap(([id, record]) => {
--- a/packages/routing/src/placement/obstacle.ts
+++ b/packages/routing/src/placement/obstacle.ts
@@ -38,6 +38,9 @@
   return freeSlots <= 0 ? 'full' : undefined
 }
 
+/** The state of a target that is not listed any more. */
+export const REMOVED: TargetState = { isRemoved: true, isEjected: false, pauseMs: 0, allowedSends: 0, freeSlots: 0 }
+
 /**
  * Counts the targets by what keeps them from getting requests.
  *
--- a/packages/routing/src/placement/pool-event.ts
+++ b/packages/routing/src/placement/pool-event.ts
@@ -33,10 +33,20 @@
   readonly version: string | undefined
   /** Targets at which the request has failed. */
   readonly excludedTargets: ReadonlySet<string>
-  /** Targets that the request has left because they sent nothing; it returns to them if no other can take it. */
+  /** Targets that the request has left although they have not failed. */
   readonly leftTargets: ReadonlySet<string>
   /** Whether the request is sent again after a failure; a retry is placed ahead of all others. */
   readonly isRetry: boolean
+  /** Where the request may go on if its target sends nothing; undefined for one that is placed in the queue. */
+  readonly relocation?: Relocation | undefined
+}
+
+/** Targets of a request that goes on elsewhere. It gets a free slot ahead of the queue and waits for one until it leaves: it is never refused. */
+export interface Relocation {
+  /** Whether targets that it has not left may get it, if they are not silent themselves. */
+  readonly toOthers: boolean
+  /** Whether targets that it has left may get it, if no other has a free slot. */
+  readonly toLeft: boolean
 }
 
 /** A placement request without its id. */
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -18,6 +18,7 @@
 import * as slotLimits from '../limits/slot-limits.js'
 import type * as targetPauses from '../limits/target-pauses.js'
 import * as queueOrder from '../shares/queue-order.js'
+import * as relocations from './relocations.js'
 import * as requestSizes from './request-sizes.js'
 import * as snapshotModule from './snapshot.js'
 import * as targetChoice from './target-choice.js'
@@ -53,14 +54,6 @@
 /** Interval at which measured speeds are reported, ms: they change little, and each report has all of them. */
 const SPEED_REPORT_INTERVAL_MS = 1_000
 
-/** Maximum expected wait in the figures, ms. */
-const MAX_REPORTED_WAIT_MS = 1_000_000
-
-/** Returns the entry of a target in a part of a peer's report. */
-function entryOf<Entry> (entries: Readonly<Record<string, Entry>> | undefined, id: string): Entry | undefined {
-  return entries !== undefined && Object.hasOwn(entries, id) ? entries[id] : undefined
-}
-
 type Decisions = Generator<poolEvent.PoolDecision, void>
 
 /**
@@ -77,6 +70,7 @@
   private readonly placements = new Map<number, targetRecord.TargetRecord>()
   private readonly peerQueues = new Map<string, waitingOrder.PeerQueue>()
   private queue: readonly poolEvent.PlacementRequest[] = []
+  private readonly relocations = new relocations.Relocations()
   private fleet = { reachable: 1, daemons: 1 }
   private service: document.Service
   private serviceTimeMs: number
@@ -98,6 +92,11 @@
     return this.queue.length
   }
 
+  /** Whether requests wait, in the queue or to go on at another target. */
+  get needsTick (): boolean {
+    return this.queue.length > 0 || this.relocations.size > 0
+  }
+
   /** Applies changed settings of the service; requests that wait or are at targets stay. */
   adopt (service: document.Service): void {
     this.service = service
@@ -105,7 +104,9 @@
 
   * handle (event: poolEvent.PoolEvent, nowMs: number): Decisions {
     this.apply(event, nowMs)
-    if (poolEvent.needsRound(event, this.placesByWork)) yield * this.serveQueue(nowMs)
+    if (!poolEvent.needsRound(event, this.placesByWork)) return
+    yield * this.relocations.serve((request) => this.relocate(request, nowMs))
+    yield * this.serveQueue(nowMs)
   }
 
   /** Returns the load to report to peers. */
@@ -115,14 +116,8 @@
     for (const record of this.records.values()) record.markReported()
     const inUse = [...this.records].filter(([, record]) => record.ownRequestIds.length > 0)
     const targets = Object.fromEntries(inUse.map(([id, record]) => [id, [record.ownRequestIds.length, record.ownPendingPrefillTokens()] as const]))
-    const waiting = new Map<number, readonly [number, number, number]>()
     const snapshot = this.snapshot(nowMs)
-    for (const request of this.queue) {
-      const rank = this.rankOf(request, snapshot)
-      const [, count, oldestMs] = waiting.get(rank) ?? [0, 0, 0]
-      waiting.set(rank, [rank, count + 1, Math.max(oldestMs, Math.round(nowMs - request.arrivedMs))])
-    }
-    return { targets, waiting: [...waiting.values()], ...this.hasWorkFactors ? { factors: loadRows.factorRows(this.records, nowMs) } : {}, ...this.learnsLimits ? { limits: targetConcurrency.report(this.records, this.slotConditions(), nowMs) } : {}, ...this.placesByWork ? this.reportedWork(nowMs) : {} }
+    return { targets, waiting: waitingOrder.waitingRows(this.queue, (request) => this.rankOf(request, snapshot), nowMs), ...this.hasWorkFactors ? { factors: loadRows.factorRows(this.records, nowMs) } : {}, ...this.learnsLimits ? { limits: targetConcurrency.report(this.records, this.slotConditions(), nowMs) } : {}, ...this.placesByWork ? this.reportedWork(nowMs) : {} }
   }
 
   private reportedWork (nowMs: number): loadRows.WorkRows {
@@ -141,13 +136,6 @@
     return [...this.records.values()].filter((record) => record.isStalled(stallMs, nowMs)).flatMap((record) => record.ownRequestIds)
   }
 
-  /** Returns whether a request could be placed now at a target that it has not left and that has sent something within `stallMs`. */
-  hasAlternative (request: poolEvent.PlacementOptions, stallMs: number, nowMs: number): boolean {
-    const snapshot = this.snapshot(nowMs)
-    const candidates = snapshot.candidates.filter(({ record, isEjected }) => !isEjected && !request.leftTargets.has(record.target.id) && !record.isStalled(stallMs, nowMs))
-    return this.chooseTarget(request, { ...snapshot, candidates }, new Map()) !== undefined
-  }
-
   /** Starts to measure the silence of targets anew, after a time in which nothing was read from them. */
   restartSilence (nowMs: number): void {
     for (const record of this.records.values()) record.restartSilence(nowMs)
@@ -171,8 +159,7 @@
 
   /** Returns the targets that have requests in flight and have sent nothing for longer than is usual. */
   silentTargets (nowMs: number): readonly string[] {
-    const silenceMs = this.service.engine === undefined ? PLAIN_SILENCE_MS : ENGINE_SILENCE_MS
-    return [...this.records].filter(([, record]) => record.isStalled(silenceMs, nowMs)).map(([id]) => id)
+    return [...this.records].filter(([, record]) => record.isStalled(this.silenceMs, nowMs)).map(([id]) => id)
   }
 
   private apply (event: poolEvent.PoolEvent, nowMs: number): void {
@@ -180,6 +167,7 @@
       case 'arrived': this.arrive(event.request, nowMs); break
       case 'left':
         this.queue = this.queue.filter((request) => request.id !== event.id)
+        this.relocations.remove(event.id)
         this.end(event.id, 'cancelled', nowMs)
         break
       case 'first-event':
@@ -196,6 +184,7 @@
   }
 
   private arrive (request: poolEvent.PlacementRequest, nowMs: number): void {
+    if (request.relocation !== undefined) return this.relocations.add(request)
     this.queue = [...this.queue, request]
     this.sizes.record(request)
     if (!request.isRetry && request.excludedTargets.size === 0) this.options.versions?.arrived(nowMs)
@@ -219,11 +208,11 @@
     const factors = load.factors ?? {}
     if (Object.keys(factors).length > 0) this.hasWorkFactors = true
     for (const [id, record] of this.records) {
-      record.applyPeerLoad(peer, entryOf(load.targets, id), nowMs, entryOf(load.held, id))
-      const speed = entryOf(load.speeds, id)
+      record.applyPeerLoad(peer, loadRows.entryOf(load.targets, id), nowMs, loadRows.entryOf(load.held, id))
+      const speed = loadRows.entryOf(load.speeds, id)
       if (speed !== undefined) record.speed.applyPeer(peer, speed)
-      if (this.isAdaptive) record.applyPeerSegments(entryOf(load.prefixes, id) ?? [], nowMs)
-      const reported = entryOf(factors, id)
+      if (this.isAdaptive) record.applyPeerSegments(loadRows.entryOf(load.prefixes, id) ?? [], nowMs)
+      const reported = loadRows.entryOf(factors, id)
       if (reported !== undefined) record.workFactor.record(...workFactor.factorOf(reported, nowMs))
     }
     if (this.learnsLimits) targetConcurrency.applyPeer(this.records, peer, load.limits ?? {}, nowMs)
@@ -286,13 +275,17 @@
     return this.service.engine !== undefined
   }
 
+  private get silenceMs (): number {
+    return this.isEngine ? ENGINE_SILENCE_MS : PLAIN_SILENCE_MS
+  }
+
   private waitConditions (): waitEstimate.Conditions {
     return { isEngine: this.isEngine, serviceTimeMs: this.serviceTimeMs }
   }
 
   private slotConditions (): slotLimits.Conditions {
-    const { learnsLimits, isEngine, isBrittle, cellPosition, serviceTimeMs } = this
-    return { isEngine, isBrittle, learnsLimits, reachableDaemons: this.fleet.reachable, daemons: this.fleet.daemons, cellPosition, serviceTimeMs }
+    const { learnsLimits, isEngine, isBrittle, cellPosition, serviceTimeMs, fleet } = this
+    return { isEngine, isBrittle, learnsLimits, reachableDaemons: fleet.reachable, daemons: fleet.daemons, cellPosition, serviceTimeMs }
   }
 
   private snapshot (nowMs: number): snapshotModule.PoolSnapshot {
@@ -329,29 +322,22 @@
       waiting: this.queue.length,
       ahead: position.ahead,
       freePlaces: freeSlots,
-      expectedWaitMs: Math.round(Math.min(MAX_REPORTED_WAIT_MS, waitEstimate.expectedWaitMs(position, snapshot, this.waitConditions()))),
+      expectedWaitMs: waitEstimate.reportedWaitMs(waitEstimate.expectedWaitMs(position, snapshot, this.waitConditions())),
       heardDaemons: this.fleet.reachable
     }
   }
 
   private countObstacles ({ candidates }: snapshotModule.PoolSnapshot): Readonly<Partial<Record<obstacle.Obstacle, number>>> {
     const removed = [...this.records.values()].filter(({ isRemoved }) => isRemoved)
-    return obstacle.countObstacles([
-      ...candidates.map((candidate) => ({ ...candidate, isRemoved: false })),
-      ...removed.map(() => ({ isRemoved: true, isEjected: false, pauseMs: 0, allowedSends: 0, freeSlots: 0 }))
-    ])
+    return obstacle.countObstacles([...candidates.map((candidate) => ({ ...candidate, isRemoved: false })), ...removed.map(() => obstacle.REMOVED)])
   }
 
-  private aheadAtPeers (request: poolEvent.PlacementRequest, rank: number, nowMs: number): number {
-    let ahead = 0
-    // Slots that this daemon owns are not shared with the requests of peers.
-    if (this.isBrittle) return ahead
-    for (const queue of this.peerQueues.values()) ahead += waitingOrder.aheadAtPeer(request, rank, queue, nowMs, this.placesByWork)
-    return ahead
+  private sumAtPeers (countOf: (queue: waitingOrder.PeerQueue) => number): number {
+    return this.isBrittle ? 0 : [...this.peerQueues.values()].reduce((sum, queue) => sum + countOf(queue), 0)
   }
 
-  private waitingAtPeers (nowMs: number): number {
-    return this.isBrittle ? 0 : [...this.peerQueues.values()].reduce((sum, queue) => sum + waitingOrder.waitingAtPeer(queue, nowMs), 0)
+  private aheadAtPeers (request: poolEvent.PlacementRequest, rank: number, nowMs: number): number {
+    return this.sumAtPeers((queue) => waitingOrder.aheadAtPeer(request, rank, queue, nowMs, this.placesByWork))
   }
 
   private createRound (snapshot: snapshotModule.PoolSnapshot): adaptiveRound.Round {
@@ -376,6 +362,21 @@
     this.placements.set(request.id, record)
   }
 
+  /** Places a request that goes on at another target; returns undefined if none has a free slot for it. */
+  private relocate (request: poolEvent.PlacementRequest, nowMs: number): poolEvent.PoolDecision | undefined {
+    const snapshot = this.snapshot(nowMs)
+    const choose = (among: snapshotModule.PoolSnapshot): targetRecord.TargetRecord | undefined => {
+      if (!this.placesByWork) return this.chooseTarget(request, among, new Map())
+      const verdict = this.createRound(among).decide(request, { ahead: 0, unaware: 0, isReported: true })
+      return verdict.kind === 'dispatch' ? verdict.record : undefined
+    }
+    const record = relocations.chooseRelocation(request, { snapshot, silenceMs: this.silenceMs, choose })
+    if (record === undefined) return undefined
+    const figures = this.figures(request, { aheadHere: 0, ahead: 0 }, snapshot, snapshotModule.freeSlotsOf(snapshot))
+    this.begin(request, record, nowMs)
+    return { kind: 'dispatch', id: request.id, target: record.target, figures }
+  }
+
   /** Serves the queue of an adaptive service. */
   private * serveByWork (nowMs: number): Decisions {
     const snapshot = this.snapshot(nowMs)
@@ -386,7 +387,7 @@
       const aheadAtPeers = this.aheadAtPeers(request, rank, nowMs)
       const freePlaces = round.freeSlots()
       // Peers don't know of a request that has arrived since the last report, and use the free slots that they see.
-      const unawareAtPeers = request.arrivedMs > this.lastReportMs ? this.waitingAtPeers(nowMs) - aheadAtPeers : 0
+      const unawareAtPeers = request.arrivedMs > this.lastReportMs ? this.sumAtPeers((queue) => waitingOrder.waitingAtPeer(queue, nowMs)) - aheadAtPeers : 0
       const isReported = request.arrivedMs <= this.previousReportMs
       const verdict = round.decide(request, { ahead: aheadAtPeers, unaware: unawareAtPeers, isReported })
       const figures: poolEvent.Figures = {
@@ -394,7 +395,7 @@
         waiting: this.queue.length,
         ahead: stillWaiting.length + aheadAtPeers,
         freePlaces,
-        expectedWaitMs: verdict.kind === 'dispatch' ? 0 : Math.round(Math.min(MAX_REPORTED_WAIT_MS, verdict.waitMs)),
+        expectedWaitMs: verdict.kind === 'dispatch' ? 0 : waitEstimate.reportedWaitMs(verdict.waitMs),
         heardDaemons: this.fleet.reachable
       }
       if (verdict.kind === 'dispatch') {
--- a/packages/routing/src/placement/snapshot.ts
+++ b/packages/routing/src/placement/snapshot.ts
@@ -47,3 +47,8 @@
     waitMs: Math.min(...limited.map(({ record }) => record.sendWaitMs(nowMs)))
   }
 }
+
+/** Returns the free slots of all targets. */
+export function freeSlotsOf ({ candidates }: Pick<PoolSnapshot, 'candidates'>): number {
+  return candidates.reduce((sum, { freeSlots }) => sum + freeSlots, 0)
+}
--- a/packages/routing/src/placement/target-choice.ts
+++ b/packages/routing/src/placement/target-choice.ts
@@ -54,7 +54,10 @@
 
 function chooseAmong (eligible: readonly snapshot.Candidate[], request: poolEvent.PlacementOptions, conditions: Conditions, assigned: Assigned): targetRecord.TargetRecord | undefined {
   const notEjected = eligible.filter(({ isEjected }) => !isEjected)
-  const usable = (notEjected.length > 0 ? notEjected : eligible).filter(({ record, freeSlots, allowedSends }) => (request.isRetry && !conditions.isBrittle ? allowedSends : freeSlots) > (assigned.get(record) ?? 0))
+  const accepting = notEjected.length > 0 ? notEjected : eligible
+  const free = accepting.filter(({ record, freeSlots }) => freeSlots > (assigned.get(record) ?? 0))
+  const exceedsSlots = free.length === 0 && request.isRetry && request.relocation === undefined && !conditions.isBrittle
+  const usable = exceedsSlots ? accepting.filter(({ record, allowedSends }) => allowedSends > (assigned.get(record) ?? 0)) : free
   const capable = usable.filter((candidate) => canFinish(candidate, request, conditions))
   const unconfirmed = capable.find(({ record }) => record.isLimitUnconfirmed(conditions.nowMs))
   if (unconfirmed !== undefined) return unconfirmed.record
@@ -67,7 +70,7 @@
 }
 
 /**
- * Returns the target for a request, preferably one that it has not left; undefined if none has room for it.
+ * Returns the target for a request; undefined if none has room for it. A retry exceeds the slots of targets only if all are in use.
  *
  * @example
  * ```ts
@@ -78,7 +81,6 @@
   const { versions, nowMs } = conditions
   const isBound = request.version !== undefined
   const eligible = candidates.filter(({ record }) => !request.excludedTargets.has(record.target.id) && isOfVersion(record, request.version) && versions?.isWithheld(record.target.version, isBound, nowMs) !== true)
-  const neverLeft = eligible.filter(({ record }) => !request.leftTargets.has(record.target.id))
-  const preferred = versions === undefined || isBound || request.isRetry ? [] : neverLeft.filter(({ record, isEjected }) => !isEjected && versions.isPreferred(record.target.version, nowMs))
-  return chooseAmong(preferred, request, conditions, assigned) ?? chooseAmong(neverLeft, request, conditions, assigned) ?? chooseAmong(eligible, request, conditions, assigned)
+  const preferred = versions === undefined || isBound || request.isRetry ? [] : eligible.filter(({ record, isEjected }) => !isEjected && versions.isPreferred(record.target.version, nowMs))
+  return chooseAmong(preferred, request, conditions, assigned) ?? chooseAmong(eligible, request, conditions, assigned)
 }
--- a/packages/routing/src/placement/wait-estimate.ts
+++ b/packages/routing/src/placement/wait-estimate.ts
@@ -23,8 +23,16 @@
 /** Expected time of a plain response when deciding whether a request is late, ms. */
 const EXPECTED_PLAIN_RESPONSE_MS = 30
 
+/** Maximum expected wait in the figures, ms. */
+const MAX_REPORTED_WAIT_MS = 1_000_000
+
 const MS_PER_S = 1_000
 
+/** Returns an expected wait as it is given in the figures, ms. */
+export function reportedWaitMs (waitMs: number): number {
+  return Math.round(Math.min(MAX_REPORTED_WAIT_MS, waitMs))
+}
+
 /** Returns the expected time from dispatch to the first event, or to a plain response, at the fastest target. */
 export function expectedFirstMs (request: poolEvent.PlacementRequest, { fastest }: snapshot.PoolSnapshot, { isEngine }: Conditions): number {
   return isEngine ? fastest?.estimate.firstEventMs(request.promptTokens) ?? 0 : EXPECTED_PLAIN_RESPONSE_MS
--- a/packages/routing/src/placement/waiting-order.ts
+++ b/packages/routing/src/placement/waiting-order.ts
@@ -77,6 +77,17 @@
   readonly atMs: number
 }
 
+/** Returns the waiting requests of this daemon by rank, to be reported to peers. */
+export function waitingRows (queue: readonly poolEvent.PlacementRequest[], rankOfRequest: (request: poolEvent.PlacementRequest) => number, nowMs: number): poolEvent.PeerLoad['waiting'] {
+  const rows = new Map<number, readonly [rank: number, count: number, oldestMs: number]>()
+  for (const request of queue) {
+    const rank = rankOfRequest(request)
+    const [, count, oldestMs] = rows.get(rank) ?? [0, 0, 0]
+    rows.set(rank, [rank, count + 1, Math.max(oldestMs, Math.round(nowMs - request.arrivedMs))])
+  }
+  return [...rows.values()]
+}
+
 /**
  * Returns the number of requests waiting at a peer that are placed before a request with this rank. With `countsOldest` the
  * oldest of the same rank counts whole, so that of two daemons with one request each only one takes a free slot.
--- a/packages/routing/tests/pool.test.ts
+++ b/packages/routing/tests/pool.test.ts
@@ -21,8 +21,8 @@
   return [...pool.handle(event, nowMs)]
 }
 
-function arrive (pool: routing.pool.Pool, request: routing.poolEvent.PlacementRequest): readonly Decision[] {
-  return drain(pool, { kind: 'arrived', request }, request.arrivedMs)
+function arrive (pool: routing.pool.Pool, request: routing.poolEvent.PlacementRequest, nowMs = request.arrivedMs): readonly Decision[] {
+  return drain(pool, { kind: 'arrived', request }, nowMs)
 }
 
 const ENGINES = [fixtures.targetOf('i-1', 'support', 2), fixtures.targetOf('i-2', 'support', 2)]
@@ -234,7 +234,13 @@
   assert.ok(decision?.kind === 'refuse' && decision.reason === 'version-gone')
 })
 
-/** What a request that has left `i-1` meets at the other target, and whether that is an alternative. */
+/** A request at the silent target `i-1` that looks for another one. */
+const MOVING: Partial<routing.poolEvent.PlacementRequest> = { isRetry: true, leftTargets: new Set(['i-1']), relocation: { toOthers: true, toLeft: false } }
+
+/** A request that has left `i-1`, to which it may return. */
+const RETURNING: Partial<routing.poolEvent.PlacementRequest> = { ...MOVING, relocation: { toOthers: true, toLeft: true } }
+
+/** What a request that leaves `i-1` meets at the other target, and whether that is an alternative. */
 const ALTERNATIVES: readonly (readonly [what: string, other: Partial<routing.targetRegistry.Target> | undefined, changes: Partial<routing.poolEvent.PlacementRequest>, isAlternative: boolean])[] = [
   ['a sound target', {}, {}, true],
   ['no other target', undefined, {}, false],
@@ -244,30 +250,80 @@
   ['a target that it has left as well', {}, { leftTargets: new Set(['i-1', 'i-2']) }, false]
 ]
 
-for (const [what, other, changes, isAlternative] of ALTERNATIVES) {
-  suite(`${what} is ${isAlternative ? 'an' : 'no'} alternative to a silent one`, () => {
-    const others = other === undefined ? [] : [{ ...fixtures.targetOf('i-2', 'support', 2), ...other }]
-    const pool = poolOf(fixtures.ENGINE, [fixtures.targetOf('i-1', 'support', 2), ...others])
-    assert.is(pool.hasAlternative(fixtures.requestOf(1, { isRetry: true, leftTargets: new Set(['i-1']), ...changes }), 1_000, 0), isAlternative)
-  })
+/** Services that place requests in both ways. */
+const ENGINE_SERVICES: readonly routing.document.Service[] = [fixtures.ENGINE, { ...fixtures.ENGINE, scheduling: 'adaptive' }]
+
+function dispatchedTo (decisions: readonly routing.poolEvent.PoolDecision[]): readonly string[] {
+  return decisions.map((decision) => decision.kind === 'dispatch' ? decision.target.id : decision.reason)
 }
 
-suite('a target that is silent as well, or can not be reached, is no alternative', () => {
-  const pool = poolOf(fixtures.ENGINE, ENGINES)
-  for (const id of [1, 2]) arrive(pool, fixtures.requestOf(id))
-  const retry = fixtures.requestOf(3, { isRetry: true, leftTargets: new Set(['i-1']) })
-  assert.is(pool.hasAlternative(retry, 1_000, 900), true)
-  assert.is(pool.hasAlternative(retry, 1_000, 1_100), false)
-  const [decision] = arrive(pool, fixtures.requestOf(4, { isRetry: true, excludedTargets: new Set(['i-1']) }))
-  assert.ok(decision?.kind === 'dispatch' && decision.target.id === 'i-2')
-  drain(pool, { kind: 'ended', id: 4, outcome: 'unreachable' }, 900)
-  assert.is(pool.hasAlternative(retry, 1_000, 900), false)
-})
+for (const service of ENGINE_SERVICES) {
+  const how = service.scheduling ?? 'default'
 
-suite('a retry returns to a target that it has left if no other can take it', () => {
-  const pool = poolOf(fixtures.ENGINE, ENGINES)
-  const [decision] = arrive(pool, fixtures.requestOf(1, { isRetry: true, leftTargets: new Set(['i-1']), excludedTargets: new Set(['i-2']) }))
-  assert.ok(decision?.kind === 'dispatch' && decision.target.id === 'i-1')
+  for (const [what, other, changes, isAlternative] of ALTERNATIVES) {
+    suite(`${what} is ${isAlternative ? 'an' : 'no'} alternative to a silent one (${how})`, () => {
+      const others = other === undefined ? [] : [{ ...fixtures.targetOf('i-2', 'support', 2), ...other }]
+      const pool = poolOf(service, [fixtures.targetOf('i-1', 'support', 2), ...others])
+      assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(1, { ...MOVING, ...changes }))), isAlternative ? ['i-2'] : [])
+      assert.is(pool.needsTick, !isAlternative)
+    })
+  }
+
+  // A full target counted as one that can take the request, as retries may exceed the slots of targets (review/8).
+  suite(`a full target is no alternative to a silent one until it has a free slot, which the request then gets first (${how})`, () => {
+    const pool = poolOf(service, [fixtures.targetOf('i-1', 'support', 2), fixtures.targetOf('i-2', 'support', 2)])
+    drain(pool, { kind: 'peer-load', peer: 'p', load: { targets: { 'i-1': [2, 0], 'i-2': [1, 0] }, waiting: [] } }, 0)
+    assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(1))), ['i-2'])
+    assert.equal(arrive(pool, fixtures.requestOf(2, MOVING)), [])
+    const waiting = arrive(pool, fixtures.requestOf(3))
+    assert.equal(dispatchedTo(waiting).includes('i-2'), false)
+    const decisions = drain(pool, { kind: 'ended', id: 1, outcome: 'answered' }, 100)
+    assert.equal([decisions[0]?.id, dispatchedTo(decisions)[0]], [2, 'i-2'])
+  })
+
+  suite(`a request that can't go on elsewhere holds no slot back from others, and is never refused (${how})`, () => {
+    const pool = poolOf(service, [fixtures.targetOf('i-1', 'support', 2)])
+    assert.equal(arrive(pool, fixtures.requestOf(1, MOVING)), [])
+    assert.equal([pool.waiting, pool.load(0).waiting], [0, []])
+    assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(2))), ['i-1'])
+    assert.equal(drain(pool, { kind: 'tick' }, 14_000), [])
+    drain(pool, { kind: 'left', id: 1 }, 14_000)
+    assert.is(pool.needsTick, false)
+  })
+
+  suite(`a target that is silent as well, or can not be reached, is no alternative (${how})`, () => {
+    const pool = poolOf(service, ENGINES)
+    for (const id of [1, 2]) arrive(pool, fixtures.requestOf(id))
+    assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(3, MOVING), 900)), ['i-2'])
+    drain(pool, { kind: 'left', id: 3 }, 900)
+    assert.equal(arrive(pool, fixtures.requestOf(4, MOVING), 1_100), [])
+    drain(pool, { kind: 'left', id: 4 }, 1_100)
+    const unreachable = poolOf(service, ENGINES)
+    assert.equal(dispatchedTo(arrive(unreachable, fixtures.requestOf(5, { isRetry: true, excludedTargets: new Set(['i-1']) }))), ['i-2'])
+    drain(unreachable, { kind: 'ended', id: 5, outcome: 'unreachable' }, 900)
+    assert.equal(arrive(unreachable, fixtures.requestOf(6, MOVING), 900), [])
+  })
+
+  suite(`a request that has left a target returns there if no other can take it, also while it is silent or ejected (${how})`, () => {
+    const pool = poolOf(service, ENGINES)
+    assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(1, { ...RETURNING, excludedTargets: new Set(['i-2']) }))), ['i-1'])
+    drain(pool, { kind: 'ended', id: 1, outcome: 'unreachable' }, 10)
+    assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(2, { ...RETURNING, excludedTargets: new Set(['i-2']) }), 20)), ['i-1'])
+    assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(3, { ...RETURNING, excludedTargets: new Set(['i-2']) }), 1_200)), ['i-1'])
+  })
+
+  suite(`a request that may go to no further target returns to one that it has left (${how})`, () => {
+    const pool = poolOf(service, ENGINES)
+    assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(1, { ...RETURNING, relocation: { toOthers: false, toLeft: true } }))), ['i-1'])
+  })
+}
+
+// A retry went to the target with the best score, although it was full and another one was not.
+suite('a retry exceeds the slots of a target only if all are in use', () => {
+  const pool = poolOf(fixtures.ENGINE, [fixtures.targetOf('i-1', 'support', 2), fixtures.targetOf('i-2', 'support', 2)])
+  drain(pool, { kind: 'peer-load', peer: 'p', load: { targets: { 'i-1': [2, 0], 'i-2': [1, 9_000] }, waiting: [] } }, 0)
+  assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(1, { isRetry: true }))), ['i-2'])
+  assert.is(arrive(pool, fixtures.requestOf(2, { isRetry: true })).length, 1)
 })
 
 suite.run()
