Answer an idempotent request at once with the failure of its next target

What callers would see: an idempotent request that has left a slow target, and whose next one answers with a failure, waits for its limit while the retry budget is used up, although its answer is there.

Change: a failure ends the request if no retry is allowed at that moment, unless its caller has the beginning of another response.

--- a/packages/gateway/src/request-task.ts
+++ b/packages/gateway/src/request-task.ts
@@ -61,6 +61,7 @@
   private readonly response: callerResponse.CallerResponse
   private readonly continuity: streamContinuity.StreamContinuity
   private readonly binding: streamBinding.StreamBinding
+  private readonly move: targetMove.TargetMove
   private readonly deadlineTimer: NodeJS.Timeout
   private retryTimer: NodeJS.Timeout | undefined
   private finished = false
@@ -75,7 +76,6 @@
   /** Whether a target may have begun to run the request. */
   private mayHaveRun = false
   private lastEventMs = 0
-  private readonly move: targetMove.TargetMove
   private firstEventMs: number | undefined
   private isSent = false
   private awaitsFirstEvent = true
@@ -311,9 +311,9 @@
   }
 
   /** Places the request again after the end of an exchange; returns false if the request must end. */
-  private placeOnceMore (): boolean {
+  private placeOnceMore (mayWait = true): boolean {
     if (this.tried.acquireRetry()) this.requestPlacement(true)
-    else if (this.tried.canReturn) this.placeLater()
+    else if (mayWait && this.tried.canReturn) this.placeLater()
     else return false
     return true
   }
@@ -369,8 +369,8 @@
     }
     this.endPlacement({ kind: 'ended', outcome: 'unreachable' })
     this.unreachableAttempts += 1
-    // Nothing was sent, so no retry of the budget limits how many requests are placed again; they wait for a free slot.
     this.tried.exclude(this.target)
+    // Nothing was sent, so no retry of the budget limits how many requests are placed again; they wait for a free slot.
     if (this.unreachableAttempts < MAX_UNREACHABLE_ATTEMPTS || this.tried.canReturn) this.requestPlacement(this.mayHaveRun)
     else this.refuse(this.mayHaveRun ? 'broken' : 'unreachable', REJECTED_RETRY_MS)
   }
@@ -388,12 +388,10 @@
     this.endPlacement({ kind: 'ended', outcome: failed ? 'failed' : 'answered' })
     if (failed) {
       this.tried.exclude(this.target)
-      if (this.isRetryable && this.placeOnceMore()) return
-    }
-    if (this.response.hasBegun) {
-      this.refuse('broken')
-      return
+      // A failure answers the request, unless the caller has the beginning of another response.
+      if (this.isRetryable && this.placeOnceMore(this.response.hasBegun)) return
     }
+    if (this.response.hasBegun) return this.refuse('broken')
     if (!failed) this.evidence.recordResponse()
     const outcome = head.status < httpStatus.REDIRECTION ? 'answered' : 'target-failed'
     this.finish(outcome, head.status, outcome)
--- a/packages/gateway/tests/silent-targets.test.ts
+++ b/packages/gateway/tests/silent-targets.test.ts
@@ -271,8 +271,9 @@
   headersSent = false
   writableNeedDrain = false
   isDestroyed = false
+  status = 0
 
-  writeHead (): void { this.headersSent = true }
+  writeHead (status: number): void { [this.headersSent, this.status] = [true, status] }
 
   write (): boolean {
     this.writableNeedDrain = true
@@ -296,17 +297,20 @@
   readonly deliver: (id: number) => void
   /** Rejects the request at the target that it was last sent to. */
   readonly reject: () => void
+  /** Answers with a failure from there. */
+  readonly fail: () => void
 }
 
-/** Serves a resumable stream at one of two targets, with clients and a caller of the test. */
-function startStream ({ pools }: Setup, now: () => number, outgoing: SlowOutgoing, acquireRetry = (): boolean => true): Sends {
+/** Serves a request of a route, a resumable stream by default, at one of two targets, with clients and a caller of the test. */
+function startStream ({ pools }: Setup, now: () => number, outgoing: SlowOutgoing, acquireRetry = (): boolean => true, routeName = 'generate'): Sends {
   const targets: string[] = []
   let first: targetClient.Listener | undefined
   let last: targetClient.Listener | undefined
   const nothing = (): void => {}
-  const route = DOCUMENT.routes.find(({ name }) => name === 'generate')
+  const route = DOCUMENT.routes.find(({ name }) => name === routeName)
   const context = {
     now,
+    table: nothing,
     headerNames: fixtureModule.HEADER_NAMES,
     log: { request: nothing, change: nothing },
     metrics: { count: nothing, observe: nothing },
@@ -344,6 +348,10 @@
     reject: () => {
       last?.head({ status: 503, headers: ['request-id', 'r-1', 'not-run', '1'] })
       last?.end()
+    },
+    fail: () => {
+      last?.head({ status: 500, headers: ['request-id', 'r-1', 'proof', 'p'] })
+      last?.end()
     }
   }
 }
@@ -393,6 +401,18 @@
   outgoing.emit('close')
 })
 
+suite('an idempotent request that has left a slow target gets the failure of the next one at once if no retry is allowed', async () => {
+  const setup = setUpPools({ isIdle: true })
+  const outgoing = new SlowOutgoing()
+  let isAllowed = true
+  const sends = startStream(setup, setup.now, outgoing, () => isAllowed, 'read')
+  while (sends.targets.length < 2) await fixtureModule.wait(20)
+  isAllowed = false
+  sends.fail()
+  assert.is(outgoing.status, 500)
+  outgoing.emit('close')
+})
+
 suite('a stream whose target goes on while the other one is full stays there when that has room again', () => {
   const setup = setUpPools({ isIdle: true })
   const outgoing = new SlowOutgoing()
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -105,7 +105,7 @@
   * handle (event: poolEvent.PoolEvent, nowMs: number): Decisions {
     this.apply(event, nowMs)
     if (!poolEvent.needsRound(event, this.placesByWork)) return
-    yield * this.relocations.serve((request) => this.relocate(request, nowMs))
+    yield * this.relocations.serve(() => this.snapshot(nowMs), (request, snapshot) => this.relocate(request, snapshot))
     yield * this.serveQueue(nowMs)
   }
 
@@ -363,8 +363,7 @@
   }
 
   /** Places a request that goes on at another target; returns undefined if none has a free slot for it. */
-  private relocate (request: poolEvent.PlacementRequest, nowMs: number): poolEvent.PoolDecision | undefined {
-    const snapshot = this.snapshot(nowMs)
+  private relocate (request: poolEvent.PlacementRequest, snapshot: snapshotModule.PoolSnapshot): poolEvent.PoolDecision | undefined {
     const choose = (among: snapshotModule.PoolSnapshot): targetRecord.TargetRecord | undefined => {
       if (!this.placesByWork) return this.chooseTarget(request, among, new Map())
       const verdict = this.createRound(among).decide(request, { ahead: 0, unaware: 0, isReported: true })
@@ -373,7 +372,7 @@
     const record = relocations.chooseRelocation(request, { snapshot, silenceMs: this.silenceMs, choose })
     if (record === undefined) return undefined
     const figures = this.figures(request, { aheadHere: 0, ahead: 0 }, snapshot, snapshotModule.freeSlotsOf(snapshot))
-    this.begin(request, record, nowMs)
+    this.begin(request, record, snapshot.nowMs)
     return { kind: 'dispatch', id: request.id, target: record.target, figures }
   }
 
--- a/packages/routing/src/placement/relocations.ts
+++ b/packages/routing/src/placement/relocations.ts
@@ -52,7 +52,7 @@
  * @example
  * ```ts
  * relocations.add(request)
- * yield * relocations.serve(place)
+ * yield * relocations.serve(takeSnapshot, place)
  * ```
  */
 export class Relocations {
@@ -70,13 +70,19 @@
     this.waiting = this.waiting.filter((request) => request.id !== id)
   }
 
-  /** Yields the decisions on the requests that can be placed now; the others go on waiting. */
-  * serve (place: (request: poolEvent.PlacementRequest) => poolEvent.PoolDecision | undefined): Generator<poolEvent.PoolDecision, void> {
+  /** Yields the decisions on the requests that can be placed now; the others go on waiting. A placement changes the state of the targets. */
+  * serve (takeSnapshot: () => snapshotModule.PoolSnapshot, place: (request: poolEvent.PlacementRequest, snapshot: snapshotModule.PoolSnapshot) => poolEvent.PoolDecision | undefined): Generator<poolEvent.PoolDecision, void> {
     const stillWaiting: poolEvent.PlacementRequest[] = []
+    let snapshot: snapshotModule.PoolSnapshot | undefined
     for (const request of this.waiting) {
-      const decision = place(request)
-      if (decision === undefined) stillWaiting.push(request)
-      else yield decision
+      snapshot ??= takeSnapshot()
+      const decision = place(request, snapshot)
+      if (decision === undefined) {
+        stillWaiting.push(request)
+      } else {
+        snapshot = undefined
+        yield decision
+      }
     }
     this.waiting = stillWaiting
   }
