--- a/packages/gateway/src/tried-targets.ts
+++ b/packages/gateway/src/tried-targets.ts
@@ -20,7 +20,7 @@
  * ```ts
  * const tried = new TriedTargets(context, request)
  * tried.add(target)
- * if (tried.acquireRetry()) requestPlacement(tried.placementOptions({ version, isRetry: true }))
+ * if (tried.acquireRetry()) requestPlacement(tried.placementOptions(undefined, true))
  * ```
  */
 export class TriedTargets {
@@ -96,7 +96,7 @@
     return budget.acquireRetry(request.service, daemons(), now())
   }
 
-  /** Returns the options of a placement. A request that has left a target may return there. */
+  /** Returns the options of a placement at targets of a version, any if undefined. A request that has left a target may return there. */
   placementOptions (version: string | undefined, isRetry: boolean): routing.poolEvent.PlacementOptions {
     const relocation = this.hasLeft ? { toOthers: this.allowsOther, toLeft: true } : undefined
     return admission.placementOptions(this.request, { version, excludedTargets: this.excluded, leftTargets: this.left, isRetry, relocation })
--- a/packages/routing/src/placement/pool-event.ts
+++ b/packages/routing/src/placement/pool-event.ts
@@ -41,7 +41,7 @@
   readonly relocation?: Relocation | undefined
 }
 
-/** Targets of a request that goes on elsewhere. It gets a free slot ahead of the queue and waits for one until it leaves: it is never refused. */
+/** Where a request goes on. It gets a free slot ahead of the queue, and waits for one until it is withdrawn: it is never refused. */
 export interface Relocation {
   /** Whether targets that it has not left may get it, if they are not silent themselves. */
   readonly toOthers: boolean
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -333,6 +333,7 @@
   }
 
   private sumAtPeers (countOf: (queue: waitingOrder.PeerQueue) => number): number {
+    // Slots that this daemon owns are not shared with the requests of peers.
     return this.isBrittle ? 0 : [...this.peerQueues.values()].reduce((sum, queue) => sum + countOf(queue), 0)
   }
 
