End a stream that has left its target once it can go on nowhere

Found by reading the change again.

Cause: a request that has left a target waits for its return and is never refused; whether that target is still there was not asked.

Change: such a request is refused by the pool when no target is left at which it could go on, and waits for the retry budget only for a target that still has an entry. A request that is still at its target waits as before. The targets that a request has left are a part of its relocation, and no field beside it.

The cases of successors move from silent-targets.test.ts to a file of their own, unchanged.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -161,7 +161,7 @@
 }
 
 /** What has happened to a request since its admission, as far as its placement depends on it. */
-export type Progress = Pick<routing.poolEvent.PlacementOptions, 'version' | 'excludedTargets' | 'leftTargets' | 'isRetry' | 'relocation'>
+export type Progress = Pick<routing.poolEvent.PlacementOptions, 'version' | 'excludedTargets' | 'isRetry' | 'relocation'>
 
 /**
  * Returns the placement request of an admitted request.
--- a/packages/gateway/src/tried-targets.ts
+++ b/packages/gateway/src/tried-targets.ts
@@ -8,7 +8,7 @@
 import type * as contextModule from './context.js'
 
 /** Dependencies of the retries. */
-export type Dependencies = Pick<contextModule.Context, 'now' | 'budget' | 'daemons'>
+export type Dependencies = Pick<contextModule.Context, 'now' | 'budget' | 'daemons' | 'targets'>
 
 /** Minimum remaining time for a retry, ms. */
 const MIN_REMAINING_MS = 40
@@ -53,9 +53,9 @@
     return this.left.size > 0
   }
 
-  /** Whether a target that the request has left may still get it. The number of attempts doesn't limit this, as it is no further target. */
+  /** Whether a target that the request has left is still there and may get it. The number of attempts doesn't limit this, as it is no further target. */
   get canReturn (): boolean {
-    return [...this.left].some((id) => !this.excluded.has(id))
+    return [...this.left].some((id) => !this.excluded.has(id) && this.dependencies.targets.versionOf(id) !== undefined)
   }
 
   add (target: routing.targetRegistry.Target): void {
@@ -98,12 +98,12 @@
 
   /** Returns the options of a placement at targets of a version, any if undefined. A request that has left a target may return there. */
   placementOptions (version: string | undefined, isRetry: boolean): routing.poolEvent.PlacementOptions {
-    const relocation = this.hasLeft ? { toOthers: this.allowsOther, toLeft: true } : undefined
-    return admission.placementOptions(this.request, { version, excludedTargets: this.excluded, leftTargets: this.left, isRetry, relocation })
+    const relocation = this.hasLeft ? { left: this.left, toOthers: this.allowsOther, toLeft: true } : undefined
+    return admission.placementOptions(this.request, { version, excludedTargets: this.excluded, isRetry, relocation })
   }
 
   /** Returns the options of a search for another target while the request is at one. */
   moveOptions (version: string | undefined, current: routing.targetRegistry.Target): routing.poolEvent.PlacementOptions {
-    return { ...this.placementOptions(version, true), leftTargets: new Set([...this.left, current.id]), relocation: { toOthers: true, toLeft: false } }
+    return { ...this.placementOptions(version, true), relocation: { left: new Set([...this.left, current.id]), toOthers: true, toLeft: false } }
   }
 }
--- a/packages/gateway/tests/placements.ts
+++ b/packages/gateway/tests/placements.ts
@@ -18,7 +18,6 @@
     promptSegments: [],
     version: undefined,
     excludedTargets: new Set(),
-    leftTargets: new Set(),
     isRetry: false
   }
 }
--- a/packages/gateway/tests/silent-targets.test.ts
+++ b/packages/gateway/tests/silent-targets.test.ts
@@ -14,96 +14,67 @@
 import type * as targetClient from '../src/target-client.js'
 import * as placements from './placements.js'
 import * as fixtureModule from './fixture.js'
+import * as silentStreams from './silent-streams.js'
 
 const suite = uvu.suite('silent targets')
 
-/** Longer than the time after which a target is stalled, ms. */
-const SILENCE_MS = 1_400
 const STALL_MS = 1_000
-const EVENTS = 4
-
-const EXTRA = { id: 'i-9', service: 'stock', address: '127.0.0.1:9', availabilityZone: 'casa-a', version: 'v1', slots: 6, leaving: false }
-
-/** Sends the events after the last one that the request names; the target `silent` pauses once before the third. */
-function streamFrom (arrival: fixtureModule.Arrival, response: Parameters<fixtureModule.Script>[1], isSilent: boolean): void {
-  fixtureModule.beginStream(arrival, response)
-  let id = Number(arrival.headers['last-event-id'] ?? 0)
-  const next = (): void => {
-    id += 1
-    if (id > EVENTS) {
-      response.end()
-      return
-    }
-    response.write(`id: ${id}\ndata: ${arrival.target}\n\n`)
-    setTimeout(next, isSilent && id === 2 ? SILENCE_MS : 10)
-  }
-  next()
-}
-
-function isWhole ({ isComplete, body }: fixtureModule.Reply): boolean {
-  return isComplete && [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id)).join() === '1,2,3,4'
-}
-
-const LONG = { headers: { 'remaining-ms': '9000' } }
-const DOCUMENT: routing.document.RoutingDocument = {
-  ...fixtureModule.DOCUMENT,
-  routes: fixtureModule.DOCUMENT.routes.map((route) => ({ ...route, timeoutMs: 9_000, attempts: 3 }))
-}
+const SLOTS = 6
 
 /** Targets beside the silent one, none of which can take its stream, and how many sends there are. */
 const ALONE: readonly (readonly [what: string, others: readonly object[]])[] = [
   ['it is the only one', []],
-  ['the other has another version', [{ ...EXTRA, version: 'v2' }]],
-  ['the other leaves', [{ ...EXTRA, leaving: true }]],
-  ['the other is of another service', [{ ...EXTRA, service: 'other' }]]
+  ['the other has another version', [{ ...silentStreams.EXTRA, version: 'v2' }]],
+  ['the other leaves', [{ ...silentStreams.EXTRA, leaving: true }]],
+  ['the other is of another service', [{ ...silentStreams.EXTRA, service: 'other' }]]
 ]
 
 // A stream was cut after 1 s of silence of its target although no other target of its version was there (review/4).
 for (const [what, others] of ALONE) {
   suite(`a resumable stream at a silent target is whole and stays there: ${what}`, async () => {
-    const fixture = await fixtureModule.openFixture(1, DOCUMENT)
-    fixture.script((arrival, response) => { streamFrom(arrival, response, true) })
-    const started = fixture.call('/generate/7', LONG)
+    const fixture = await fixtureModule.openFixture(1, silentStreams.DOCUMENT)
+    fixture.script((arrival, response) => { silentStreams.streamFrom(arrival, response, true) })
+    const started = fixture.call('/generate/7', silentStreams.LONG)
     await fixtureModule.wait(100)
-    for (const other of others) fixture.gateway.applyTarget({ id: EXTRA.id, era: 1, revision: 9, target: { ...EXTRA, ...other } }, 'test')
+    for (const other of others) fixture.gateway.applyTarget({ id: silentStreams.EXTRA.id, era: 1, revision: 9, target: { ...silentStreams.EXTRA, ...other } }, 'test')
     const reply = await started
-    assert.ok(isWhole(reply), reply.body)
+    assert.ok(silentStreams.isWhole(reply), reply.body)
     assert.is(fixture.arrivals.length, 1)
     await fixture.close()
   })
 }
 
 suite('a resumable stream goes on at the silent target when the only other one can not be reached', async () => {
-  const fixture = await fixtureModule.openFixture(1, DOCUMENT)
-  fixture.script((arrival, response, arrivals) => { streamFrom(arrival, response, arrivals === 1) })
-  const started = fixture.call('/generate/7', LONG)
+  const fixture = await fixtureModule.openFixture(1, silentStreams.DOCUMENT)
+  fixture.script((arrival, response, arrivals) => { silentStreams.streamFrom(arrival, response, arrivals === 1) })
+  const started = fixture.call('/generate/7', silentStreams.LONG)
   await fixtureModule.wait(100)
-  fixture.gateway.applyTarget({ id: EXTRA.id, era: 1, revision: 9, target: EXTRA }, 'test')
+  fixture.gateway.applyTarget({ id: silentStreams.EXTRA.id, era: 1, revision: 9, target: silentStreams.EXTRA }, 'test')
   const reply = await started
-  assert.ok(isWhole(reply), reply.body)
+  assert.ok(silentStreams.isWhole(reply), reply.body)
   assert.equal(fixture.arrivals.map(({ target }) => target), ['i-1', 'i-1'])
   await fixture.close()
 })
 
 suite('a resumable stream leaves a silent target for one that can take it', async () => {
-  const fixture = await fixtureModule.openFixture(2, DOCUMENT)
-  fixture.script((arrival, response, arrivals) => { streamFrom(arrival, response, arrivals === 1) })
-  const reply = await fixture.call('/generate/7', LONG)
-  assert.ok(isWhole(reply), reply.body)
+  const fixture = await fixtureModule.openFixture(2, silentStreams.DOCUMENT)
+  fixture.script((arrival, response, arrivals) => { silentStreams.streamFrom(arrival, response, arrivals === 1) })
+  const reply = await fixture.call('/generate/7', silentStreams.LONG)
+  assert.ok(silentStreams.isWhole(reply), reply.body)
   assert.is(new Set(fixture.arrivals.map(({ target }) => target)).size, 2)
   await fixture.close()
 })
 
 suite('an idempotent request that takes longer than usual stays at the only target', async () => {
-  const fixture = await fixtureModule.openFixture(1, DOCUMENT)
-  fixture.script((arrival, response) => { setTimeout(() => { fixtureModule.respondComplete(arrival, response) }, SILENCE_MS) })
-  const reply = await fixture.call('/read/7', LONG)
+  const fixture = await fixtureModule.openFixture(1, silentStreams.DOCUMENT)
+  fixture.script((arrival, response) => { setTimeout(() => { fixtureModule.respondComplete(arrival, response) }, silentStreams.SILENCE_MS) })
+  const reply = await fixture.call('/read/7', silentStreams.LONG)
   assert.equal([reply.status, fixture.arrivals.length], [200, 1])
   await fixture.close()
 })
 
 suite('a resumable stream whose caller reads nothing for a while stays at its target', async () => {
-  const fixture = await fixtureModule.openFixture(2, DOCUMENT)
+  const fixture = await fixtureModule.openFixture(2, silentStreams.DOCUMENT)
   fixture.script((arrival, response) => {
     fixtureModule.beginStream(arrival, response)
     for (let id = 1; id <= 40; id += 1) response.write(`id: ${id}\ndata: ${'x'.repeat(400_000)}\n\n`)
@@ -114,7 +85,7 @@
     http.get({ host, port, path: '/generate/7', headers: { host: 'shop.example', key: 'k-1', 'request-id': 'slow', 'remaining-ms': '9000' }, agent: false }, (response) => {
       response.once('data', () => {
         response.pause()
-        setTimeout(() => { response.resume() }, SILENCE_MS)
+        setTimeout(() => { response.resume() }, silentStreams.SILENCE_MS)
       })
       response.on('end', () => { resolve(response.complete) }).on('error', () => { resolve(false) })
     })
@@ -124,103 +95,6 @@
   assert.equal([isComplete, fixture.arrivals.length], [true, 1])
 })
 
-/** As on most routes: a second target may get a request, and no third one. */
-const TWO_ATTEMPTS: routing.document.RoutingDocument = { ...DOCUMENT, routes: DOCUMENT.routes.map((route) => ({ ...route, attempts: 2 })) }
-
-const SLOTS = 6
-
-function reject (arrival: fixtureModule.Arrival, response: http.ServerResponse): void {
-  response.writeHead(503, { 'request-id': arrival.headers['request-id'] ?? '', 'not-run': '1' })
-  response.end()
-}
-
-/** Changes the entry of the second target. */
-function changeSecond (fixture: fixtureModule.Fixture, address: string, changes: Partial<routing.targetRegistry.Target>, revision: number): void {
-  fixture.gateway.applyTarget({ id: 'i-2', era: 1, revision, target: { ...EXTRA, id: 'i-2', address, ...changes } }, 'test')
-}
-
-/** The targets that got the request under test. */
-function pathOf ({ arrivals }: fixtureModule.Fixture): string {
-  return arrivals.filter(({ path }) => path.endsWith('/7')).map(({ target }) => target).join(' ')
-}
-
-// A stream was offered to a full target, which rejected it, and cut as the route allowed no third attempt (review/8).
-suite('a resumable stream at a silent target stays there while the other target is full', async () => {
-  const fixture = await fixtureModule.openFixture(2, TWO_ATTEMPTS)
-  const running = new Set<http.ServerResponse>()
-  fixture.script((arrival, response) => {
-    if (arrival.path.endsWith('/7')) {
-      if (arrival.target === 'i-1') streamFrom(arrival, response, true)
-      else reject(arrival, response)
-      return
-    }
-    fixtureModule.beginStream(arrival, response)
-    running.add(response)
-    const timer = setInterval(() => { response.write(': wait\n\n') }, 50)
-    response.once('close', () => { clearInterval(timer) })
-  })
-  const first = { id: 'i-1', era: 1, revision: 9, target: { ...EXTRA, id: 'i-1', leaving: true } }
-  fixture.gateway.applyTarget(first, 'test')
-  const others = Array.from({ length: SLOTS }, () => fixture.call('/answer/8', LONG))
-  while (running.size < SLOTS) await fixtureModule.wait(10)
-  fixture.gateway.applyTarget({ ...first, revision: 10, target: { ...first.target, address: fixture.addresses[0] ?? '', leaving: false } }, 'test')
-  const reply = await fixture.call('/generate/7', LONG)
-  for (const response of running) response.destroy()
-  await Promise.all(others)
-  await fixture.close()
-  assert.equal([isWhole(reply), pathOf(fixture)], [true, 'i-1'])
-})
-
-/** What the second target does with a stream that comes from a silent one, and where the stream goes. */
-const SUCCESSORS: readonly (readonly [what: string, serve: (arrival: fixtureModule.Arrival, response: http.ServerResponse, fixture: fixtureModule.Fixture) => void, path: string])[] = [
-  ['rejects it', (arrival, response) => { reject(arrival, response) }, 'i-1 i-2 i-1'],
-  ['breaks off', (arrival, response) => {
-    fixtureModule.beginStream(arrival, response)
-    response.write('id: 3\ndata: i-2\n\n', () => { response.socket?.resetAndDestroy() })
-  }, 'i-1 i-2 i-1'],
-  ['breaks off before its first event', (_, response) => { response.socket?.destroy() }, 'i-1 i-2 i-1'],
-  ['is replaced by another version', (arrival, response, fixture) => {
-    changeSecond(fixture, fixture.addresses[1] ?? '', { version: 'v2' }, 20)
-    streamFrom(arrival, response, false)
-  }, 'i-1 i-2 i-1'],
-  ['has failed', (arrival, response) => { fixtureModule.respondComplete(arrival, response, 500) }, 'i-1 i-2 i-1'],
-  ['falls silent as well', (arrival, response) => {
-    fixtureModule.beginStream(arrival, response)
-    response.write('id: 3\ndata: i-2\n\n')
-    setTimeout(() => { response.end('id: 4\ndata: i-2\n\n') }, SILENCE_MS)
-  }, 'i-1 i-2'],
-  ['sends nothing for a while', (arrival, response) => { setTimeout(() => { streamFrom(arrival, response, false) }, SILENCE_MS) }, 'i-1 i-2']
-]
-
-// Guards against streams that are cut before their time because no attempt is left after they have left a silent target.
-for (const [what, serve, path] of SUCCESSORS) {
-  suite(`a resumable stream that has left a silent target is whole although the next one ${what}`, async () => {
-    const fixture = await fixtureModule.openFixture(2, TWO_ATTEMPTS)
-    changeSecond(fixture, fixture.addresses[1] ?? '', { leaving: true }, 10)
-    fixture.script((arrival, response, arrivals) => {
-      if (arrival.target === 'i-2') serve(arrival, response, fixture)
-      else streamFrom(arrival, response, arrivals === 1)
-    })
-    const started = fixture.call('/generate/7', LONG)
-    await fixtureModule.wait(200)
-    changeSecond(fixture, fixture.addresses[1] ?? '', {}, 11)
-    const reply = await started
-    await fixture.close()
-    assert.equal([isWhole(reply), pathOf(fixture)], [true, path])
-  })
-}
-
-suite('a resumable stream that has left a silent target waits until one of both has room again', async () => {
-  const fixture = await fixtureModule.openFixture(2, TWO_ATTEMPTS)
-  fixture.script((arrival, response, arrivals) => {
-    if (arrivals === 1 || arrivals > 4) streamFrom(arrival, response, arrivals === 1)
-    else reject(arrival, response)
-  })
-  const reply = await fixture.call('/generate/7', LONG)
-  await fixture.close()
-  assert.equal([isWhole(reply), fixture.arrivals.length], [true, 5])
-})
-
 interface Setup {
   readonly pools: servicePools.ServicePools
   readonly stalled: readonly number[]
@@ -233,7 +107,7 @@
   let nowMs = 1_000
   const stalled: number[] = []
   const registry = routing.targetRegistry.createTargetRegistry()
-  for (const id of ['i-1', 'i-2']) registry.apply({ id, era: 1, revision: 1, target: { ...EXTRA, id } }, nowMs)
+  for (const id of ['i-1', 'i-2']) registry.apply({ id, era: 1, revision: 1, target: { ...silentStreams.EXTRA, id } }, nowMs)
   const pools = servicePools.createServicePools({ now: () => nowMs, random: () => 0.5, registry, limitOf: () => undefined, changed: () => {} })
   pools.adopt(fixtureModule.DOCUMENT.services)
   pools.refreshTargets({ segment: routing.cell.WHOLE_RING, position: { index: 0, members: 1 }, cellPosition: { index: 0, members: 1 } }, nowMs)
@@ -307,7 +181,7 @@
   let first: targetClient.Listener | undefined
   let last: targetClient.Listener | undefined
   const nothing = (): void => {}
-  const route = DOCUMENT.routes.find(({ name }) => name === routeName)
+  const route = silentStreams.DOCUMENT.routes.find(({ name }) => name === routeName)
   const context = {
     now,
     table: nothing,
@@ -368,7 +242,7 @@
     }
   }
   sends.deliver(1)
-  pass(SILENCE_MS)
+  pass(silentStreams.SILENCE_MS)
   assert.is(sends.targets.length, 1, 'the caller read slowly')
   outgoing.drain()
   pass(STALL_MS - 60)
@@ -386,7 +260,7 @@
   const sends = startStream(setup, setup.now, outgoing, () => isAllowed)
   sends.deliver(1)
   outgoing.drain()
-  for (let elapsedMs = 0; elapsedMs < SILENCE_MS; elapsedMs += 30) {
+  for (let elapsedMs = 0; elapsedMs < silentStreams.SILENCE_MS; elapsedMs += 30) {
     setup.advance(30)
     setup.pools.tick()
   }
@@ -420,7 +294,7 @@
   const report = (running: number): void => { setup.pools.applyPeerLoads('p', { stock: { targets: { 'i-1': [running, 0], 'i-2': [running, 0] }, waiting: [] } }) }
   sends.deliver(1)
   outgoing.drain()
-  for (let elapsedMs = 0; elapsedMs < SILENCE_MS; elapsedMs += 30) {
+  for (let elapsedMs = 0; elapsedMs < silentStreams.SILENCE_MS; elapsedMs += 30) {
     report(SLOTS)
     setup.advance(30)
     setup.pools.tick()
--- a/packages/routing/src/placement/pool-event.ts
+++ b/packages/routing/src/placement/pool-event.ts
@@ -33,16 +33,19 @@
   readonly version: string | undefined
   /** Targets at which the request has failed. */
   readonly excludedTargets: ReadonlySet<string>
-  /** Targets that the request has left although they have not failed. */
-  readonly leftTargets: ReadonlySet<string>
   /** Whether the request is sent again after a failure; a retry is placed ahead of all others. */
   readonly isRetry: boolean
   /** Where the request may go on if its target sends nothing; undefined for one that is placed in the queue. */
   readonly relocation?: Relocation | undefined
 }
 
-/** Where a request goes on. It gets a free slot ahead of the queue, and waits for one until it is withdrawn: it is never refused. */
+/**
+ * Where a request goes on. It gets a free slot ahead of the queue, and waits for one until it is withdrawn. One that may return is
+ * refused if no target is left at which it could go on.
+ */
 export interface Relocation {
+  /** Targets that it has left, or leaves, although they have not failed. */
+  readonly left: ReadonlySet<string>
   /** Whether targets that it has not left may get it, if they are not silent themselves. */
   readonly toOthers: boolean
   /** Whether targets that it has left may get it, if no other has a free slot. */
--- a/packages/routing/src/placement/pool.ts
+++ b/packages/routing/src/placement/pool.ts
@@ -363,7 +363,7 @@
     this.placements.set(request.id, record)
   }
 
-  /** Places a request that goes on at another target; returns undefined if none has a free slot for it. */
+  /** Places a request that goes on at another target, or refuses it; returns undefined if it waits for a free slot. */
   private relocate (request: poolEvent.PlacementRequest, snapshot: snapshotModule.PoolSnapshot): poolEvent.PoolDecision | undefined {
     const choose = (among: snapshotModule.PoolSnapshot): targetRecord.TargetRecord | undefined => {
       if (!this.placesByWork) return this.chooseTarget(request, among, new Map())
@@ -371,8 +371,8 @@
       return verdict.kind === 'dispatch' ? verdict.record : undefined
     }
     const record = relocations.chooseRelocation(request, { snapshot, silenceMs: this.silenceMs, choose })
-    if (record === undefined) return undefined
     const figures = this.figures(request, { aheadHere: 0, ahead: 0 }, snapshot, snapshotModule.freeSlotsOf(snapshot))
+    if (record === undefined) return relocations.mayWait(request, snapshot) ? undefined : this.refusal(request, 'no-target', 0, snapshot, figures)
     this.begin(request, record, snapshot.nowMs)
     return { kind: 'dispatch', id: request.id, target: record.target, figures }
   }
--- a/packages/routing/src/placement/relocations.ts
+++ b/packages/routing/src/placement/relocations.ts
@@ -5,6 +5,7 @@
  */
 import type * as poolEvent from './pool-event.js'
 import type * as snapshotModule from './snapshot.js'
+import * as targetChoice from './target-choice.js'
 import type * as targetRecord from './target-record.js'
 
 /** The state of the pool that a choice depends on. */
@@ -23,9 +24,9 @@
  * waiting for longer than the silence lasts. Left targets are yielded although they may be silent or ejected: a request that returns
  * has no other place.
  */
-function * groupTargets ({ leftTargets, relocation }: poolEvent.PlacementRequest, { snapshot: { candidates, nowMs }, silenceMs }: Conditions): Generator<readonly snapshotModule.Candidate[], void> {
+function * groupTargets ({ relocation }: poolEvent.PlacementRequest, { snapshot: { candidates, nowMs }, silenceMs }: Conditions): Generator<readonly snapshotModule.Candidate[], void> {
   const withSlot = candidates.filter(({ record, inFlight, freeSlots }) => freeSlots > 0 && inFlight < record.target.slots)
-  const hasLeft = ({ record }: snapshotModule.Candidate): boolean => leftTargets.has(record.target.id)
+  const hasLeft = ({ record }: snapshotModule.Candidate): boolean => relocation?.left.has(record.target.id) === true
   if (relocation?.toOthers === true) yield withSlot.filter((candidate) => !hasLeft(candidate) && !candidate.isEjected && !candidate.record.isStalled(silenceMs, nowMs))
   if (relocation?.toLeft === true) yield withSlot.filter(hasLeft).map((candidate) => ({ ...candidate, isEjected: false }))
 }
@@ -46,6 +47,19 @@
   return undefined
 }
 
+/**
+ * Returns whether a request may wait for a free slot: it is still at a target, or one is left at which it could go on.
+ *
+ * @example
+ * ```ts
+ * if (!mayWait(request, snapshot)) refuse('no-target')
+ * ```
+ */
+export function mayWait ({ relocation, excludedTargets, version }: poolEvent.PlacementRequest, { candidates }: Pick<snapshotModule.PoolSnapshot, 'candidates'>): boolean {
+  if (relocation?.toLeft !== true) return true
+  return candidates.some(({ record }) => !excludedTargets.has(record.target.id) && targetChoice.isOfVersion(record, version) && (relocation.toOthers || relocation.left.has(record.target.id)))
+}
+
 /**
  * The requests that wait for a free slot. They have no place in the queue, so none that can't move holds a slot back from others.
  *
--- a/packages/routing/tests/fixtures.ts
+++ b/packages/routing/tests/fixtures.ts
@@ -46,7 +46,6 @@
     promptSegments: [],
     version: undefined,
     excludedTargets: new Set(),
-    leftTargets: new Set(),
     isRetry: false,
     ...changes
   }
--- a/packages/routing/tests/fleet-simulation.ts
+++ b/packages/routing/tests/fleet-simulation.ts
@@ -176,7 +176,7 @@
     waiting.set(id, kind)
     handleEvent(daemon, {
       kind: 'arrived',
-      request: { id, organisation: '', organisationWeight: 1, priority: kind.priority, arrivedMs: nowMs, targetLatencyMs: kind.targetLatencyMs, limitMs: nowMs + kind.limitMs, resubmitted: false, promptTokens: kind.promptTokens, outputTokens: kind.outputTokens, promptSegments: [], version: undefined, excludedTargets: new Set(), leftTargets: new Set(), isRetry: false }
+      request: { id, organisation: '', organisationWeight: 1, priority: kind.priority, arrivedMs: nowMs, targetLatencyMs: kind.targetLatencyMs, limitMs: nowMs + kind.limitMs, resubmitted: false, promptTokens: kind.promptTokens, outputTokens: kind.outputTokens, promptSegments: [], version: undefined, excludedTargets: new Set(), isRetry: false }
     })
   }
 
--- a/packages/routing/tests/pool.test.ts
+++ b/packages/routing/tests/pool.test.ts
@@ -235,10 +235,10 @@
 })
 
 /** A request at the silent target `i-1` that looks for another one. */
-const MOVING: Partial<routing.poolEvent.PlacementRequest> = { isRetry: true, leftTargets: new Set(['i-1']), relocation: { toOthers: true, toLeft: false } }
+const MOVING = { isRetry: true, relocation: { left: new Set(['i-1']), toOthers: true, toLeft: false } }
 
 /** A request that has left `i-1`, to which it may return. */
-const RETURNING: Partial<routing.poolEvent.PlacementRequest> = { ...MOVING, relocation: { toOthers: true, toLeft: true } }
+const RETURNING = { isRetry: true, relocation: { ...MOVING.relocation, toLeft: true } }
 
 /** What a request that leaves `i-1` meets at the other target, and whether that is an alternative. */
 const ALTERNATIVES: readonly (readonly [what: string, other: Partial<routing.targetRegistry.Target> | undefined, changes: Partial<routing.poolEvent.PlacementRequest>, isAlternative: boolean])[] = [
@@ -247,7 +247,7 @@
   ['a target of another version', { version: 'v2' }, { version: 'v1' }, false],
   ['a target of its version', { version: 'v2' }, { version: 'v2' }, true],
   ['a target at which it has failed', {}, { excludedTargets: new Set(['i-2']) }, false],
-  ['a target that it has left as well', {}, { leftTargets: new Set(['i-1', 'i-2']) }, false]
+  ['a target that it has left as well', {}, { relocation: { ...MOVING.relocation, left: new Set(['i-1', 'i-2']) } }, false]
 ]
 
 /** Services that place requests in both ways. */
@@ -314,7 +314,20 @@
 
   suite(`a request that may go to no further target returns to one that it has left (${how})`, () => {
     const pool = poolOf(service, ENGINES)
-    assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(1, { ...RETURNING, relocation: { toOthers: false, toLeft: true } }))), ['i-1'])
+    assert.equal(dispatchedTo(arrive(pool, fixtures.requestOf(1, { ...RETURNING, relocation: { ...RETURNING.relocation, toOthers: false } }))), ['i-1'])
+  })
+}
+
+// Guards against a request that waits until its limit for targets that are gone.
+for (const toOthers of [true, false]) {
+  suite(`a request that has left a target is refused once no target is left at which it could go on (others ${toOthers ? 'may' : 'must not'} get it)`, () => {
+    const pool = poolOf(fixtures.ENGINE, [fixtures.targetOf('i-1', 'support', 2), fixtures.targetOf('i-2', 'support', 2)])
+    drain(pool, { kind: 'peer-load', peer: 'p', load: { targets: { 'i-1': [2, 0], 'i-2': [2, 0] }, waiting: [] } }, 0)
+    assert.equal(arrive(pool, fixtures.requestOf(1, { ...RETURNING, relocation: { ...RETURNING.relocation, toOthers } })), [])
+    const withoutFirst = drain(pool, { kind: 'targets', targetShares: wholeShares([fixtures.targetOf('i-2', 'support', 2)]) }, 10)
+    assert.equal(dispatchedTo(withoutFirst), toOthers ? [] : ['no-target'])
+    assert.equal(dispatchedTo(drain(pool, { kind: 'targets', targetShares: [] }, 20)), toOthers ? ['no-target'] : [])
+    assert.is(pool.needsTick, false)
   })
 }
 
