--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -184,10 +184,7 @@
 export async function openCallerServer (options: Options): Promise<CallerServer> {
   const endpoint = splitAddress.splitAddress(options.listen)
   const server = createServer(options, endpoint.host)
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(endpoint.port, endpoint.host, resolve)
-  })
+  await backing.listen.listen(server, endpoint)
   server.on('clientError', refuseConnection)
   const connections = trackConnections(server)
 
--- a/packages/daemon/src/peer/listener.ts
+++ b/packages/daemon/src/peer/listener.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as http from 'node:http'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as protocol from '@persimmonhatch/protocol'
 import * as ws from 'ws'
 import * as splitAddress from '../util/split-address.js'
@@ -37,10 +38,7 @@
   const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: false, maxPayload: options.maxMessageBytes })
   server.on('connection', options.onSocket)
   server.on('error', () => {})
-  await new Promise<void>((resolve, reject) => {
-    httpServer.once('error', reject)
-    httpServer.listen(endpoint.port, endpoint.host, resolve)
-  })
+  await backing.listen.listen(httpServer, endpoint)
 
   async function close (): Promise<void> {
     server.close()
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -77,14 +77,6 @@
   outgoing.once('close', () => { socket.off('end', handleEnd) })
 }
 
-function listen (server: http.Server, address: string): Promise<void> {
-  const { host, port } = endpoint.parseEndpoint(address)
-  return new Promise((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(port, host, resolve)
-  })
-}
-
 function recordDropped (context: contextModule.Context, { path }: admission.RequestHead): void {
   context.metrics.count('requests_dropped_total')
   context.log.request('request dropped', { path, detail: 'this side of the connection has ended' })
@@ -167,7 +159,7 @@
     noDelay: true
   }, handleRequest)
   const connections = callerConnections.followConnections(server)
-  await listen(server, address)
+  await backing.listen.listen(server, endpoint.parseEndpoint(address))
   server.on('error', (error) => { unexpectedErrors.record(context, error, { address }) })
 
   function adoptLimits (): void {
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -99,6 +99,11 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds))
 }
 
+/** Waits until a condition holds. */
+export async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await wait(5)
+}
+
 async function freeAddress (): Promise<string> {
   const server = net.createServer()
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
--- a/packages/gateway/tests/paused-exchanges.test.ts
+++ b/packages/gateway/tests/paused-exchanges.test.ts
@@ -7,6 +7,7 @@
 import * as uvu from 'uvu'
 import * as relayServer from '../src/relay-server.js'
 import * as targetClient from '../src/target-client.js'
+import * as fixtureModule from './fixture.js'
 
 /** Time for what the other side has sent to arrive. A machine that takes longer makes the tests milder, not red. */
 const ARRIVAL_MS = 100
@@ -31,10 +32,6 @@
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
 
-async function until (condition: () => boolean): Promise<void> {
-  while (!condition()) await wait(5)
-}
-
 /** Rejects with the next error that nothing catches, which would leave an exchange without an end. */
 let rejectUncaught = (_: Error): void => {}
 process.on('uncaughtException', (error) => { rejectUncaught(error) })
@@ -115,7 +112,7 @@
     return socket.bytesRead > (known.find((other) => other.socket === socket)?.bytes ?? 0)
   })
   const target = (async () => {
-    await until(() => find() !== undefined)
+    await fixtureModule.until(() => find() !== undefined)
     return find() as net.Socket
   })()
   return { exchange, body: () => body, ends, target }
@@ -123,7 +120,7 @@
 
 /** Waits until something is reported, or an error that nothing catches. */
 async function settle (setup: Setup, condition: () => boolean): Promise<void> {
-  await Promise.race([until(condition), setup.uncaught])
+  await Promise.race([fixtureModule.until(condition), setup.uncaught])
 }
 
 /** What a target, or the peer, does while the exchange is paused at the end of the first events. */
--- a/packages/gateway/tests/peers.test.ts
+++ b/packages/gateway/tests/peers.test.ts
@@ -9,22 +9,18 @@
 
 const suite = uvu.suite('peers')
 
-async function until (condition: () => boolean): Promise<void> {
-  while (!condition()) await fixtureModule.wait(5)
-}
-
 suite('daemons that know one peer advertise all ready ones, and none that is leaving or unresponsive', async () => {
   const fixtures = [await fixtureModule.openFixture(1), await fixtureModule.openFixture(1), await fixtureModule.openFixture(1)]
   const [first, second, third] = fixtures
   if (first === undefined || second === undefined || third === undefined) throw new Error('A fixture is missing.')
   second.gateway.addPeer(first.peerAddress)
   third.gateway.addPeer(first.peerAddress)
-  await until(() => fixtures.every((fixture) => fixture.gateway.addresses().length === 3))
+  await fixtureModule.until(() => fixtures.every((fixture) => fixture.gateway.addresses().length === 3))
   const stopped = third.gateway.stop()
-  await until(() => !first.gateway.addresses().includes(third.frontAddress))
+  await fixtureModule.until(() => !first.gateway.addresses().includes(third.frontAddress))
   await second.close()
-  await until(() => first.gateway.addresses().length <= 2)
-  await until(() => !first.gateway.reachablePeers().includes(second.peerAddress))
+  await fixtureModule.until(() => first.gateway.addresses().length <= 2)
+  await fixtureModule.until(() => !first.gateway.reachablePeers().includes(second.peerAddress))
   await stopped
   for (const fixture of [first, third]) await fixture.close()
 })
@@ -32,7 +28,7 @@
 suite('a target that a peer reports as leaving gets no new requests', async () => {
   const fixture = await fixtureModule.openFixture(2)
   await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ leavingTargets: [['i-1', 1, 90]] }))
-  await until(() => fixture.gateway.sharedState().targets.some((versioned) => versioned.target?.leaving === true))
+  await fixtureModule.until(() => fixture.gateway.sharedState().targets.some((versioned) => versioned.target?.leaving === true))
   for (let index = 0; index < 6; index += 1) await fixture.call('/read/7')
   assert.equal([...new Set(fixture.arrivals.map((arrival) => arrival.target))], ['i-2'])
   await fixture.close()
@@ -41,7 +37,7 @@
 suite('tokens that a peer has admitted count against the cap', async () => {
   const fixture = await fixtureModule.openFixture(1)
   await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ sequence: 1, usedTokens: { maarif: 0 } }))
-  await until(() => fixture.gateway.reachablePeers().length === 1)
+  await fixtureModule.until(() => fixture.gateway.reachablePeers().length === 1)
   await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ sequence: 2, usedTokens: { maarif: 50_000 } }))
   await fixtureModule.wait(50)
   assert.is((await fixture.call('/read/7', { headers: { tokens: '10,10' } })).status, 429)
@@ -51,7 +47,7 @@
 suite('a late report does not override a newer one', async () => {
   const fixture = await fixtureModule.openFixture(1)
   await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ sequence: 9, ready: false }))
-  await until(() => fixture.gateway.reachablePeers().length === 1)
+  await fixtureModule.until(() => fixture.gateway.reachablePeers().length === 1)
   await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ sequence: 8, ready: true }))
   await fixtureModule.wait(50)
   assert.equal(fixture.gateway.addresses(), [fixture.frontAddress])
@@ -72,7 +68,7 @@
 suite('requests do not wait for a peer that becomes unresponsive', async () => {
   const fixture = await fixtureModule.openFixture(2)
   await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ pools: { stock: { targets: { 'i-1': [2, 0], 'i-2': [2, 0] }, waiting: [] } } }))
-  await until(() => fixture.gateway.reachablePeers().length === 1)
+  await fixtureModule.until(() => fixture.gateway.reachablePeers().length === 1)
   const replies = await Promise.all([...Array(6).keys()].map(() => fixture.call('/read/7')))
   assert.equal(replies.map((reply) => reply.status), [200, 200, 200, 200, 200, 200])
   assert.equal(fixture.gateway.reachablePeers().length, 1, 'the responses came before the timeout of the peer')
@@ -92,7 +88,7 @@
   const fixtures = [source, follower]
   const syncs = await Promise.all(fixtures.map(({ gateway, peerAddress }) => gatewayPackage.stateSync.openStateSync({ gateway, address: peerAddress })))
   follower.gateway.addPeer(source.peerAddress)
-  await until(() => follower.gateway.isReady() && follower.gateway.sharedState().document?.version === 1)
+  await fixtureModule.until(() => follower.gateway.isReady() && follower.gateway.sharedState().document?.version === 1)
   return {
     source,
     follower,
@@ -111,12 +107,12 @@
 
 suite('a request reaches a target through a peer while the own path is lost, and directly once a probe has found it again', async () => {
   const { source, follower, close } = await openFollowed()
-  await until(() => follower.gateway.reachablePeers().length === 1)
+  await fixtureModule.until(() => follower.gateway.reachablePeers().length === 1)
   const { paths } = follower.gateway.routes
   paths.recordUnreachable('i-1', undefined, performance.now())
   assert.is((await follower.call('/read/7')).status, 200)
   assert.match(source.gateway.metrics.text(), 'relayed_connections_total{result="carried"} 1')
-  await until(() => !paths.isLost('i-1'))
+  await fixtureModule.until(() => !paths.isLost('i-1'))
   assert.is((await follower.call('/read/7')).status, 200)
   assert.match(source.gateway.metrics.text(), 'relayed_connections_total{result="carried"} 1')
   assert.is(source.arrivals.length, 2)
@@ -157,7 +153,7 @@
   if (first === undefined || second === undefined) throw new Error('A fixture is missing.')
   const syncs = await Promise.all(fixtures.map((fixture) => gatewayPackage.stateSync.openStateSync({ gateway: fixture.gateway, address: fixture.peerAddress })))
   second.gateway.addPeer(first.peerAddress)
-  await until(() => fixtures.every((fixture) => fixture.gateway.reachablePeers().length === 1))
+  await fixtureModule.until(() => fixtures.every((fixture) => fixture.gateway.reachablePeers().length === 1))
   await fixtureModule.wait(1_000)
   for (const fixture of fixtures) assert.not.match(fixture.gateway.metrics.text(), 'peer_questions_total')
   for (const sync of syncs) sync.close()
@@ -180,7 +176,7 @@
     const syncs = await Promise.all(fixtures.map((fixture) => gatewayPackage.stateSync.openStateSync({ gateway: fixture.gateway, address: fixture.peerAddress })))
     follower.gateway.addPeer(source.peerAddress)
     source.gateway.applyStoreTarget({ id: 'i-9', ...delivered, report: moved, target: { ...target, address: '127.0.0.1:10' } })
-    await until(() => follower.gateway.sharedState().targets.some((versioned) => versioned.target?.address === '127.0.0.1:10'))
+    await fixtureModule.until(() => follower.gateway.sharedState().targets.some((versioned) => versioned.target?.address === '127.0.0.1:10'))
     assert.equal(follower.gateway.targetsPosition(), delivered)
     for (const sync of syncs) sync.close()
     for (const fixture of fixtures) await fixture.close()
@@ -194,7 +190,7 @@
   fixture.gateway.applyStoreTarget({ ...leaving, era: 2, revision: 7, report: { startedMs: 1_764_841_234_567, sequence: 3 } })
   const reported = gatewayPackage.peerMessages.toLeavingTarget({ ...leaving, era: 1, revision: 90, report: { startedMs: 1_764_841_234_567, sequence: 40 } })
   await fixtureModule.sendDatagram(fixture.peerAddress, fixtureModule.reportOf({ leavingTargets: [reported] }))
-  await until(() => fixture.gateway.sharedState().targets.some((versioned) => versioned.target?.leaving === true))
+  await fixtureModule.until(() => fixture.gateway.sharedState().targets.some((versioned) => versioned.target?.leaving === true))
   for (let index = 0; index < 6; index += 1) await fixture.call('/read/7')
   assert.equal([...new Set(fixture.arrivals.map((arrival) => arrival.target))], ['i-2'])
   await fixture.close()
--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -7,6 +7,7 @@
 import * as uvu from 'uvu'
 import * as relayServer from '../src/relay-server.js'
 import * as targetClient from '../src/target-client.js'
+import * as fixtureModule from './fixture.js'
 
 const suite = uvu.suite('relay')
 
@@ -82,10 +83,6 @@
   return { exchange, ended, body: () => body }
 }
 
-async function until (condition: () => boolean): Promise<void> {
-  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 5))
-}
-
 suite('a request and its response pass unchanged, and the connection is kept for the next', async () => {
   const setup = await setUp((incoming, response) => {
     incoming.on('data', (chunk: Buffer) => { response.write(chunk) }).on('end', () => { response.end(' and answer') })
@@ -107,7 +104,7 @@
     finish = () => { response.end('last') }
   })
   const sent = send(setup)
-  await until(() => sent.body() === 'first')
+  await fixtureModule.until(() => sent.body() === 'first')
   finish()
   assert.is((await sent.ended).body, 'firstlast')
   setup.close()
@@ -116,9 +113,9 @@
 suite('the connection to the target closes when the exchange is aborted', async () => {
   const setup = await setUp((_, response) => { response.write('first') })
   const sent = send(setup)
-  await until(() => sent.body() === 'first')
+  await fixtureModule.until(() => sent.body() === 'first')
   sent.exchange.abort()
-  await until(() => setup.targetSockets.every((socket) => socket.destroyed))
+  await fixtureModule.until(() => setup.targetSockets.every((socket) => socket.destroyed))
   setup.close()
 })
 
@@ -156,10 +153,10 @@
     suite(`${what} without a length that is cut with its peer does not look complete: ${how}`, async () => {
       const setup = await setUp((incoming) => { incoming.socket.write(`${head}part`) })
       const sent = send(setup)
-      await until(() => sent.body() === 'part')
+      await fixtureModule.until(() => sent.body() === 'part')
       end(setup)
       assert.is((await sent.ended).kind, 'path-lost')
-      await until(() => setup.targetSockets.every((socket) => socket.destroyed))
+      await fixtureModule.until(() => setup.targetSockets.every((socket) => socket.destroyed))
       setup.close()
     })
   }
@@ -175,11 +172,11 @@
 suite('a relay counts the connections that it carries until they end', async () => {
   const setup = await setUp((incoming) => { incoming.socket.write('HTTP/1.1 200 OK\r\n\r\npart') })
   const sent = send(setup)
-  await until(() => sent.body() === 'part')
+  await fixtureModule.until(() => sent.body() === 'part')
   assert.is(setup.relay.open(), 1)
   for (const socket of setup.targetSockets) socket.end()
   assert.is((await sent.ended).kind, 'end')
-  await until(() => setup.relay.open() === 0)
+  await fixtureModule.until(() => setup.relay.open() === 0)
   setup.close()
 })
 
