Review case 13: requests that were given up reach a replica that leaves

Cause: an exchange with a target is ended by a regular close, after which the system still delivers the request when a cut has healed.

Nothing of the product is changed.

--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -3,6 +3,7 @@
 import * as fs from 'node:fs'
 import * as path from 'node:path'
 import * as fleetModule from './fleet.mjs'
+import * as linkModule from './link.mjs'
 import * as replica from './replica.mjs'
 import * as storeModule from './store.mjs'
 
@@ -24,8 +25,8 @@
   }
 }
 
-/** Starts the deployment; `directory` is the folder of the case. */
-export async function startDeployment ({ directory, daemons, replicas = 4, workMs = () => 15 + Math.random() * 15 }) {
+/** Starts the deployment; `directory` is the folder of the case. With `hasLinks`, the daemons reach each replica over a link that can be cut. */
+export async function startDeployment ({ directory, daemons, replicas = 4, workMs = () => 15 + Math.random() * 15, hasLinks = false }) {
   const lines = []
   const startMs = performance.now()
   const note = (line) => { lines.push(`${((performance.now() - startMs) / 1_000).toFixed(2)} ${line}`) }
@@ -33,16 +34,21 @@
   const store = await storeModule.openStore()
   store.put('op/config', desiredState(7))
   const opened = await Promise.all(Array.from({ length: replicas }, (_, index) => replica.openReplica({ id: `i-${index + 1}`, service: 'counter-api', workMs, runs })))
-  for (const [index, { entry }] of opened.entries()) store.put(`servers/i-${index + 1}`, entry)
+  const links = await Promise.all(opened.map(({ entry }) => hasLinks ? linkModule.openLink(entry.address) : undefined))
+  const entries = opened.map(({ entry }, index) => ({ ...entry, address: links[index]?.address ?? entry.address }))
+  for (const [index, entry] of entries.entries()) store.put(`servers/i-${index + 1}`, entry)
   const fleet = await fleetModule.startFleet({ count: daemons, store, note })
   return {
     fleet,
     store,
+    links,
+    entries,
     runs,
     note,
     /** Ends everything, writes the record and exits. */
     finish: async (status) => {
       await fleet.close()
+      for (const link of links) link?.close()
       for (const { close } of opened) close()
       store.close()
       fs.writeFileSync(path.join(directory, 'record.txt'), lines.join('\n') + '\n')
--- a/review/standins-3/replica.mjs
+++ b/review/standins-3/replica.mjs
@@ -53,7 +53,7 @@
   function start (socket, request) {
     running += 1
     proofs += 1
-    const run = { attempt: request.headers.get('x-attempt-id'), replica: id, method: request.method, path: request.path, bytes: request.body.length, hash: crypto.createHash('sha256').update(request.body).digest('hex').slice(0, 16), headers: request.headers.size, end: 'running' }
+    const run = { atMs: performance.now(), attempt: request.headers.get('x-attempt-id'), replica: id, method: request.method, path: request.path, bytes: request.body.length, hash: crypto.createHash('sha256').update(request.body).digest('hex').slice(0, 16), headers: request.headers.size, end: 'running' }
     runs.push(run)
     const end = (how) => {
       if (run.end !== 'running') return
