--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -26,14 +26,14 @@
 }
 
 /** Starts the deployment; `directory` is the folder of the case. With `hasLinks`, the daemons reach each replica over a link that can be cut. */
-export async function startDeployment ({ directory, daemons, replicas = 4, workMs = () => 15 + Math.random() * 15, hasLinks = false }) {
+export async function startDeployment ({ directory, daemons, replicas = 4, workMs = () => 15 + Math.random() * 15, hasLinks = false, crashesWith }) {
   const lines = []
   const startMs = performance.now()
   const note = (line) => { lines.push(`${((performance.now() - startMs) / 1_000).toFixed(2)} ${line}`) }
   const runs = []
   const store = await storeModule.openStore()
   store.put('op/config', desiredState(7))
-  const opened = await Promise.all(Array.from({ length: replicas }, (_, index) => replica.openReplica({ id: `i-${index + 1}`, service: 'counter-api', workMs, runs })))
+  const opened = await Promise.all(Array.from({ length: replicas }, (_, index) => replica.openReplica({ id: `i-${index + 1}`, service: 'counter-api', workMs, runs, crashesWith, onBack: (born) => { store.put(`servers/i-${index + 1}`, { ...entries[index], born }) } })))
   const links = await Promise.all(opened.map(({ entry }) => hasLinks ? linkModule.openLink(entry.address) : undefined))
   const entries = opened.map(({ entry }, index) => ({ ...entry, address: links[index]?.address ?? entry.address }))
   for (const [index, entry] of entries.entries()) store.put(`servers/i-${index + 1}`, entry)
--- a/review/standins-3/replica.mjs
+++ b/review/standins-3/replica.mjs
@@ -30,8 +30,11 @@
   })
 }
 
-/** Opens a replica. `runs` gets an entry for each request that it runs. */
-export async function openReplica ({ id, service, slots = 6, queue = 24, workMs = () => 40, runs, ip = '127.0.0.1' }) {
+/**
+ * Opens a replica. `runs` gets an entry for each request that it runs. One for which `crashesWith` returns true ends the replica as it
+ * begins to run; it is back `backMs` later at the same address and under the same id, and `onBack` gets its new start.
+ */
+export async function openReplica ({ id, service, slots = 6, queue = 24, workMs = () => 40, runs, ip = '127.0.0.1', crashesWith = () => false, backMs = 2_000, onBack = () => {} }) {
   const sockets = new Set()
   const waiting = []
   let running = 0
@@ -63,14 +66,35 @@
       socket.off('close', closed)
       startNext()
     }
+    const crashes = crashesWith(request)
     const closed = () => end('channel closed')
     socket.once('close', closed)
-    const timer = setTimeout(() => {
-      answer(socket, request, 200, [`X-Server-Signature: ${id}.${proofs}`], `run ${run.attempt} with ${run.bytes} bytes`)
-      end('answered')
-    }, workMs())
+    const timer = crashes
+      ? undefined
+      : setTimeout(() => {
+        answer(socket, request, 200, [`X-Server-Signature: ${id}.${proofs}`], `run ${run.attempt} with ${run.bytes} bytes`)
+        end('answered')
+      }, workMs())
+    if (crashes) setTimeout(crash, workMs())
   }
 
+  let isDown = false
+  function crash () {
+    if (isDown) return
+    isDown = true
+    waiting.length = 0
+    server.close()
+    for (const socket of sockets) socket.resetAndDestroy()
+    const { port } = new URL(`http://${address}`)
+    setTimeout(() => {
+      if (isClosed) return
+      isDown = false
+      server.listen(Number(port), ip)
+      onBack(Date.now())
+    }, backMs)
+  }
+
+  let isClosed = false
   const server = net.createServer((socket) => {
     socket.setNoDelay(true)
     sockets.add(socket)
@@ -90,6 +114,7 @@
   return {
     entry: { service, address, zone: 'casa-a', version: 'v1', slots, state: 'ready', coldRemainingMs: 0, sequence: 1, born: Date.now() },
     close: () => {
+      isClosed = true
       server.close()
       for (const socket of sockets) socket.destroy()
     }
