Keep all header lines of requests

Cause: Node.js keeps the first 1,000 header lines of a request and drops the rest without an error, unless maxHeadersCount says otherwise. Whatever is behind them is lost: the framing, but also host, key, id, remaining time and all lines that were only to be forwarded. The limit of the operator is one of bytes and was counted over the lines that were kept. The body was read in full and given up afterwards, as its presence was asked of the headers instead of the bytes.

Change: all listeners keep any number of lines; the operator's limit of bytes is the bound, and says so with 431. A body of which bytes were read is a body; the headers only tell an empty one from none. The lookup of a header compares lengths first. The same on related paths: the listener of packages/daemon, the small listeners of the gateway, the one for peers (by reading, without a test) and the stand-ins, which would hide the fault from tests.

Ruled out: undici, which has a limit of bytes for heads of responses and none of lines.

--- a/packages/daemon/src/http/caller-server.ts
+++ b/packages/daemon/src/http/caller-server.ts
@@ -160,7 +160,7 @@
 function createServer (options: Options, hostname: string): http.Server {
   const { limits, count } = options
   const handle = nodeServer.getRequestListener(buildApp(options).fetch, { hostname })
-  return http.createServer({ maxHeaderSize: limits.headerBytes, requestTimeout: limits.requestReadMs }, (incoming, outgoing) => {
+  return backing.headerLines.keepAllLines(http.createServer({ maxHeaderSize: limits.headerBytes, requestTimeout: limits.requestReadMs }, (incoming, outgoing) => {
     const cut = (): void => {
       count('requests.faults', 1)
       backing.cutResponse.cut(outgoing)
@@ -169,7 +169,7 @@
       serve: () => { handle(incoming, outgoing).catch(cut) },
       drop: () => { count('requests.dropped', 1) }
     })
-  })
+  }))
 }
 
 /**
--- a/packages/daemon/src/peer/listener.ts
+++ b/packages/daemon/src/peer/listener.ts
@@ -31,10 +31,10 @@
  */
 export async function openListener (options: Options): Promise<Listener> {
   const endpoint = splitAddress.splitAddress(options.listen)
-  const httpServer = http.createServer((_, response) => {
+  const httpServer = backing.headerLines.keepAllLines(http.createServer((_, response) => {
     response.writeHead(426, { 'content-type': 'text/plain' })
     response.end('This port is for other daemons; callers and operators use the callers address.\n')
-  })
+  }))
   const server = new ws.WebSocketServer({ server: httpServer, perMessageDeflate: false, maxPayload: options.maxMessageBytes })
   server.on('connection', options.onSocket)
   server.on('error', () => {})
--- a/packages/daemon/tests/caller-server.test.ts
+++ b/packages/daemon/tests/caller-server.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as callerServer from '../src/http/caller-server.js'
+import type * as readArrival from '../src/http/read-arrival.js'
 import * as localResponses from '../src/http/local-responses.js'
 
 const CLOSE_TIMEOUT_MS = 10_000
@@ -16,10 +17,10 @@
 
 const suite = uvu.suite('openCallerServer')
 
-function openServer (port: number, submit: callerServer.Options['submit'] = async () => {}): Promise<callerServer.CallerServer> {
+function openServer (port: number, submit: callerServer.Options['submit'] = async () => {}, headerBytes = 1_000): Promise<callerServer.CallerServer> {
   return callerServer.openCallerServer({
     listen: `127.0.0.1:${port}`,
-    limits: { bodyBytes: 1_000, headerBytes: 1_000, requests: 10, heldAnswerBytes: 1_000, requestReadMs: 1_000 },
+    limits: { bodyBytes: 1_000, headerBytes, requests: 10, heldAnswerBytes: 1_000, requestReadMs: 1_000 },
     addresses: () => localResponses.errorResponse('no-authority', {}),
     explain: () => undefined,
     status: () => ({}),
@@ -118,4 +119,22 @@
   caller.destroy()
 })
 
+// Guards against header lines that are lost behind the thousandth, with the identity of the request or the framing of its body.
+suite('a request with 1,100 header lines within the limit is submitted with all of them and its body', async () => {
+  const port = await freePort()
+  const submitted: Omit<readArrival.CallerRequest, 'request'>[] = []
+  const server = await openServer(port, async (request, response) => {
+    submitted.push(request)
+    response.end('ok')
+  }, 16_384)
+  const caller = net.connect({ port, host: '127.0.0.1' })
+  const padding = Array.from({ length: 1_100 }, (_, index) => `s${index}: 1\r\n`).join('')
+  caller.write(`POST /s/support/x HTTP/1.1\r\n${padding}host: a\r\nidempotency-key: k-1\r\ncontent-length: 4\r\n\r\nbody`)
+  await new Promise((resolve) => caller.once('data', resolve))
+  const [request] = submitted
+  assert.equal([Object.keys(request?.headers ?? {}).length, request?.headers['idempotency-key'], Buffer.from(request?.body ?? []).toString()], [1_103, 'k-1', 'body'])
+  caller.destroy()
+  await server.close()
+})
+
 suite.run()
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -152,12 +152,12 @@
     read((body) => { pendingEvents.afterPendingEvents(() => { run(() => { bind(body) }) }) })
   }
 
-  const server = http.createServer({
+  const server = backing.headerLines.keepAllLines(http.createServer({
     maxHeaderSize: MAX_HEAD_BYTES,
     connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     requestTimeout: 0,
     noDelay: true
-  }, handleRequest)
+  }, handleRequest))
   const connections = callerConnections.followConnections(server)
   await backing.listen.listen(server, endpoint.parseEndpoint(address))
   server.on('error', (error) => { unexpectedErrors.record(context, error, { address }) })
--- a/packages/gateway/src/http-endpoint.ts
+++ b/packages/gateway/src/http-endpoint.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as nodeServer from '@hono/node-server'
+import * as backing from '@persimmonhatch/backing-services'
 import type * as http from 'node:http'
 import type * as hono from 'hono'
 import * as endpoint from './endpoint.js'
@@ -26,7 +27,7 @@
 export async function openHttpEndpoint (address: string, app: hono.Hono): Promise<HttpEndpoint> {
   const { host, port } = endpoint.parseEndpoint(address)
   return await new Promise((resolve, reject) => {
-    const server = nodeServer.serve({ fetch: app.fetch, hostname: host, port }, () => resolve({ server: server as http.Server, close: () => { server.close() } }))
+    const server = backing.headerLines.keepAllLines(nodeServer.serve({ fetch: app.fetch, hostname: host, port }, () => resolve({ server, close: () => { server.close() } })) as http.Server)
     server.once('error', reject)
   })
 }
--- a/packages/gateway/src/raw-headers.ts
+++ b/packages/gateway/src/raw-headers.ts
@@ -12,17 +12,22 @@
   'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade'
 ])
 
+/** Whether a name as received is a name in lower case. The lengths are compared first, as a head may have thousands of lines. */
+function isName (received: string | undefined, name: string): boolean {
+  return received?.length === name.length && received.toLowerCase() === name
+}
+
 /** Returns the first value of a header; undefined if it is missing. */
 export function findHeader (headers: RawHeaders, name: string): string | undefined {
   for (let index = 0; index < headers.length; index += 2) {
-    if (headers[index]?.toLowerCase() === name) return headers[index + 1]
+    if (isName(headers[index], name)) return headers[index + 1]
   }
   return undefined
 }
 
 /** Returns all values of a header. */
 export function findAll (headers: RawHeaders, name: string): readonly string[] {
-  return headers.filter((_, index) => index % 2 === 1 && headers[index - 1]?.toLowerCase() === name)
+  return headers.filter((_, index) => index % 2 === 1 && isName(headers[index - 1], name))
 }
 
 /** Returns the size of all names and values with their separators, bytes. */
--- a/packages/gateway/src/request-body.ts
+++ b/packages/gateway/src/request-body.ts
@@ -73,7 +73,8 @@
     if (isOver) return
     clearTimeout(pauseTimer)
     account.complete()
-    const hasBody = incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
+    // Only an empty body needs its header to be told from none.
+    const hasBody = bytes > 0 || incoming.headers['content-length'] !== undefined || incoming.headers['transfer-encoding'] !== undefined
     const body = hasBody ? Buffer.concat(chunks) : undefined
     chunks.length = 0
     options.done(body)
--- /dev/null
+++ b/packages/gateway/tests/byte-target.ts
@@ -0,0 +1,116 @@
+/**
+ * Targets and callers on plain sockets. HTTP servers drop header lines beyond a count, so a target that is one shows fewer than it got.
+ */
+import * as net from 'node:net'
+import * as gateway from '@persimmonhatch/gateway'
+
+/** A header line, as it is sent. */
+export type Line = readonly [name: string, value: string]
+
+/** A request as its target received it. */
+export interface Arrival {
+  readonly requestLine: string
+  readonly lines: readonly Line[]
+  readonly body: string
+}
+
+export interface ByteTarget {
+  readonly address: string
+  readonly arrivals: readonly Arrival[]
+  readonly close: () => void
+}
+
+/** Returns the status, the header lines and the body of a response. */
+export type Respond = (arrival: Arrival) => readonly [status: string, lines: readonly Line[], body: string]
+
+const HEAD_END = '\r\n\r\n'
+
+function parseLine (line: string): Line {
+  const colon = line.indexOf(':')
+  return [line.slice(0, colon), line.slice(colon + 1).trim()]
+}
+
+export function valueOf (lines: readonly Line[], name: string): string | undefined {
+  return lines.find(([other]) => other.toLowerCase() === name)?.[1]
+}
+
+/** Returns the size of the lines with their separators and line ends, bytes. */
+export function sizeOf (lines: readonly Line[]): number {
+  return lines.reduce((sum, [name, value]) => sum + name.length + value.length + 4, 0)
+}
+
+export function headOf (firstLine: string, lines: readonly Line[]): string {
+  return [firstLine, ...lines.map(([name, value]) => `${name}: ${value}`)].join('\r\n') + HEAD_END
+}
+
+/** Returns the first message in the text and what follows it; undefined if it is incomplete. Bodies have a length or none. */
+function takeMessage (text: string): readonly [message: Arrival, rest: string] | undefined {
+  const headEnd = text.indexOf(HEAD_END)
+  if (headEnd < 0) return undefined
+  const [requestLine = '', ...lines] = text.slice(0, headEnd).split('\r\n')
+  const parsed = lines.map(parseLine)
+  const bodyStart = headEnd + HEAD_END.length
+  const bodyEnd = bodyStart + Number(valueOf(parsed, 'content-length') ?? 0)
+  return text.length < bodyEnd ? undefined : [{ requestLine, lines: parsed, body: text.slice(bodyStart, bodyEnd) }, text.slice(bodyEnd)]
+}
+
+function respondWithProof ({ lines }: Arrival): ReturnType<Respond> {
+  return ['200 OK', [['request-id', valueOf(lines, 'request-id') ?? ''], ['proof', 'p']], 'ran']
+}
+
+/** Starts a target that records the bytes of its requests. */
+export async function openByteTarget (respond: Respond = respondWithProof): Promise<ByteTarget> {
+  const arrivals: Arrival[] = []
+  const sockets = new Set<net.Socket>()
+  const server = net.createServer((socket) => {
+    sockets.add(socket)
+    let text = ''
+    socket.setEncoding('latin1').on('error', () => {}).on('data', (part: string) => {
+      text += part
+      for (let next = takeMessage(text); next !== undefined; next = takeMessage(text)) {
+        const [arrival, rest] = next
+        text = rest
+        arrivals.push(arrival)
+        const [status, lines, body] = respond(arrival)
+        socket.write(headOf(`HTTP/1.1 ${status}`, [...lines, ['Content-Length', String(body.length)]]) + body, 'latin1')
+      }
+    })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  return {
+    address: `127.0.0.1:${(server.address() as net.AddressInfo).port}`,
+    arrivals,
+    close: () => {
+      server.close()
+      for (const socket of sockets) socket.destroy()
+    }
+  }
+}
+
+/** What a caller received on its connection up to the end of the first response, or of the connection. */
+export interface Received {
+  /** 0 if the connection ended without a response. */
+  readonly status: number
+  readonly lines: readonly Line[]
+  readonly body: string
+}
+
+/** Sends bytes on a new connection and returns the response. */
+export function exchangeBytes (address: string, bytes: string): Promise<Received> {
+  const { host, port } = gateway.endpoint.parseEndpoint(address)
+  const socket = net.connect({ host, port })
+  let text = ''
+  return new Promise((resolve) => {
+    const end = (message = takeMessage(text)): void => {
+      socket.destroy()
+      const [response] = message ?? []
+      resolve({ status: Number(response?.requestLine.split(' ')[1] ?? 0), lines: response?.lines ?? [], body: response?.body ?? '' })
+    }
+    socket.setEncoding('latin1').on('error', () => { end() }).on('close', () => { end() }).on('data', (part: string) => {
+      text += part
+      const message = takeMessage(text)
+      if (message !== undefined) end(message)
+    })
+    socket.write(bytes, 'latin1')
+  })
+}
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -104,7 +104,7 @@
   while (!condition()) await wait(5)
 }
 
-async function freeAddress (): Promise<string> {
+export async function freeAddress (): Promise<string> {
   const server = net.createServer()
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
   const { port } = server.address() as net.AddressInfo
--- a/packages/standins/src/loopback-server.ts
+++ b/packages/standins/src/loopback-server.ts
@@ -74,6 +74,8 @@
   const listener = nodeServer.getRequestListener(options.app.fetch)
   const service = http.createServer(handle)
   const control = http.createServer(handle)
+  // By default, Node.js drops the header lines behind the thousandth.
+  service.maxHeadersCount = 0
   const sockets = trackSockets(service)
   const controlSockets = trackSockets(control)
   if (options.onConnection !== undefined) service.on('connection', options.onConnection)
