Parse heads up to the document's limit if it is above the listener's

What callers would see: with a limit of header bytes above 128 KiB in the document, heads between the two are refused with 431.

Cause: the size up to which the listener parses heads was a constant, and the document's limit is checked behind it.

Change: the parsed size is the document's limit and 64 KiB for the request line, and 128 KiB at least, as before. Node.js takes it for new connections.

Evidence: with the code before, a head of 900,000 bytes under a limit of 1,000,000 gets 431 (oversized-heads.test.ts); it is served now, and one above gets 431.

--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -19,8 +19,11 @@
 import * as resumption from './resumption.js'
 import * as unexpectedErrors from './unexpected-errors.js'
 
-/** Maximum size of a head that is parsed, bytes; the document's own limit is checked afterwards. */
-const MAX_HEAD_BYTES = 131_072
+/** Size up to which heads are parsed, bytes; the document's own limit is checked afterwards. */
+const MIN_PARSED_BYTES = 131_072
+
+/** Part of the parsed size that is left to the request line if the document's limit is larger, bytes. */
+const REQUEST_LINE_BYTES = 65_536
 
 /** Interval of the check for connections with incomplete heads, ms. */
 const CONNECTION_CHECK_INTERVAL_MS = 1_000
@@ -29,7 +32,7 @@
 
 /** The open listener. */
 export interface FrontServer {
-  /** Applies the limits of a new document. */
+  /** Applies the limits of a new document. A larger size of heads than usual holds for new connections. */
   readonly adoptLimits: () => void
   /** Returns the number of requests whose response has not been sent. */
   readonly open: () => number
@@ -172,7 +175,7 @@
   }
 
   const server = backing.headerLines.keepAllLines(http.createServer({
-    maxHeaderSize: MAX_HEAD_BYTES,
+    maxHeaderSize: MIN_PARSED_BYTES,
     connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
     requestTimeout: 0,
     noDelay: true
@@ -186,6 +189,8 @@
     const limits = context.limits()
     server.keepAliveTimeout = limits.idleTimeoutMs
     server.headersTimeout = limits.headerTimeoutMs
+    // Node.js reads the property for each new connection; its types don't declare it.
+    Object.assign(server, { maxHeaderSize: Math.max(MIN_PARSED_BYTES, limits.headerBytes + REQUEST_LINE_BYTES) })
   }
 
   function close (): void {
--- a/packages/gateway/tests/oversized-heads.test.ts
+++ b/packages/gateway/tests/oversized-heads.test.ts
@@ -83,4 +83,15 @@
   assert.equal([first?.status, first?.body, second?.status], [200, 'from i-1', 400])
 })
 
+// Guards against a limit of the operator that the listener does not reach.
+suite('a head within a limit of the operator that is above the usual ones is served', async () => {
+  const target = await byteTarget.openByteTarget()
+  fixture.gateway.applyTarget({ id: 'i-1', era: 1, revision: 2, target: { id: 'i-1', service: 'stock', address: target.address, availabilityZone: 'casa-a', version: 'v1', slots: 6, leaving: false } }, 'test')
+  fixture.gateway.adopt({ ...fixtureModule.DOCUMENT, version: 2, limits: { ...fixtureModule.DOCUMENT.limits, headerBytes: 1_000_000 } }, 'test')
+  const served = await byteTarget.exchangeBytes(fixture.frontAddress, headOver(900_000))
+  const refused = await byteTarget.exchangeBytes(fixture.frontAddress, headOver(1_000_000))
+  assert.equal([served.status, refused.status, target.arrivals.length], [200, 431, 1])
+  target.close()
+})
+
 suite.run()
