Forward headers of the exchange that a Connection header names

Cause: each name in a Connection header was taken for a hop-by-hop header.

Change: the names of headers that concern the whole exchange are declared with the other header names, and these are forwarded; RFC 9110, 7.6.1, forbids naming them. Others are dropped as before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -56,10 +56,10 @@
 function requestHeaders (options: Options): string[] {
   const { context, request, target, continuity } = options
   const names = context.headerNames
-  const excluded = new Set([...names.reserved, names.key, names.organisation, names.expectedTarget, names.remainingMs, 'content-length', 'expect'])
+  const dropped = new Set([...names.reserved, names.key, names.organisation, names.expectedTarget, names.remainingMs, 'content-length', 'expect'])
   const lastId = continuity.lastId()
-  if (lastId !== undefined) excluded.add(names.lastEventId)
-  const headers = rawHeaders.withoutHeaders(request.head.headers, excluded)
+  if (lastId !== undefined) dropped.add(names.lastEventId)
+  const headers = rawHeaders.withoutHeaders(request.head.headers, { dropped, endToEnd: names.endToEnd })
   headers.push(names.expectedTarget, target.id, names.remainingMs, String(Math.max(1, Math.floor(request.limitMs - context.now()))))
   if (request.organisation !== undefined) headers.push(names.organisation, request.organisation.name)
   if (lastId !== undefined) headers.push(names.lastEventId, String(lastId))
--- a/packages/gateway/src/caller-response.ts
+++ b/packages/gateway/src/caller-response.ts
@@ -69,7 +69,8 @@
   }
 
   private forwardedHeaders (head: targetClient.ResponseHead): readonly string[] {
-    return rawHeaders.withoutHeaders(head.headers, new Set([this.dependencies.headerNames.load, 'content-length']))
+    const { load, endToEnd } = this.dependencies.headerNames
+    return rawHeaders.withoutHeaders(head.headers, { dropped: new Set([load, 'content-length']), endToEnd })
   }
 
   private writeHead (status: number, headers: readonly string[]): void {
--- a/packages/gateway/src/header-names.ts
+++ b/packages/gateway/src/header-names.ts
@@ -37,6 +37,8 @@
   readonly lengthHint: string
   /** Prompt segments as `id:tokens`. */
   readonly promptParts: string
+  /** Headers that are forwarded even if the `Connection` header of a caller or a target names them. */
+  readonly endToEnd: ReadonlySet<string>
   /** Headers that callers must not set. */
   readonly reserved: ReadonlySet<string>
 }
--- a/packages/gateway/src/raw-headers.ts
+++ b/packages/gateway/src/raw-headers.ts
@@ -36,21 +36,29 @@
   return headers.reduce((sum, text) => sum + text.length + 2, 0)
 }
 
+/** Names of headers, in lower case. */
+export interface Selection {
+  readonly dropped: ReadonlySet<string>
+  /** Headers of the whole exchange, which a `Connection` header must not name. */
+  readonly endToEnd: ReadonlySet<string>
+}
+
 /**
- * Returns the headers without hop-by-hop headers and without those in `dropped`.
+ * Returns the headers without hop-by-hop headers, among them those that a `Connection` header names, and without those in `dropped`.
  *
  * @example
  * ```ts
- * withoutHeaders(['Connection', 'close', 'Accept', 'a'], new Set()) // ['Accept', 'a']
+ * withoutHeaders(['Connection', 'close, own', 'Own', '1', 'Accept', 'a'], { dropped: new Set(), endToEnd: new Set(['host']) }) // ['Accept', 'a']
  * ```
  */
-export function withoutHeaders (headers: RawHeaders, dropped: ReadonlySet<string>): string[] {
+export function withoutHeaders (headers: RawHeaders, { dropped, endToEnd }: Selection): string[] {
   const named = new Set(findAll(headers, 'connection').flatMap((value) => value.toLowerCase().split(',').map((value) => value.trim())))
   const kept: string[] = []
   for (let index = 0; index + 1 < headers.length; index += 2) {
     const name = headers[index] ?? ''
     const lower = name.toLowerCase()
-    if (CONNECTION_HEADERS.has(lower) || named.has(lower) || dropped.has(lower)) continue
+    if (CONNECTION_HEADERS.has(lower) || dropped.has(lower)) continue
+    if (named.has(lower) && !endToEnd.has(lower)) continue
     kept.push(name, headers[index + 1] ?? '')
   }
   return kept
--- a/packages/gateway/tests/fixture.ts
+++ b/packages/gateway/tests/fixture.ts
@@ -24,6 +24,7 @@
   tokens: 'tokens',
   lengthHint: 'length-hint',
   promptParts: 'prompt-parts',
+  endToEnd: new Set(['host', 'content-type', 'request-id', 'proof', 'model']),
   reserved: new Set(['pin'])
 }
 
--- a/packages/gateway/tests/parsing.test.ts
+++ b/packages/gateway/tests/parsing.test.ts
@@ -54,7 +54,7 @@
 })
 
 suite('hop-by-hop headers are removed, also those that Connection names', () => {
-  const kept = rawHeaders.withoutHeaders(['Connection', 'Close, X-Own', 'X-Own', '1', 'Transfer-Encoding', 'chunked', 'Accept', 'a', 'Drop', 'b'], new Set(['drop']))
+  const kept = rawHeaders.withoutHeaders(['Connection', 'Close, X-Own', 'X-Own', '1', 'Transfer-Encoding', 'chunked', 'Accept', 'a', 'Drop', 'b'], { dropped: new Set(['drop']), endToEnd: new Set() })
   assert.equal(kept, ['Accept', 'a'])
 })
 
