--- a/packages/backing-services/src/unparsed-requests.ts
+++ b/packages/backing-services/src/unparsed-requests.ts
@@ -40,7 +40,7 @@
   socket.once('close', () => { clearTimeout(timer) })
 }
 
-/** Ends an exchange whose request has a body that can't be parsed. */
+/** Ends an exchange whose request has a body that can't be parsed: with the refusal, or, if a response has begun, by its end or a cut. */
 function endExchange ({ incoming, outgoing }: Exchange, error: NodeJS.ErrnoException, refusalOf: (error: NodeJS.ErrnoException) => Refusal): void {
   if (outgoing.closed) {
     endConnection(incoming.socket)
@@ -51,7 +51,7 @@
   } else {
     const { status, headers, body } = refusalOf(error)
     outgoing.writeHead(status, [...headers, ...CLOSE_HEADER])
-    // Node.js does not end the request of a response that is complete.
+    // Otherwise the request would never end for its reader: Node.js aborts none whose response is complete.
     outgoing.once('close', () => { incoming.destroy(error) })
     outgoing.end(body)
   }
--- a/packages/gateway/src/front-server.ts
+++ b/packages/gateway/src/front-server.ts
@@ -19,10 +19,10 @@
 import * as resumption from './resumption.js'
 import * as unexpectedErrors from './unexpected-errors.js'
 
-/** Size up to which heads are parsed, bytes; the document's own limit is checked afterwards. */
+/** Least size up to which heads are parsed, bytes; the document's own limit is checked afterwards. */
 const MIN_PARSED_BYTES = 131_072
 
-/** Part of the parsed size that is left to the request line if the document's limit is larger, bytes. */
+/** Part of the parsed size that is left to the request line if the document's limit is larger, bytes. Node.js counts the path as part of the head. */
 const REQUEST_LINE_BYTES = 65_536
 
 /** Interval of the check for connections with incomplete heads, ms. */
--- a/packages/gateway/tests/header-lines.test.ts
+++ b/packages/gateway/tests/header-lines.test.ts
@@ -6,10 +6,10 @@
 import * as assert from 'uvu/assert'
 import * as uvu from 'uvu'
 import * as httpEndpoint from '../src/http-endpoint.js'
-import * as byteTarget from './byte-target.js'
 import * as fixtureModule from './fixture.js'
+import * as plainSockets from './plain-sockets.js'
 
-type Line = byteTarget.Line
+type Line = plainSockets.Line
 
 /** The limit that the users' page states, bytes. */
 const HEADER_BYTES = 16_384
@@ -22,11 +22,11 @@
 const REPLACED: ReadonlySet<string> = new Set(['host', 'key', 'remaining-ms', 'content-length', 'transfer-encoding', 'expected-target', 'organisation', 'connection'])
 
 let fixture: fixtureModule.Fixture
-let target: byteTarget.ByteTarget
+let target: plainSockets.Target
 const suite = uvu.suite('header lines')
 
-async function openTarget (respond?: byteTarget.Respond): Promise<void> {
-  target = await byteTarget.openByteTarget(respond)
+async function openTarget (respond?: plainSockets.Respond): Promise<void> {
+  target = await plainSockets.openTarget(respond)
   fixture.gateway.applyTarget({ id: 'i-1', era: 1, revision: 1, target: { id: 'i-1', service: 'stock', address: target.address, availabilityZone: 'casa-a', version: 'v1', slots: 6, leaving: false } }, 'test')
 }
 
@@ -62,7 +62,7 @@
   suite(`a body with ${what} behind 1,100 header lines arrives whole, and with it all lines`, async () => {
     await openTarget()
     const lines = [...OWN_LINES, ...paddingOf(1_100), framing]
-    const received = await byteTarget.exchangeBytes(fixture.frontAddress, byteTarget.headOf('POST /write/7?q=1 HTTP/1.1', lines) + bytes)
+    const received = await plainSockets.exchangeBytes(fixture.frontAddress, plainSockets.headOf('POST /write/7?q=1 HTTP/1.1', lines) + bytes)
     assert.equal([received.status, received.body, target.arrivals.length], [200, 'ran', 1])
     const [arrival] = target.arrivals
     assert.equal([arrival?.requestLine, arrival?.body], ['POST /write/7?q=1 HTTP/1.1', BODY])
@@ -74,17 +74,17 @@
 suite('host, key, id and remaining time behind 1,100 header lines are read', async () => {
   await openTarget()
   const lines = [...paddingOf(1_100), ...OWN_LINES]
-  const received = await byteTarget.exchangeBytes(fixture.frontAddress, byteTarget.headOf('GET /read/7 HTTP/1.1', lines))
+  const received = await plainSockets.exchangeBytes(fixture.frontAddress, plainSockets.headOf('GET /read/7 HTTP/1.1', lines))
   const [arrival] = target.arrivals
-  assert.equal([received.status, byteTarget.valueOf(arrival?.lines ?? [], 'request-id'), byteTarget.valueOf(arrival?.lines ?? [], 'organisation')], [200, 'r-1', 'maarif'])
-  assert.ok(Number(byteTarget.valueOf(arrival?.lines ?? [], 'remaining-ms')) <= 1_400)
+  assert.equal([received.status, plainSockets.valueOf(arrival?.lines ?? [], 'request-id'), plainSockets.valueOf(arrival?.lines ?? [], 'organisation')], [200, 'r-1', 'maarif'])
+  assert.ok(Number(plainSockets.valueOf(arrival?.lines ?? [], 'remaining-ms')) <= 1_400)
 })
 
 // Guards against a limit that counts only the lines that were kept.
 suite('a head over the limit is refused with 431, also if its first thousand lines are within the limit', async () => {
   await openTarget()
   const lines = [...OWN_LINES, ...Array.from({ length: 3_500 }, (): Line => ['a', '1']), ['Content-Length', String(BODY.length)] as const]
-  const received = await byteTarget.exchangeBytes(fixture.frontAddress, byteTarget.headOf('POST /write/7 HTTP/1.1', lines) + BODY)
+  const received = await plainSockets.exchangeBytes(fixture.frontAddress, plainSockets.headOf('POST /write/7 HTTP/1.1', lines) + BODY)
   assert.equal([received.status, target.arrivals.length], [431, 0])
 })
 
@@ -98,7 +98,7 @@
   places: fastCheck.array(fastCheck.double({ min: 0, max: 1, noNaN: true }), { minLength: OWN_LINES.length + 1, maxLength: OWN_LINES.length + 1 }),
   framing: fastCheck.constantFrom(...FRAMINGS)
 }).map(({ padding, share, places, framing }) => {
-  const repeats = Math.ceil(share * HEADER_BYTES / byteTarget.sizeOf(padding))
+  const repeats = Math.ceil(share * HEADER_BYTES / plainSockets.sizeOf(padding))
   const repeated = Array.from({ length: repeats }, () => padding).flat()
   const [, framingLine, bytes] = framing
   const placed = [...OWN_LINES, framingLine].map((line, index) => ({ line, place: Math.floor((places[index] ?? 0) * repeated.length) }))
@@ -111,13 +111,13 @@
   await openTarget()
   await fastCheck.assert(fastCheck.asyncProperty(HEADS, async ({ lines, bytes }) => {
     const before = target.arrivals.length
-    const received = await byteTarget.exchangeBytes(fixture.frontAddress, byteTarget.headOf('POST /write/7 HTTP/1.1', lines) + bytes)
-    if (byteTarget.sizeOf(lines) > HEADER_BYTES) {
+    const received = await plainSockets.exchangeBytes(fixture.frontAddress, plainSockets.headOf('POST /write/7 HTTP/1.1', lines) + bytes)
+    if (plainSockets.sizeOf(lines) > HEADER_BYTES) {
       assert.equal([received.status, target.arrivals.length], [431, before])
       return
     }
     const arrival = target.arrivals[before]
-    assert.equal([received.status, target.arrivals.length, arrival?.body, byteTarget.valueOf(arrival?.lines ?? [], 'host')], [200, before + 1, BODY, 'shop.example'])
+    assert.equal([received.status, target.arrivals.length, arrival?.body, plainSockets.valueOf(arrival?.lines ?? [], 'host')], [200, before + 1, BODY, 'shop.example'])
     assert.equal(forwardedOf(arrival?.lines ?? []), forwardedOf(lines))
   }), { seed: 55, numRuns: 150 })
 })
@@ -126,15 +126,15 @@
 suite('a response with 1,100 header lines reaches its caller with all of them', async () => {
   const lines = paddingOf(1_100)
   await openTarget(() => ['200 OK', [...lines, ['request-id', 'r-1'], ['proof', 'p']], 'ran'])
-  const received = await byteTarget.exchangeBytes(fixture.frontAddress, byteTarget.headOf('GET /read/7 HTTP/1.1', OWN_LINES))
-  assert.equal([received.status, received.body, byteTarget.valueOf(received.lines, 'proof')], [200, 'ran', 'p'])
+  const received = await plainSockets.exchangeBytes(fixture.frontAddress, plainSockets.headOf('GET /read/7 HTTP/1.1', OWN_LINES))
+  assert.equal([received.status, received.body, plainSockets.valueOf(received.lines, 'proof')], [200, 'ran', 'p'])
   assert.equal(received.lines.filter(([name]) => name.startsWith('s')), lines)
 })
 
 // Guards against a head of a response that is cut, and so looks complete.
 suite('a response with more header lines than the client of targets reads is not forwarded in part', async () => {
   await openTarget(() => ['200 OK', [['request-id', 'r-1'], ['proof', 'p'], ...paddingOf(4_000)], 'ran'])
-  const received = await byteTarget.exchangeBytes(fixture.frontAddress, byteTarget.headOf('POST /write/7 HTTP/1.1', OWN_LINES))
+  const received = await plainSockets.exchangeBytes(fixture.frontAddress, plainSockets.headOf('POST /write/7 HTTP/1.1', OWN_LINES))
   assert.equal([received.status, target.arrivals.length], [502, 1])
   assert.match(received.body, /"reason":"broken"/)
 })
@@ -144,9 +144,9 @@
   await openTarget()
   const address = await fixtureModule.freeAddress()
   const endpoint = await httpEndpoint.openHttpEndpoint(address, new hono.Hono().get('/ready', (context) => context.text(context.req.header('host') ?? '')))
-  const received = await byteTarget.exchangeBytes(address, byteTarget.headOf('GET /ready HTTP/1.1', [...paddingOf(1_100), ['Host', 'shop.example']]))
-  assert.equal([received.status, received.body], [200, 'shop.example'])
+  const received = await plainSockets.exchangeBytes(address, plainSockets.headOf('GET /ready HTTP/1.1', [...paddingOf(1_100), ['Host', 'shop.example']]))
   endpoint.close()
+  assert.equal([received.status, received.body], [200, 'shop.example'])
 })
 
 suite.run()
--- a/packages/gateway/tests/byte-target.ts
+++ b/packages/gateway/tests/plain-sockets.ts
@@ -14,7 +14,7 @@
   readonly body: string
 }
 
-export interface ByteTarget {
+export interface Target {
   readonly address: string
   readonly arrivals: readonly Arrival[]
   readonly close: () => void
@@ -59,7 +59,7 @@
 }
 
 /** Starts a target that records the bytes of its requests. */
-export async function openByteTarget (respond: Respond = respondWithProof): Promise<ByteTarget> {
+export async function openTarget (respond: Respond = respondWithProof): Promise<Target> {
   const arrivals: Arrival[] = []
   const sockets = new Set<net.Socket>()
   const server = net.createServer((socket) => {
